Fix the type of the record log before its users are built

Cause: consensus and the job register both stand on it. Conclusion: both parts can be tested over a log in memory.

--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -1,2 +1,1 @@
-/** The name of this package, as its daemon reports it. */
-export const packageName = '@camphortack/storage';
+export * from './log/record-log.js';
