--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,4 @@
-export type * from './ejection/ejection-tracker.js';
+export * from './ejection/ejection-tracker.js';
 export * from './estimates/run-time-estimator.js';
 export type * from './limits/limit-book.js';
 export * from './queue/fair-queue.js';
