Add the limit book: leased shares of the declared limits

Change: createLimitBook divides each limit between availability zones by weight, leases shares to daemons through one share manager a dimension, lends unused shares to other zones, and hands ledgers over on planned stops.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,5 @@
 export * from './ejection/ejection-tracker.js';
 export * from './estimates/run-time-estimator.js';
-export type * from './limits/limit-book.js';
+export * from './limits/limit-book.js';
 export * from './queue/fair-queue.js';
 export * from './retries/retry-budget.js';
--- /dev/null
+++ b/packages/policy/src/limits/job-accounts.ts
@@ -0,0 +1,165 @@
+import type {LimitDecision, LimitRequest} from './limit-book.js';
+import type {HeldDimension} from './held-dimension.js';
+import type {SpentAmount} from './use-counter.js';
+
+/** What the open jobs of this daemon hold of each dimension. */
+export type JobAccounts = {
+	/** Takes the job's use out of every dimension, all or none. */
+	admitJob(request: LimitRequest, dimensions: readonly HeldDimension[]): LimitDecision;
+	/** Finds a dimension that has too little left for the job. */
+	findLacking(request: LimitRequest, dimensions: readonly HeldDimension[]): HeldDimension | undefined;
+	extendTask(jobId: string, workerSeconds: number): boolean;
+	addTaskEnd(jobId: string, usedWorkerSeconds: number): void;
+	addTaskNotRun(jobId: string): void;
+	closeJob(jobId: string): void;
+};
+
+type Account = {
+	readonly held: HeldDimension;
+	readonly spentAtAdmission?: SpentAmount;
+};
+
+type OpenJob = {
+	readonly accounts: readonly Account[];
+	readonly secondsPerTask: number;
+	/** Worker-seconds reserved beyond those of the admission. */
+	extraSeconds: number;
+	tasksLeft: number;
+};
+
+/** Reserved for each task beyond its expected time, for the time that stopping it takes. */
+export const stopMarginSeconds = 0.25;
+
+/** Creates the accounts, with no open jobs. */
+export function createJobAccounts(): JobAccounts {
+	const jobs = new Map<string, OpenJob>();
+
+	function findLacking(request: LimitRequest, dimensions: readonly HeldDimension[]): HeldDimension | undefined {
+		return dimensions.find(held => held.getFree() < getAmount(held, request));
+	}
+
+	function admitJob(request: LimitRequest, dimensions: readonly HeldDimension[]): LimitDecision {
+		const lacking = findLacking(request, dimensions);
+		if (lacking !== undefined) {
+			lacking.demand.addShortfall(getAmount(lacking, request));
+			const {code, retryAfterMs} = lacking.getDimension();
+			return {isAdmitted: false, code, retryAfterMs};
+		}
+
+		jobs.set(request.jobId, {
+			accounts: dimensions.map(held => openAccount(held, getAmount(held, request))),
+			secondsPerTask: getSecondsPerTask(request),
+			extraSeconds: 0,
+			tasksLeft: request.taskCount,
+		});
+		return {isAdmitted: true};
+	}
+
+	function openAccount(held: HeldDimension, amount: number): Account {
+		const {resource, lagMs} = held.getDimension();
+		const isRate = resource === 'rate';
+		const spentAtAdmission = isRate ? held.counter.spend(amount, lagMs) : undefined;
+		if (!isRate) {
+			held.counter.reserve(amount);
+		}
+
+		held.demand.addAdmitted(amount, held.counter.getHeld());
+		return {held, spentAtAdmission};
+	}
+
+	function extendTask(jobId: string, workerSeconds: number): boolean {
+		const job = jobs.get(jobId);
+		if (job === undefined) {
+			return false;
+		}
+
+		const metered = job.accounts.map(account => account.held).filter(held => held.getDimension().resource === 'worker-seconds');
+		const lacking = metered.find(held => held.getFree() < workerSeconds);
+		if (lacking !== undefined) {
+			lacking.demand.addShortfall(workerSeconds);
+			return false;
+		}
+
+		for (const held of metered) {
+			held.counter.reserve(workerSeconds);
+			held.demand.addAdmitted(workerSeconds, held.counter.getHeld());
+		}
+
+		job.extraSeconds += workerSeconds;
+		return true;
+	}
+
+	function addTaskEnd(jobId: string, usedWorkerSeconds: number): void {
+		endTasks(jobId, 1, usedWorkerSeconds);
+	}
+
+	function endTasks(jobId: string, taskCount: number, usedWorkerSeconds: number): void {
+		const job = jobs.get(jobId);
+		if (job === undefined) {
+			return;
+		}
+
+		job.tasksLeft -= taskCount;
+		const isLast = job.tasksLeft <= 0;
+		const extraSeconds = isLast ? job.extraSeconds : Math.min(job.extraSeconds, Math.max(0, usedWorkerSeconds - job.secondsPerTask));
+		job.extraSeconds -= extraSeconds;
+		for (const {held} of job.accounts) {
+			releaseTasks(held, taskCount, (job.secondsPerTask * taskCount) + extraSeconds, usedWorkerSeconds);
+		}
+
+		if (isLast) {
+			jobs.delete(jobId);
+		}
+	}
+
+	function addTaskNotRun(jobId: string): void {
+		cancelTasks(jobId, 1);
+	}
+
+	function cancelTasks(jobId: string, taskCount: number): void {
+		for (const {held, spentAtAdmission} of jobs.get(jobId)?.accounts ?? []) {
+			if (spentAtAdmission !== undefined) {
+				held.counter.cancelSpent(spentAtAdmission, taskCount);
+			}
+		}
+
+		endTasks(jobId, taskCount, 0);
+	}
+
+	function closeJob(jobId: string): void {
+		const job = jobs.get(jobId);
+		if (job !== undefined) {
+			cancelTasks(jobId, job.tasksLeft);
+		}
+	}
+
+	return {
+		admitJob,
+		findLacking,
+		extendTask,
+		addTaskEnd,
+		addTaskNotRun,
+		closeJob,
+	};
+}
+
+function releaseTasks(held: HeldDimension, taskCount: number, reservedSeconds: number, usedSeconds: number): void {
+	const {resource, lagMs} = held.getDimension();
+	if (resource === 'in-flight') {
+		held.counter.release(taskCount);
+	} else if (resource === 'worker-seconds') {
+		held.counter.release(reservedSeconds);
+		held.counter.spend(usedSeconds, lagMs);
+	}
+}
+
+function getSecondsPerTask({expectedWorkerSeconds, taskCount}: LimitRequest): number {
+	return (expectedWorkerSeconds / taskCount) + stopMarginSeconds;
+}
+
+/** Gets how much of a dimension a job takes at its admission. */
+function getAmount(held: HeldDimension, request: LimitRequest): number {
+	return held.getDimension().resource === 'worker-seconds'
+		? getSecondsPerTask(request) * request.taskCount
+		: request.taskCount;
+}
--- /dev/null
+++ b/packages/policy/src/limits/request-log.ts
@@ -0,0 +1,33 @@
+import type {TimerService} from '@camphortack/core';
+import {leaseMs} from './limit-constants.js';
+
+/** Numbers requests and remembers when each was sent, for as long as an answer could matter. */
+export type RequestLog = {
+	addRequest(): number;
+	findSentAtMs(sequence: number): number | undefined;
+};
+
+/** Creates an empty log. */
+export function createRequestLog(timers: TimerService): RequestLog {
+	const sentAtBySequence = new Map<number, number>();
+	let lastSequence = 0;
+
+	function addRequest(): number {
+		const nowMs = timers.getNowMs();
+		for (const [sequence, sentAtMs] of sentAtBySequence) {
+			if (nowMs < sentAtMs + leaseMs) {
+				break;
+			}
+
+			sentAtBySequence.delete(sequence);
+		}
+
+		sentAtBySequence.set(++lastSequence, nowMs);
+		return lastSequence;
+	}
+
+	return {
+		addRequest,
+		findSentAtMs: sequence => sentAtBySequence.get(sequence),
+	};
+}
--- /dev/null
+++ b/packages/policy/src/limits/share-manager.ts
@@ -0,0 +1,195 @@
+import type {PeerMessage, RandomSource, TimerService} from '@camphortack/core';
+import type {LimitDimension} from './limit-dimensions.js';
+import type {LedgerMessage, LimitMessage, ShareReport} from './limit-messages.js';
+import {createManagedDimension, type ManagedDimension} from './managed-dimension.js';
+import type {RequestLog} from './request-log.js';
+import type {ZoneManagers} from './zone-managers.js';
+
+/** The dimensions whose shares this daemon leases out, and the ledgers on their way to other daemons. */
+export type ShareManager = {
+	/** Takes on and hands over dimensions after a change of members or of the configuration. */
+	assignDimensions(dimensions: Iterable<LimitDimension>): void;
+	/** Forgets what was leased out, since other daemons may have taken over meanwhile. */
+	resetDimensions(): void;
+	/** Adjusts to what this side of the availability zone may use. */
+	updateEntitlements(isIncreaseKnown: boolean): void;
+	grantShare(clientKey: string, isForeign: boolean, sequence: number, report: ShareReport): number | undefined;
+	handleLedger(fromPeerId: string, message: LedgerMessage): void;
+	handleLedgerReceived(transferId: string): void;
+	adoptBorrowed(key: string, zone: string, sequence: number, sentAtMs: number, amount: number): void;
+	/** Sends the requests to other availability zones and the ledgers that are due. */
+	sendDue(): void;
+	findManaged(key: string): ManagedDimension | undefined;
+};
+
+export type ShareManagerOptions = {
+	ownId: string;
+	ownZone: string;
+	incarnation: string;
+	timers: TimerService;
+	random: RandomSource;
+	managers: ZoneManagers;
+	requests: RequestLog;
+	send: (peerId: string, message: PeerMessage & LimitMessage) => void;
+	getEntitlement: (dimension: LimitDimension) => number;
+	/** What may be going on with a dimension that is taken on. */
+	getEarlierUse: (dimension: LimitDimension) => EarlierUse;
+};
+
+/**
+ * `none`: nobody else leases it out or uses it. `concurrent`: other daemons may, and they will report.
+ * `possible`: daemons that are gone may have started uses that still count.
+ */
+export type EarlierUse = 'none' | 'concurrent' | 'possible';
+
+type Transfer = {
+	message: LedgerMessage;
+	sentAtMs: number;
+	startedAtMs: number;
+};
+
+type Managed = {
+	dimension: LimitDimension;
+	readonly managed: ManagedDimension;
+};
+
+const transferIntervalMs = 1000;
+/** A ledger is sent again for this long; after that its taker must have waited out every lease. */
+const transferLifetimeMs = 60_000;
+
+/** Creates a manager of no dimensions. */
+export function createShareManager(options: ShareManagerOptions): ShareManager {
+	const {ownId, ownZone, timers, random, managers, requests, send} = options;
+	const managedByKey = new Map<string, Managed>();
+	const transfers = new Map<string, Transfer>();
+
+	function assignDimensions(dimensions: Iterable<LimitDimension>): void {
+		const declared = new Map([...dimensions].map(dimension => [dimension.key, dimension]));
+		for (const [key, {managed}] of managedByKey) {
+			const dimension = declared.get(key);
+			if (dimension === undefined) {
+				managedByKey.delete(key);
+			} else if (managers.findManager(key, ownZone) !== ownId) {
+				handOver(key, managed);
+			}
+		}
+
+		for (const dimension of declared.values()) {
+			assignDimension(dimension);
+		}
+	}
+
+	function assignDimension(dimension: LimitDimension): void {
+		const present = managedByKey.get(dimension.key);
+		if (present !== undefined) {
+			const isAlike = present.dimension.lagMs === dimension.lagMs;
+			present.dimension = dimension;
+			if (!isAlike) {
+				takeOn(dimension, 'possible');
+			}
+		} else if (managers.findManager(dimension.key, ownZone) === ownId) {
+			takeOn(dimension, options.getEarlierUse(dimension));
+		}
+	}
+
+	function takeOn(dimension: LimitDimension, earlierUse: EarlierUse): void {
+		const managed = createManagedDimension(timers, random, dimension);
+		const entitlement = options.getEntitlement(dimension);
+		managed.setEntitlement(entitlement);
+		if (earlierUse !== 'none') {
+			managed.freeze(entitlement, earlierUse === 'possible');
+		}
+
+		managedByKey.set(dimension.key, {dimension, managed});
+	}
+
+	function handOver(key: string, managed: ManagedDimension): void {
+		managedByKey.delete(key);
+		const message = managed.createLedgerMessage();
+		transfers.set(message.transferId, {message, sentAtMs: -Infinity, startedAtMs: timers.getNowMs()});
+	}
+
+	function resetDimensions(): void {
+		for (const {dimension} of managedByKey.values()) {
+			takeOn(dimension, 'possible');
+		}
+	}
+
+	function updateEntitlements(isIncreaseKnown: boolean): void {
+		for (const {dimension, managed} of managedByKey.values()) {
+			const increase = options.getEntitlement(dimension) - managed.getEntitlement();
+			managed.setEntitlement(managed.getEntitlement() + increase);
+			if (increase > 0 && !isIncreaseKnown) {
+				managed.freeze(increase, true);
+			}
+		}
+	}
+
+	function handleLedger(fromPeerId: string, message: LedgerMessage): void {
+		const managed = managedByKey.get(message.key)?.managed;
+		if (managed !== undefined) {
+			managed.addLedger(message);
+			send(fromPeerId, {kind: 'limits.ledger-received', transferId: message.transferId});
+		}
+	}
+
+	function sendDue(): void {
+		sendTransfers();
+		sendBorrowReports();
+	}
+
+	function sendTransfers(): void {
+		const nowMs = timers.getNowMs();
+		for (const [transferId, transfer] of transfers) {
+			const manager = managers.findManager(transfer.message.key, ownZone);
+			if (nowMs >= transfer.startedAtMs + transferLifetimeMs) {
+				transfers.delete(transferId);
+			} else if (manager === ownId) {
+				handleLedger(ownId, transfer.message);
+				transfers.delete(transferId);
+			} else if (manager !== undefined && nowMs >= transfer.sentAtMs + transferIntervalMs) {
+				transfer.sentAtMs = nowMs;
+				send(manager, transfer.message);
+			}
+		}
+	}
+
+	function sendBorrowReports(): void {
+		const otherZones = [...managers.getZones()].filter(zone => zone !== ownZone);
+		const reportsByPeer = new Map<string, ShareReport[]>();
+		for (const [key, {managed}] of managedByKey) {
+			for (const {zone, report} of managed.takeBorrowReports(otherZones)) {
+				const peerId = managers.findManager(key, zone)!;
+				const reports = reportsByPeer.get(peerId) ?? [];
+				reports.push(report);
+				reportsByPeer.set(peerId, reports);
+			}
+		}
+
+		for (const [peerId, reports] of reportsByPeer) {
+			send(peerId, {
+				kind: 'limits.request',
+				incarnation: options.incarnation,
+				isForeign: true,
+				sequence: requests.addRequest(),
+				reports,
+			});
+		}
+	}
+
+	return {
+		assignDimensions,
+		resetDimensions,
+		updateEntitlements,
+		grantShare: (clientKey, isForeign, sequence, report) => managedByKey.get(report.key)?.managed.grantShare(clientKey, isForeign, sequence, report),
+		handleLedger,
+		handleLedgerReceived(transferId) {
+			transfers.delete(transferId);
+		},
+		adoptBorrowed(key, zone, sequence, sentAtMs, amount) {
+			managedByKey.get(key)?.managed.adoptBorrowed(zone, sequence, sentAtMs, amount);
+		},
+		sendDue,
+		findManaged: key => managedByKey.get(key)?.managed,
+	};
+}
--- /dev/null
+++ b/packages/policy/test/limits/limit-cluster.ts
@@ -0,0 +1,227 @@
+import type {ConfigurationObjects} from '@camphortack/configuration';
+import {configurationSchema} from '@camphortack/configuration';
+import {createSeededRandomSource, type Member} from '@camphortack/core';
+import {FakeNetwork, VirtualTimers} from '@camphortack/testkit';
+import {createLimitBook, type LimitBookPart, type LimitDecision, type LimitRequest} from '../../src/index.js';
+import {NodeTimers} from './node-timers.js';
+
+export type ClusterOptions = {
+	seed: number;
+	zones: number;
+	nodesPerZone: number;
+	lossRatio?: number;
+	doublingRatio?: number;
+	longestDelayMs?: number;
+	longestHoldMs?: number;
+};
+
+export type ClusterNode = {
+	id: string;
+	zone: string;
+	incarnation: number;
+	timers: NodeTimers;
+	book: LimitBookPart;
+	isAlive: boolean;
+	version: number;
+};
+
+export const holdMs = 5000;
+
+/** Limit books over a fake network; an oracle with a delay stands in for membership. Tasks go on after a crash. */
+export class LimitCluster {
+	readonly timers = new VirtualTimers();
+	readonly random;
+	readonly network: FakeNetwork;
+	readonly nodes = new Map<string, ClusterNode>();
+	running = 0;
+	readonly starts: Array<{atMs: number; count: number}> = [];
+	readonly uses: Array<{atMs: number; seconds: number}> = [];
+	admittedTasks = 0;
+	offeredTasks = 0;
+	#jobs = 0;
+	#groups = new Map<string, number>();
+	#configuration = this.#parse({}, 1);
+
+	constructor(readonly options: ClusterOptions) {
+		this.random = createSeededRandomSource(options.seed);
+		this.network = new FakeNetwork({
+			timers: this.timers,
+			random: this.random,
+			shortestDelayMs: 0.5,
+			longestDelayMs: options.longestDelayMs ?? 1,
+			lossRatio: options.lossRatio ?? 0,
+			doublingRatio: options.doublingRatio ?? 0,
+		});
+	}
+
+	start(objects: Partial<ConfigurationObjects>): void {
+		this.#configuration = this.#parse(objects, 1);
+		for (let zone = 0; zone < this.options.zones; zone++) {
+			for (let index = 0; index < this.options.nodesPerZone; index++) {
+				this.#addNode(`z${zone}n${index}`, `z${zone}`, 1);
+			}
+		}
+
+		this.updateViews(0);
+	}
+
+	publish(objects: Partial<ConfigurationObjects>): void {
+		this.#configuration = this.#parse(objects, this.#configuration.version + 1);
+		for (const node of this.nodes.values()) {
+			this.#spreadConfiguration(node);
+		}
+	}
+
+	crash(id: string): void {
+		const node = this.nodes.get(id)!;
+		node.isAlive = false;
+		node.timers.stop();
+		node.book.stop();
+		this.network.removePeer(id);
+		this.updateViews();
+	}
+
+	restart(id: string): void {
+		const node = this.nodes.get(id)!;
+		if (!node.isAlive) {
+			this.#addNode(id, node.zone, node.incarnation + 1);
+			this.updateViews();
+		}
+	}
+
+	/** Puts each node into a group; only nodes of the same group reach each other. */
+	setGroups(groupOf: (node: ClusterNode) => number): void {
+		this.network.healLinks();
+		const all = [...this.nodes.values()];
+		this.#groups = new Map(all.map(node => [node.id, groupOf(node)]));
+		for (const left of all) {
+			for (const right of all) {
+				if (this.#groups.get(left.id) !== this.#groups.get(right.id)) {
+					this.network.cutLink(left.id, right.id);
+				}
+			}
+		}
+
+		this.updateViews();
+		for (const node of all) {
+			this.#spreadConfiguration(node);
+		}
+	}
+
+	updateViews(longestDelayMs = 2500): void {
+		for (const node of this.nodes.values()) {
+			this.timers.addTimer(longestDelayMs * (0.4 + (0.6 * this.random.getFraction())), () => {
+				node.timers.run(() => {
+					if (node.isAlive) {
+						node.book.setMembers(this.#getView(node));
+					}
+				});
+			});
+		}
+	}
+
+	offer(id: string, taskCount: number, runTimeMs: number): void {
+		const node = this.nodes.get(id)!;
+		const jobId = `${++this.#jobs}`;
+		this.offeredTasks += taskCount;
+		const request: LimitRequest = {
+			jobId,
+			customer: 'joiner',
+			service: 'pricing',
+			pool: 'walnut',
+			taskCount,
+			expectedWorkerSeconds: taskCount * runTimeMs / 1000,
+		};
+		node.timers.run(() => {
+			if (node.isAlive) {
+				node.book.requestAdmission(request, decision => {
+					this.#startJob(node, request, decision, runTimeMs);
+				});
+			}
+		});
+	}
+
+	#startJob(node: ClusterNode, {jobId, taskCount}: LimitRequest, decision: LimitDecision, runTimeMs: number): void {
+		if (!decision.isAdmitted) {
+			return;
+		}
+
+		this.running += taskCount;
+		this.admittedTasks += taskCount;
+		this.starts.push({atMs: this.timers.getNowMs(), count: taskCount});
+		for (let task = 0; task < taskCount; task++) {
+			this.timers.addTimer(runTimeMs, () => {
+				this.running--;
+				this.uses.push({atMs: this.timers.getNowMs(), seconds: runTimeMs / 1000});
+				node.timers.run(() => {
+					node.book.addTaskEnd(jobId, runTimeMs / 1000);
+				});
+			});
+		}
+	}
+
+	#getView(node: ClusterNode): Member[] {
+		const group = this.#groups.get(node.id) ?? 0;
+		const reachable = [...this.nodes.values()].filter(other => other === node
+			|| (other.isAlive && !other.timers.isPaused && (this.#groups.get(other.id) ?? 0) === group));
+		return reachable.map(other => ({
+			id: other.id,
+			incarnation: `${other.incarnation}`,
+			availabilityZone: other.zone,
+			roles: ['entry'],
+			host: '127.0.0.1',
+			peerPort: 1,
+		}));
+	}
+
+	#addNode(id: string, zone: string, incarnation: number): void {
+		const timers = new NodeTimers(this.timers, 0.99 + (0.02 * this.random.getFraction()));
+		const node: ClusterNode = {
+			id,
+			zone,
+			incarnation,
+			timers,
+			isAlive: true,
+			version: 0,
+			book: createLimitBook({
+				ownId: id,
+				incarnation: `${incarnation}`,
+				availabilityZone: zone,
+				timers,
+				random: this.random,
+				peers: this.network.addPeer(id, (from, message) => {
+					timers.run(() => {
+						node.book.handlePeerMessage(from, message);
+					});
+				}),
+				fewestZoneMembers: this.options.nodesPerZone,
+				earlierUse: incarnation === 1 ? 'none' : 'possible',
+				longestHoldMs: this.options.longestHoldMs ?? holdMs,
+			}),
+		};
+		this.nodes.set(id, node);
+		this.#spreadConfiguration(node, 0);
+	}
+
+	/** Brings the newest configuration to a node that is reachable from the keepers, in group 0. */
+	#spreadConfiguration(node: ClusterNode, longestDelayMs = 3000): void {
+		const configuration = this.#configuration;
+		if ((this.#groups.get(node.id) ?? 0) !== 0) {
+			return;
+		}
+
+		this.timers.addTimer(longestDelayMs * this.random.getFraction(), () => {
+			node.timers.run(() => {
+				if (node.isAlive && node.version < configuration.version) {
+					node.version = configuration.version;
+					node.book.setConfiguration(configuration);
+				}
+			});
+		});
+	}
+
+	#parse(objects: Partial<ConfigurationObjects>, version: number) {
+		const availabilityZones = Object.fromEntries(Array.from({length: this.options?.zones ?? 0}, (_, zone) => [`z${zone}`, {}]));
+		return configurationSchema.parse({version, objects: {availabilityZones, customers: {joiner: {limits: ['bill']}}, ...objects}});
+	}
+}
--- /dev/null
+++ b/packages/policy/test/limits/run-fault-schedule.ts
@@ -0,0 +1,102 @@
+import {LimitCluster} from './limit-cluster.js';
+
+export type Declared = {tasksPerSecond?: number; tasksInFlight?: number; workerSecondsPerHour?: number};
+
+export const allLimits = {tasksPerSecond: 60, tasksInFlight: 40, workerSecondsPerHour: 36_000};
+
+/** A naive central ledger of the declared figures: reports every moment at which one is passed. */
+export function findPassed(cluster: LimitCluster, {tasksPerSecond, workerSecondsPerHour}: Declared): string | undefined {
+	if (tasksPerSecond !== undefined) {
+		let tokens = tasksPerSecond;
+		let atMs = 0;
+		for (const start of cluster.starts) {
+			tokens = Math.min(tasksPerSecond, tokens + ((start.atMs - atMs) / 1000 * tasksPerSecond)) - start.count;
+			atMs = start.atMs;
+			if (tokens < -1e-6) {
+				return `rate passed at ${atMs} ms by ${-tokens} tasks`;
+			}
+		}
+	}
+
+	if (workerSecondsPerHour !== undefined) {
+		let windowStart = 0;
+		let seconds = 0;
+		for (const use of cluster.uses) {
+			seconds += use.seconds;
+			while (cluster.uses[windowStart]!.atMs <= use.atMs - 600_000) {
+				seconds -= cluster.uses[windowStart++]!.seconds;
+			}
+
+			if (seconds > (workerSecondsPerHour / 6) + 1e-6) {
+				return `worker-seconds passed at ${use.atMs} ms: ${seconds}`;
+			}
+		}
+	}
+
+	return undefined;
+}
+
+export function offerLoad(cluster: LimitCluster, isBusy: (id: string) => boolean): void {
+	for (const node of cluster.nodes.values()) {
+		if (isBusy(node.id) && cluster.random.getFraction() < 0.5) {
+			cluster.offer(node.id, cluster.random.getInteger(1, 4), cluster.random.getInteger(50, 4900));
+		}
+	}
+}
+
+export type Fault = {
+	kind: 'crash' | 'restart' | 'pause' | 'isolate' | 'cut-zone' | 'heal' | 'skew';
+	node: number;
+	durationMs: number;
+};
+
+/** Runs faults one after the other under load and says which declared figure was passed, if any. */
+export function runFaultSchedule(seed: number, nodesPerZone: number, faults: readonly Fault[]): string | undefined {
+	const cluster = new LimitCluster({
+		seed,
+		zones: 2,
+		nodesPerZone,
+		lossRatio: 0.05,
+		doublingRatio: 0.05,
+		longestDelayMs: 80,
+	});
+	cluster.start({limits: {bill: {...allLimits, burstSeconds: 1}}});
+	const ids = [...cluster.nodes.keys()];
+	let busyId: string | undefined;
+	for (const {kind, node, durationMs} of faults) {
+		const id = ids[node % ids.length]!;
+		busyId = kind === 'skew' ? id : busyId;
+		bringAbout(cluster, kind, id, durationMs);
+		for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+			offerLoad(cluster, each => busyId === undefined || each === busyId);
+			cluster.timers.advance(100);
+			if (cluster.running > allLimits.tasksInFlight) {
+				return `${cluster.running} tasks in flight at ${cluster.timers.getNowMs()} ms`;
+			}
+		}
+	}
+
+	return findPassed(cluster, allLimits);
+}
+
+function bringAbout(cluster: LimitCluster, kind: Fault['kind'], id: string, durationMs: number): void {
+	const {timers, isAlive} = cluster.nodes.get(id)!;
+	if (kind === 'crash' && isAlive) {
+		cluster.crash(id);
+	} else if (kind === 'restart') {
+		cluster.restart(id);
+	} else if (kind === 'pause') {
+		timers.pause();
+		cluster.updateViews();
+		cluster.timers.addTimer(durationMs, () => {
+			timers.resume();
+			cluster.updateViews();
+		});
+	} else if (kind === 'isolate') {
+		cluster.setGroups(node => node.id === id ? 1 : 0);
+	} else if (kind === 'cut-zone') {
+		cluster.setGroups(node => node.zone === 'z0' ? 0 : 1);
+	} else if (kind === 'heal') {
+		cluster.setGroups(() => 0);
+	}
+}
