--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -68,7 +68,10 @@
 		number: 1601, level: 'error', happened: 'A sync failed; the daemon stops, since the state of the file is unknown.', action: 'Replace the disk and start the daemon again.',
 	},
 	'register-epoch-started': {
-		number: 1700, level: 'warning', happened: 'The job register has no records of earlier jobs and starts a new epoch.', action: 'None; ids that it cannot know about are refused until their retention has passed.',
+		number: 1700,
+		level: 'warning',
+		happened: 'The job register has no records of earlier jobs and starts a new epoch.',
+		action: 'None; ids that it cannot know about are refused until their retention has passed.',
 	},
 } as const satisfies Record<string, EventDescription>;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './refusals/refusal-codes.js';
 export * from './schemas/backend-server-schemas.js';
 export * from './schemas/job-schemas.js';
+export * from './schemas/json-value-schema.js';
 export * from './schemas/outcome-schemas.js';
 export * from './schemas/task-start-schemas.js';
 export * from './time/timer-service.js';
--- a/packages/core/src/schemas/job-schemas.ts
+++ b/packages/core/src/schemas/job-schemas.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {jsonValueSchema} from './json-value-schema.js';
 
 /** The most tasks that a job may have. */
 export const mostTasksPerJob = 150;
@@ -19,7 +20,7 @@
 
 /** One task of a job. */
 export const taskSchema = z.strictObject({
-	payload: z.json(),
+	payload: jsonValueSchema,
 	declaredRunTimeMs: z.number().positive().max(longestDeadlineMs).optional(),
 	needs: taskNeedsSchema.optional(),
 });
--- a/packages/core/src/schemas/outcome-schemas.ts
+++ b/packages/core/src/schemas/outcome-schemas.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {refusalCodeNames} from '../refusals/refusal-codes.js';
+import {jsonValueSchema} from './json-value-schema.js';
 
 /** Why a job failed. Each reason has a counter `job-failed-<reason>`. */
 export const failureReasons = ['task-error', 'task-lost', 'deadline', 'cancelled', 'daemon-lost', 'never-fits'] as const;
@@ -18,7 +19,7 @@
 	outcome: z.literal('complete'),
 	id: z.string(),
 	/** The result of each task, in the order of the submission. */
-	results: z.array(z.json()),
+	results: z.array(jsonValueSchema),
 });
 
 export const failedOutcomeSchema = z.strictObject({
@@ -35,7 +36,7 @@
 	notRun: z.enum(['job', 'this-copy']),
 	message: z.string(),
 	retryAfterMs: z.number().optional(),
-	findings: z.array(z.json()).optional(),
+	findings: z.array(jsonValueSchema).optional(),
 });
 
 /** The answer to a submission. */
--- a/packages/core/src/schemas/task-start-schemas.ts
+++ b/packages/core/src/schemas/task-start-schemas.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {jsonValueSchema} from './json-value-schema.js';
 
 /** One task in a message to a backend server. */
 export const taskStartSchema = z.strictObject({
@@ -8,7 +9,7 @@
 	job: z.string(),
 	index: z.int().min(0),
 	service: z.string(),
-	payload: z.json(),
+	payload: jsonValueSchema,
 });
 
 /** The body of `POST /v1/tasks` at a backend server: one or more tasks, each for one slot. */
@@ -25,7 +26,7 @@
  * `done` has a result, `error` ran and failed, `not-run` certainly did not start.
  */
 export const taskAnswerSchema = z.discriminatedUnion('state', [
-	z.object({attempt: z.string(), state: z.literal('done'), result: z.json()}),
+	z.object({attempt: z.string(), state: z.literal('done'), result: jsonValueSchema}),
 	z.object({attempt: z.string(), state: z.literal('error'), message: z.string()}),
 	z.object({attempt: z.string(), state: z.literal('not-run'), reason: z.string()}),
 ]);
--- /dev/null
+++ b/packages/daemon/src/peers/tcp-peer-network.ts
@@ -0,0 +1,256 @@
+import {readFileSync} from 'node:fs';
+import net from 'node:net';
+import tls from 'node:tls';
+import {
+	PeerNetwork, type EventLog, type MetricSink, type PeerMessage, type TimerService,
+} from '@camphortack/core';
+import {
+	createFrameReader, encodeFrame, FrameError, type FrameReader,
+} from './frame-codec.js';
+import {peerHelloSchema, peerProtocolVersion} from './peer-hello.js';
+
+/** Where a daemon listens for its peers. */
+export type PeerAddress = {
+	id: string;
+	host: string;
+	port: number;
+};
+
+/** The files of this daemon's certificate. With them, both sides of each link are verified. */
+export type PeerTlsFiles = {
+	certificateFile: string;
+	keyFile: string;
+	authorityFile: string;
+};
+
+export type TcpPeerNetworkOptions = {
+	ownId: string;
+	host: string;
+	port: number;
+	tls?: PeerTlsFiles;
+	timers: TimerService;
+	metrics: MetricSink;
+	events: EventLog;
+	onMessage: (fromPeerId: string, message: PeerMessage) => void;
+};
+
+type Link = {
+	socket: net.Socket;
+	isUp: boolean;
+};
+
+const helloTimeoutMs = 5000;
+const reconnectDelayMs = 250;
+const mostBufferedBytes = 8_388_608;
+const mostInboundConnections = 1024;
+const mostInboundBeforeHelloBytes = 4096;
+const keepAliveProbeDelayMs = 10_000;
+
+/**
+ * Links between daemons: one outgoing connection for each peer that is written to, opened on the first message.
+ * A message that cannot be sent now is dropped and counted; the parts above repeat what matters.
+ */
+export class TcpPeerNetwork extends PeerNetwork {
+	readonly #options: TcpPeerNetworkOptions;
+	readonly #tlsOptions: tls.TLSSocketOptions & tls.ConnectionOptions & tls.TlsOptions | undefined;
+	readonly #addresses = new Map<string, PeerAddress>();
+	readonly #links = new Map<string, Link>();
+	readonly #notBeforeMs = new Map<string, number>();
+	readonly #inbound = new Set<net.Socket>();
+	readonly #server: net.Server;
+	#isClosed = false;
+
+	constructor(options: TcpPeerNetworkOptions) {
+		super();
+		this.#options = options;
+		this.#tlsOptions = options.tls && readTlsOptions(options.tls);
+		this.#server = this.#createServer();
+		this.#server.maxConnections = mostInboundConnections;
+	}
+
+	/** Starts to listen; gives the port, which differs from the option where that is 0. */
+	async listen(): Promise<number> {
+		const {host, port} = this.#options;
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+		const address = this.#server.address();
+		return typeof address === 'object' && address !== null ? address.port : port;
+	}
+
+	/** Sets where a peer listens. A changed address ends the old link. */
+	setAddress(address: PeerAddress): void {
+		const known = this.#addresses.get(address.id);
+		this.#addresses.set(address.id, address);
+		if (known !== undefined && (known.host !== address.host || known.port !== address.port)) {
+			this.#links.get(address.id)?.socket.destroy();
+			this.#notBeforeMs.delete(address.id);
+		}
+	}
+
+	override send(peerId: string, message: PeerMessage): void {
+		if (peerId === this.#options.ownId) {
+			queueMicrotask(() => {
+				this.#options.onMessage(peerId, message);
+			});
+			return;
+		}
+
+		const link = this.#links.get(peerId) ?? this.#openLink(peerId);
+		if (link === undefined || link.socket.writableLength > mostBufferedBytes) {
+			this.#options.metrics.increment('peer-dropped');
+			return;
+		}
+
+		link.socket.write(encodeFrame(message));
+		this.#options.metrics.increment('peer-sent');
+	}
+
+	/** Closes every link and stops listening. */
+	async close(): Promise<void> {
+		this.#isClosed = true;
+		for (const link of this.#links.values()) {
+			link.socket.end();
+		}
+
+		for (const socket of this.#inbound) {
+			socket.destroy();
+		}
+
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	#openLink(peerId: string): Link | undefined {
+		const address = this.#addresses.get(peerId);
+		const nowMs = this.#options.timers.getNowMs();
+		if (address === undefined || this.#isClosed || nowMs < (this.#notBeforeMs.get(peerId) ?? 0)) {
+			return undefined;
+		}
+
+		const link: Link = {socket: this.#connect(address), isUp: false};
+		this.#links.set(peerId, link);
+		link.socket.setNoDelay(true);
+		link.socket.setKeepAlive(true, keepAliveProbeDelayMs);
+		link.socket.once(this.#tlsOptions === undefined ? 'connect' : 'secureConnect', () => {
+			link.isUp = true;
+			this.#options.events.write('peer-connected', {peer: peerId});
+		});
+		link.socket.on('error', () => {
+			// The close event that follows does the work.
+		});
+		link.socket.on('close', () => {
+			this.#dropLink(peerId, link);
+		});
+		link.socket.resume();
+		link.socket.write(encodeFrame({kind: 'peer.hello', protocolVersion: peerProtocolVersion, id: this.#options.ownId}));
+		return link;
+	}
+
+	#connect({host, port}: PeerAddress): net.Socket {
+		if (this.#tlsOptions === undefined) {
+			return net.connect({host, port});
+		}
+
+		return tls.connect({...this.#tlsOptions, host, port});
+	}
+
+	#dropLink(peerId: string, link: Link): void {
+		if (this.#links.get(peerId) !== link) {
+			return;
+		}
+
+		this.#links.delete(peerId);
+		this.#notBeforeMs.set(peerId, this.#options.timers.getNowMs() + reconnectDelayMs);
+		if (link.isUp && !this.#isClosed) {
+			this.#options.events.write('peer-lost', {peer: peerId});
+		}
+	}
+
+	#createServer(): net.Server {
+		if (this.#tlsOptions === undefined) {
+			return net.createServer(socket => {
+				this.#acceptConnection(socket);
+			});
+		}
+
+		return tls.createServer(this.#tlsOptions, socket => {
+			this.#acceptConnection(socket);
+		});
+	}
+
+	#acceptConnection(socket: net.Socket): void {
+		let peerId: string | undefined;
+		this.#inbound.add(socket);
+		const helloTimer = this.#options.timers.addTimer(helloTimeoutMs, () => {
+			socket.destroy();
+		});
+		const reader = createFrameReader(message => {
+			if (peerId !== undefined) {
+				this.#options.metrics.increment('peer-received');
+				this.#options.onMessage(peerId, message);
+				return;
+			}
+
+			peerId = readHelloOrThrow(message);
+			helloTimer.cancel();
+		});
+		let receivedBeforeHelloBytes = 0;
+		socket.setKeepAlive(true, keepAliveProbeDelayMs);
+		socket.on('data', (chunk: Uint8Array) => {
+			this.#readChunk(socket, reader, chunk);
+			receivedBeforeHelloBytes += chunk.length;
+			if (peerId === undefined && receivedBeforeHelloBytes > mostInboundBeforeHelloBytes) {
+				this.#rejectConnection(socket, 'too much before the hello');
+			}
+		});
+		socket.on('error', () => {
+			// The close event that follows does the work.
+		});
+		socket.on('close', () => {
+			helloTimer.cancel();
+			this.#inbound.delete(socket);
+		});
+	}
+
+	#readChunk(socket: net.Socket, reader: FrameReader, chunk: Uint8Array): void {
+		try {
+			reader.addChunk(chunk);
+		} catch (error) {
+			if (!(error instanceof FrameError)) {
+				throw error;
+			}
+
+			this.#rejectConnection(socket, error.message);
+		}
+	}
+
+	#rejectConnection(socket: net.Socket, reason: string): void {
+		this.#options.events.write('peer-frame-rejected', {address: socket.remoteAddress, reason});
+		socket.destroy();
+	}
+}
+
+function readHelloOrThrow(message: PeerMessage): string {
+	const parsed = peerHelloSchema.safeParse(message);
+	if (!parsed.success) {
+		throw new FrameError('the first frame is not a hello of this protocol version');
+	}
+
+	return parsed.data.id;
+}
+
+function readTlsOptions(files: PeerTlsFiles): tls.TLSSocketOptions & tls.ConnectionOptions & tls.TlsOptions {
+	return {
+		cert: readFileSync(files.certificateFile),
+		key: readFileSync(files.keyFile),
+		ca: readFileSync(files.authorityFile),
+		minVersion: 'TLSv1.3',
+		requestCert: true,
+		rejectUnauthorized: true,
+	};
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,3 +1,4 @@
+export * from './backend/stand-in-backend-server.js';
 export * from './network/fake-network.js';
 export * from './sinks/recording-event-log.js';
 export * from './sinks/recording-metric-sink.js';
