Add the daemon's HTTP interfaces and the tests of its adapters

Cause: callers, backend servers and operators need their ways in. Conclusion: the dispatcher can now be wired behind these.

--- /dev/null
+++ b/packages/daemon/src/http/send-json.ts
@@ -0,0 +1,40 @@
+import type {ServerResponse} from 'node:http';
+import {getRefusalDescription, type JobOutcome} from '@camphortack/core';
+
+const statusOfComplete = 200;
+const statusOfFailed = 500;
+const millisecondsPerSecond = 1000;
+
+/**
+ * Sends a value as JSON.
+ * @param response - The response.
+ * @param status - The HTTP status.
+ * @param value - The value.
+ * @param headers - Further headers.
+ */
+export function sendJson(response: ServerResponse, status: number, value: unknown, headers: Record<string, string> = {}): void {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	response.writeHead(status, {'content-type': 'application/json', ...headers});
+	response.end(JSON.stringify(value));
+}
+
+/**
+ * Sends the outcome of a job with its HTTP status and, for a refusal, the time after which to come back.
+ * @param response - The response.
+ * @param outcome - The outcome.
+ */
+export function sendOutcome(response: ServerResponse, outcome: JobOutcome): void {
+	if (outcome.outcome !== 'refused') {
+		sendJson(response, outcome.outcome === 'complete' ? statusOfComplete : statusOfFailed, outcome);
+		return;
+	}
+
+	const {httpStatus} = getRefusalDescription(outcome.code);
+	const headers: Record<string, string> = outcome.retryAfterMs === undefined
+		? {}
+		: {'retry-after': String(Math.ceil(outcome.retryAfterMs / millisecondsPerSecond))};
+	sendJson(response, httpStatus, outcome, headers);
+}
--- /dev/null
+++ b/packages/daemon/test/peers/frame-codec.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import type {PeerMessage} from '@camphortack/core';
+import {createFrameReader, encodeFrame, FrameError} from '../../src/peers/frame-codec.js';
+
+describe('createFrameReader', () => {
+	it('gives what was encoded, however the bytes are cut', () => {
+		const messages = fc.array(fc.record({kind: fc.string({maxLength: 20}), value: fc.jsonValue()}), {minLength: 1, maxLength: 10});
+		fc.assert(fc.property(messages, fc.integer({min: 1, max: 50}), (sent, chunkBytes) => {
+			const received: PeerMessage[] = [];
+			const reader = createFrameReader(message => {
+				received.push(message);
+			});
+			const bytes = sent.flatMap(message => [...encodeFrame(message)]);
+			for (let start = 0; start < bytes.length; start += chunkBytes) {
+				reader.addChunk(Uint8Array.from(bytes.slice(start, start + chunkBytes)));
+			}
+
+			assert.deepEqual(JSON.parse(JSON.stringify(received)), JSON.parse(JSON.stringify(sent)));
+		}), {seed: 1});
+	});
+
+	it('throws nothing but a FrameError on any bytes', () => {
+		fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => {
+			const reader = createFrameReader(() => undefined, 64);
+			try {
+				reader.addChunk(bytes);
+			} catch (error) {
+				assert.ok(error instanceof FrameError);
+			}
+		}), {seed: 2, numRuns: 500});
+	});
+
+	const rows: Array<{name: string; bytes: number[]}> = [
+		{name: 'a frame of no bytes', bytes: [0, 0, 0, 0]},
+		{name: 'a frame over the bound', bytes: [255, 255, 255, 255]},
+		{name: 'a frame that is not CBOR', bytes: [0, 0, 0, 2, 255, 255]},
+		{name: 'a frame without a kind', bytes: [0, 0, 0, 1, 0xA0]},
+	];
+	for (const {name, bytes} of rows) {
+		it(`rejects ${name}`, () => {
+			const reader = createFrameReader(() => undefined);
+			assert.throws(() => {
+				reader.addChunk(Uint8Array.from(bytes));
+			}, FrameError);
+		});
+	}
+});
