--- a/packages/daemon/test/peers/frame-codec.test.ts
+++ b/packages/daemon/test/peers/frame-codec.test.ts
@@ -17,7 +17,7 @@
 				reader.addChunk(Uint8Array.from(bytes.slice(start, start + chunkBytes)));
 			}
 
-			assert.deepEqual(JSON.parse(JSON.stringify(received)), JSON.parse(JSON.stringify(sent)));
+			assert.equal(JSON.stringify(received), JSON.stringify(sent));
 		}), {seed: 1});
 	});
 
