--- /dev/null
+++ b/packages/storage/src/folder/data-folder.ts
@@ -0,0 +1,137 @@
+import {Buffer} from 'node:buffer';
+import {join} from 'node:path';
+import type {RandomSource} from '@camphortack/core';
+import crc32 from 'crc-32';
+import {NodeFileSystem} from '../adapters/node-file-system.js';
+import {StorageError} from '../errors/storage-error.js';
+import {encodeLogFileStart, readLogFile, type LogFileHeader} from '../log/log-file.js';
+import {encodeFrame} from '../log/frame.js';
+import type {FileSystem} from '../ports/file-system.js';
+import {encodeRecord} from '../utils/record-codec.js';
+import {writeFileAtomically} from '../utils/write-file-atomically.js';
+
+const manifestFileName = 'manifest';
+const manifestHeader: LogFileHeader = {kind: 'snapshot', folderIdentity: '', name: manifestFileName};
+
+type Manifest = {
+	identity: string;
+	daemonId: string;
+	logNames: string[];
+};
+
+export type DataFolderOptions = {
+	path: string;
+	/** The daemon that the folder belongs to. */
+	daemonId: string;
+	random: RandomSource;
+	/** The machine's file system, if left out. */
+	fileSystem?: FileSystem;
+};
+
+/** A locked folder with the durable state of one daemon. */
+export type DataFolder = {
+	readonly path: string;
+	/** Random, given at the folder's creation: a lost or replaced disk has another one. */
+	readonly identity: string;
+	/** Whether this opening created the folder. */
+	readonly isNew: boolean;
+	readonly fileSystem: FileSystem;
+	/** Where the checksums of its files start. */
+	readonly checksumSeed: number;
+	/** Whether a log was created earlier. */
+	hasLog(name: string): boolean;
+	/** Remembers that a log was created, so that its loss is noticed. */
+	addLog(name: string): Promise<void>;
+	/** Unlocks the folder. Close its logs first. */
+	close(): Promise<void>;
+};
+
+/**
+ * Opens the data folder of a daemon, or creates it, and locks it.
+ * @param options - The folder and its daemon.
+ * @throws StorageError if another process holds it, if it belongs to another daemon or if it is damaged.
+ *
+ * @example
+ * ```ts
+ * const dataFolder = await openDataFolder({path: '/var/lib/camphortack', daemonId: 'entry-1', random});
+ * const log = await openRecordLog({dataFolder, name: 'register', events, metrics, timers, onFailure});
+ * ```
+ */
+export async function openDataFolder(options: DataFolderOptions): Promise<DataFolder> {
+	const {path, daemonId, random, fileSystem = new NodeFileSystem()} = options;
+	await fileSystem.createFolder(path);
+	const lock = await fileSystem.lockFolder(path);
+	try {
+		const manifestPath = join(path, manifestFileName);
+		const found = await findManifest(fileSystem, manifestPath, daemonId);
+		const manifest = found ?? {identity: random.getIdentifier(), daemonId, logNames: []};
+		if (found === undefined) {
+			await checkEmpty(fileSystem, path, manifestPath);
+			await writeManifest(fileSystem, manifestPath, manifest);
+		}
+
+		return {
+			path,
+			identity: manifest.identity,
+			isNew: found === undefined,
+			fileSystem,
+			checksumSeed: crc32.str(manifest.identity),
+			hasLog: name => manifest.logNames.includes(name),
+			async addLog(name) {
+				manifest.logNames.push(name);
+				await writeManifest(fileSystem, manifestPath, manifest);
+			},
+			close: async () => lock.release(),
+		};
+	} catch (error) {
+		await lock.release();
+		throw error;
+	}
+}
+
+async function findManifest(fileSystem: FileSystem, path: string, daemonId: string): Promise<Manifest | undefined> {
+	const bytes = await fileSystem.findFile(path);
+	if (bytes === undefined) {
+		return undefined;
+	}
+
+	const {records} = readLogFile({
+		path,
+		bytes,
+		header: manifestHeader,
+		firstSequence: 1,
+		seed: 0,
+		mayHaveTornTail: false,
+	});
+	const [manifest] = records;
+	if (!isManifest(manifest)) {
+		throw new StorageError('storage-damaged', path, 'the manifest is not readable; put the data folder back from a copy');
+	}
+
+	if (manifest.daemonId !== daemonId) {
+		const message = `the data folder belongs to daemon "${manifest.daemonId}", and this is "${daemonId}"; name the right folder, or an empty one`;
+		throw new StorageError('data-folder-foreign', path, message);
+	}
+
+	return manifest;
+}
+
+function isManifest(value: unknown): value is Manifest {
+	return typeof value === 'object' && value !== null
+		&& 'identity' in value && typeof value.identity === 'string'
+		&& 'daemonId' in value && typeof value.daemonId === 'string'
+		&& 'logNames' in value && Array.isArray(value.logNames);
+}
+
+async function checkEmpty(fileSystem: FileSystem, path: string, manifestPath: string): Promise<void> {
+	const names = await fileSystem.getFileNames(path);
+	if (names.some(name => /\.(?:log|snapshot)$/v.test(name))) {
+		const message = 'the manifest is missing though the folder holds logs; put it back from a copy, or move the folder away and start with an empty one';
+		throw new StorageError('storage-file-missing', manifestPath, message);
+	}
+}
+
+async function writeManifest(fileSystem: FileSystem, path: string, manifest: Manifest): Promise<void> {
+	const start = encodeLogFileStart(manifestHeader, 1, 0);
+	await writeFileAtomically(fileSystem, path, Buffer.concat([start, encodeFrame(1, encodeRecord(manifest), 0)]));
+}
--- /dev/null
+++ b/packages/storage/src/log/create-memory-record-log.ts
@@ -0,0 +1,118 @@
+import type {TimerService} from '@camphortack/core';
+import {decodeRecords, encodeRecord} from '../utils/record-codec.js';
+import type {RecordLog} from './record-log.js';
+
+/** What a simulated disk holds durably. */
+export type MemoryDisk = {
+	snapshot: Uint8Array | undefined;
+	records: Uint8Array[];
+};
+
+export type MemoryRecordLogOptions = {
+	timers: TimerService;
+	/** The disk; survives a crash of the log that uses it. */
+	disk: MemoryDisk;
+	/** How long a sync takes. */
+	syncDurationMs?: number;
+};
+
+/** A log for tests, which can crash. */
+export type MemoryRecordLog = RecordLog & {
+	/** Loses what is not synced; open another log on the same disk, or on an empty one if the disk is lost. */
+	crash(): void;
+	/** Makes every later sync fail. */
+	failSyncs(): void;
+	/** Gets how many syncs have ended. */
+	getSyncCount(): number;
+};
+
+/** Creates an empty simulated disk. */
+export function createMemoryDisk(): MemoryDisk {
+	return {snapshot: undefined, records: []};
+}
+
+/**
+ * Creates a log in memory, with group commit under a timer service.
+ * @param options - The timers and the disk.
+ */
+export function createMemoryRecordLog(options: MemoryRecordLogOptions): MemoryRecordLog {
+	const {timers, disk, syncDurationMs = 2} = options;
+	const snapshot = disk.snapshot === undefined ? undefined : decodeRecords(disk.snapshot)[0];
+	const records = disk.records.flatMap(bytes => decodeRecords(bytes));
+	let queue: Array<{bytes: Uint8Array; isSnapshot: boolean; onSynced: (() => void) | undefined}> = [];
+	let isSyncing = false;
+	let isStopped = false;
+	let isFailing = false;
+	let syncCount = 0;
+
+	function add(bytes: Uint8Array, isSnapshot: boolean, onSynced: (() => void) | undefined): void {
+		if (isStopped) {
+			return;
+		}
+
+		queue.push({bytes, isSnapshot, onSynced});
+		startSync();
+	}
+
+	function startSync(): void {
+		if (isSyncing || queue.length === 0) {
+			return;
+		}
+
+		isSyncing = true;
+		const delayMs = 0;
+		timers.addTimer(delayMs, () => {
+			const batch = queue;
+			queue = [];
+			timers.addTimer(syncDurationMs, () => {
+				endSync(batch);
+			});
+		});
+	}
+
+	function endSync(batch: typeof queue): void {
+		isSyncing = false;
+		if (isStopped || isFailing) {
+			isStopped = true;
+			return;
+		}
+
+		syncCount++;
+		for (const {bytes, isSnapshot} of batch) {
+			if (isSnapshot) {
+				disk.snapshot = bytes;
+				disk.records = [];
+			} else {
+				disk.records.push(bytes);
+			}
+		}
+
+		for (const {onSynced} of batch) {
+			onSynced?.();
+		}
+
+		startSync();
+	}
+
+	return {
+		getSnapshot: () => snapshot,
+		getRecords: () => records,
+		append(record, onSynced) {
+			add(encodeRecord(record), false, onSynced);
+		},
+		writeSnapshot(state, onSynced) {
+			add(encodeRecord(state), true, onSynced);
+		},
+		async close() {
+			isStopped = true;
+		},
+		crash() {
+			isStopped = true;
+			queue = [];
+		},
+		failSyncs() {
+			isFailing = true;
+		},
+		getSyncCount: () => syncCount,
+	};
+}
--- /dev/null
+++ b/packages/storage/src/log/frame.ts
@@ -0,0 +1,102 @@
+import crc32 from 'crc-32';
+
+/**
+ * A frame holds one group commit: length (4 bytes), sequence number of its first record (8),
+ * checksum of the payload (4), checksum of the header (4), payload.
+ */
+export const frameHeaderBytes = 20;
+
+/** A frame as it was read. */
+export type Frame = {
+	offsetBytes: number;
+	endBytes: number;
+	sequence: number;
+	payload: Uint8Array;
+};
+
+type FrameHeader = {
+	payloadBytes: number;
+	sequence: number;
+	payloadChecksum: number;
+};
+
+/**
+ * Encodes a frame.
+ * @param sequence - The sequence number of the first record.
+ * @param payload - The records.
+ * @param seed - Where the checksums start; differs from one data folder to the next.
+ */
+export function encodeFrame(sequence: number, payload: Uint8Array, seed: number): Uint8Array {
+	const bytes = new Uint8Array(frameHeaderBytes + payload.length);
+	const view = new DataView(bytes.buffer);
+	view.setUint32(0, payload.length);
+	view.setBigUint64(4, BigInt(sequence));
+	view.setInt32(12, crc32.buf(payload, seed));
+	view.setInt32(16, crc32.buf(bytes.subarray(0, 16), seed));
+	bytes.set(payload, frameHeaderBytes);
+	return bytes;
+}
+
+/**
+ * Finds the frame at an offset.
+ * @param bytes - The file.
+ * @param offsetBytes - Where the frame starts.
+ * @param seed - Where the checksums start.
+ * @returns The frame, or undefined if it is not whole.
+ */
+export function findFrame(bytes: Uint8Array, offsetBytes: number, seed: number): Frame | undefined {
+	const header = findFrameHeader(bytes, offsetBytes, seed);
+	if (header === undefined) {
+		return undefined;
+	}
+
+	const start = offsetBytes + frameHeaderBytes;
+	const payload = bytes.subarray(start, start + header.payloadBytes);
+	if (payload.length < header.payloadBytes || crc32.buf(payload, seed) !== header.payloadChecksum) {
+		return undefined;
+	}
+
+	return {
+		offsetBytes,
+		endBytes: start + header.payloadBytes,
+		sequence: header.sequence,
+		payload,
+	};
+}
+
+/**
+ * Whether a later frame begins somewhere behind an offset. A frame is written only after the one before it was synced,
+ * so a later one proves that what stands at the offset was once whole.
+ * @param bytes - The file.
+ * @param offsetBytes - Where a whole frame was expected.
+ * @param sequence - The sequence number that was expected there.
+ * @param seed - Where the checksums start.
+ */
+export function hasLaterFrame(bytes: Uint8Array, offsetBytes: number, sequence: number, seed: number): boolean {
+	for (let offset = offsetBytes + 1; offset + frameHeaderBytes <= bytes.length; offset++) {
+		const header = findFrameHeader(bytes, offset, seed);
+		if (header !== undefined && header.sequence > sequence) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+function findFrameHeader(bytes: Uint8Array, offsetBytes: number, seed: number): FrameHeader | undefined {
+	if (offsetBytes + frameHeaderBytes > bytes.length) {
+		return undefined;
+	}
+
+	const view = new DataView(bytes.buffer, bytes.byteOffset + offsetBytes, frameHeaderBytes);
+	const checksum = crc32.buf(bytes.subarray(offsetBytes, offsetBytes + 16), seed);
+	if (checksum !== view.getInt32(16)) {
+		return undefined;
+	}
+
+	return {
+		payloadBytes: view.getUint32(0),
+		sequence: Number(view.getBigUint64(4)),
+		payloadChecksum: view.getInt32(12),
+	};
+}
--- /dev/null
+++ b/packages/storage/src/log/log-file.ts
@@ -0,0 +1,118 @@
+import {Buffer} from 'node:buffer';
+import {StorageError} from '../errors/storage-error.js';
+import {decodeRecords, encodeRecord} from '../utils/record-codec.js';
+import {
+	encodeFrame, findFrame, hasLaterFrame,
+} from './frame.js';
+
+/**
+ * The version of the file format. A release reads its own version and the one before it, and writes its own;
+ * any other version is refused, so that files are upgraded one release at a time.
+ */
+export const formatVersion = 1;
+/** The first bytes of each file, followed by the version. */
+const magic = new TextEncoder().encode('CMPHLOG');
+const prefixBytes = magic.length + 1;
+
+/** What a file begins with. */
+export type LogFileHeader = {
+	kind: 'log' | 'snapshot';
+	folderIdentity: string;
+	name: string;
+};
+
+/** The content of a file. */
+export type LogFileContent = {
+	records: unknown[];
+	/** Where the last whole frame ends. */
+	wholeBytes: number;
+	/** The sequence number that comes next. */
+	nextSequence: number;
+};
+
+/**
+ * Encodes the start of a file.
+ * @param header - What the file is.
+ * @param firstSequence - The sequence number of its first record.
+ * @param seed - Where the checksums start.
+ */
+export function encodeLogFileStart(header: LogFileHeader, firstSequence: number, seed: number): Uint8Array {
+	return Buffer.concat([magic, Uint8Array.of(formatVersion), encodeFrame(firstSequence, encodeRecord(header), seed)]);
+}
+
+export type ReadLogFileOptions = {
+	path: string;
+	bytes: Uint8Array;
+	header: LogFileHeader;
+	firstSequence: number;
+	seed: number;
+	/** Whether the end of the file may be a frame that was not written whole. */
+	mayHaveTornTail: boolean;
+};
+
+/**
+ * Reads a file and checks every frame.
+ * @param options - The file and what is expected of it.
+ * @throws StorageError if the file is damaged, foreign or of an unknown version.
+ */
+export function readLogFile(options: ReadLogFileOptions): LogFileContent {
+	const {bytes, seed} = options;
+	let offsetBytes = readStart(options);
+	let nextSequence = options.firstSequence;
+	const records: unknown[] = [];
+	while (offsetBytes < bytes.length) {
+		const frame = findFrame(bytes, offsetBytes, seed);
+		if (frame?.sequence !== nextSequence) {
+			checkTornTail(options, offsetBytes, nextSequence);
+			break;
+		}
+
+		for (const record of decodeRecords(frame.payload)) {
+			records.push(record);
+			nextSequence++;
+		}
+
+		offsetBytes = frame.endBytes;
+	}
+
+	return {records, wholeBytes: offsetBytes, nextSequence};
+}
+
+function readStart(options: ReadLogFileOptions): number {
+	const {
+		path, bytes, header, seed,
+	} = options;
+	const hasMagic = bytes.length > prefixBytes && magic.every((byte, index) => bytes[index] === byte);
+	if (hasMagic && bytes[magic.length] !== formatVersion) {
+		const message = `format version ${bytes[magic.length]} is not known to this release, which knows ${formatVersion}; run the release that wrote the folder, or upgrade one release at a time`;
+		throw new StorageError('storage-version-unknown', path, message, {offsetBytes: magic.length});
+	}
+
+	const frame = hasMagic ? findFrame(bytes, prefixBytes, seed) : undefined;
+	if (frame === undefined) {
+		throw createDamageError(path, 0);
+	}
+
+	const [found] = decodeRecords(frame.payload);
+	if (JSON.stringify(found) !== JSON.stringify(header)) {
+		throw new StorageError('data-folder-foreign', path, 'the file belongs to another log or data folder; put the right file back', {offsetBytes: prefixBytes});
+	}
+
+	return frame.endBytes;
+}
+
+function checkTornTail(options: ReadLogFileOptions, offsetBytes: number, sequence: number): void {
+	const isTorn = options.mayHaveTornTail && findFrame(options.bytes, offsetBytes, options.seed) === undefined;
+	if (!isTorn || hasLaterFrame(options.bytes, offsetBytes, sequence, options.seed)) {
+		throw createDamageError(options.path, offsetBytes);
+	}
+}
+
+function createDamageError(path: string, offsetBytes: number): StorageError {
+	const message = [
+		'the file is damaged here, before its end; nothing was changed.',
+		'Put the data folder back from a copy, or move it away and start this keeper as a new, empty one:',
+		'it then learns the configuration from the other keepers, and its job register starts a new epoch',
+	].join(' ');
+	return new StorageError('storage-damaged', path, message, {offsetBytes});
+}
--- /dev/null
+++ b/packages/storage/src/log/log-files.ts
@@ -0,0 +1,189 @@
+import {join} from 'node:path';
+import type {EventLog} from '@camphortack/core';
+import {StorageError} from '../errors/storage-error.js';
+import type {DataFolder} from '../folder/data-folder.js';
+import {temporarySuffix} from '../utils/write-file-atomically.js';
+import {readLogFile, type LogFileContent} from './log-file.js';
+
+const sequenceDigits = 16;
+
+/** The kinds of file that a log is kept in. */
+export type LogFileKind = 'log' | 'snapshot';
+
+/** One file of a log. */
+export type LogFileName = {
+	fileName: string;
+	kind: LogFileKind;
+	/** The first sequence number of a log file, the last one that a snapshot covers. */
+	sequence: number;
+};
+
+/** What was found on disk when a log was opened. */
+export type LoadedLog = {
+	snapshot: unknown;
+	records: unknown[];
+	nextSequence: number;
+	/** The file to append to and its size; undefined if the log is new. */
+	path: string | undefined;
+	sizeBytes: number;
+	/** How many bytes behind the last whole frame are to be cut off. */
+	tornBytes: number;
+};
+
+/**
+ * Gets the path of a file of a log.
+ * @param dataFolder - The data folder.
+ * @param name - The log.
+ * @param kind - The kind of file.
+ * @param sequence - Its sequence number.
+ */
+export function getLogFilePath(dataFolder: DataFolder, name: string, kind: LogFileKind, sequence: number): string {
+	return join(dataFolder.path, `${name}-${String(sequence).padStart(sequenceDigits, '0')}.${kind}`);
+}
+
+/**
+ * Gets the files of a log, by rising sequence number, and removes files that were never finished.
+ * @param dataFolder - The data folder.
+ * @param name - The log.
+ */
+export async function getLogFileNames(dataFolder: DataFolder, name: string): Promise<LogFileName[]> {
+	const files: LogFileName[] = [];
+	for (const fileName of await dataFolder.fileSystem.getFileNames(dataFolder.path)) {
+		const match = /^(?<logName>.+)-(?<digits>\d{16})\.(?<kind>log|snapshot)(?<temporary>\.tmp)?$/v.exec(fileName)?.groups;
+		if (match?.logName !== name) {
+			continue;
+		}
+
+		if (match.temporary === temporarySuffix) {
+			// eslint-disable-next-line no-await-in-loop -- There is at most a handful of them.
+			await dataFolder.fileSystem.removeFile(join(dataFolder.path, fileName));
+			continue;
+		}
+
+		files.push({fileName, kind: match.kind === 'log' ? 'log' : 'snapshot', sequence: Number(match.digits)});
+	}
+
+	return files.toSorted((left, right) => left.sequence - right.sequence);
+}
+
+/**
+ * Reads what a log holds and checks that nothing is missing.
+ * @param dataFolder - The data folder.
+ * @param name - The log.
+ * @param events - Where a torn tail is reported.
+ * @throws StorageError if a file is damaged or missing.
+ */
+export async function loadLog(dataFolder: DataFolder, name: string, events: EventLog): Promise<LoadedLog> {
+	const files = await getLogFileNames(dataFolder, name);
+	const latestSnapshot = files.findLast(file => file.kind === 'snapshot');
+	const firstSequence = latestSnapshot === undefined ? 1 : latestSnapshot.sequence + 1;
+	const logFiles = files.filter(file => file.kind === 'log' && file.sequence >= firstSequence);
+	checkNothingMissing({
+		dataFolder, name, firstSequence, logFiles, latestSnapshot,
+	});
+	const loaded: LoadedLog = {
+		snapshot: latestSnapshot === undefined ? undefined : await readSnapshot(dataFolder, name, latestSnapshot),
+		records: [],
+		nextSequence: firstSequence,
+		path: undefined,
+		sizeBytes: 0,
+		tornBytes: 0,
+	};
+	for (const file of logFiles) {
+		// eslint-disable-next-line no-await-in-loop -- Each file goes on where the one before ended.
+		await readOneLogFile({
+			dataFolder, name, events, loaded, file, isLast: file === logFiles.at(-1),
+		});
+	}
+
+	return loaded;
+}
+
+type MissingCheck = {
+	dataFolder: DataFolder;
+	name: string;
+	firstSequence: number;
+	logFiles: readonly LogFileName[];
+	latestSnapshot: LogFileName | undefined;
+};
+
+function checkNothingMissing(check: MissingCheck): void {
+	const {
+		dataFolder, name, firstSequence, logFiles, latestSnapshot,
+	} = check;
+	const isKnown = latestSnapshot !== undefined || dataFolder.hasLog(name);
+	const [first] = logFiles;
+	if (first === undefined ? !isKnown : first.sequence === firstSequence) {
+		return;
+	}
+
+	const isSnapshotMissing = first !== undefined && latestSnapshot === undefined;
+	const path = isSnapshotMissing
+		? getLogFilePath(dataFolder, name, 'snapshot', first.sequence - 1)
+		: getLogFilePath(dataFolder, name, 'log', firstSequence);
+	throw createMissingError(path);
+}
+
+async function readSnapshot(dataFolder: DataFolder, name: string, file: LogFileName): Promise<unknown> {
+	const content = await readContent(dataFolder, name, file, false);
+	if (content.records.length !== 1) {
+		const path = join(dataFolder.path, file.fileName);
+		throw new StorageError('storage-damaged', path, 'the snapshot holds no state; put the data folder back from a copy', {offsetBytes: content.wholeBytes});
+	}
+
+	return content.records[0];
+}
+
+type LogFileReading = {
+	dataFolder: DataFolder;
+	name: string;
+	events: EventLog;
+	loaded: LoadedLog;
+	file: LogFileName;
+	isLast: boolean;
+};
+
+async function readOneLogFile(reading: LogFileReading): Promise<void> {
+	const {
+		dataFolder, name, events, loaded, file, isLast,
+	} = reading;
+	const path = join(dataFolder.path, file.fileName);
+	if (file.sequence !== loaded.nextSequence) {
+		throw createMissingError(getLogFilePath(dataFolder, name, 'log', loaded.nextSequence));
+	}
+
+	const content = await readContent(dataFolder, name, file, isLast);
+	for (const record of content.records) {
+		loaded.records.push(record);
+	}
+
+	loaded.nextSequence = content.nextSequence;
+	loaded.path = path;
+	loaded.sizeBytes = content.wholeBytes;
+	loaded.tornBytes = content.sizeBytes - content.wholeBytes;
+	if (loaded.tornBytes > 0) {
+		events.write('storage-tail-truncated', {path, offsetBytes: content.wholeBytes, cutBytes: loaded.tornBytes});
+	}
+}
+
+async function readContent(dataFolder: DataFolder, name: string, file: LogFileName, mayHaveTornTail: boolean): Promise<LogFileContent & {sizeBytes: number}> {
+	const path = join(dataFolder.path, file.fileName);
+	const bytes = await dataFolder.fileSystem.findFile(path);
+	if (bytes === undefined) {
+		throw createMissingError(path);
+	}
+
+	const content = readLogFile({
+		path,
+		bytes,
+		header: {kind: file.kind, folderIdentity: dataFolder.identity, name},
+		firstSequence: file.sequence,
+		seed: dataFolder.checksumSeed,
+		mayHaveTornTail,
+	});
+	return {...content, sizeBytes: bytes.length};
+}
+
+function createMissingError(path: string): StorageError {
+	return new StorageError('storage-file-missing', path, 'the file is missing; put the data folder back from a copy, or move it away and start this keeper as a new, empty one');
+}
--- /dev/null
+++ b/packages/storage/test/log/open-record-log.test.ts
@@ -0,0 +1,201 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
+import fc from 'fast-check';
+import {createSeededRandomSource} from '@camphortack/core';
+import {FaultyFileSystem} from '../support/faulty-file-system.js';
+import {openLog, settle} from '../support/log-harness.js';
+
+const logPath = '/data/register-0000000000000001.log';
+
+async function createFilledFolder(records: readonly unknown[], snapshotAfter?: number): Promise<FaultyFileSystem> {
+	const fileSystem = new FaultyFileSystem();
+	const {log, dataFolder} = await openLog(fileSystem);
+	for (const [index, record] of records.entries()) {
+		log.append(record);
+		// eslint-disable-next-line no-await-in-loop -- One group commit a record.
+		await settle();
+		if (index === snapshotAfter) {
+			log.writeSnapshot({upTo: index});
+		}
+	}
+
+	await log.close();
+	await dataFolder.close();
+	return fileSystem;
+}
+
+function flipBits(offset: (bytes: Uint8Array) => number): (bytes: Uint8Array) => Uint8Array {
+	return bytes => bytes.with(offset(bytes), 255 - bytes[offset(bytes)]!);
+}
+
+describe('openRecordLog', () => {
+	it('gives back snapshot and records, and shares a sync among appends', async () => {
+		const fileSystem = new FaultyFileSystem();
+		fileSystem.longestWriteBytes = 7;
+		const first = await openLog(fileSystem);
+		const synced: number[] = [];
+		for (let value = 0; value < 100; value++) {
+			first.log.append({value, bytes: Uint8Array.of(1, 2)}, () => {
+				synced.push(value);
+			});
+		}
+
+		await settle();
+		await settle();
+		first.log.writeSnapshot({count: 100});
+		first.log.append('after');
+		await first.log.close();
+		await first.dataFolder.close();
+		assert.equal(synced.length, 100);
+		assert.equal(first.metrics.getCount('storage-synced'), 2);
+		const second = await openLog(fileSystem);
+		assert.deepEqual(second.log.getSnapshot(), {count: 100});
+		assert.deepEqual(second.log.getRecords(), ['after']);
+		assert.deepEqual([...fileSystem.files.keys()].toSorted(), ['/data/manifest', '/data/register-0000000000000100.snapshot', '/data/register-0000000000000101.log']);
+	});
+
+	it('cuts off a torn tail and reports it', async () => {
+		const fileSystem = await createFilledFolder(['a', 'b']);
+		fileSystem.damageFile(logPath, bytes => bytes.slice(0, -1));
+		const {log, events} = await openLog(fileSystem);
+		assert.deepEqual(log.getRecords(), ['a']);
+		assert.deepEqual(events.events.map(event => event.name), ['storage-tail-truncated']);
+	});
+
+	const damages: Array<{name: string; damage: (fileSystem: FaultyFileSystem) => void; expected: RegExp}> = [
+		{
+			name: 'flipped bits in the first record',
+			damage(fileSystem) {
+				fileSystem.damageFile(logPath, flipBits(bytes => bytes.length - 25));
+			},
+			expected: /register-0{15}1\.log at offset \d+: .*damaged/v,
+		},
+		{
+			name: 'flipped bits in the length of the first record',
+			damage(fileSystem) {
+				fileSystem.damageFile(logPath, flipBits(bytes => bytes.length - 43));
+			},
+			expected: /at offset \d+: .*damaged/v,
+		},
+		{
+			name: 'an unknown version',
+			damage(fileSystem) {
+				fileSystem.damageFile(logPath, flipBits(() => 7));
+			},
+			expected: /at offset 7: format version 254 .*upgrade one release at a time/v,
+		},
+		{
+			name: 'a damaged header',
+			damage(fileSystem) {
+				fileSystem.damageFile(logPath, flipBits(() => 12));
+			},
+			expected: /at offset 0: .*damaged/v,
+		},
+		{
+			name: 'a missing log',
+			damage(fileSystem) {
+				fileSystem.files.delete(logPath);
+			},
+			expected: /register-0{15}1\.log: the file is missing/v,
+		},
+		{
+			name: 'a missing manifest',
+			damage(fileSystem) {
+				fileSystem.files.delete('/data/manifest');
+			},
+			expected: /manifest: .*missing/v,
+		},
+	];
+	for (const {name, damage, expected} of damages) {
+		it(`refuses to start after ${name}`, async () => {
+			const fileSystem = await createFilledFolder(['a', 'b']);
+			damage(fileSystem);
+			await assert.rejects(openLog(fileSystem), expected);
+		});
+	}
+
+	it('refuses to start without its snapshot, or with a damaged one', async () => {
+		const snapshotPath = '/data/register-0000000000000002.snapshot';
+		const fileSystem = await createFilledFolder(['a', 'b', 'c'], 1);
+		fileSystem.damageFile(snapshotPath, bytes => bytes.slice(0, -1));
+		await assert.rejects(openLog(fileSystem), /register-0{15}2\.snapshot at offset \d+: .*damaged/v);
+		fileSystem.files.delete(snapshotPath);
+		await assert.rejects(openLog(fileSystem), /register-0{15}2\.snapshot: the file is missing/v);
+	});
+
+	it('never syncs again after a failed sync', async () => {
+		const fileSystem = new FaultyFileSystem();
+		const {log, failures} = await openLog(fileSystem);
+		const synced: string[] = [];
+		fileSystem.shouldFailSync = true;
+		log.append('lost', () => {
+			synced.push('lost');
+		});
+		await settle();
+		fileSystem.shouldFailSync = false;
+		log.append('later', () => {
+			synced.push('later');
+		});
+		await settle();
+		assert.deepEqual(synced, []);
+		assert.match(String(failures), /storage-failed|not tried again/v);
+		assert.equal(failures.length, 1);
+	});
+
+	it('says that the disk is full and loses nothing acknowledged', async () => {
+		const fileSystem = new FaultyFileSystem();
+		const {log, failures} = await openLog(fileSystem);
+		log.append('kept');
+		await settle();
+		fileSystem.freeBytes = 5;
+		log.append('refused', () => assert.fail('was acknowledged'));
+		await settle();
+		assert.match(failures[0]!.message, /disk is full/v);
+		const reopened = await openLog(fileSystem.crash(createSeededRandomSource(1)));
+		assert.deepEqual(reopened.log.getRecords(), ['kept']);
+	});
+
+	it('loses nothing acknowledged, whatever a crash keeps of the rest', async () => {
+		const steps = fc.array(fc.constantFrom<CrashStep>('append', 'settle', 'snapshot', 'crash'), {maxLength: 40});
+		await fc.assert(fc.asyncProperty(steps, fc.integer(), runCrashSchedule), {numRuns: 300});
+	});
+});
+
+type CrashStep = 'append' | 'settle' | 'snapshot' | 'crash';
+
+async function runCrashSchedule(schedule: readonly CrashStep[], seed: number): Promise<void> {
+	const random = createSeededRandomSource(seed);
+	const state = {fileSystem: new FaultyFileSystem(), appended: 0, acknowledged: 0};
+	let {log} = await openLog(state.fileSystem);
+	const steps: Record<CrashStep, () => Promise<void>> = {
+		async append() {
+			const value = ++state.appended;
+			const usedFileSystem = state.fileSystem;
+			log.append(value, () => {
+				state.acknowledged = usedFileSystem === state.fileSystem ? value : state.acknowledged;
+			});
+		},
+		settle,
+		async snapshot() {
+			log.writeSnapshot(state.appended);
+		},
+		async crash() {
+			for (let turn = random.getInteger(0, 12); turn > 0; turn--) {
+				// eslint-disable-next-line no-await-in-loop -- The crash comes between any two steps.
+				await Promise.resolve();
+			}
+
+			state.fileSystem = state.fileSystem.crash(random);
+			({log} = await openLog(state.fileSystem));
+			const found = Number(log.getRecords().at(-1) ?? log.getSnapshot() ?? 0);
+			assert.ok(found >= state.acknowledged && found <= state.appended, `acknowledged ${state.acknowledged}, found ${found} of ${state.appended}`);
+			state.appended = found;
+			state.acknowledged = found;
+		},
+	};
+	for (const step of [...schedule, 'crash'] as const) {
+		// eslint-disable-next-line no-await-in-loop -- Steps are taken in turn.
+		await steps[step]();
+	}
+}
--- /dev/null
+++ b/packages/storage/test/support/faulty-file-system.ts
@@ -0,0 +1,184 @@
+import {Buffer} from 'node:buffer';
+import {dirname} from 'node:path';
+import type {RandomSource} from '@camphortack/core';
+import {
+	AppendFile, FileSystem, StorageError, type FolderLock,
+} from '@camphortack/storage';
+
+type FakeFile = {
+	syncedBytes: Uint8Array;
+	/** What was written since the last sync; a crash keeps any of it. */
+	unsyncedWrites: Uint8Array[];
+};
+
+type FolderChange = {fromPath?: string; toPath?: string; file: FakeFile};
+
+/** A disk in memory that fails on demand. A crash keeps any combination of what was not synced. */
+export class FaultyFileSystem extends FileSystem {
+	shouldFailSync = false;
+	/** How many more bytes the disk takes. */
+	freeBytes = Number.POSITIVE_INFINITY;
+	/** The most bytes that one write takes. */
+	longestWriteBytes = Number.POSITIVE_INFINITY;
+	readonly files = new Map<string, FakeFile>();
+	readonly #durableFiles = new Map<string, FakeFile>();
+	#folderChanges: FolderChange[] = [];
+	#isLocked = false;
+
+	/**
+	 * Loses the process and the cache of the disk.
+	 * @returns What the next process finds; the writes of the lost one no longer reach it.
+	 */
+	crash(random: RandomSource): FaultyFileSystem {
+		for (const change of this.#folderChanges) {
+			if (random.getInteger(0, 1) === 1) {
+				this.#apply(change);
+			}
+		}
+
+		const survivor = new FaultyFileSystem();
+		for (const [path, file] of this.#durableFiles) {
+			const found = {syncedBytes: getBytesAfterCrash(file, random), unsyncedWrites: []};
+			survivor.files.set(path, found);
+			survivor.#durableFiles.set(path, found);
+		}
+
+		return survivor;
+	}
+
+	/** Changes the bytes of a file, as a fault of the disk does. */
+	damageFile(path: string, change: (bytes: Uint8Array) => Uint8Array): void {
+		const file = this.files.get(path)!;
+		file.syncedBytes = change(getBytes(file));
+		file.unsyncedWrites = [];
+	}
+
+	override async createFolder(): Promise<void> {
+		await Promise.resolve();
+	}
+
+	override async getFileNames(path: string): Promise<string[]> {
+		return [...this.files.keys()].filter(name => dirname(name) === path).map(name => name.slice(path.length + 1));
+	}
+
+	override async findFile(path: string): Promise<Uint8Array | undefined> {
+		const file = this.files.get(path);
+		return file === undefined ? undefined : getBytes(file);
+	}
+
+	override async openAppendFile(path: string): Promise<AppendFile> {
+		const file = this.files.get(path) ?? {syncedBytes: new Uint8Array(), unsyncedWrites: []};
+		if (!this.files.has(path)) {
+			this.files.set(path, file);
+			this.#folderChanges.push({toPath: path, file});
+		}
+
+		const takeBytes = this.#takeBytes.bind(this);
+		const checkSync = this.#checkSync.bind(this);
+		return new class extends AppendFile {
+			override async write(bytes: Uint8Array): Promise<number> {
+				const taken = takeBytes(bytes.length);
+				file.unsyncedWrites.push(bytes.slice(0, taken));
+				return taken;
+			}
+
+			override async sync(): Promise<void> {
+				checkSync();
+				file.syncedBytes = getBytes(file);
+				file.unsyncedWrites = [];
+			}
+
+			override async truncate(sizeBytes: number): Promise<void> {
+				file.syncedBytes = getBytes(file).slice(0, sizeBytes);
+				file.unsyncedWrites = [];
+			}
+
+			override async close(): Promise<void> {
+				await Promise.resolve();
+			}
+		}();
+	}
+
+	override async rename(fromPath: string, toPath: string): Promise<void> {
+		const file = this.files.get(fromPath)!;
+		this.files.delete(fromPath);
+		this.files.set(toPath, file);
+		this.#folderChanges.push({fromPath, toPath, file});
+	}
+
+	override async removeFile(path: string): Promise<void> {
+		const file = this.files.get(path);
+		if (file !== undefined) {
+			this.files.delete(path);
+			this.#folderChanges.push({fromPath: path, file});
+		}
+	}
+
+	override async syncFolder(): Promise<void> {
+		this.#checkSync();
+		for (const change of this.#folderChanges) {
+			this.#apply(change);
+		}
+
+		this.#folderChanges = [];
+	}
+
+	override async lockFolder(path: string): Promise<FolderLock> {
+		if (this.#isLocked) {
+			throw new StorageError('data-folder-locked', path, 'in use');
+		}
+
+		this.#isLocked = true;
+		return {
+			release: async () => {
+				this.#isLocked = false;
+			},
+		};
+	}
+
+	#apply(change: FolderChange): void {
+		if (change.fromPath !== undefined && this.#durableFiles.get(change.fromPath) === change.file) {
+			this.#durableFiles.delete(change.fromPath);
+		}
+
+		if (change.toPath !== undefined) {
+			this.#durableFiles.set(change.toPath, change.file);
+		}
+	}
+
+	#takeBytes(wantedBytes: number): number {
+		if (this.freeBytes <= 0) {
+			throw Object.assign(new Error('no space left on device'), {code: 'ENOSPC'});
+		}
+
+		const taken = Math.min(wantedBytes, this.freeBytes, this.longestWriteBytes);
+		this.freeBytes -= taken;
+		return taken;
+	}
+
+	#checkSync(): void {
+		if (this.shouldFailSync) {
+			throw Object.assign(new Error('input/output error'), {code: 'EIO'});
+		}
+	}
+}
+
+function getBytes(file: FakeFile): Uint8Array {
+	return new Uint8Array(Buffer.concat([file.syncedBytes, ...file.unsyncedWrites]));
+}
+
+function getBytesAfterCrash(file: FakeFile, random: RandomSource): Uint8Array {
+	const parts = [file.syncedBytes];
+	for (const write of file.unsyncedWrites) {
+		const fate = random.getInteger(0, 3);
+		if (fate === 0) {
+			break;
+		}
+
+		// Written, written as zeros, or written up to some byte.
+		const kept = fate === 1 ? write : write.map(byte => fate === 2 ? 0 : byte);
+		parts.push(fate === 3 ? kept.slice(0, random.getInteger(0, kept.length)) : kept);
+	}
+
+	return new Uint8Array(Buffer.concat(parts));
+}
