Read configuration objects from INI files, with places and all findings

Cause: objects could be typed but not written down in files, and the INI library tells no line. Change: sections and keys are indexed by line, the library decodes them, the schema of each kind gives types, bounds and defaults; every unknown kind or key, duplicate, missing key and bad value is reported with file and line. Field descriptions moved from comments into the schemas. Conclusion: the check of the whole set can build on objects and places.

--- /dev/null
+++ b/packages/configuration/src/fields/field.ts
@@ -0,0 +1,150 @@
+import {z} from 'zod';
+import {nameSchema} from '@camphortack/core';
+
+/** How a value is written in a file. */
+export type FieldType = 'text' | 'number' | 'whole number' | 'list';
+
+/** One key of a section, as the schema describes it. */
+export type Field = {
+	/** The key as written, with a dot before each nested part. */
+	key: string;
+	path: readonly string[];
+	type: FieldType;
+	/** What is accepted, as `a whole number from 1 to 4096`. */
+	bounds: string;
+	/** The unit that the key's suffix names, or an empty text. */
+	unit: string;
+	/** The default as written, or undefined if there is none. */
+	defaultText: string | undefined;
+	isRequired: boolean;
+	description: string;
+};
+
+type JsonSchema = {
+	type?: string;
+	properties?: Record<string, JsonSchema>;
+	required?: string[];
+	items?: JsonSchema;
+	enum?: string[];
+	minimum?: number;
+	maximum?: number;
+	exclusiveMinimum?: number;
+	default?: unknown;
+	description?: string;
+	pattern?: string;
+	/** What a text must look like, in words; set as metadata of the schema. */
+	form?: string;
+};
+
+const namePattern = getJsonSchema(nameSchema).pattern;
+
+const fieldsBySchema = new WeakMap<z.ZodObject, readonly Field[]>();
+
+const typesByJsonType: ReadonlyMap<string, FieldType> = new Map([
+	['integer', 'whole number'],
+	['number', 'number'],
+	['array', 'list'],
+]);
+
+const unitsBySuffix: ReadonlyArray<readonly [suffix: string, unit: string]> = [
+	['Ms', 'milliseconds'],
+	['PerSecond', 'per second'],
+	['workerSecondsPerHour', 'worker-seconds per hour'],
+	['Seconds', 'seconds'],
+	['Megabytes', 'megabytes'],
+	['Bytes', 'bytes'],
+	['Ratio', 'share of 1'],
+	['Share', 'share of 1'],
+];
+
+/**
+ * Gets the keys that a section of this schema may have.
+ * @param schema - The schema of the section.
+ *
+ * @example
+ * ```ts
+ * getFields(z.strictObject({waitMs: z.int().min(1).max(9).default(2)}))[0]?.bounds; // 'a whole number from 1 to 9'
+ * ```
+ */
+export function getFields(schema: z.ZodObject): readonly Field[] {
+	const known = fieldsBySchema.get(schema);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const fields = getNestedFields(getJsonSchema(schema), []);
+	fieldsBySchema.set(schema, fields);
+	return fields;
+}
+
+function getJsonSchema(schema: z.ZodType): JsonSchema {
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The type lists the keywords that are used here.
+	return z.toJSONSchema(schema, {io: 'input'}) as JsonSchema;
+}
+
+function getNestedFields(schema: JsonSchema, parentPath: readonly string[]): Field[] {
+	return Object.entries(schema.properties ?? {}).flatMap(([name, property]) => {
+		const path = [...parentPath, name];
+		if (property.type === 'object') {
+			return getNestedFields(property, path);
+		}
+
+		return [{
+			key: path.join('.'),
+			path,
+			type: getFieldType(property),
+			bounds: getBounds(property),
+			unit: getUnit(name),
+			defaultText: property.default === undefined ? undefined : formatDefault(property.default),
+			isRequired: schema.required?.includes(name) ?? false,
+			description: property.description ?? '',
+		}];
+	});
+}
+
+function getFieldType(schema: JsonSchema): FieldType {
+	return typesByJsonType.get(schema.type ?? '') ?? 'text';
+}
+
+function getBounds(schema: JsonSchema): string {
+	if (schema.form !== undefined) {
+		return schema.form;
+	}
+
+	if (schema.enum !== undefined) {
+		return `one of ${schema.enum.join(', ')}`;
+	}
+
+	if (schema.type === 'array') {
+		return `a comma-separated list, each ${getBounds(schema.items ?? {})}`;
+	}
+
+	if (schema.type === 'integer' || schema.type === 'number') {
+		return getNumberBounds(schema);
+	}
+
+	return schema.pattern !== undefined && schema.pattern === namePattern ? 'a name' : 'a text';
+}
+
+function getNumberBounds(schema: JsonSchema): string {
+	const type = schema.type === 'integer' ? 'a whole number' : 'a number';
+	const lowest = getLowest(schema);
+	const highest = schema.maximum === undefined || schema.maximum === Number.MAX_SAFE_INTEGER ? '' : ` to ${schema.maximum}`;
+	return `${type}${lowest}${highest}`;
+}
+
+function getLowest(schema: JsonSchema): string {
+	if (schema.exclusiveMinimum !== undefined) {
+		return ` above ${schema.exclusiveMinimum}`;
+	}
+
+	return schema.minimum === undefined || schema.minimum === Number.MIN_SAFE_INTEGER ? '' : ` from ${schema.minimum}`;
+}
+
+function getUnit(name: string): string {
+	return unitsBySuffix.find(([suffix]) => name.endsWith(suffix))?.[1] ?? '';
+}
+
+function formatDefault(value: unknown): string {
+	return Array.isArray(value) ? value.join(', ') : String(value);
+}
--- /dev/null
+++ b/packages/configuration/src/files/read-configuration-files.ts
@@ -0,0 +1,88 @@
+import {findNearestName, nameSchema, type FindingPlace} from '@camphortack/core';
+import {readSection} from '../fields/read-section.js';
+import {createErrorFinding, type ConfigurationFinding} from '../findings/configuration-finding.js';
+import {createConfigurationPlaces, type ConfigurationPlaces} from '../findings/configuration-places.js';
+import {readIniSections, type IniSection} from '../ini/read-ini-sections.js';
+import {getObjectName, objectKinds, type ObjectKind} from '../objects/object-kinds.js';
+import {configurationObjectsSchema, type ConfigurationObjects} from '../objects/object-schemas.js';
+
+/** A file as read from disk. */
+export type ConfigurationFile = {
+	path: string;
+	text: string;
+};
+
+/** The objects of all files that could be read, what is wrong with the rest, and where everything stands. */
+export type ConfigurationReading = {
+	objects: ConfigurationObjects;
+	findings: ConfigurationFinding[];
+	places: ConfigurationPlaces;
+};
+
+const kindsByName = new Map(objectKinds.map(kind => [kind.kind, kind]));
+
+/**
+ * Reads the objects of a whole set of INI files, one object a section.
+ * @param files - The files.
+ *
+ * @example
+ * ```ts
+ * const {objects} = readConfigurationFiles([{path: 'a.ini', text: '[pool walnut]'}]);
+ * Object.keys(objects.pools); // ['walnut']
+ * ```
+ */
+export function readConfigurationFiles(files: readonly ConfigurationFile[]): ConfigurationReading {
+	const reading: ConfigurationReading = {
+		objects: configurationObjectsSchema.parse({}),
+		findings: [],
+		places: createConfigurationPlaces(),
+	};
+	for (const file of files) {
+		const {sections, findings} = readIniSections(file.path, file.text);
+		reading.findings.push(...findings);
+		for (const section of sections) {
+			readObject(section, reading);
+		}
+	}
+
+	return reading;
+}
+
+function readObject(section: IniSection, reading: ConfigurationReading): void {
+	const [kindName = '', name = '', ...rest] = section.header.trim().split(/\s+/v);
+	const kind = kindsByName.get(kindName);
+	if (kind === undefined) {
+		const message = `"${kindName}" is not a known kind of object`;
+		reading.findings.push(createErrorFinding('unknown-kind', message, section.place, findNearestName(kindName, kindsByName.keys())));
+		return;
+	}
+
+	if (rest.length > 0 || name === '__proto__' || !nameSchema.safeParse(name).success) {
+		const message = `[${section.header}] must be [${kind.kind} NAME]; a name has 1 to 128 letters, digits, ".", "_", ":" or "-"`;
+		reading.findings.push(createErrorFinding('bad-name', message, section.place));
+		return;
+	}
+
+	addObject(kind, name, section, reading);
+}
+
+function addObject(kind: ObjectKind, name: string, section: IniSection, reading: ConfigurationReading): void {
+	const object = getObjectName(kind.kind, name);
+	const place: FindingPlace = {...section.place, object};
+	if (reading.places.hasObject(object)) {
+		const {file, line} = reading.places.getPlace(object);
+		reading.findings.push(createErrorFinding('duplicate-object', `is already declared in ${file}:${line}`, place));
+		return;
+	}
+
+	reading.places.addObject(object, place);
+	for (const entry of section.entries) {
+		reading.places.addKey(object, entry.key, entry.place);
+	}
+
+	const {value, findings} = readSection(section, kind.schema, place);
+	reading.findings.push(...findings);
+	if (value !== undefined) {
+		Object.assign(reading.objects[kind.collection], {[name]: value});
+	}
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,1 +1,5 @@
+export * from './files/read-configuration-files.js';
+export * from './findings/configuration-finding.js';
+export * from './findings/configuration-places.js';
+export * from './objects/object-kinds.js';
 export * from './objects/object-schemas.js';
--- a/packages/configuration/src/objects/object-schemas.ts
+++ b/packages/configuration/src/objects/object-schemas.ts
@@ -4,18 +4,18 @@
 /** An availability zone with entry VMs and backend servers of its own. */
 export const availabilityZoneSchema = z.strictObject({
 	region: nameSchema.default('default'),
-	/** This zone's part of each declared limit, relative to the other zones. */
-	limitWeight: z.number().min(0).max(1000).default(1),
+	limitWeight: z.number().min(0).max(1000).default(1)
+		.describe('This zone\'s part of each declared limit, relative to the other zones.'),
 });
 
 /** Backend servers that serve the same services. */
 export const poolSchema = z.strictObject({
-	/** The availability zones whose backend servers belong to the pool; none named: all. */
-	availabilityZones: z.array(nameSchema).default([]),
-	/** The largest share of the pool's backend servers that may be ejected at once. */
-	largestEjectedShare: z.number().min(0).max(1).default(0.3),
-	/** What the largest backend server of the pool offers; a task that needs more never fits. */
-	largestBackendServer: taskNeedsSchema.optional(),
+	availabilityZones: z.array(nameSchema).default([])
+		.describe('The availability zones whose backend servers belong to the pool; none named: all.'),
+	largestEjectedShare: z.number().min(0).max(1).default(0.3)
+		.describe('The largest share of the pool\'s backend servers that may be ejected at once.'),
+	largestBackendServer: taskNeedsSchema.optional()
+		.describe('What the largest backend server of the pool offers; a task that needs more never fits.'),
 	limits: z.array(nameSchema).default([]),
 });
 
@@ -23,10 +23,10 @@
 export const serviceSchema = z.strictObject({
 	pool: nameSchema,
 	declaredRunTimeMs: z.number().positive().max(600_000).default(500),
-	/** Retries of idempotent tasks, as a share of successes. */
-	retryBudgetRatio: z.number().min(0).max(1).default(0.1),
-	/** Second attempts for slow idempotent tasks, as a share of tasks; 0 turns hedging off. */
-	hedgeBudgetRatio: z.number().min(0).max(0.2).default(0),
+	retryBudgetRatio: z.number().min(0).max(1).default(0.1)
+		.describe('Retries of idempotent tasks, as a share of successes.'),
+	hedgeBudgetRatio: z.number().min(0).max(0.2).default(0)
+		.describe('Second attempts for slow idempotent tasks, as a share of tasks; 0 turns hedging off.'),
 	mostQueuedTasks: z.int().min(1).max(1_000_000).default(20_000),
 	mostQueuedBytes: z.int().min(1024).max(1_073_741_824).default(67_108_864),
 	limits: z.array(nameSchema).default([]),
@@ -42,20 +42,20 @@
 /** The declared cost: what its holder may use, in all availability zones together. */
 export const limitSchema = z.strictObject({
 	tasksPerSecond: z.number().positive().optional(),
-	/** How many seconds of the rate may be used at once. */
-	burstSeconds: z.number().min(0.1).max(60).default(1),
+	burstSeconds: z.number().min(0.1).max(60).default(1)
+		.describe('How many seconds of the rate may be used at once.'),
 	tasksInFlight: z.int().positive().optional(),
 	workerSecondsPerHour: z.number().positive().optional(),
 });
 
 /** A team whose requests are served and limited together. */
 export const customerSchema = z.strictObject({
-	/** The share of a contended pool, relative to the other customers. */
-	weight: z.number().positive().max(1000).default(1),
-	/** The services that it may call; none named: all. */
-	services: z.array(nameSchema).default([]),
-	/** SHA-256 of each of its tokens, in hexadecimal. */
-	tokenHashes: z.array(z.string().regex(/^[\da-f]{64}$/v)).default([]),
+	weight: z.number().positive().max(1000).default(1)
+		.describe('The share of a contended pool, relative to the other customers.'),
+	services: z.array(nameSchema).default([])
+		.describe('The services that it may call; none named: all.'),
+	tokenHashes: z.array(z.string().regex(/^[\da-f]{64}$/v)).default([])
+		.describe('SHA-256 of each of its tokens, in hexadecimal.'),
 	limits: z.array(nameSchema).default([]),
 });
 
