--- a/packages/configuration/src/objects/object-schemas.ts
+++ b/packages/configuration/src/objects/object-schemas.ts
@@ -22,6 +22,8 @@
 /** A kind of task, run by the backend servers of one pool. */
 export const serviceSchema = z.strictObject({
 	pool: nameSchema,
+	declaredNeeds: taskNeedsSchema.optional()
+		.describe('What a task of this service asks for at most; checked against the largest backend server of its pool.'),
 	declaredRunTimeMs: z.number().positive().max(600_000).default(500),
 	retryBudgetRatio: z.number().min(0).max(1).default(0.1)
 		.describe('Retries of idempotent tasks, as a share of successes.'),
