Add the dispatcher of one daemon

Cause: the daemon needs something that runs jobs on backend servers. Change: job book, queues, backend server table, placer and task runner, composed by createDispatcher; tasks wait at the daemon until a slot is free. Conclusion: one daemon serves; several daemons come with the slot managers.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,2 +1,3 @@
+export * from './dispatcher/create-dispatcher.js';
 export type * from './dispatcher/dispatcher.js';
 export * from './dispatcher/task-starter.js';
--- /dev/null
+++ b/packages/dispatch/src/jobs/job-book.ts
@@ -0,0 +1,133 @@
+import type {
+	MetricSink, RefusalCode, TimerService, TimerSubscription,
+} from '@camphortack/core';
+import type {LimitBook} from '@camphortack/policy';
+import type {GiveUpReason, OpenJob, OpenTask} from './open-job.js';
+import {createCompleteOutcome, createFailedOutcome, createRefusedOutcome} from './job-outcomes.js';
+
+export type JobBookOptions = {
+	timers: TimerService;
+	metrics: MetricSink;
+	limits: LimitBook;
+	/** Drops what waits of a job and stops what runs. */
+	onGivenUp: (job: OpenJob) => void;
+};
+
+/** The open jobs, each with its deadline. Each ends exactly once. */
+export type JobBook = {
+	addJob(job: OpenJob, isCharged: boolean): void;
+	findJob(key: string): OpenJob | undefined;
+	/** Counts a task as done; ends the job when it was the last one. */
+	endTask(task: OpenTask): void;
+	/** Ends a job before all its tasks are done. */
+	giveUp(job: OpenJob, reason: GiveUpReason): void;
+	/** Ends a job of which nothing started. */
+	refuse(job: OpenJob, code: RefusalCode): void;
+	getCount(): number;
+};
+
+type Entry = {job: OpenJob; isCharged: boolean; deadline: TimerSubscription};
+
+/**
+ * Creates the job book.
+ * @param options - Ports and callbacks.
+ */
+export function createJobBook(options: JobBookOptions): JobBook {
+	const {timers, metrics, limits} = options;
+	const entries = new Map<string, Entry>();
+
+	function addJob(job: OpenJob, isCharged: boolean): void {
+		const deadline = timers.addTimer(job.deadlineAtMs - timers.getNowMs(), () => {
+			giveUp(job, {failure: 'deadline', refusal: 'deadline-unreachable'});
+		});
+		entries.set(job.key, {job, isCharged, deadline});
+	}
+
+	function endTask(task: OpenTask): void {
+		const entry = entries.get(task.job.key);
+		if (entry === undefined) {
+			return;
+		}
+
+		if (entry.isCharged) {
+			limits.addTaskEnd(task.job.id, task.runTimeMs / 1000);
+		}
+
+		task.job.remainingTasks--;
+		if (task.job.remainingTasks === 0) {
+			close(entry);
+			metrics.increment('job-complete');
+			metrics.addTiming('job-response-time', timers.getNowMs() - task.job.arrivedAtMs);
+			finish(task.job, createCompleteOutcome(task.job));
+		}
+	}
+
+	function giveUp(job: OpenJob, {failure, refusal}: GiveUpReason): void {
+		const entry = entries.get(job.key);
+		if (entry === undefined) {
+			return;
+		}
+
+		if (refusal !== undefined && isUntouched(job)) {
+			refuse(job, refusal);
+			return;
+		}
+
+		close(entry);
+		const outcome = createFailedOutcome(job, failure);
+		metrics.increment(`job-failed-${failure}`);
+		options.onGivenUp(job);
+		finish(job, outcome);
+	}
+
+	function refuse(job: OpenJob, code: RefusalCode): void {
+		const entry = entries.get(job.key);
+		if (entry !== undefined) {
+			close(entry);
+		}
+
+		options.onGivenUp(job);
+		metrics.increment(`refused-${code}`);
+		finish(job, createRefusedOutcome(job.id, code));
+	}
+
+	function close(entry: Entry): void {
+		entries.delete(entry.job.key);
+		entry.deadline.cancel();
+		entry.job.hasEnded = true;
+		if (entry.isCharged) {
+			giveBackLimits(entry.job);
+		}
+	}
+
+	function giveBackLimits(job: OpenJob): void {
+		for (const task of job.tasks) {
+			if (task.state === 'queued' || task.state === 'given-up') {
+				limits.addTaskNotRun(job.id);
+			} else if (task.state !== 'done') {
+				limits.addTaskEnd(job.id, task.runTimeMs / 1000);
+			}
+		}
+
+		limits.closeJob(job.id);
+	}
+
+	return {
+		addJob,
+		findJob: key => entries.get(key)?.job,
+		endTask,
+		giveUp,
+		refuse,
+		getCount: () => entries.size,
+	};
+}
+
+function finish(job: OpenJob, outcome: Parameters<OpenJob['onEnd']>[0]['outcome']): void {
+	job.hasEnded = true;
+	job.onEnd({outcome, runTimesMs: job.tasks.map(task => Math.round(task.runTimeMs))});
+}
+
+/** Whether certainly no task of the job started. */
+function isUntouched(job: OpenJob): boolean {
+	return job.tasks.every(task => task.state === 'queued' && !task.mayHaveRun);
+}
--- /dev/null
+++ b/packages/dispatch/src/placement/placer.ts
@@ -0,0 +1,109 @@
+import type {EjectionTracker, QueuedTask} from '@camphortack/policy';
+import type {MetricSink, TimerService} from '@camphortack/core';
+import type {JobBook} from '../jobs/job-book.js';
+import type {OpenJob, OpenTask} from '../jobs/open-job.js';
+import type {QueueBook} from '../queues/queue-book.js';
+import type {BackendServerTable} from '../servers/backend-server-table.js';
+import {
+	addUsedResources, getFreeSlots, hasRoomFor, type BackendServerRecord,
+} from '../servers/backend-server-record.js';
+import type {TaskRunner} from '../tasks/task-runner.js';
+
+export type PlacerOptions = {
+	timers: TimerService;
+	metrics: MetricSink;
+	queues: QueueBook;
+	jobs: JobBook;
+	table: BackendServerTable;
+	runner: Pick<TaskRunner, 'startTasks'>;
+	ejection: EjectionTracker;
+	/** Whether this daemon may start anything on a backend server now. */
+	mayUse: (server: BackendServerRecord) => boolean;
+};
+
+/** Gives waiting tasks to free slots. */
+export type Placer = {
+	/** Starts what can start of a pool. */
+	placePool(pool: string): void;
+	placeAll(): void;
+};
+
+/**
+ * Creates the placer. A task is bound to a backend server only when a slot is free for it.
+ * @param options - The parts that it works on.
+ */
+export function createPlacer(options: PlacerOptions): Placer {
+	const {timers, metrics, queues, jobs, table, ejection} = options;
+
+	function placePool(pool: string): void {
+		if (queues.getTaskCount(pool) === 0) {
+			return;
+		}
+
+		for (const server of [...table.getAvailable(pool)].values()) {
+			fillServer(server, pool);
+			if (queues.getTaskCount(pool) === 0) {
+				return;
+			}
+		}
+	}
+
+	function fillServer(server: BackendServerRecord, pool: string): void {
+		if (!options.mayUse(server) || !ejection.mayStart(server.id)) {
+			return;
+		}
+
+		const isTrial = ejection.isEjected(server.id);
+		const tasks = takeTasks(server, pool, isTrial ? 1 : getFreeSlots(server));
+		for (const [job, jobTasks] of groupByJob(tasks)) {
+			options.runner.startTasks(server, job, jobTasks);
+		}
+
+		table.refresh(server);
+		table.rotate(server);
+	}
+
+	function takeTasks(server: BackendServerRecord, pool: string, count: number): OpenTask[] {
+		const {services} = server.announcement;
+		const fits = (task: QueuedTask) => services.includes(task.service) && hasRoomFor(server, task.needs);
+		const tasks: OpenTask[] = [];
+		while (tasks.length < count) {
+			const queued = queues.takeTask(pool, fits);
+			if (queued === undefined) {
+				break;
+			}
+
+			const task = jobs.findJob(queued.jobId)?.tasks[queued.index];
+			if (task !== undefined) {
+				metrics.addTiming('task-queue-time', timers.getNowMs() - queued.enqueuedAtMs);
+				addUsedResources(server, task.needs, 1);
+				tasks.push(task);
+			}
+		}
+
+		return tasks;
+	}
+
+	return {
+		placePool,
+		placeAll() {
+			for (const pool of queues.getWaitingPools()) {
+				placePool(pool);
+			}
+		},
+	};
+}
+
+function groupByJob(tasks: readonly OpenTask[]): Map<OpenJob, OpenTask[]> {
+	const groups = new Map<OpenJob, OpenTask[]>();
+	for (const task of tasks) {
+		const group = groups.get(task.job);
+		if (group === undefined) {
+			groups.set(task.job, [task]);
+		} else {
+			group.push(task);
+		}
+	}
+
+	return groups;
+}
--- /dev/null
+++ b/packages/dispatch/src/queues/queue-book.ts
@@ -0,0 +1,121 @@
+import type {ServiceObject} from '@camphortack/configuration';
+import {createFairQueue, type FairQueue, type QueuedTask} from '@camphortack/policy';
+import type {OpenTask} from '../jobs/open-job.js';
+
+type QueueTotals = {tasks: number; bytes: number};
+
+/** The queues of all pools, with the bounds that services declare. */
+export type QueueBook = {
+	/** Adds tasks of one job, all or none. */
+	addTasks(tasks: readonly OpenTask[], service: ServiceObject): 'added' | 'queue-full';
+	/** Puts back, at the front, a task that was taken and did not start. */
+	returnTask(task: OpenTask): void;
+	/** Takes the next task of a pool. */
+	takeTask(pool: string, fits: (task: QueuedTask) => boolean): QueuedTask | undefined;
+	/** Removes what waits of a job. */
+	removeJob(pool: string, jobKey: string): QueuedTask[];
+	getTaskCount(pool: string): number;
+	/** Gets the expected run time of all that waits for a pool. */
+	getQueuedWorkMs(pool: string): number;
+	getTotals(): Readonly<QueueTotals>;
+	/** Gets the pools for which a task waits. */
+	getWaitingPools(): string[];
+};
+
+/**
+ * Creates the queues.
+ * @param getWeight - Gets a customer's share, relative to the other customers.
+ */
+export function createQueueBook(getWeight: (customer: string) => number): QueueBook {
+	const queues = new Map<string, FairQueue>();
+	const workMs = new Map<string, number>();
+	const totalsByService = new Map<string, QueueTotals>();
+	const totals: QueueTotals = {tasks: 0, bytes: 0};
+
+	function getQueue(pool: string): FairQueue {
+		let queue = queues.get(pool);
+		if (queue === undefined) {
+			queue = createFairQueue({mostTasks: Infinity, mostBytes: Infinity, getWeight});
+			queues.set(pool, queue);
+		}
+
+		return queue;
+	}
+
+	function getServiceTotals(service: string): QueueTotals {
+		let serviceTotals = totalsByService.get(service);
+		if (serviceTotals === undefined) {
+			serviceTotals = {tasks: 0, bytes: 0};
+			totalsByService.set(service, serviceTotals);
+		}
+
+		return serviceTotals;
+	}
+
+	function count(task: QueuedTask, sign: 1 | -1): void {
+		for (const counted of [totals, getServiceTotals(task.service)]) {
+			counted.tasks += sign;
+			counted.bytes += sign * task.sizeBytes;
+		}
+
+		workMs.set(task.pool, (workMs.get(task.pool) ?? 0) + (sign * task.expectedRunTimeMs));
+	}
+
+	function addTasks(tasks: readonly OpenTask[], service: ServiceObject): 'added' | 'queue-full' {
+		const [first] = tasks;
+		if (first === undefined) {
+			return 'added';
+		}
+
+		const {tasks: queuedTasks, bytes: queuedBytes} = getServiceTotals(first.queued.service);
+		let addedBytes = 0;
+		for (const task of tasks) {
+			addedBytes += task.queued.sizeBytes;
+		}
+
+		if (queuedTasks + tasks.length > service.mostQueuedTasks || queuedBytes + addedBytes > service.mostQueuedBytes) {
+			return 'queue-full';
+		}
+
+		getQueue(first.queued.pool).addTasks(tasks.map(task => task.queued));
+		for (const task of tasks) {
+			count(task.queued, 1);
+		}
+
+		return 'added';
+	}
+
+	function returnTask(task: OpenTask): void {
+		getQueue(task.queued.pool).returnTask(task.queued);
+		count(task.queued, 1);
+	}
+
+	function takeTask(pool: string, fits: (task: QueuedTask) => boolean): QueuedTask | undefined {
+		const task = queues.get(pool)?.takeTask(fits);
+		if (task !== undefined) {
+			count(task, -1);
+		}
+
+		return task;
+	}
+
+	function removeJob(pool: string, jobKey: string): QueuedTask[] {
+		const removed = queues.get(pool)?.removeJob(jobKey) ?? [];
+		for (const task of removed) {
+			count(task, -1);
+		}
+
+		return removed;
+	}
+
+	return {
+		addTasks,
+		returnTask,
+		takeTask,
+		removeJob,
+		getTaskCount: pool => queues.get(pool)?.getTaskCount() ?? 0,
+		getQueuedWorkMs: pool => workMs.get(pool) ?? 0,
+		getTotals: () => totals,
+		getWaitingPools: () => [...queues].filter(([, queue]) => queue.getTaskCount() > 0).map(([pool]) => pool),
+	};
+}
--- /dev/null
+++ b/packages/dispatch/src/servers/backend-server-table.ts
@@ -0,0 +1,224 @@
+import type {
+	BackendServerAnnouncement, EventLog, MetricSink, TimerService, TimerSubscription,
+} from '@camphortack/core';
+import type {PlacementRules} from '../configuration/placement-rules.js';
+import {createBackendServerRecord, getFreeSlots, type BackendServerRecord} from './backend-server-record.js';
+
+export type BackendServerTableOptions = {
+	ownId: string;
+	timers: TimerService;
+	metrics: MetricSink;
+	events: EventLog;
+	/** Called when a backend server got or lost free slots, was added or changed. */
+	onAvailable: (server: BackendServerRecord) => void;
+	/** Called when a backend server is gone. */
+	onRemoved: (server: BackendServerRecord) => void;
+};
+
+/** The backend servers of this daemon's availability zone and which of them can take work now. */
+export type BackendServerTable = {
+	setRules(rules: PlacementRules): void;
+	/** Adds or renews; true if it is new or has a new incarnation or description. */
+	announce(announcement: BackendServerAnnouncement, isDirect: boolean): boolean;
+	/** Ends new work; true if it was known under this incarnation and not yet leaving. */
+	markLeaving(backendServerId: string, incarnation: string): boolean;
+	findServer(backendServerId: string): BackendServerRecord | undefined;
+	getAll(): Iterable<BackendServerRecord>;
+	/** Gets the backend servers of a pool that have free slots for this daemon. */
+	getAvailable(pool: string): ReadonlySet<BackendServerRecord>;
+	/** Recomputes whether a backend server can take work, after any change to its record. */
+	refresh(server: BackendServerRecord): void;
+	/** Moves a backend server behind the others of its pools. */
+	rotate(server: BackendServerRecord): void;
+	/** Blocks new work for a while after a refused connection or a not-run answer. */
+	block(server: BackendServerRecord): void;
+	noteSignOfLife(server: BackendServerRecord): void;
+	/** Removes those that stopped renewing. */
+	removeExpired(): void;
+	/** Gets the usable slots of a pool that this daemon manages. */
+	getSlotCount(pool: string): number;
+	getFreeSlotCount(pool: string): number;
+};
+
+const shortestBlockMs = 50;
+const longestBlockMs = 2000;
+const mostDoublings = 6;
+
+/**
+ * Creates the table.
+ * @param options - Ports and callbacks.
+ */
+export function createBackendServerTable(options: BackendServerTableOptions): BackendServerTable {
+	const {ownId, timers, metrics, events} = options;
+	const servers = new Map<string, BackendServerRecord>();
+	const availableByPool = new Map<string, Set<BackendServerRecord>>();
+	const unblockTimers = new Map<string, TimerSubscription>();
+	const noServers: ReadonlySet<BackendServerRecord> = new Set();
+	let rules: PlacementRules | undefined;
+
+	function setRules(newRules: PlacementRules): void {
+		rules = newRules;
+		availableByPool.clear();
+		for (const server of servers.values()) {
+			setPools(server);
+			refresh(server);
+		}
+	}
+
+	function setPools(server: BackendServerRecord): void {
+		const {services, availabilityZone} = server.announcement;
+		server.pools = rules?.getPoolsOf(services, availabilityZone) ?? [];
+	}
+
+	function announce(announcement: BackendServerAnnouncement, isDirect: boolean): boolean {
+		const nowMs = timers.getNowMs();
+		const known = servers.get(announcement.id);
+		if (known?.announcement.incarnation === announcement.incarnation) {
+			const isChanged = JSON.stringify(known.announcement) !== JSON.stringify(announcement);
+			renew(known, announcement, nowMs, isDirect);
+			return isChanged;
+		}
+
+		if (known !== undefined) {
+			remove(known);
+		}
+
+		const server = createBackendServerRecord(announcement, nowMs);
+		server.lastDirectAnnouncementMs = isDirect ? nowMs : Number.NEGATIVE_INFINITY;
+		servers.set(server.id, server);
+		setPools(server);
+		metrics.increment('backend-server-announced');
+		events.write('backend-server-announced', {backendServer: server.id, incarnation: announcement.incarnation});
+		return true;
+	}
+
+	function renew(server: BackendServerRecord, announcement: BackendServerAnnouncement, nowMs: number, isDirect: boolean): void {
+		server.lastSignOfLifeMs = nowMs;
+		if (isDirect) {
+			server.lastDirectAnnouncementMs = nowMs;
+		}
+
+		leaveAvailable(server);
+		server.announcement = announcement;
+		setPools(server);
+		refresh(server);
+	}
+
+	function markLeaving(backendServerId: string, incarnation: string): boolean {
+		const server = servers.get(backendServerId);
+		if (server === undefined || server.isLeaving || server.announcement.incarnation !== incarnation) {
+			return false;
+		}
+
+		server.isLeaving = true;
+		refresh(server);
+		events.write('backend-server-left', {backendServer: backendServerId});
+		return true;
+	}
+
+	function remove(server: BackendServerRecord): void {
+		servers.delete(server.id);
+		leaveAvailable(server);
+		unblockTimers.get(server.id)?.cancel();
+		unblockTimers.delete(server.id);
+		options.onRemoved(server);
+	}
+
+	function leaveAvailable(server: BackendServerRecord): void {
+		for (const pool of server.pools) {
+			availableByPool.get(pool)?.delete(server);
+		}
+	}
+
+	function refresh(server: BackendServerRecord): void {
+		if (!isUsable(server)) {
+			leaveAvailable(server);
+			return;
+		}
+
+		for (const pool of server.pools) {
+			let available = availableByPool.get(pool);
+			if (available === undefined) {
+				available = new Set();
+				availableByPool.set(pool, available);
+			}
+
+			available.add(server);
+		}
+
+		options.onAvailable(server);
+	}
+
+	function isManaged(server: BackendServerRecord): boolean {
+		return server.managerId === ownId && server.managedFromMs <= timers.getNowMs();
+	}
+
+	function isUsable(server: BackendServerRecord): boolean {
+		return servers.get(server.id) === server
+			&& isManaged(server)
+			&& getFreeSlots(server) > 0
+			&& server.blockedUntilMs <= timers.getNowMs();
+	}
+
+	function rotate(server: BackendServerRecord): void {
+		for (const pool of server.pools) {
+			const available = availableByPool.get(pool);
+			if (available?.delete(server)) {
+				available.add(server);
+			}
+		}
+	}
+
+	function block(server: BackendServerRecord): void {
+		const durationMs = Math.min(longestBlockMs, shortestBlockMs * (2 ** Math.min(mostDoublings, server.consecutiveRefusals)));
+		server.consecutiveRefusals++;
+		server.blockedUntilMs = timers.getNowMs() + durationMs;
+		refresh(server);
+		unblockTimers.get(server.id)?.cancel();
+		unblockTimers.set(server.id, timers.addTimer(durationMs, () => {
+			unblockTimers.delete(server.id);
+			refresh(server);
+		}));
+	}
+
+	function removeExpired(): void {
+		const nowMs = timers.getNowMs();
+		for (const server of servers.values()) {
+			if (server.managerId === ownId && nowMs - server.lastSignOfLifeMs > server.announcement.timeToLiveMs) {
+				remove(server);
+				metrics.increment('backend-server-expired');
+				events.write('backend-server-expired', {backendServer: server.id});
+			}
+		}
+	}
+
+	function sumManaged(pool: string, getSlots: (server: BackendServerRecord) => number): number {
+		let slots = 0;
+		for (const server of servers.values()) {
+			if (isManaged(server) && server.pools.includes(pool)) {
+				slots += getSlots(server);
+			}
+		}
+
+		return slots;
+	}
+
+	return {
+		setRules,
+		announce,
+		markLeaving,
+		findServer: backendServerId => servers.get(backendServerId),
+		getAll: () => servers.values(),
+		getAvailable: pool => availableByPool.get(pool) ?? noServers,
+		refresh,
+		rotate,
+		block,
+		noteSignOfLife(server) {
+			server.lastSignOfLifeMs = timers.getNowMs();
+			server.consecutiveRefusals = 0;
+		},
+		removeExpired,
+		getSlotCount: pool => sumManaged(pool, server => server.isLeaving ? 0 : server.announcement.slots),
+		getFreeSlotCount: pool => sumManaged(pool, server => getFreeSlots(server)),
+	};
+}
--- /dev/null
+++ b/packages/dispatch/test/support/create-test-dispatcher.ts
@@ -0,0 +1,108 @@
+import {configurationSchema, type Configuration} from '@camphortack/configuration';
+import {
+	backendServerAnnouncementSchema, createSeededRandomSource, type BackendServerAnnouncement, type Job, type JobOutcome,
+} from '@camphortack/core';
+import type {LimitBook} from '@camphortack/policy';
+// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
+import {FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
+import {createDispatcher, type Dispatcher} from '../../src/index.js';
+import {FakeTaskStarter, type FakeBehaviour} from './fake-task-starter.js';
+
+export type TestDispatcher = {
+	timers: VirtualTimers;
+	metrics: RecordingMetricSink;
+	starter: FakeTaskStarter;
+	dispatcher: Dispatcher;
+	limitCalls: string[];
+	/** Submits a job and gives the list that its outcome will be added to. */
+	submit: (job: Partial<Job> & {id: string}, taskCount?: number) => JobOutcome[];
+};
+
+export function createTestConfiguration(service: Record<string, unknown> = {}): Configuration {
+	return configurationSchema.parse({
+		version: 1,
+		objects: {
+			pools: {main: {largestBackendServer: {processors: 64}}},
+			services: {price: {pool: 'main', declaredRunTimeMs: 100, ...service}},
+			customers: {chain: {}},
+		},
+	});
+}
+
+export function createTestAnnouncement(id: string, other: Partial<BackendServerAnnouncement> = {}): BackendServerAnnouncement {
+	return backendServerAnnouncementSchema.parse({
+		id,
+		incarnation: 'one',
+		host: '127.0.0.1',
+		port: 9000,
+		availabilityZone: 'zone-a',
+		slots: 8,
+		processors: 64,
+		services: ['price'],
+		...other,
+	});
+}
+
+/** Creates a dispatcher of one daemon with two backend servers of 8 slots. */
+export function createTestDispatcher(behave?: FakeBehaviour, service?: Record<string, unknown>): TestDispatcher {
+	const timers = new VirtualTimers();
+	const random = createSeededRandomSource(1);
+	const metrics = new RecordingMetricSink();
+	const starter = new FakeTaskStarter(timers, behave);
+	const limitCalls: string[] = [];
+	const network = new FakeNetwork({timers, random});
+	const dispatcher = createDispatcher({
+		ownId: 'daemon-1',
+		incarnation: 'one',
+		availabilityZone: 'zone-a',
+		timers,
+		random,
+		metrics,
+		events: new RecordingEventLog(),
+		peers: network.addPeer('daemon-1', () => undefined),
+		starter,
+		limits: createRecordingLimitBook(limitCalls),
+	});
+	starter.onEvent = dispatcher.handleTaskEvent;
+	dispatcher.setConfiguration(createTestConfiguration(service));
+	dispatcher.setMembers([{
+		id: 'daemon-1', incarnation: 'one', availabilityZone: 'zone-a', roles: ['entry'], host: '127.0.0.1', peerPort: 1,
+	}]);
+	dispatcher.announceBackendServer(createTestAnnouncement('server-1'));
+	dispatcher.announceBackendServer(createTestAnnouncement('server-2'));
+	return {
+		timers,
+		metrics,
+		starter,
+		dispatcher,
+		limitCalls,
+		submit(job, taskCount = 1) {
+			const outcomes: JobOutcome[] = [];
+			const tasks = Array.from({length: taskCount}, (_, index) => ({payload: index}));
+			dispatcher.submitJob({
+				customer: 'chain', service: 'price', deadlineMs: 10_000, idempotent: false, tasks, ...job,
+			}, outcome => {
+				outcomes.push(outcome);
+			});
+			return outcomes;
+		},
+	};
+}
+
+function createRecordingLimitBook(calls: string[]): LimitBook {
+	return {
+		admitJob({jobId}) {
+			calls.push(`admit ${jobId}`);
+			return {isAdmitted: true};
+		},
+		addTaskEnd(jobId) {
+			calls.push(`end ${jobId}`);
+		},
+		addTaskNotRun(jobId) {
+			calls.push(`not-run ${jobId}`);
+		},
+		closeJob(jobId) {
+			calls.push(`close ${jobId}`);
+		},
+	};
+}
