--- a/packages/configuration/src/fields/field.ts
+++ b/packages/configuration/src/fields/field.ts
@@ -82,11 +82,11 @@
 	return z.toJSONSchema(schema, {io: 'input'}) as JsonSchema;
 }
 
-function getNestedFields(schema: JsonSchema, parentPath: readonly string[]): Field[] {
+function getNestedFields(schema: JsonSchema, parentPath: readonly string[], parentDescription?: string): Field[] {
 	return Object.entries(schema.properties ?? {}).flatMap(([name, property]) => {
 		const path = [...parentPath, name];
 		if (property.type === 'object') {
-			return getNestedFields(property, path);
+			return getNestedFields(property, path, property.description);
 		}
 
 		return [{
@@ -97,7 +97,7 @@
 			unit: getUnit(name),
 			defaultText: property.default === undefined ? undefined : formatDefault(property.default),
 			isRequired: schema.required?.includes(name) ?? false,
-			description: property.description ?? '',
+			description: [property.description, parentDescription].filter(part => part !== undefined).join(' '),
 		}];
 	});
 }
@@ -128,17 +128,14 @@
 
 function getNumberBounds(schema: JsonSchema): string {
 	const type = schema.type === 'integer' ? 'a whole number' : 'a number';
-	const lowest = getLowest(schema);
-	const highest = schema.maximum === undefined || schema.maximum === Number.MAX_SAFE_INTEGER ? '' : ` to ${schema.maximum}`;
-	return `${type}${lowest}${highest}`;
-}
-
-function getLowest(schema: JsonSchema): string {
-	if (schema.exclusiveMinimum !== undefined) {
-		return ` above ${schema.exclusiveMinimum}`;
+	const {exclusiveMinimum, minimum, maximum} = schema;
+	const hasMaximum = maximum !== undefined && maximum !== Number.MAX_SAFE_INTEGER;
+	if (exclusiveMinimum !== undefined) {
+		return `${type} above ${exclusiveMinimum}${hasMaximum ? `, at most ${maximum}` : ''}`;
 	}
 
-	return schema.minimum === undefined || schema.minimum === Number.MIN_SAFE_INTEGER ? '' : ` from ${schema.minimum}`;
+	const hasMinimum = minimum !== undefined && minimum !== Number.MIN_SAFE_INTEGER;
+	return `${type}${hasMinimum ? ` from ${minimum}` : ''}${hasMaximum ? ` to ${maximum}` : ''}`;
 }
 
 function getUnit(name: string): string {
--- /dev/null
+++ b/packages/configuration/test/differences/get-object-differences.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+	configurationObjectsSchema, formatObjectDifferences, getObjectDifferences, type ConfigurationObjects,
+} from '../../src/index.js';
+
+const getObjects = (input: unknown): ConfigurationObjects => configurationObjectsSchema.parse(input);
+
+describe('getObjectDifferences', () => {
+	const before = getObjects({pools: {oak: {}, walnut: {}}, limits: {l: {tasksInFlight: 3}}});
+	const after = getObjects({pools: {walnut: {availabilityZones: ['north']}}, limits: {l: {tasksPerSecond: 2}}, customers: {constructor: {}}});
+
+	it('lists added, removed and changed objects with old and new values', () => {
+		assert.equal(formatObjectDifferences(getObjectDifferences(before, after)), `\
+- pool/oak
+    availabilityZones: []
+    largestEjectedShare: 0.3
+    limits: []
+~ pool/walnut
+    availabilityZones: [] -> [north]
+~ limit/l
+    tasksInFlight: 3 -> not set
+    tasksPerSecond: not set -> 2
++ customer/constructor
+    weight: 1
+    services: []
+    tokenHashes: []
+    limits: []`);
+	});
+
+	it('finds nothing between equal sets, whatever their order', () => {
+		assert.deepEqual(getObjectDifferences(before, getObjects({limits: {l: {tasksInFlight: 3}}, pools: {walnut: {}, oak: {}}})), []);
+	});
+});
--- a/packages/configuration/test/files/read-configuration-files.test.ts
+++ b/packages/configuration/test/files/read-configuration-files.test.ts
@@ -53,7 +53,7 @@
 		{
 			text: '[service s]\npool = p\ndeclaredRunTimeMs = soon\nmostQueuedTasks = 0\nlimits = a b, c',
 			expected: [
-				'a.ini:3: service/s declaredRunTimeMs: "soon" is not valid: must be a number above 0 to 600000',
+				'a.ini:3: service/s declaredRunTimeMs: "soon" is not valid: must be a number above 0, at most 600000',
 				'a.ini:4: service/s mostQueuedTasks: "0" is not valid: must be a whole number from 1 to 1000000',
 				'a.ini:5: service/s limits: "a b, c" is not valid: must be a comma-separated list, each a name',
 			],
