Serve a job from end to end with one daemon

Cause: the parts stood alone. The configuration desk and the limit book are in memory and for one daemon; their real parts follow. Conclusion: the thin path stands; its parts are replaced one by one.

--- /dev/null
+++ b/packages/daemon/bin/camphortackd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env -S node --disable-warning=DEP0111
+import '../dist/main.js';
--- /dev/null
+++ b/packages/daemon/src/composition/tokens.ts
@@ -0,0 +1,35 @@
+import type {EventLog, PeerNetwork, RandomSource} from '@camphortack/core';
+import type {Settings} from '@camphortack/configuration';
+import type {Dispatcher} from '@camphortack/dispatch';
+import type {LimitBook} from '@camphortack/policy';
+import type {ServiceIdentifier} from 'inversify';
+import type {HttpTaskStarter} from '../backend/http-task-starter.js';
+import type {ConfigurationDesk} from '../configuration/configuration-desk.js';
+import type {JobService} from '../jobs/job-service.js';
+import type {CountingMetricSink} from '../metrics/counting-metric-sink.js';
+import type {PeerRouter} from '../peers/peer-router.js';
+import type {TcpPeerNetwork} from '../peers/tcp-peer-network.js';
+import type {OwnIdentity} from '../runtime/own-identity.js';
+import type {SystemTimers} from '../time/system-timers.js';
+
+function createToken<Type>(name: string): ServiceIdentifier<Type> {
+	return Symbol.for(`camphortack.${name}`);
+}
+
+/** Names each part of a daemon in its container. */
+export const tokens = {
+	settings: createToken<Settings>('settings'),
+	identity: createToken<OwnIdentity>('identity'),
+	timers: createToken<SystemTimers>('timers'),
+	random: createToken<RandomSource>('random'),
+	metrics: createToken<CountingMetricSink>('metrics'),
+	events: createToken<EventLog>('events'),
+	peerRouter: createToken<PeerRouter>('peer-router'),
+	peerNetwork: createToken<TcpPeerNetwork>('peer-network'),
+	peers: createToken<PeerNetwork>('peers'),
+	taskStarter: createToken<HttpTaskStarter>('task-starter'),
+	limits: createToken<LimitBook>('limits'),
+	dispatcher: createToken<Dispatcher>('dispatcher'),
+	configurationDesk: createToken<ConfigurationDesk>('configuration-desk'),
+	jobs: createToken<JobService>('jobs'),
+};
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,76 @@
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {readSettings, type Settings} from '@camphortack/configuration';
+import {CamphortackError} from '@camphortack/core';
+import {Cli, Command, Option} from 'clipanion';
+import {startDaemon} from './runtime/start-daemon.js';
+
+const version = '0.1.0';
+const exitCodeOfFailure = 1;
+
+class RunCommand extends Command {
+	static override paths = [Command.Default];
+
+	static override usage = Command.Usage({
+		description: 'Run the dispatcher daemon',
+		details: 'Without a settings file it runs alone, on loopback, on free ports, with a temporary data folder.',
+		examples: [
+			['Run alone', '$0'],
+			['Run with settings', '$0 --settings /etc/camphortack/camphortackd.ini'],
+		],
+	});
+
+	settingsFile = Option.String('--settings', {description: 'The settings file (INI)'});
+	shouldOnlyCheck = Option.Boolean('--check', false, {description: 'Check the settings and exit'});
+
+	override async execute(): Promise<number> {
+		let settings: Settings;
+		try {
+			settings = readSettingsFile(this.settingsFile);
+		} catch (error) {
+			this.context.stderr.write(`${getMessage(error)}\n`);
+			return exitCodeOfFailure;
+		}
+
+		if (this.shouldOnlyCheck) {
+			this.context.stdout.write('The settings are valid.\n');
+			return 0;
+		}
+
+		return this.#run(settings);
+	}
+
+	async #run(settings: Settings): Promise<number> {
+		try {
+			const daemon = await startDaemon(settings);
+			this.context.stdout.write(`${JSON.stringify(daemon.addresses)}\n`);
+			process.once('SIGTERM', () => {
+				void daemon.stop();
+			});
+			process.once('SIGINT', () => {
+				void daemon.stop();
+			});
+			await daemon.stopped;
+			return 0;
+		} catch (error) {
+			this.context.stderr.write(`${getMessage(error)}\n`);
+			return exitCodeOfFailure;
+		}
+	}
+}
+
+function readSettingsFile(path: string | undefined): Settings {
+	return path === undefined ? readSettings('(none)', '') : readSettings(path, readFileSync(path, 'utf8'));
+}
+
+function getMessage(error: unknown): string {
+	if (error instanceof CamphortackError) {
+		return error.message;
+	}
+
+	return error instanceof Error ? `${error.name}: ${error.message}` : String(error);
+}
+
+const cli = new Cli({binaryLabel: 'camphortackd', binaryName: 'camphortackd', binaryVersion: version});
+cli.register(RunCommand);
+await cli.runExit(process.argv.slice(2));
--- a/packages/daemon/src/metrics/counting-metric-sink.ts
+++ b/packages/daemon/src/metrics/counting-metric-sink.ts
@@ -1,11 +1,12 @@
 import {MetricSink, type MetricName} from '@camphortack/core';
+import type {StatsdMetricSink} from './statsd-metric-sink.js';
 
 /** Keeps counters and gauges in memory for the status page and passes everything on. */
 export class CountingMetricSink extends MetricSink {
 	readonly #values = new Map<MetricName, number>();
-	readonly #next: MetricSink | undefined;
+	readonly #next: StatsdMetricSink | undefined;
 
-	constructor(next?: MetricSink) {
+	constructor(next?: StatsdMetricSink) {
 		super();
 		this.#next = next;
 	}
@@ -28,4 +29,9 @@
 	getValues(): Record<string, number> {
 		return Object.fromEntries(this.#values);
 	}
+
+	/** Sends what is buffered and closes the next sink. */
+	async close(): Promise<void> {
+		await this.#next?.close();
+	}
 }
--- /dev/null
+++ b/packages/daemon/src/peers/peer-router.ts
@@ -0,0 +1,38 @@
+import type {MetricSink, PeerMessage} from '@camphortack/core';
+
+type Handle = (fromPeerId: string, message: PeerMessage) => void;
+
+/** Gives each message to the part whose name stands before the first dot of its kind. */
+export type PeerRouter = {
+	handleMessage: Handle;
+	addPart(name: string, handle: Handle): void;
+};
+
+/**
+ * Creates a router for the messages of other daemons.
+ * @param metrics - Counts the messages that no part takes.
+ *
+ * @example
+ * ```ts
+ * const router = createPeerRouter(metrics);
+ * router.addPart('dispatch', dispatcher.handlePeerMessage);
+ * ```
+ */
+export function createPeerRouter(metrics: MetricSink): PeerRouter {
+	const parts = new Map<string, Handle>();
+	return {
+		addPart(name, handle) {
+			parts.set(name, handle);
+		},
+		handleMessage(fromPeerId, message) {
+			const [name] = message.kind.split('.', 1);
+			const handle = parts.get(name ?? '');
+			if (handle === undefined) {
+				metrics.increment('peer-dropped');
+				return;
+			}
+
+			handle(fromPeerId, message);
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -0,0 +1,160 @@
+import {checkConfigurationObjects, type Settings} from '@camphortack/configuration';
+import type {Member} from '@camphortack/core';
+import type {Container} from 'inversify';
+import {createContainer} from '../composition/create-container.js';
+import {tokens} from '../composition/tokens.js';
+import {isTokenAccepted} from '../access/is-token-accepted.js';
+import {createBackendServersServer} from '../http/backend-servers-server.js';
+import {createCallersServer} from '../http/callers-server.js';
+import {listen, type ListeningServer} from '../http/create-http-server.js';
+import {createOperatorsServer} from '../http/operators-server.js';
+import {getDaemonStatus} from './get-daemon-status.js';
+
+/** Where a daemon listens. */
+export type DaemonAddresses = {
+	callersUrl: string;
+	backendServersUrl: string;
+	operatorsUrl: string;
+	peersPort: number;
+};
+
+/** A running daemon. */
+export type Daemon = {
+	readonly addresses: DaemonAddresses;
+	/** Resolves when the daemon has stopped, whoever asked for it. */
+	readonly stopped: Promise<void>;
+	/** Begins a planned stop; resolves once everything in flight has ended and all is closed. */
+	stop(): Promise<void>;
+};
+
+const drainCheckIntervalMs = 20;
+
+/**
+ * Starts a daemon in this process.
+ * @param settings - Its settings.
+ * @throws if an address cannot be bound or the data folder cannot be used.
+ *
+ * @example
+ * ```ts
+ * const daemon = await startDaemon(readSettings('camphortackd.ini', ''));
+ * console.log(daemon.addresses.callersUrl);
+ * await daemon.stop();
+ * ```
+ */
+export async function startDaemon(settings: Settings): Promise<Daemon> {
+	const container = createContainer(settings);
+	const state = {isDraining: false};
+	let resolveStopped: () => void;
+	const stopped = new Promise<void>(resolve => {
+		resolveStopped = resolve;
+	});
+
+	const peersPort = await container.get(tokens.peerNetwork).listen();
+	startParts(container, peersPort);
+	const servers = await startServers(container, state, () => {
+		void stop();
+	});
+	const events = container.get(tokens.events);
+	events.write('daemon-started', {id: settings.daemon.id, callers: servers.callers.url});
+
+	async function stop(): Promise<void> {
+		if (state.isDraining) {
+			return stopped;
+		}
+
+		state.isDraining = true;
+		events.write('daemon-draining');
+		await drain(container);
+		await closeAll(container, servers);
+		events.write('daemon-stopped');
+		resolveStopped();
+	}
+
+	return {
+		addresses: {
+			callersUrl: servers.callers.url,
+			backendServersUrl: servers.backendServers.url,
+			operatorsUrl: servers.operators.url,
+			peersPort,
+		},
+		stop,
+		stopped,
+	};
+}
+
+type Servers = {
+	callers: ListeningServer;
+	backendServers: ListeningServer;
+	operators: ListeningServer;
+};
+
+function startParts(container: Container, peersPort: number): void {
+	const identity = container.get(tokens.identity);
+	const {daemon, peers} = container.get(tokens.settings);
+	const dispatcher = container.get(tokens.dispatcher);
+	container.get(tokens.peerRouter).addPart('dispatch', dispatcher.handlePeerMessage);
+	const ownMember: Member = {
+		...identity, roles: daemon.roles, host: peers.host, peerPort: peersPort,
+	};
+	dispatcher.setMembers([ownMember]);
+}
+
+async function startServers(container: Container, state: {isDraining: boolean}, onDrain: () => void): Promise<Servers> {
+	const settings = container.get(tokens.settings);
+	const dispatcher = container.get(tokens.dispatcher);
+	const configuration = container.get(tokens.configurationDesk);
+	const jobs = container.get(tokens.jobs);
+	const {tokenHashes} = settings.operators;
+	const isOperator = (authorization: string | undefined) => tokenHashes.length === 0 || isTokenAccepted(authorization, tokenHashes);
+
+	const callers = createCallersServer({
+		jobs,
+		isReady: () => !state.isDraining && configuration.findConfiguration() !== undefined,
+		isAuthorized(authorization, customer) {
+			const hashes = configuration.findConfiguration()?.objects.customers[customer]?.tokenHashes ?? [];
+			return hashes.length === 0 || isTokenAccepted(authorization, hashes);
+		},
+	});
+	const backendServers = createBackendServersServer({
+		isAuthorized: isOperator,
+		onAnnouncement: dispatcher.announceBackendServer,
+		onFarewell: dispatcher.removeBackendServer,
+	});
+	const operators = createOperatorsServer({
+		isAuthorized: isOperator,
+		configuration,
+		checkObjects: objects => checkConfigurationObjects(objects).filter(finding => finding.level === 'error'),
+		getStatus: () => getDaemonStatus(container, state.isDraining),
+		getLimits: () => [],
+		onDrain,
+		onDrainBackendServer: () => false,
+	});
+	return {
+		callers: await listen(callers, settings.callers.host, settings.callers.port),
+		backendServers: await listen(backendServers, settings['backend-servers'].host, settings['backend-servers'].port),
+		operators: await listen(operators, settings.operators.host, settings.operators.port),
+	};
+}
+
+async function drain(container: Container): Promise<void> {
+	const jobs = container.get(tokens.jobs);
+	const timers = container.get(tokens.timers);
+	jobs.startDraining();
+	container.get(tokens.dispatcher).startDraining();
+	await new Promise<void>(resolve => {
+		const check = timers.addInterval(drainCheckIntervalMs, () => {
+			if (jobs.getOpenCount() === 0) {
+				check.cancel();
+				resolve();
+			}
+		});
+	});
+}
+
+async function closeAll(container: Container, servers: Servers): Promise<void> {
+	await Promise.all([servers.callers.close(), servers.backendServers.close(), servers.operators.close()]);
+	await container.get(tokens.taskStarter).close();
+	await container.get(tokens.peerNetwork).close();
+	await container.get(tokens.metrics).close();
+	container.get(tokens.timers).cancelAll();
+}
--- a/packages/daemon/src/time/system-timers.ts
+++ b/packages/daemon/src/time/system-timers.ts
@@ -3,24 +3,39 @@
 
 /** The timers of this process, on its monotonic clock. */
 export class SystemTimers extends TimerService {
+	readonly #pending = new Set<NodeJS.Timeout>();
+
 	override getNowMs(): number {
 		return performance.now();
 	}
 
 	override addTimer(delayMs: number, onFire: () => void): TimerSubscription {
-		const handle = setTimeout(onFire, delayMs);
-		return {
-			cancel() {
-				clearTimeout(handle);
-			},
-		};
+		const handle = setTimeout(() => {
+			this.#pending.delete(handle);
+			onFire();
+		}, delayMs);
+		return this.#addHandle(handle);
 	}
 
 	override addInterval(intervalMs: number, onFire: () => void): TimerSubscription {
-		const handle = setInterval(onFire, intervalMs);
+		return this.#addHandle(setInterval(onFire, intervalMs));
+	}
+
+	/** Cancels every timer, at the end of the daemon. */
+	cancelAll(): void {
+		for (const handle of this.#pending) {
+			clearTimeout(handle);
+		}
+
+		this.#pending.clear();
+	}
+
+	#addHandle(handle: NodeJS.Timeout): TimerSubscription {
+		this.#pending.add(handle);
 		return {
-			cancel() {
-				clearInterval(handle);
+			cancel: () => {
+				this.#pending.delete(handle);
+				clearTimeout(handle);
 			},
 		};
 	}
--- a/xo.config.js
+++ b/xo.config.js
@@ -10,6 +10,9 @@
 			'@typescript-eslint/no-floating-promises': ['error', {
 				allowForKnownSafeCalls: [{from: 'package', name: ['describe', 'it', 'test', 'suite'], package: 'node:test'}],
 			}],
+			// Clipanion declares its options with functions of capitalized names.
+			'new-cap': ['error', {capIsNewExceptionPattern: String.raw`^(Command|Option)\.`}],
+			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata', '**/dist/main.js']}],
 		},
 	},
 ];
