Format configuration objects as INI that reads back the same

Cause: operators need the version in force as a file that they can edit. Change: formatConfigurationObjects.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -5,6 +5,7 @@
 export * from './files/read-configuration-files.js';
 export * from './findings/configuration-finding.js';
 export * from './findings/configuration-places.js';
+export * from './format/format-configuration-objects.js';
 export * from './objects/object-kinds.js';
 export * from './objects/object-schemas.js';
 export * from './page/get-configuration-page.js';
