--- a/packages/configuration/src/format/format-configuration-objects.ts
+++ b/packages/configuration/src/format/format-configuration-objects.ts
@@ -15,25 +15,28 @@
  * ```
  */
 export function formatConfigurationObjects(objects: ConfigurationObjects): string {
-	const sections = objectKinds.flatMap(({kind, collection}) =>
-		Object.entries(objects[collection]).map(([name, values]) => [`[${kind} ${name}]`, ...getLines(values, '')].join('\n')));
+	const sections = objectKinds.flatMap(({kind, collection}) => getSections(kind, objects[collection]));
 	return sections.map(section => `${section}\n`).join('\n');
 }
 
+function getSections(kind: string, collection: Readonly<Record<string, Readonly<Record<string, unknown>>>>): string[] {
+	return Object.entries(collection).map(([name, values]) => [`[${kind} ${name}]`, ...getLines(values, '')].join('\n'));
+}
+
 function getLines(values: Readonly<Record<string, unknown>>, prefix: string): string[] {
 	return Object.entries(values).flatMap(([key, value]) => {
-		if (value === undefined) {
-			return [];
-		}
-
-		if (Array.isArray(value)) {
-			return [`${prefix}${key} = ${value.join(', ')}`.trimEnd()];
+		if (isNested(value)) {
+			return getLines(value, `${prefix}${key}.`);
 		}
 
-		return isNested(value) ? getLines(value, `${prefix}${key}.`) : [`${prefix}${key} = ${safe(String(value))}`];
+		return value === undefined ? [] : [`${prefix}${key} = ${formatValue(value)}`.trimEnd()];
 	});
 }
 
 function isNested(value: unknown): value is Record<string, unknown> {
-	return typeof value === 'object' && value !== null;
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function formatValue(value: unknown): string {
+	return Array.isArray(value) ? value.join(', ') : safe(typeof value === 'string' ? value : JSON.stringify(value));
 }
