Test the daemon from its public interfaces

Cause: the thin path was shown by the demo alone. Change: tests over HTTP for whole answers, resubmission, cut connections, planned stop with 200 requests in flight, vanished callers, bad input and a race of operators. The dispatcher already counts accepted jobs and outcomes, so the job service no longer does: the stop test showed every job counted twice. Conclusion: one part counts each metric.

--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -65,11 +65,7 @@
 	};
 
 	const startJob = (job: Job) => {
-		const startedAtMs = timers.getNowMs();
-		metrics.increment('job-accepted');
 		dispatcher.submitJob(job, outcome => {
-			countOutcome(metrics, outcome);
-			metrics.addTiming('job-response-time', timers.getNowMs() - startedAtMs);
 			table.endEntry(job.id, outcome, timers.getNowMs());
 		});
 	};
@@ -137,22 +133,3 @@
 		getOpenCount: () => table.getOpenCount(),
 	};
 }
-
-function countOutcome(metrics: MetricSink, outcome: JobOutcome): void {
-	switch (outcome.outcome) {
-		case 'complete': {
-			metrics.increment('job-complete');
-			break;
-		}
-
-		case 'failed': {
-			metrics.increment(`job-failed-${outcome.reason}`);
-			break;
-		}
-
-		case 'refused': {
-			metrics.increment(`refused-${outcome.code}`);
-			break;
-		}
-	}
-}
--- /dev/null
+++ b/packages/daemon/test/runtime/start-daemon.test.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {describe, it} from 'node:test';
+import {readSettings} from '@camphortack/configuration';
+import {
+	countStarts, createJobBody, publishObjects, sendJson, startTestSystem, testObjects,
+} from '../support/test-system.js';
+import {startDaemon} from '../../src/index.js';
+
+describe('startDaemon', () => {
+	it('answers a job whole, in the order of its tasks, and starts each task once', async () => {
+		const system = await startTestSystem([{}, {}]);
+		const {status, body} = await system.call('POST', '/v1/jobs', createJobBody(150));
+		await system.stop();
+		assert.equal(status, 200);
+		assert.deepEqual(body.results, Array.from({length: 150}, (_, index) => ({index})));
+		assert.equal(countStarts(system.servers), 150);
+	});
+
+	it('runs a resubmitted job once, while it runs and afterwards', async () => {
+		const system = await startTestSystem([{runTimeMs: 50}]);
+		const job = createJobBody(4, {id: 'job-1'});
+		const answers = await Promise.all([system.call('POST', '/v1/jobs', job), system.call('POST', '/v1/jobs', job)]);
+		answers.push(await system.call('POST', '/v1/jobs', job), await system.call('GET', '/v1/jobs/job-1'));
+		const conflict = await system.call('POST', '/v1/jobs', createJobBody(3, {id: 'job-1'}));
+		await system.stop();
+		assert.deepEqual(answers.map(answer => answer.status), [200, 200, 200, 200]);
+		assert.equal(new Set(answers.map(answer => JSON.stringify(answer.body))).size, 1);
+		assert.equal(conflict.status, 409);
+		assert.equal(countStarts(system.servers), 4);
+	});
+
+	it('says may-have-run for a task whose connection was cut, and does not run it again', async () => {
+		const system = await startTestSystem([{shouldCutConnection: () => true}]);
+		const {status, body} = await system.call('POST', '/v1/jobs', createJobBody(1));
+		await system.stop();
+		assert.equal(status, 500);
+		assert.deepEqual([body.outcome, body.reason, body.tasks], ['failed', 'task-lost', [{index: 0, state: 'may-have-run'}]]);
+		assert.equal(countStarts(system.servers), 1);
+	});
+
+	it('finishes what is in flight and refuses new work as not run on a planned stop', async () => {
+		const system = await startTestSystem(Array.from({length: 4}, () => ({runTimeMs: 200, slots: 64})));
+		const answers = Promise.all(Array.from({length: 200}, async () => system.call('POST', '/v1/requests', {
+			customer: 'workshop', service: 'quote', payload: 1, deadlineMs: 20_000,
+		})));
+		const isAccepted = async () => {
+			const status = await sendJson('GET', `${system.daemon.addresses.operatorsUrl}/v1/status`);
+			const counters = Object.entries(status.body.counters ?? {});
+			return counters.some(([name, count]) => name === 'job-accepted' && count === 200);
+		};
+
+		// eslint-disable-next-line no-await-in-loop -- Each round looks again.
+		while (!(await isAccepted())) {
+			// All 200 are to be in flight before the stop begins.
+		}
+
+		const stopped = system.stop();
+		const late = await system.call('POST', '/v1/requests', {customer: 'workshop', service: 'quote', payload: 1});
+		const outcomes = (await answers).map(answer => answer.body.code ?? answer.body.outcome);
+		await stopped;
+		assert.deepEqual(outcomes, Array.from({length: 200}, () => 'complete'));
+		assert.deepEqual([late.status, late.body.code, late.body.notRun], [503, 'draining', 'job']);
+	});
+
+	it('runs the job of a caller who hung up, for whoever asks later', async () => {
+		const system = await startTestSystem([{runTimeMs: 50}]);
+		const {port, hostname} = new URL(system.daemon.addresses.callersUrl);
+		const body = JSON.stringify(createJobBody(1, {id: 'job-2'}));
+		const socket = connect(Number(port), hostname);
+		socket.write(`POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+		const lookUp = async () => system.call('GET', '/v1/jobs/job-2?waitMs=5000');
+		let answer = await lookUp();
+		while (answer.status === 404) {
+			// eslint-disable-next-line no-await-in-loop -- Each round looks again.
+			answer = await lookUp();
+			socket.destroy();
+		}
+
+		await system.stop();
+		assert.equal(answer.body.outcome, 'complete');
+		assert.equal(countStarts(system.servers), 1);
+	});
+
+	it('refuses everything while it has no configuration, and is not ready', async () => {
+		const daemon = await startDaemon(readSettings('(none)', ''));
+		const {callersUrl} = daemon.addresses;
+		const before = await sendJson('GET', `${callersUrl}/readyz`);
+		const refused = await sendJson('POST', `${callersUrl}/v1/jobs`, createJobBody(1));
+		await publishObjects(daemon.addresses);
+		const after = await sendJson('GET', `${callersUrl}/readyz`);
+		await daemon.stop();
+		assert.deepEqual([before.status, after.status], [503, 200]);
+		assert.deepEqual([refused.status, refused.body.code], [503, 'no-configuration']);
+	});
+
+	const badBodies: Array<{name: string; body: unknown; status: number; keys: string[]}> = [
+		{
+			name: 'all findings of a body', body: {tasks: []}, status: 400, keys: ['customer', 'service', 'tasks'],
+		},
+		{
+			name: 'a payload that is missing', body: createJobBody(1, {tasks: [{}]}), status: 400, keys: ['tasks[0].payload'],
+		},
+		{
+			name: 'a job of 151 tasks', body: createJobBody(151), status: 400, keys: ['tasks'],
+		},
+	];
+	it('refuses bad input with every finding and its place', async () => {
+		const system = await startTestSystem([{}]);
+		for (const {name, body, status, keys} of badBodies) {
+			// eslint-disable-next-line no-await-in-loop -- The rows are read one after the other.
+			const answer = await system.call('POST', '/v1/jobs', body);
+			const findings = JSON.stringify(answer.body.findings);
+			assert.equal(answer.status, status, name);
+			for (const key of keys) {
+				assert.match(findings, new RegExp(`"key":"${key.replaceAll(/[\[\]]/gv, String.raw`\$&`)}"`, 'v'), name);
+			}
+		}
+
+		const large = await system.call('POST', '/v1/jobs', createJobBody(1, {tasks: [{payload: 'x'.repeat(9_000_000)}]}));
+		const unknownService = await system.call('POST', '/v1/jobs', createJobBody(1, {service: 'varnish'}));
+		await system.stop();
+		assert.deepEqual([large.status, large.body.code], [413, 'payload-too-large']);
+		assert.deepEqual([unknownService.status, unknownService.body.code], [404, 'unknown-service']);
+		assert.equal(countStarts(system.servers), 0);
+	});
+
+	it('shows the other change to the loser of a race between operators', async () => {
+		const daemon = await startDaemon(readSettings('(none)', ''));
+		const url = `${daemon.addresses.operatorsUrl}/v1/configuration`;
+		const first = await sendJson('POST', url, {
+			baseVersion: 0, publishId: 'a', author: 'anna', objects: testObjects,
+		});
+		const resent = await sendJson('POST', url, {
+			baseVersion: 0, publishId: 'a', author: 'anna', objects: testObjects,
+		});
+		const second = await sendJson('POST', url, {
+			baseVersion: 0, publishId: 'b', author: 'bela', objects: testObjects,
+		});
+		await daemon.stop();
+		assert.deepEqual([first.status, first.body.version, resent.body.version], [200, 1, 1]);
+		assert.equal(second.status, 409);
+		assert.match(JSON.stringify(second.body.conflict), /"version":1,"author":"anna"/v);
+	});
+});
