--- a/packages/daemon/src/runtime/get-daemon-status.ts
+++ b/packages/daemon/src/runtime/get-daemon-status.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import type {Container} from 'inversify';
 import {tokens} from '../composition/tokens.js';
 
@@ -18,6 +19,16 @@
 		members: [{id, availabilityZone, isAlive: true}],
 		dispatcher: container.get(tokens.dispatcher).getStatus(),
 		limits: [],
+		resources: getResources(),
 		counters: container.get(tokens.metrics).getValues(),
 	};
 }
+
+function getResources(): {processorTimeMs: number; memoryBytes: number} {
+	const {user, system} = process.cpuUsage();
+	const microsecondsPerMillisecond = 1000;
+	return {
+		processorTimeMs: (user + system) / microsecondsPerMillisecond,
+		memoryBytes: process.memoryUsage.rss(),
+	};
+}
--- a/packages/daemon/test/runtime/start-daemon.test.ts
+++ b/packages/daemon/test/runtime/start-daemon.test.ts
@@ -57,7 +57,8 @@
 
 		const stopped = system.stop();
 		const late = await system.call('POST', '/v1/requests', {customer: 'workshop', service: 'quote', payload: 1});
-		const outcomes = (await answers).map(answer => answer.body.code ?? answer.body.outcome);
+		const finished = await answers;
+		const outcomes = finished.map(answer => answer.body.code ?? answer.body.outcome);
 		await stopped;
 		assert.deepEqual(outcomes, Array.from({length: 200}, () => 'complete'));
 		assert.deepEqual([late.status, late.body.code, late.body.notRun], [503, 'draining', 'job']);
