Share slots and work between the daemons, and measure it

Cause: one daemon served alone; the others' slots stood idle. Change: each backend server has one slot manager by rendezvous hashing; a daemon that hears nobody for a lease stops using its slots; tasks that wait are handed over to daemons with room, known from messages sent anyway; the bench runs real dispatchers and four baselines in virtual time.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,2 @@
-/** The name of this package, as its daemon reports it. */
-export const packageName = '@camphortack/bench';
+export * from './bench/deployments.js';
+export * from './bench/run-row.js';
--- /dev/null
+++ b/packages/bench/src/simulation/simulated-fleet.ts
@@ -0,0 +1,99 @@
+import type {RandomSource, TimerService} from '@camphortack/core';
+
+/** What is wrong with a backend server. */
+export type Fault = 'none' | 'fails-fast' | 'straggler' | 'dead';
+
+export type SimulatedServer = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly slots: number;
+	fault: Fault;
+	busySlots: number;
+	/** The most tasks that ran at once. */
+	mostBusySlots: number;
+	waiting: Array<() => void>;
+};
+
+export type FleetTotals = {
+	startedTasks: number;
+	refusedTasks: number;
+	failedTasks: number;
+	/** Failed tasks that started after `countFailuresFromMs`. */
+	lateFailedTasks: number;
+	lateStartedTasks: number;
+};
+
+const fastFailureMs = 2;
+const stragglerFactor = 4;
+
+/** Backend servers in virtual time, with a ledger of their slots. */
+export class SimulatedFleet {
+	readonly servers: SimulatedServer[] = [];
+	readonly totals: FleetTotals = {
+		startedTasks: 0, refusedTasks: 0, failedTasks: 0, lateFailedTasks: 0, lateStartedTasks: 0,
+	};
+
+	/** From when failures count as late. */
+	countFailuresFromMs = Infinity;
+	readonly #timers: TimerService;
+	readonly #random: RandomSource;
+
+	constructor(timers: TimerService, random: RandomSource) {
+		this.#timers = timers;
+		this.#random = random;
+	}
+
+	addServer(id: string, availabilityZone: string, slots: number): void {
+		this.servers.push({
+			id, availabilityZone, slots, fault: 'none', busySlots: 0, mostBusySlots: 0, waiting: [],
+		});
+	}
+
+	/** Runs a task, or refuses it if no slot is free. */
+	tryRun(server: SimulatedServer, runTimeMs: number, onEnd: (isDone: boolean) => void): boolean {
+		if (server.busySlots >= server.slots) {
+			this.totals.refusedTasks++;
+			return false;
+		}
+
+		this.#run(server, runTimeMs, onEnd);
+		return true;
+	}
+
+	/** Runs a task as soon as a slot is free, as backend servers with queues of their own do. */
+	enqueue(server: SimulatedServer, runTimeMs: number, onEnd: (isDone: boolean) => void): void {
+		if (server.busySlots < server.slots) {
+			this.#run(server, runTimeMs, onEnd);
+		} else {
+			server.waiting.push(() => {
+				this.#run(server, runTimeMs, onEnd);
+			});
+		}
+	}
+
+	#run(server: SimulatedServer, runTimeMs: number, onEnd: (isDone: boolean) => void): void {
+		const isLate = this.#timers.getNowMs() >= this.countFailuresFromMs;
+		server.busySlots++;
+		server.mostBusySlots = Math.max(server.mostBusySlots, server.busySlots);
+		this.totals.startedTasks++;
+		this.totals.lateStartedTasks += isLate ? 1 : 0;
+		this.#timers.addTimer(this.#getDurationMs(server, runTimeMs), () => {
+			const isDone = server.fault !== 'fails-fast';
+			this.totals.failedTasks += isDone ? 0 : 1;
+			this.totals.lateFailedTasks += !isDone && isLate ? 1 : 0;
+			server.busySlots--;
+			onEnd(isDone);
+			if (server.busySlots < server.slots) {
+				server.waiting.shift()?.();
+			}
+		});
+	}
+
+	#getDurationMs(server: SimulatedServer, runTimeMs: number): number {
+		if (server.fault === 'fails-fast') {
+			return fastFailureMs * (1 + this.#random.getFraction());
+		}
+
+		return server.fault === 'straggler' ? runTimeMs * stragglerFactor : runTimeMs;
+	}
+}
--- a/packages/dispatch/src/admission/check-admission.ts
+++ b/packages/dispatch/src/admission/check-admission.ts
@@ -12,6 +12,8 @@
 	table: BackendServerTable;
 	queues: QueueBook;
 	estimator: RunTimeEstimator;
+	/** Whether other daemons could run the job. */
+	hasPartners: boolean;
 };
 
 /**
@@ -38,7 +40,7 @@
 	}
 
 	const pool = rules.getPoolName(job.service, job.customer);
-	if (!isServed(table, pool, job.service)) {
+	if (!input.hasPartners && !isServed(table, pool, job.service)) {
 		return 'no-backend-server';
 	}
 
@@ -59,13 +61,15 @@
 	return false;
 }
 
-function hasTaskThatNeverFits({job, table}: AdmissionInput, rules: PlacementRules, pool: string): boolean {
+function hasTaskThatNeverFits({job, table, hasPartners}: AdmissionInput, rules: PlacementRules, pool: string): boolean {
+	const isDeclared = rules.findPool(pool)?.largestBackendServer !== undefined;
+	const mayFitElsewhere = hasPartners && (isDeclared || !isServed(table, pool, job.service));
 	for (const {needs} of job.tasks) {
 		if (needs === undefined) {
 			continue;
 		}
 
-		const isSomewhereLargeEnough = [...table.getAll()].some(server =>
+		const isSomewhereLargeEnough = mayFitElsewhere || [...table.getAll()].some(server =>
 			server.pools.includes(pool) && fitsInto(needs, server.announcement));
 		if (rules.neverFits(pool, needs) || !isSomewhereLargeEnough) {
 			return true;
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -1,22 +1,37 @@
-import {
-	createEjectionTracker, createRetryBudget, createRunTimeEstimator, type RetryBudget,
-} from '@camphortack/policy';
+import {createEjectionTracker, createRunTimeEstimator} from '@camphortack/policy';
 import type {
-	BackendServerAnnouncement, Job, JobOutcome, RefusalCode,
+	Job, JobOutcome, Member, RefusalCode,
 } from '@camphortack/core';
+import {checkAdmission} from '../admission/check-admission.js';
 import {createPlacementRules, type PlacementRules} from '../configuration/placement-rules.js';
+import {createPartReceiver} from '../handover/part-receiver.js';
+import {createPartSender, type HandedOverPart} from '../handover/part-sender.js';
+import type {PartVerdict} from '../handover/apply-part-outcome.js';
 import {createJobBook} from '../jobs/job-book.js';
 import {createRefusedOutcome} from '../jobs/job-outcomes.js';
-import {createOpenJob, type OpenJob, type OpenTask} from '../jobs/open-job.js';
+import {
+	createOpenJob, type JobEnd, type OpenJob, type OpenTask,
+} from '../jobs/open-job.js';
+import type {DispatchMessage, JobMessage, PoolLoad} from '../messages/dispatch-messages.js';
+import {createHeartbeats} from '../peers/heartbeats.js';
+import {createPartnerTable} from '../peers/partner-table.js';
+import {createPeerInbox} from '../peers/peer-inbox.js';
+import {createBalancer} from '../placement/balancer.js';
 import {createPlacer} from '../placement/placer.js';
 import {createQueueBook} from '../queues/queue-book.js';
+import {createRetryBudgets} from '../retries/retry-budgets.js';
 import {createBackendServerTable} from '../servers/backend-server-table.js';
 import type {BackendServerRecord} from '../servers/backend-server-record.js';
+import {createServerDirectory} from '../servers/server-directory.js';
+import {createSlotManagers} from '../servers/slot-managers.js';
 import {createTaskRunner} from '../tasks/task-runner.js';
-import {checkAdmission} from '../admission/check-admission.js';
 import type {Dispatcher, DispatcherOptions, DispatcherStatus} from './dispatcher.js';
 
+const defaultLeaseDurationMs = 2000;
 const expiryCheckIntervalMs = 500;
+/** A daemon that hears no other one uses a backend server this long after it announced itself here. */
+const directAnnouncementMs = 2900;
+const mostLoadsPerMessage = 16;
 
 /**
  * Creates the dispatcher of one daemon.
@@ -34,18 +49,28 @@
  * ```
  */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-	const {ownId, incarnation, timers, metrics, events, limits} = options;
+	const {ownId, incarnation, availabilityZone, timers, metrics, events, limits} = options;
+	const leaseDurationMs = options.leaseDurationMs ?? defaultLeaseDurationMs;
+	let rules: PlacementRules | undefined;
+	let members: readonly Member[] = [];
+	let isDraining = false;
+
 	const ejection = createEjectionTracker({
 		timers, random: options.random, metrics, events,
 	});
 	const estimator = createRunTimeEstimator({timers});
-	const retryBudgets = new Map<string, RetryBudget>();
-	let rules: PlacementRules | undefined;
-	let isDraining = false;
-
+	const retryBudgets = createRetryBudgets(timers, service => rules?.findService(service)?.retryBudgetRatio ?? 0);
 	const queues = createQueueBook(customer => rules?.getWeight(customer) ?? 1);
 	const table = createBackendServerTable({
-		ownId, timers, metrics, events, onAvailable: placeOn, onRemoved: forgetServer,
+		ownId,
+		timers,
+		metrics,
+		events,
+		onAvailable: placeOn,
+		onRemoved: forgetServer,
+		onExpired(server) {
+			directory.tellExpired(server);
+		},
 	});
 	const jobs = createJobBook({
 		timers, metrics, limits, onGivenUp: dropJob,
@@ -59,33 +84,129 @@
 		table,
 		ejection,
 		estimator,
-		getRetryBudget,
+		getRetryBudget: retryBudgets.getRetryBudget,
 		onReturned: returnTask,
 		onDone: jobs.endTask,
 		onFailed(task, failure) {
 			jobs.giveUp(task.job, {failure});
 		},
-		onSlotFree: placeOn,
+		onSlotFree(server) {
+			managers.noteSlotFree(server);
+			placeOn(server);
+		},
+	});
+	const heartbeats = createHeartbeats({
+		ownId, availabilityZone, leaseDurationMs, timers, metrics, send, getLoads: getAllLoads,
+	});
+	const sender = createPartSender({
+		incarnation, timers, metrics, send, getLoads: pool => [getLoad(pool)], onPartEnd: endPart,
+	});
+	const receiver = createPartReceiver({
+		incarnation,
+		timers,
+		metrics,
+		send,
+		getLoads: pool => pool === '' ? [] : [getLoad(pool)],
+		getPool: (service, customer) => rules?.getPoolName(service, customer) ?? '',
+		openPart,
+		cancelPart(key) {
+			const job = jobs.findJob(key);
+			if (job !== undefined) {
+				jobs.giveUp(job, {failure: 'cancelled', refusal: 'cancelled'});
+			}
+		},
+	});
+	const partners = createPartnerTable({
+		ownId, availabilityZone, timers, getOldestOpenPartMs: sender.findOldestOpenMs,
+	});
+	const managers = createSlotManagers({
+		ownId, availabilityZone, leaseDurationMs, timers, table, send, onChange: placeAll,
+	});
+	const directory = createServerDirectory({
+		ownId,
+		availabilityZone,
+		timers,
+		table,
+		managers,
+		send,
+		onChanged(server) {
+			setPoolSizes(server.pools);
+		},
 	});
 	const placer = createPlacer({
-		timers, metrics, queues, jobs, table, runner, ejection, mayUse: () => true,
+		timers, metrics, queues, jobs, table, runner, ejection, mayUse,
 	});
+	const balancer = createBalancer({
+		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad,
+	});
+	const inbox = createPeerInbox({metrics, onMessage: handleMessage});
 	timers.addInterval(expiryCheckIntervalMs, table.removeExpired);
 
+	function send(peerId: string, message: DispatchMessage): void {
+		metrics.increment('peer-sent');
+		heartbeats.noteSent(peerId);
+		options.peers.send(peerId, message);
+	}
+
+	/** Whether the leases of this daemon hold, so that it may start something on a backend server. */
+	function mayUse(server: BackendServerRecord): boolean {
+		return heartbeats.isConnected() || timers.getNowMs() - server.lastDirectAnnouncementMs <= directAnnouncementMs;
+	}
+
+	function getLoad(pool: string): PoolLoad {
+		const isUsable = heartbeats.isConnected();
+		return {
+			pool,
+			slots: isUsable ? table.getSlotCount(pool) : 0,
+			freeSlots: isUsable ? table.getFreeSlotCount(pool) : 0,
+			queuedTasks: queues.getTaskCount(pool),
+		};
+	}
+
+	function getAllLoads(): PoolLoad[] {
+		const pools = new Set<string>();
+		for (const server of table.getAll()) {
+			for (const pool of server.pools) {
+				pools.add(pool);
+			}
+		}
+
+		return [...pools].slice(0, mostLoadsPerMessage).map(pool => getLoad(pool));
+	}
+
 	function placeOn(server: BackendServerRecord): void {
 		for (const pool of server.pools) {
 			placer.placePool(pool);
 		}
 	}
 
+	function placeAll(): void {
+		placer.placeAll();
+		balanceAll();
+	}
+
+	function balanceAll(): void {
+		if (heartbeats.isConnected()) {
+			balancer.balanceAll();
+		}
+	}
+
+	function placePool(pool: string): void {
+		placer.placePool(pool);
+		if (heartbeats.isConnected()) {
+			balancer.balance(pool);
+		}
+	}
+
 	function returnTask(task: OpenTask): void {
 		queues.returnTask(task);
-		placer.placePool(task.job.pool);
+		placePool(task.job.pool);
 	}
 
 	function dropJob(job: OpenJob): void {
 		queues.removeJob(job.pool, job.key);
 		runner.stopJob(job);
+		sender.cancelJob(job);
 	}
 
 	function forgetServer(server: BackendServerRecord): void {
@@ -101,35 +222,18 @@
 		}
 	}
 
-	function getRetryBudget(service: string): RetryBudget {
-		let budget = retryBudgets.get(service);
-		if (budget === undefined) {
-			budget = createRetryBudget({timers, ratio: rules?.findService(service)?.retryBudgetRatio ?? 0});
-			retryBudgets.set(service, budget);
-		}
-
-		return budget;
-	}
-
-	function announceBackendServer(announcement: BackendServerAnnouncement): void {
-		const isChanged = table.announce(announcement, true);
-		const server = table.findServer(announcement.id);
-		if (server !== undefined && isChanged) {
-			server.managerId = ownId;
-			server.managedFromMs = timers.getNowMs();
-			setPoolSizes(server.pools);
-			table.refresh(server);
-		}
-	}
-
 	function submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void {
-		const code = findRefusal(job);
+		const code = checkAdmission({
+			job, rules, isDraining, table, queues, estimator, hasPartners: members.length > 1,
+		});
 		if (code !== undefined) {
 			refuse(job.id, code, onEnd);
 			return;
 		}
 
-		const openJob = createJob(job, onEnd);
+		const openJob = createJob(job.id, job, ({outcome}) => {
+			onEnd(outcome);
+		});
 		const decision = limits.admitJob({
 			jobId: job.id,
 			customer: job.customer,
@@ -144,13 +248,11 @@
 		}
 
 		jobs.addJob(openJob, true);
-		enqueue(openJob);
-	}
-
-	function findRefusal(job: Job): RefusalCode | undefined {
-		return checkAdmission({
-			job, rules, isDraining, table, queues, estimator,
-		});
+		if (addToQueue(openJob)) {
+			metrics.increment('job-accepted');
+		} else {
+			jobs.refuse(openJob, 'queue-full');
+		}
 	}
 
 	function refuse(id: string, code: RefusalCode, onEnd: (outcome: JobOutcome) => void, retryAfterMs?: number): void {
@@ -158,39 +260,204 @@
 		onEnd(createRefusedOutcome(id, code, retryAfterMs));
 	}
 
-	function createJob(job: Job, onEnd: (outcome: JobOutcome) => void): OpenJob {
+	function createJob(key: string, job: Job, onEnd: (end: JobEnd) => void, message?: JobMessage): OpenJob {
 		return createOpenJob({
-			key: job.id,
+			key,
 			job,
+			indexes: message?.indexes,
+			handovers: message?.handovers,
 			pool: rules!.getPoolName(job.service, job.customer),
 			declaredRunTimeMs: rules!.findService(job.service)!.declaredRunTimeMs,
 			getExpectedRunTimeMs: declaredRunTimeMs => estimator.getExpectedRunTimeMs(job.service, declaredRunTimeMs),
 			nowMs: timers.getNowMs(),
-			onEnd({outcome}) {
-				onEnd(outcome);
-			},
+			onEnd,
 		});
 	}
 
-	function enqueue(job: OpenJob): void {
-		if (queues.addTasks(job.tasks, rules!.findService(job.service)!) === 'queue-full') {
-			jobs.refuse(job, 'queue-full');
+	function addToQueue(job: OpenJob): boolean {
+		const isAdded = queues.addTasks(job.tasks, rules!.findService(job.service)!) === 'added';
+		if (isAdded) {
+			placePool(job.pool);
+			metrics.setGauge('task-queued', queues.getTotals().tasks);
+		}
+
+		return isAdded;
+	}
+
+	/** Takes tasks that another daemon hands over. */
+	function openPart(key: string, job: Job, message: JobMessage, onEnd: (end: JobEnd) => void): RefusalCode | undefined {
+		const code = checkAdmission({
+			job, rules, isDraining, table, queues, estimator, hasPartners: false,
+		});
+		if (code !== undefined) {
+			return code;
+		}
+
+		const openJob = createJob(key, job, onEnd, message);
+		if (getLoad(openJob.pool).slots === 0) {
+			return 'no-backend-server';
+		}
+
+		jobs.addJob(openJob, false);
+		if (!addToQueue(openJob)) {
+			jobs.refuse(openJob, 'queue-full');
+		}
+
+		return undefined;
+	}
+
+	function endPart(part: HandedOverPart, verdict: PartVerdict): void {
+		switch (verdict.kind) {
+			case 'done': {
+				for (const task of part.tasks) {
+					jobs.endTask(task);
+				}
+
+				break;
+			}
+
+			case 'failed': {
+				jobs.giveUp(part.job, {failure: verdict.reason});
+				break;
+			}
+
+			case 'refused': {
+				placePartAgain(part);
+				break;
+			}
+
+			case 'lost': {
+				endLostPart(part);
+				break;
+			}
+		}
+	}
+
+	/** The other daemon said that it started nothing. */
+	function placePartAgain({job, peerId, tasks}: HandedOverPart): void {
+		partners.addRefusal(peerId, job.pool);
+		for (const task of tasks.toReversed()) {
+			task.state = 'queued';
+			queues.returnTask(task);
+		}
+
+		placePool(job.pool);
+		const load = getLoad(job.pool);
+		if (load.slots === 0 && queues.getTaskCount(job.pool) > 0 && partners.getCapacities(job.pool, load).length === 0) {
+			jobs.giveUp(job, {failure: 'daemon-lost', refusal: 'no-backend-server'});
+		}
+	}
+
+	function endLostPart({job, tasks}: HandedOverPart): void {
+		if (job.hasEnded) {
 			return;
 		}
 
-		metrics.increment('job-accepted');
-		metrics.setGauge('task-queued', queues.getTotals().tasks);
-		placer.placePool(job.pool);
+		const isRetried = job.idempotent && tasks.every(() => retryBudgets.getRetryBudget(job.service).takeRetry());
+		for (const task of tasks) {
+			task.mayHaveRun = true;
+			task.state = isRetried ? 'queued' : 'lost';
+		}
+
+		if (isRetried) {
+			metrics.increment('retry-idempotent', tasks.length);
+			for (const task of tasks.toReversed()) {
+				queues.returnTask(task);
+			}
+
+			placePool(job.pool);
+		} else {
+			jobs.giveUp(job, {failure: 'daemon-lost'});
+		}
 	}
 
-	function cancelJob(jobId: string): boolean {
-		const job = jobs.findJob(jobId);
-		if (job === undefined) {
-			return false;
+	function handleMessage(peerId: string, message: DispatchMessage): void {
+		const wasConnected = heartbeats.isConnected();
+		heartbeats.noteHeard(peerId);
+		partners.noteHeard(peerId);
+		if ('loads' in message) {
+			partners.addLoads(peerId, message.loads);
 		}
 
-		jobs.giveUp(job, {failure: 'cancelled', refusal: 'cancelled'});
-		return true;
+		handleByKind(peerId, message);
+		if (!wasConnected) {
+			placer.placeAll();
+		}
+
+		if ('loads' in message) {
+			balanceAll();
+		}
+	}
+
+	function handleByKind(peerId: string, message: DispatchMessage): void {
+		switch (message.kind) {
+			case 'dispatch.job': {
+				receiver.handleJob(peerId, message);
+				break;
+			}
+
+			case 'dispatch.outcome': {
+				sender.handleOutcome(peerId, message);
+				break;
+			}
+
+			case 'dispatch.cancel': {
+				receiver.handleCancel(peerId, message);
+				break;
+			}
+
+			case 'dispatch.query': {
+				receiver.handleQuery(peerId, message);
+				break;
+			}
+
+			case 'dispatch.heartbeat': {
+				if (message.needsReply) {
+					send(peerId, {kind: 'dispatch.heartbeat', needsReply: false, loads: getAllLoads()});
+				}
+
+				break;
+			}
+
+			case 'dispatch.servers': {
+				directory.handleServers(peerId, message.announcements);
+				break;
+			}
+
+			case 'dispatch.server-renewed': {
+				directory.handleRenewal(message.backendServerId, message.incarnation);
+				break;
+			}
+
+			case 'dispatch.server-left': {
+				directory.handleLeft(message.backendServerId, message.incarnation, message.reason);
+				break;
+			}
+
+			case 'dispatch.release': {
+				managers.handleRelease(peerId, message);
+				break;
+			}
+
+			case 'dispatch.draining': {
+				managers.addDraining(peerId, message.senderIncarnation);
+				break;
+			}
+		}
+	}
+
+	function startDraining(): void {
+		if (isDraining) {
+			return;
+		}
+
+		isDraining = true;
+		for (const peerId of managers.getPeerIds()) {
+			send(peerId, {kind: 'dispatch.draining', senderIncarnation: incarnation});
+		}
+
+		managers.addDraining(ownId, incarnation);
+		balanceAll();
 	}
 
 	function getStatus(): DispatcherStatus {
@@ -206,7 +473,7 @@
 				availabilityZone: server.announcement.availabilityZone,
 				slots: server.announcement.slots,
 				managerId: server.managerId,
-				heldSlots: server.managerId === ownId ? server.announcement.slots : 0,
+				heldSlots: server.managerId === ownId && server.managedFromMs <= timers.getNowMs() ? server.announcement.slots : 0,
 				busySlots: server.busySlots,
 				isEjected: ejection.isEjected(server.id),
 				isLeaving: server.isLeaving,
@@ -219,35 +486,35 @@
 			rules = createPlacementRules(configuration);
 			retryBudgets.clear();
 			table.setRules(rules);
-			for (const pool of Object.keys(configuration.objects.pools)) {
-				setPoolSizes([pool]);
-			}
+			setPoolSizes(Object.keys(configuration.objects.pools));
 		},
-		setMembers() {
-			// One daemon needs no other.
-		},
-		announceBackendServer,
-		removeBackendServer(backendServerId, serverIncarnation) {
-			table.markLeaving(backendServerId, serverIncarnation);
+		setMembers(newMembers) {
+			members = newMembers;
+			heartbeats.setMembers(members);
+			partners.setMembers(members);
+			receiver.setMembers(members);
+			sender.setMembers(members.filter(member => member.id !== ownId));
+			directory.setMembers(members);
+			managers.setMembers(members);
 		},
+		announceBackendServer: directory.announce,
+		removeBackendServer: directory.remove,
 		submitJob,
-		cancelJob,
-		handleTaskEvent: runner.handleTaskEvent,
-		handlePeerMessage() {
-			// One daemon hears no other.
-		},
-		startDraining() {
-			isDraining = true;
+		cancelJob(jobId) {
+			const job = jobs.findJob(jobId);
+			if (job !== undefined) {
+				jobs.giveUp(job, {failure: 'cancelled', refusal: 'cancelled'});
+			}
+
+			return job !== undefined;
 		},
+		handleTaskEvent: runner.handleTaskEvent,
+		handlePeerMessage: inbox.handlePeerMessage,
+		startDraining,
 		getStatus,
 	};
 }
 
 function getExpectedWorkMs(job: OpenJob): number {
-	let workMs = 0;
-	for (const task of job.tasks) {
-		workMs += task.queued.expectedRunTimeMs;
-	}
-
-	return workMs;
+	return job.tasks.reduce((sum, task) => sum + task.queued.expectedRunTimeMs, 0);
 }
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -17,6 +17,8 @@
 	peers: PeerNetwork;
 	starter: TaskStarter;
 	limits: LimitBook;
+	/** How long a daemon that hears no other one goes on using its slots. */
+	leaseDurationMs?: number;
 };
 
 /** What a backend server looks like from this daemon. */
--- a/packages/dispatch/src/jobs/job-book.ts
+++ b/packages/dispatch/src/jobs/job-book.ts
@@ -56,12 +56,19 @@
 		task.job.remainingTasks--;
 		if (task.job.remainingTasks === 0) {
 			close(entry);
-			metrics.increment('job-complete');
-			metrics.addTiming('job-response-time', timers.getNowMs() - task.job.arrivedAtMs);
+			countComplete(task.job);
 			finish(task.job, createCompleteOutcome(task.job));
 		}
 	}
 
+	/** Parts of other daemons' jobs are counted there. */
+	function countComplete(job: OpenJob): void {
+		if (job.handovers === 0) {
+			metrics.increment('job-complete');
+			metrics.addTiming('job-response-time', timers.getNowMs() - job.arrivedAtMs);
+		}
+	}
+
 	function giveUp(job: OpenJob, {failure, refusal}: GiveUpReason): void {
 		const entry = entries.get(job.key);
 		if (entry === undefined) {
@@ -75,7 +82,10 @@
 
 		close(entry);
 		const outcome = createFailedOutcome(job, failure);
-		metrics.increment(`job-failed-${failure}`);
+		if (job.handovers === 0) {
+			metrics.increment(`job-failed-${failure}`);
+		}
+
 		options.onGivenUp(job);
 		finish(job, outcome);
 	}
@@ -87,7 +97,10 @@
 		}
 
 		options.onGivenUp(job);
-		metrics.increment(`refused-${code}`);
+		if (job.handovers === 0) {
+			metrics.increment(`refused-${code}`);
+		}
+
 		finish(job, createRefusedOutcome(job.id, code));
 	}
 
--- /dev/null
+++ b/packages/dispatch/src/placement/balancer.ts
@@ -0,0 +1,107 @@
+import type {JobBook} from '../jobs/job-book.js';
+import type {OpenJob, OpenTask} from '../jobs/open-job.js';
+import type {PartSender} from '../handover/part-sender.js';
+import type {PoolLoad} from '../messages/dispatch-messages.js';
+import type {PartnerTable} from '../peers/partner-table.js';
+import type {QueueBook} from '../queues/queue-book.js';
+import {groupBy} from '../utils/group-by.js';
+import {getShares} from './get-shares.js';
+
+export type BalancerOptions = {
+	ownId: string;
+	queues: QueueBook;
+	jobs: JobBook;
+	partners: PartnerTable;
+	sender: PartSender;
+	getOwnLoad: (pool: string) => PoolLoad;
+};
+
+/** Hands waiting tasks over to daemons that can start them sooner. */
+export type Balancer = {
+	balance(pool: string): void;
+	balanceAll(): void;
+};
+
+/** A task is handed over at most this often. */
+export const mostHandovers = 2;
+/** A partner's room is taken to be smaller by this share of its slots, since it may have shrunk meanwhile. */
+const roomMarginRatio = 0.04;
+
+/**
+ * Creates the balancer.
+ * @param options - The parts that it works on.
+ */
+export function createBalancer(options: BalancerOptions): Balancer {
+	const {ownId, queues, jobs, partners, sender} = options;
+
+	function balance(pool: string): void {
+		const queuedTasks = queues.getTaskCount(pool);
+		if (queuedTasks === 0) {
+			return;
+		}
+
+		const ownLoad = options.getOwnLoad(pool);
+		const capacities = partners.getCapacities(pool, ownLoad)
+			.map(capacity => ({...capacity, room: capacity.room - (roomMarginRatio * capacity.slots)}));
+		const shares = getShares(queuedTasks, [{id: ownId, slots: ownLoad.slots, room: 0}, ...capacities]);
+		for (const [index, {id}] of capacities.entries()) {
+			const share = shares[index + 1] ?? 0;
+			if (share > 0 && !handOver(id, pool, share)) {
+				return;
+			}
+		}
+	}
+
+	/** Hands over up to `count` tasks; false if no more can be handed over. */
+	function handOver(peerId: string, pool: string, count: number): boolean {
+		const {tasks, isExhausted} = takeTasks(pool, count);
+		for (const [job, jobTasks] of groupBy(tasks, task => task.job)) {
+			if (sender.sendPart(peerId, job, jobTasks)) {
+				partners.addHandedOver(peerId, pool, jobTasks.length);
+			} else {
+				returnTasks(jobTasks);
+			}
+		}
+
+		return !isExhausted;
+	}
+
+	function takeTasks(pool: string, count: number): {tasks: OpenTask[]; isExhausted: boolean} {
+		const tasks: OpenTask[] = [];
+		while (tasks.length < count) {
+			const queued = queues.takeTask(pool, () => true);
+			const task = queued === undefined ? undefined : jobs.findJob(queued.jobId)?.tasks[queued.index];
+			if (task === undefined) {
+				return {tasks, isExhausted: true};
+			}
+
+			if (!isMovable(task.job)) {
+				queues.returnTask(task);
+				return {tasks, isExhausted: true};
+			}
+
+			tasks.push(task);
+		}
+
+		return {tasks, isExhausted: false};
+	}
+
+	function returnTasks(tasks: readonly OpenTask[]): void {
+		for (const task of tasks.toReversed()) {
+			queues.returnTask(task);
+		}
+	}
+
+	return {
+		balance,
+		balanceAll() {
+			for (const pool of queues.getWaitingPools()) {
+				balance(pool);
+			}
+		},
+	};
+}
+
+function isMovable(job: OpenJob): boolean {
+	return job.handovers < mostHandovers;
+}
--- a/packages/dispatch/src/placement/placer.ts
+++ b/packages/dispatch/src/placement/placer.ts
@@ -1,13 +1,14 @@
 import type {EjectionTracker, QueuedTask} from '@camphortack/policy';
 import type {MetricSink, TimerService} from '@camphortack/core';
 import type {JobBook} from '../jobs/job-book.js';
-import type {OpenJob, OpenTask} from '../jobs/open-job.js';
+import type {OpenTask} from '../jobs/open-job.js';
 import type {QueueBook} from '../queues/queue-book.js';
 import type {BackendServerTable} from '../servers/backend-server-table.js';
 import {
 	addUsedResources, getFreeSlots, hasRoomFor, type BackendServerRecord,
 } from '../servers/backend-server-record.js';
 import type {TaskRunner} from '../tasks/task-runner.js';
+import {groupBy} from '../utils/group-by.js';
 
 export type PlacerOptions = {
 	timers: TimerService;
@@ -55,7 +56,7 @@
 
 		const isTrial = ejection.isEjected(server.id);
 		const tasks = takeTasks(server, pool, isTrial ? 1 : getFreeSlots(server));
-		for (const [job, jobTasks] of groupByJob(tasks)) {
+		for (const [job, jobTasks] of groupBy(tasks, task => task.job)) {
 			options.runner.startTasks(server, job, jobTasks);
 		}
 
@@ -93,17 +94,3 @@
 		},
 	};
 }
-
-function groupByJob(tasks: readonly OpenTask[]): Map<OpenJob, OpenTask[]> {
-	const groups = new Map<OpenJob, OpenTask[]>();
-	for (const task of tasks) {
-		const group = groups.get(task.job);
-		if (group === undefined) {
-			groups.set(task.job, [task]);
-		} else {
-			group.push(task);
-		}
-	}
-
-	return groups;
-}
--- /dev/null
+++ b/packages/dispatch/src/retries/retry-budgets.ts
@@ -0,0 +1,32 @@
+import type {TimerService} from '@camphortack/core';
+import {createRetryBudget, type RetryBudget} from '@camphortack/policy';
+
+/** The retry budget of each service. */
+export type RetryBudgets = {
+	getRetryBudget(service: string): RetryBudget;
+	/** Starts afresh with the ratios now declared. */
+	clear(): void;
+};
+
+/**
+ * Creates the retry budgets.
+ * @param timers - The source of time.
+ * @param getRatio - Gets what a service declares: retries for each success.
+ */
+export function createRetryBudgets(timers: TimerService, getRatio: (service: string) => number): RetryBudgets {
+	const budgets = new Map<string, RetryBudget>();
+	return {
+		getRetryBudget(service) {
+			let budget = budgets.get(service);
+			if (budget === undefined) {
+				budget = createRetryBudget({timers, ratio: getRatio(service)});
+				budgets.set(service, budget);
+			}
+
+			return budget;
+		},
+		clear() {
+			budgets.clear();
+		},
+	};
+}
--- a/packages/dispatch/src/servers/backend-server-record.ts
+++ b/packages/dispatch/src/servers/backend-server-record.ts
@@ -4,6 +4,10 @@
 export type BackendServerRecord = {
 	readonly id: string;
 	announcement: BackendServerAnnouncement;
+	/** The process before this one; what is still said of it is out of date. */
+	readonly earlierIncarnation: string | undefined;
+	/** When a renewal was last passed on to the manager. */
+	forwardedMs: number;
 	lastSignOfLifeMs: number;
 	/** When the backend server itself was last heard by this daemon, not through another daemon. */
 	lastDirectAnnouncementMs: number;
@@ -16,8 +20,8 @@
 	/** From when this daemon may use the slots if it is the manager. */
 	managedFromMs: number;
 	busySlots: number;
-	/** Slots that tasks of an earlier manager still occupy. */
-	foreignBusySlots: number;
+	/** Slots that tasks of earlier managers still occupy, by daemon. */
+	readonly foreignBusySlots: Map<string, number>;
 	readonly usedResources: Required<TaskNeeds>;
 	/** The pools that it works for. */
 	pools: readonly string[];
@@ -27,11 +31,18 @@
  * Creates the record of a backend server that announced itself.
  * @param announcement - The announcement.
  * @param nowMs - The time.
+ * @param earlierIncarnation - The process before this one.
  */
-export function createBackendServerRecord(announcement: BackendServerAnnouncement, nowMs: number): BackendServerRecord {
+export function createBackendServerRecord(
+	announcement: BackendServerAnnouncement,
+	nowMs: number,
+	earlierIncarnation?: string,
+): BackendServerRecord {
 	return {
 		id: announcement.id,
 		announcement,
+		earlierIncarnation,
+		forwardedMs: Number.NEGATIVE_INFINITY,
 		lastSignOfLifeMs: nowMs,
 		lastDirectAnnouncementMs: Number.NEGATIVE_INFINITY,
 		isLeaving: false,
@@ -40,7 +51,7 @@
 		managerId: '',
 		managedFromMs: Infinity,
 		busySlots: 0,
-		foreignBusySlots: 0,
+		foreignBusySlots: new Map(),
 		usedResources: {processors: 0, memoryMegabytes: 0, accelerators: 0},
 		pools: [],
 	};
@@ -52,7 +63,12 @@
  */
 export function getFreeSlots(server: BackendServerRecord): number {
 	const usableSlots = Math.min(server.announcement.slots, server.announcement.connectionLimit);
-	return server.isLeaving ? 0 : Math.max(0, usableSlots - server.busySlots - server.foreignBusySlots);
+	let freeSlots = usableSlots - server.busySlots;
+	for (const busySlots of server.foreignBusySlots.values()) {
+		freeSlots -= busySlots;
+	}
+
+	return server.isLeaving ? 0 : Math.max(0, freeSlots);
 }
 
 /**
--- a/packages/dispatch/src/servers/backend-server-table.ts
+++ b/packages/dispatch/src/servers/backend-server-table.ts
@@ -13,6 +13,8 @@
 	onAvailable: (server: BackendServerRecord) => void;
 	/** Called when a backend server is gone. */
 	onRemoved: (server: BackendServerRecord) => void;
+	/** Called when a backend server that this daemon manages stopped renewing. */
+	onExpired: (server: BackendServerRecord) => void;
 };
 
 /** The backend servers of this daemon's availability zone and which of them can take work now. */
@@ -22,6 +24,8 @@
 	announce(announcement: BackendServerAnnouncement, isDirect: boolean): boolean;
 	/** Ends new work; true if it was known under this incarnation and not yet leaving. */
 	markLeaving(backendServerId: string, incarnation: string): boolean;
+	/** Removes one that another daemon manages and that stopped renewing. */
+	forget(backendServerId: string, incarnation: string): void;
 	findServer(backendServerId: string): BackendServerRecord | undefined;
 	getAll(): Iterable<BackendServerRecord>;
 	/** Gets the backend servers of a pool that have free slots for this daemon. */
@@ -79,11 +83,15 @@
 			return isChanged;
 		}
 
+		if (known?.earlierIncarnation === announcement.incarnation) {
+			return false;
+		}
+
 		if (known !== undefined) {
 			remove(known);
 		}
 
-		const server = createBackendServerRecord(announcement, nowMs);
+		const server = createBackendServerRecord(announcement, nowMs, known?.announcement.incarnation);
 		server.lastDirectAnnouncementMs = isDirect ? nowMs : Number.NEGATIVE_INFINITY;
 		servers.set(server.id, server);
 		setPools(server);
@@ -184,14 +192,22 @@
 	function removeExpired(): void {
 		const nowMs = timers.getNowMs();
 		for (const server of servers.values()) {
-			if (server.managerId === ownId && nowMs - server.lastSignOfLifeMs > server.announcement.timeToLiveMs) {
+			const isSilent = nowMs - server.lastSignOfLifeMs > server.announcement.timeToLiveMs;
+			if (isSilent && server.isLeaving && server.busySlots === 0) {
 				remove(server);
-				metrics.increment('backend-server-expired');
-				events.write('backend-server-expired', {backendServer: server.id});
+			} else if (isSilent && !server.isLeaving && server.managerId === ownId) {
+				expire(server);
 			}
 		}
 	}
 
+	function expire(server: BackendServerRecord): void {
+		remove(server);
+		metrics.increment('backend-server-expired');
+		events.write('backend-server-expired', {backendServer: server.id});
+		options.onExpired(server);
+	}
+
 	function sumManaged(pool: string, getSlots: (server: BackendServerRecord) => number): number {
 		let slots = 0;
 		for (const server of servers.values()) {
@@ -207,6 +223,12 @@
 		setRules,
 		announce,
 		markLeaving,
+		forget(backendServerId, incarnation) {
+			const server = servers.get(backendServerId);
+			if (server?.announcement.incarnation === incarnation && server.managerId !== ownId) {
+				remove(server);
+			}
+		},
 		findServer: backendServerId => servers.get(backendServerId),
 		getAll: () => servers.values(),
 		getAvailable: pool => availableByPool.get(pool) ?? noServers,
--- /dev/null
+++ b/packages/dispatch/src/servers/manager-choice.ts
@@ -0,0 +1,38 @@
+import {hashText, mixHashes} from '../utils/hash-text.js';
+
+/** Chooses the slot manager of each backend server among some daemons, by rendezvous hashing. */
+export type ManagerChoice = {
+	readonly daemonIds: readonly string[];
+	/** Gets the manager, or an empty name if there is no daemon. */
+	getManagerId(backendServerId: string): string;
+};
+
+/**
+ * Creates the choice among some daemons. When one joins or leaves, only the backend servers that it gains or loses move.
+ * @param daemonIds - The daemons, in any order.
+ *
+ * @example
+ * ```ts
+ * createManagerChoice(['daemon-1', 'daemon-2']).getManagerId('server-7');
+ * ```
+ */
+export function createManagerChoice(daemonIds: readonly string[]): ManagerChoice {
+	const daemons = daemonIds.toSorted((left, right) => left < right ? -1 : 1).map(id => ({id, hash: hashText(id)}));
+
+	function getManagerId(backendServerId: string): string {
+		const serverHash = hashText(backendServerId);
+		let managerId = '';
+		let highestScore = -1;
+		for (const {id, hash} of daemons) {
+			const score = mixHashes(serverHash, hash);
+			if (score > highestScore) {
+				highestScore = score;
+				managerId = id;
+			}
+		}
+
+		return managerId;
+	}
+
+	return {daemonIds: daemons.map(({id}) => id), getManagerId};
+}
--- /dev/null
+++ b/packages/dispatch/src/servers/server-directory.ts
@@ -0,0 +1,183 @@
+import type {BackendServerAnnouncement, Member, TimerService} from '@camphortack/core';
+import {mostServersPerMessage, type SendDispatchMessage} from '../messages/dispatch-messages.js';
+import type {BackendServerRecord} from './backend-server-record.js';
+import type {BackendServerTable} from './backend-server-table.js';
+import {createManagerChoice} from './manager-choice.js';
+import type {SlotManagers} from './slot-managers.js';
+
+export type ServerDirectoryOptions = {
+	ownId: string;
+	availabilityZone: string;
+	timers: TimerService;
+	table: BackendServerTable;
+	managers: SlotManagers;
+	send: SendDispatchMessage;
+	/** Called when a backend server is new or changed. */
+	onChanged: (server: BackendServerRecord) => void;
+};
+
+/** Tells the daemons of a zone about its backend servers, when something changes. */
+export type ServerDirectory = {
+	setMembers(members: readonly Member[]): void;
+	/** Takes an announcement that the backend server sent to this daemon. */
+	announce(announcement: BackendServerAnnouncement): void;
+	/** Takes the descriptions that another daemon sent. */
+	handleServers(peerId: string, announcements: readonly BackendServerAnnouncement[]): void;
+	handleRenewal(backendServerId: string, incarnation: string): void;
+	/** Takes the farewell that the backend server sent to this daemon. */
+	remove(backendServerId: string, incarnation: string): void;
+	handleLeft(backendServerId: string, incarnation: string, reason: 'farewell' | 'expired'): void;
+	/** Tells the zone that a backend server stopped renewing. */
+	tellExpired(server: BackendServerRecord): void;
+};
+
+/** Renewals are passed on to the manager this often in a time to live. */
+const forwardsPerTimeToLive = 2;
+
+/**
+ * Creates the directory.
+ * @param options - The daemon's place and ports.
+ */
+export function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
+	const {ownId, availabilityZone, timers, table, managers, send} = options;
+	let members: readonly Member[] = [];
+	let knownPeers = new Map<string, string>();
+
+	function setMembers(newMembers: readonly Member[]): void {
+		members = newMembers;
+		const peers = members.filter(member => member.availabilityZone === availabilityZone && member.id !== ownId);
+		for (const peer of peers) {
+			if (knownPeers.get(peer.id) !== peer.incarnation) {
+				describeManaged(peer.id);
+			}
+		}
+
+		knownPeers = new Map(peers.map(peer => [peer.id, peer.incarnation]));
+	}
+
+	/** Describes to a daemon that joined what this daemon manages. */
+	function describeManaged(peerId: string): void {
+		const managed = [...table.getAll()].filter(server => server.managerId === ownId && !server.isLeaving);
+		for (let start = 0; start < managed.length; start += mostServersPerMessage) {
+			const announcements = managed.slice(start, start + mostServersPerMessage).map(server => server.announcement);
+			send(peerId, {kind: 'dispatch.servers', announcements});
+		}
+	}
+
+	function announce(announcement: BackendServerAnnouncement): void {
+		if (announcement.availabilityZone !== availabilityZone) {
+			forwardToZone(announcement);
+			return;
+		}
+
+		const isChanged = table.announce(announcement, true);
+		const server = table.findServer(announcement.id);
+		if (server === undefined) {
+			return;
+		}
+
+		if (isChanged) {
+			managers.assign(server);
+			tellZone({kind: 'dispatch.servers', announcements: [announcement]});
+			options.onChanged(server);
+		} else {
+			forwardRenewal(server);
+		}
+	}
+
+	function forwardToZone(announcement: BackendServerAnnouncement): void {
+		const zoneMembers = members.filter(member => member.availabilityZone === announcement.availabilityZone);
+		const managerId = createManagerChoice(zoneMembers.map(member => member.id)).getManagerId(announcement.id);
+		if (managerId !== '') {
+			send(managerId, {kind: 'dispatch.servers', announcements: [announcement]});
+		}
+	}
+
+	function forwardRenewal(server: BackendServerRecord): void {
+		const nowMs = timers.getNowMs();
+		const isDue = nowMs - server.forwardedMs >= server.announcement.timeToLiveMs / forwardsPerTimeToLive;
+		if (server.managerId !== ownId && server.managerId !== '' && isDue) {
+			server.forwardedMs = nowMs;
+			send(server.managerId, {
+				kind: 'dispatch.server-renewed',
+				backendServerId: server.id,
+				incarnation: server.announcement.incarnation,
+			});
+		}
+	}
+
+	function handleServers(peerId: string, announcements: readonly BackendServerAnnouncement[]): void {
+		for (const announcement of announcements) {
+			const isChanged = announcement.availabilityZone === availabilityZone && table.announce(announcement, false);
+			const server = table.findServer(announcement.id);
+			if (!isChanged || server === undefined) {
+				continue;
+			}
+
+			managers.assign(server);
+			if (!knownPeers.has(peerId)) {
+				tellZone({kind: 'dispatch.servers', announcements: [announcement]});
+			}
+
+			options.onChanged(server);
+		}
+	}
+
+	function handleRenewal(backendServerId: string, incarnation: string): void {
+		const server = table.findServer(backendServerId);
+		if (server?.announcement.incarnation === incarnation) {
+			table.noteSignOfLife(server);
+		}
+	}
+
+	function remove(backendServerId: string, incarnation: string): void {
+		const isKnown = table.findServer(backendServerId) !== undefined;
+		if (table.markLeaving(backendServerId, incarnation)) {
+			tellZone({
+				kind: 'dispatch.server-left', backendServerId, incarnation, reason: 'farewell',
+			});
+		} else if (!isKnown) {
+			tellOtherZones(backendServerId, incarnation);
+		}
+	}
+
+	/** A farewell of a backend server of another zone came here: only its own zone knows it. */
+	function tellOtherZones(backendServerId: string, incarnation: string): void {
+		for (const member of members) {
+			if (member.availabilityZone !== availabilityZone) {
+				send(member.id, {
+					kind: 'dispatch.server-left', backendServerId, incarnation, reason: 'farewell',
+				});
+			}
+		}
+	}
+
+	function tellZone(message: Parameters<SendDispatchMessage>[1]): void {
+		for (const peerId of managers.getPeerIds()) {
+			send(peerId, message);
+		}
+	}
+
+	return {
+		setMembers,
+		announce,
+		handleServers,
+		handleRenewal,
+		remove,
+		handleLeft(backendServerId, incarnation, reason) {
+			if (reason === 'farewell') {
+				table.markLeaving(backendServerId, incarnation);
+			} else {
+				table.forget(backendServerId, incarnation);
+			}
+		},
+		tellExpired(server) {
+			tellZone({
+				kind: 'dispatch.server-left',
+				backendServerId: server.id,
+				incarnation: server.announcement.incarnation,
+				reason: 'expired',
+			});
+		},
+	};
+}
--- /dev/null
+++ b/packages/dispatch/src/utils/hash-text.ts
@@ -0,0 +1,24 @@
+/* eslint-disable no-bitwise -- Hashing is arithmetic on bits. */
+import xxhash from 'xxhash-wasm';
+
+const {h32} = await xxhash();
+
+/**
+ * Hashes a text to 32 bits, the same on every VM.
+ * @param text - The text.
+ */
+export function hashText(text: string): number {
+	return h32(text);
+}
+
+/**
+ * Mixes two hashes into one of 32 bits (the finalizer of MurmurHash3).
+ * @param left - A hash.
+ * @param right - Another one.
+ */
+export function mixHashes(left: number, right: number): number {
+	let mixed = Math.imul(left, 0x85_EB_CA_6B) ^ right;
+	mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85_EB_CA_6B);
+	mixed = Math.imul(mixed ^ (mixed >>> 13), 0xC2_B2_AE_35);
+	return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- a/packages/dispatch/test/support/create-test-dispatcher.ts
+++ b/packages/dispatch/test/support/create-test-dispatcher.ts
@@ -4,13 +4,13 @@
 } from '@camphortack/core';
 import type {LimitBook} from '@camphortack/policy';
 // eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
-import {FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
+import * as testkit from '@camphortack/testkit';
 import {createDispatcher, type Dispatcher} from '../../src/index.js';
 import {FakeTaskStarter, type FakeBehaviour} from './fake-task-starter.js';
 
 export type TestDispatcher = {
-	timers: VirtualTimers;
-	metrics: RecordingMetricSink;
+	timers: testkit.VirtualTimers;
+	metrics: testkit.RecordingMetricSink;
 	starter: FakeTaskStarter;
 	dispatcher: Dispatcher;
 	limitCalls: string[];
@@ -45,12 +45,12 @@
 
 /** Creates a dispatcher of one daemon with two backend servers of 8 slots. */
 export function createTestDispatcher(behave?: FakeBehaviour, service?: Record<string, unknown>): TestDispatcher {
-	const timers = new VirtualTimers();
+	const timers = new testkit.VirtualTimers();
 	const random = createSeededRandomSource(1);
-	const metrics = new RecordingMetricSink();
+	const metrics = new testkit.RecordingMetricSink();
 	const starter = new FakeTaskStarter(timers, behave);
 	const limitCalls: string[] = [];
-	const network = new FakeNetwork({timers, random});
+	const network = new testkit.FakeNetwork({timers, random});
 	const dispatcher = createDispatcher({
 		ownId: 'daemon-1',
 		incarnation: 'one',
@@ -58,7 +58,7 @@
 		timers,
 		random,
 		metrics,
-		events: new RecordingEventLog(),
+		events: new testkit.RecordingEventLog(),
 		peers: network.addPeer('daemon-1', () => undefined),
 		starter,
 		limits: createRecordingLimitBook(limitCalls),
