Add the keeper: a replicated log agreed by a majority

Cause: an accepted configuration must survive lost disks and partitions, and no ready-made consensus may be used.

--- /dev/null
+++ b/packages/consensus/src/content/apply-changes.ts
@@ -0,0 +1,60 @@
+import type {ConfigurationObjects} from '@camphortack/configuration';
+import type {ConfigurationContent} from './configuration-content.js';
+import {moveDigest} from './object-digest.js';
+import {objectKinds, type ObjectChange} from './object-change.js';
+
+/**
+ * Applies changes to a set of objects and returns the new set.
+ * @param objects - The set before; it is left as it is.
+ * @param changes - The changes.
+ */
+export function applyChanges(objects: ConfigurationObjects, changes: readonly ObjectChange[]): ConfigurationObjects {
+	const result = {...objects};
+	for (const kind of objectKinds) {
+		const ofKind = changes.filter(change => change.kind === kind);
+		if (ofKind.length > 0) {
+			Object.assign(result, {[kind]: applyToKind(objects[kind], ofKind)});
+		}
+	}
+
+	return result;
+}
+
+function applyToKind(before: Record<string, unknown>, changes: readonly ObjectChange[]): Record<string, unknown> {
+	const after = new Map(Object.entries(before));
+	for (const {name, value} of changes) {
+		if (value === undefined) {
+			after.delete(name);
+		} else {
+			after.set(name, value);
+		}
+	}
+
+	return Object.fromEntries(after);
+}
+
+/**
+ * Applies changes to a version and returns a later one.
+ * @param content - The version before.
+ * @param version - The number of the later version.
+ * @param changes - The changes.
+ */
+export function applyToContent(content: ConfigurationContent, version: number, changes: readonly ObjectChange[]): ConfigurationContent {
+	return {
+		version,
+		digest: moveDigest(content.digest, content.objects, changes),
+		objects: applyChanges(content.objects, changes),
+	};
+}
+
+/**
+ * Gets the changes that undo some changes.
+ * @param objects - The objects before the changes.
+ * @param changes - The changes.
+ */
+export function getInverseChanges(objects: ConfigurationObjects, changes: readonly ObjectChange[]): ObjectChange[] {
+	return changes.map(({kind, name}) => {
+		const value = objects[kind][name];
+		return value === undefined ? {kind, name} : {kind, name, value: {...value}};
+	});
+}
--- /dev/null
+++ b/packages/consensus/src/content/get-changes.ts
@@ -0,0 +1,34 @@
+import type {ConfigurationObjects} from '@camphortack/configuration';
+import {toCanonicalJson} from '../utils/to-canonical-json.js';
+import {objectKinds, type ObjectChange, type ObjectKind} from './object-change.js';
+
+/**
+ * Gets the changes that lead from one set of objects to another.
+ * @param before - The set to start from.
+ * @param after - The set to arrive at.
+ *
+ * @example
+ * ```ts
+ * const changes = getChanges(published.objects, edited);
+ * ```
+ */
+export function getChanges(before: ConfigurationObjects, after: ConfigurationObjects): ObjectChange[] {
+	return objectKinds.flatMap(kind => getChangesOfKind(kind, before[kind], after[kind]));
+}
+
+function getChangesOfKind(kind: ObjectKind, before: Record<string, Record<string, unknown>>, after: Record<string, Record<string, unknown>>): ObjectChange[] {
+	const changes: ObjectChange[] = [];
+	for (const [name, value] of Object.entries(after)) {
+		if (before[name] !== value && toCanonicalJson(before[name]) !== toCanonicalJson(value)) {
+			changes.push({kind, name, value: {...value}});
+		}
+	}
+
+	for (const name of Object.keys(before)) {
+		if (after[name] === undefined) {
+			changes.push({kind, name});
+		}
+	}
+
+	return changes;
+}
--- /dev/null
+++ b/packages/consensus/src/content/merge-changes.ts
@@ -0,0 +1,16 @@
+import type {ObjectChange} from './object-change.js';
+
+/**
+ * Merges the changes of successive versions: of each object only the last change is kept.
+ * @param steps - The changes of each version, oldest first.
+ */
+export function mergeChanges(steps: Iterable<readonly ObjectChange[]>): ObjectChange[] {
+	const merged = new Map<string, ObjectChange>();
+	for (const step of steps) {
+		for (const change of step) {
+			merged.set(`${change.kind}/${change.name}`, change);
+		}
+	}
+
+	return [...merged.values()];
+}
--- /dev/null
+++ b/packages/consensus/src/content/object-change.ts
@@ -0,0 +1,15 @@
+import type {ConfigurationObjects} from '@camphortack/configuration';
+import {z} from '../utils/zod.js';
+
+/** The kinds of objects, in the order in which they are compared. */
+export const objectKinds = ['availabilityZones', 'pools', 'services', 'routes', 'limits', 'customers'] as const satisfies ReadonlyArray<keyof ConfigurationObjects>;
+
+/** One object that a publish sets or, without a value, removes. */
+export const objectChangeSchema = z.object({
+	kind: z.enum(objectKinds),
+	name: z.string().max(128),
+	value: z.record(z.string(), z.unknown()).optional(),
+});
+
+export type ObjectKind = typeof objectKinds[number];
+export type ObjectChange = z.infer<typeof objectChangeSchema>;
--- /dev/null
+++ b/packages/consensus/src/content/object-digest.ts
@@ -0,0 +1,41 @@
+import type {ConfigurationObjects} from '@camphortack/configuration';
+import {getHash, hashRange} from '../utils/get-hash.js';
+import {toCanonicalJson} from '../utils/to-canonical-json.js';
+import {objectKinds, type ObjectChange} from './object-change.js';
+
+/**
+ * Gets the digest of a whole set: the sum of the hashes of its objects.
+ * @param objects - The set.
+ */
+export function getObjectsDigest(objects: ConfigurationObjects): number {
+	let digest = 0;
+	for (const kind of objectKinds) {
+		for (const [name, value] of Object.entries(objects[kind])) {
+			digest = (digest + getObjectHash(kind, name, value)) % hashRange;
+		}
+	}
+
+	return digest;
+}
+
+/**
+ * Gets the digest after some changes, at a cost that depends on the changes only.
+ * @param digest - The digest of the objects before.
+ * @param objects - The objects before.
+ * @param changes - At most one change for each object.
+ */
+export function moveDigest(digest: number, objects: ConfigurationObjects, changes: readonly ObjectChange[]): number {
+	let moved = digest;
+	for (const {kind, name, value} of changes) {
+		const before: unknown = objects[kind][name];
+		moved += value === undefined ? 0 : getObjectHash(kind, name, value);
+		moved -= before === undefined ? 0 : getObjectHash(kind, name, before);
+		moved = (moved + hashRange) % hashRange;
+	}
+
+	return moved;
+}
+
+function getObjectHash(kind: string, name: string, value: unknown): number {
+	return getHash(`${kind}/${name}=${toCanonicalJson(value)}`);
+}
--- /dev/null
+++ b/packages/consensus/src/keeper/applier.ts
@@ -0,0 +1,152 @@
+import type {MachineState} from '../publish/configuration-machine.js';
+import type {PublishResult} from '../publish/publish-schemas.js';
+import type {KeeperCore} from './keeper-core.js';
+import type {KeeperListener} from './keeper-options.js';
+import {getEntrySizeBytes, type LogEntry} from './log-entry.js';
+import {mostAppliedBytes, mostAppliedEntries, retainedEntries} from './keeper-timings.js';
+import type {LogBase} from './store-records.js';
+
+/** Applies agreed entries to the machine and tells about versions once that they are agreed is durable here. */
+export type Applier = {
+	/** Gets the last applied index. */
+	getAppliedIndex(): number;
+	/** Gets the last index up to which the versions were given to listeners. */
+	getDeliveredIndex(): number;
+	/** Moves the commit index forward and applies what it covers. */
+	commit(index: number): void;
+	/** Replaces the log and the machine by a state that the leader sent. */
+	installState(base: LogBase, state: MachineState, onSynced: () => void): void;
+	addListener(listener: KeeperListener): void;
+	/** Lets listeners have versions from now on. */
+	startDelivery(): void;
+};
+
+export type ApplierOptions = {
+	core: KeeperCore;
+	onApplied: (entry: LogEntry, result: PublishResult | undefined) => void;
+	/** Called when more has become durable and was given to listeners. */
+	onDelivered: () => void;
+};
+
+type AppliedEntry = {entry: LogEntry; result: PublishResult | undefined};
+
+/**
+ * Creates the applier and brings the machine to what was agreed before the last stop.
+ * @param options - The keeper's shared state and who wants to know.
+ */
+export function createApplier(options: ApplierOptions): Applier {
+	const {core, onApplied, onDelivered} = options;
+	const {store, machine} = core;
+	const listeners: KeeperListener[] = [];
+	let appliedIndex = 0;
+	let appliedBytes = 0;
+	let deliveredIndex = 0;
+	let deliveredVersion = 0;
+	let isDelivering = false;
+	let isApplying = false;
+	let targetIndex = 0;
+	let durableContent = machine.getContent();
+
+	function applyUpTo(index: number): AppliedEntry[] {
+		return store.getEntries(appliedIndex + 1, index - appliedIndex).map(entry => {
+			const {command} = entry;
+			const result = command.type === 'publish' ? machine.apply(command.proposal) : undefined;
+			appliedIndex = entry.index;
+			appliedBytes += getEntrySizeBytes(entry);
+			return {entry, result};
+		});
+	}
+
+	function commitUpTo(index: number): void {
+		const applied = applyUpTo(index);
+		const content = machine.getContent();
+		store.setCommitIndex(index, () => {
+			markDurable(index, content);
+		});
+		compactIfLarge();
+		for (const {entry, result} of applied) {
+			onApplied(entry, result);
+		}
+	}
+
+	function compactIfLarge(): void {
+		const baseIndex = store.getBase().index;
+		if (appliedIndex - baseIndex > mostAppliedEntries || appliedBytes > mostAppliedBytes) {
+			appliedBytes = 0;
+			store.compact(Math.max(baseIndex, appliedIndex - retainedEntries), {stateIndex: appliedIndex, state: machine.getState()});
+		}
+	}
+
+	function markDurable(index: number, content: typeof durableContent): void {
+		if (core.isStopped || index <= deliveredIndex) {
+			return;
+		}
+
+		deliveredIndex = index;
+		durableContent = content;
+		deliver();
+		onDelivered();
+	}
+
+	function deliver(): void {
+		if (!isDelivering || durableContent.version <= deliveredVersion) {
+			return;
+		}
+
+		deliveredVersion = durableContent.version;
+		for (const listener of listeners) {
+			listener(durableContent);
+		}
+	}
+
+	function restore(): void {
+		const stored = store.findStoredMachine();
+		if (stored !== undefined) {
+			machine.setState(stored.state);
+			appliedIndex = stored.stateIndex;
+		}
+
+		applyUpTo(store.getCommitIndex());
+		deliveredIndex = appliedIndex;
+		durableContent = machine.getContent();
+	}
+
+	restore();
+	return {
+		getAppliedIndex: () => appliedIndex,
+		getDeliveredIndex: () => deliveredIndex,
+		commit(index) {
+			targetIndex = Math.max(targetIndex, index);
+			if (isApplying) {
+				return;
+			}
+
+			isApplying = true;
+			while (targetIndex > store.getCommitIndex()) {
+				commitUpTo(targetIndex);
+			}
+
+			isApplying = false;
+		},
+		installState(base, state, onSynced) {
+			machine.setState(state);
+			appliedIndex = base.index;
+			appliedBytes = 0;
+			const content = machine.getContent();
+			store.installState(base, state, () => {
+				markDurable(base.index, content);
+				onSynced();
+			});
+		},
+		addListener(listener) {
+			listeners.push(listener);
+			if (deliveredVersion > 0) {
+				listener(durableContent);
+			}
+		},
+		startDelivery() {
+			isDelivering = true;
+			deliver();
+		},
+	};
+}
--- /dev/null
+++ b/packages/consensus/src/keeper/bootstrap.ts
@@ -0,0 +1,153 @@
+import type {TimerSubscription} from '@camphortack/core';
+import type {KeeperCore} from './keeper-core.js';
+import type {KeeperMessageOf} from './keeper-messages.js';
+import {getVoterTarget, type KeeperRecord} from './keeper-set.js';
+import {joinIntervalMs, mostVoters} from './keeper-timings.js';
+
+/** Gives a keeper its place: forms the cluster once, or asks the cluster for a place. */
+export type Bootstrap = {
+	start(): void;
+	setKnownKeepers(keeperIds: readonly string[]): void;
+	handleRequest(fromPeerId: string, message: KeeperMessageOf<'consensus.bootstrap-request'>): void;
+	handleAnswer(fromPeerId: string, message: KeeperMessageOf<'consensus.bootstrap-answer'>): void;
+	stop(): void;
+};
+
+const clusterIdLength = 16;
+
+/**
+ * Creates the part of a keeper that finds its place. Only the keeper with the smallest id of the initial list may
+ * form the cluster, and only once every keeper of the list has stored that it belongs to no other one.
+ * @param core - The keeper's shared state.
+ * @param onFormed - Called when the first entry of the cluster is durable here.
+ */
+export function createBootstrap(core: KeeperCore, onFormed: () => void): Bootstrap {
+	const {store, options} = core;
+	const {ownId, timers, random} = options;
+	const initialKeeperIds = options.initialKeeperIds.toSorted();
+	const answers = new Map<string, KeeperRecord>();
+	let isForming = initialKeeperIds[0] === ownId && store.getLastIndex() === 0 && store.getTerm() === 0;
+	let knownKeeperIds = initialKeeperIds;
+	let timer: TimerSubscription | undefined;
+
+	function bindOwn(): void {
+		const binding = store.getBinding();
+		if (binding !== undefined && binding.bootstrapperId !== ownId) {
+			isForming = false;
+			return;
+		}
+
+		const ownBinding = binding ?? {clusterId: random.getIdentifier().slice(0, clusterIdLength), bootstrapperId: ownId};
+		store.setBinding(ownBinding, () => {
+			addAnswer(ownId, store.getIdentity(), options.availabilityZone);
+		});
+	}
+
+	function addAnswer(keeperId: string, identity: string, availabilityZone: string): void {
+		if (!isForming || core.isStopped) {
+			return;
+		}
+
+		answers.set(keeperId, {
+			keeperId,
+			identity,
+			availabilityZone,
+			role: 'learner',
+		});
+		if (initialKeeperIds.every(id => answers.has(id))) {
+			form();
+		}
+	}
+
+	function form(): void {
+		isForming = false;
+		const voterCount = getVoterTarget(initialKeeperIds.length, options.mostVoters ?? mostVoters);
+		const keepers = initialKeeperIds.map((id, position) => ({...answers.get(id)!, role: position < voterCount ? 'voter' as const : 'learner' as const}));
+		store.setTerm(1, undefined);
+		store.appendEntries([{index: 1, term: 1, command: {type: 'set-keepers', keepers}}], onFormed);
+	}
+
+	function act(): void {
+		if (store.getKeepers().some(keeper => keeper.identity === store.getIdentity())) {
+			timer?.cancel();
+			return;
+		}
+
+		for (const keeperId of knownKeeperIds) {
+			if (keeperId !== ownId) {
+				askForPlace(keeperId);
+			}
+		}
+	}
+
+	function askForPlace(keeperId: string): void {
+		const binding = store.getBinding();
+		if (isForming && initialKeeperIds.includes(keeperId)) {
+			core.send(keeperId, {kind: 'consensus.bootstrap-request', clusterId: binding!.clusterId});
+		}
+
+		core.send(keeperId, {
+			kind: 'consensus.join',
+			identity: store.getIdentity(),
+			availabilityZone: options.availabilityZone,
+			clusterId: binding?.bootstrapperId === undefined ? binding?.clusterId : undefined,
+		});
+	}
+
+	/** Whether this keeper can still be part of the cluster that a keeper wants to form. */
+	function isFreeFor(bootstrapperId: string, clusterId: string): boolean {
+		const binding = store.getBinding();
+		if (binding?.clusterId === clusterId) {
+			return true;
+		}
+
+		const isUntouched = store.getLastIndex() === 0 && store.getTerm() === 0;
+		return isUntouched && (binding === undefined || binding.bootstrapperId === bootstrapperId);
+	}
+
+	function answer(peerId: string, clusterId: string, isBound: boolean): void {
+		core.send(peerId, {
+			kind: 'consensus.bootstrap-answer',
+			clusterId,
+			identity: store.getIdentity(),
+			availabilityZone: options.availabilityZone,
+			isBound,
+		});
+	}
+
+	return {
+		start() {
+			if (isForming) {
+				bindOwn();
+			}
+
+			timer = timers.addInterval(joinIntervalMs, act);
+			act();
+		},
+		setKnownKeepers(keeperIds) {
+			knownKeeperIds = [...new Set([...initialKeeperIds, ...keeperIds])];
+		},
+		handleRequest(fromPeerId, message) {
+			if (!isFreeFor(fromPeerId, message.clusterId)) {
+				answer(fromPeerId, message.clusterId, true);
+				return;
+			}
+
+			store.setBinding({clusterId: message.clusterId, bootstrapperId: fromPeerId}, () => {
+				if (!core.isStopped) {
+					answer(fromPeerId, message.clusterId, false);
+				}
+			});
+		},
+		handleAnswer(fromPeerId, message) {
+			if (message.isBound) {
+				isForming = false;
+			} else if (message.clusterId === store.getBinding()?.clusterId) {
+				addAnswer(fromPeerId, message.identity, message.availabilityZone);
+			}
+		},
+		stop() {
+			timer?.cancel();
+		},
+	};
+}
--- /dev/null
+++ b/packages/consensus/src/keeper/keeper-core.ts
@@ -0,0 +1,83 @@
+import type {ConfigurationMachine} from '../publish/configuration-machine.js';
+import type {KeeperMessage} from './keeper-messages.js';
+import type {KeeperOptions} from './keeper-options.js';
+import {getVoters, type KeeperRecord} from './keeper-set.js';
+import type {KeeperStore} from './keeper-store.js';
+
+/** What the parts of a keeper share. */
+export type KeeperCore = {
+	readonly options: KeeperOptions;
+	readonly store: KeeperStore;
+	readonly machine: ConfigurationMachine;
+	role: 'follower' | 'candidate' | 'leader';
+	leaderId: string | undefined;
+	leaderIdentity: string | undefined;
+	/** When the leader was last heard. */
+	leaderHeardAtMs: number;
+	isStopped: boolean;
+	isLeaving: boolean;
+	send(keeperId: string, message: KeeperMessage): void;
+	/** Gets the fields with which a message to an identity starts. */
+	getAddress(toIdentity: string): {term: number; fromIdentity: string; toIdentity: string};
+	getVoters(): readonly KeeperRecord[];
+	/** Gets every other keeper of the set. */
+	getOthers(): readonly KeeperRecord[];
+	isVoter(): boolean;
+	/** Follows a leader or nobody, in the present term or a later one. */
+	becomeFollower(term: number, leader?: {keeperId: string; identity: string}): void;
+};
+
+export type KeeperCoreOptions = {
+	options: KeeperOptions;
+	store: KeeperStore;
+	machine: ConfigurationMachine;
+	/** Called after this keeper stopped leading. */
+	onStepDown: () => void;
+};
+
+/**
+ * Creates the shared state of a keeper, as a follower of nobody.
+ * @param coreOptions - The parts that it stands on.
+ */
+export function createKeeperCore(coreOptions: KeeperCoreOptions): KeeperCore {
+	const {options, store, machine, onStepDown} = coreOptions;
+	const {peers, timers, events} = options;
+
+	const core: KeeperCore = {
+		options,
+		store,
+		machine,
+		role: 'follower',
+		leaderId: undefined,
+		leaderIdentity: undefined,
+		leaderHeardAtMs: Number.NEGATIVE_INFINITY,
+		isStopped: false,
+		isLeaving: false,
+		send(keeperId, message) {
+			peers.send(keeperId, message);
+		},
+		getAddress: toIdentity => ({term: store.getTerm(), fromIdentity: store.getIdentity(), toIdentity}),
+		getVoters: () => getVoters(store.getKeepers()),
+		getOthers: () => store.getKeepers().filter(keeper => keeper.identity !== store.getIdentity()),
+		isVoter: () => core.getVoters().some(keeper => keeper.identity === store.getIdentity()),
+		becomeFollower(term, leader) {
+			if (term > store.getTerm()) {
+				store.setTerm(term, undefined);
+			}
+
+			const wasLeader = core.role === 'leader';
+			core.role = 'follower';
+			core.leaderId = leader?.keeperId;
+			core.leaderIdentity = leader?.identity;
+			if (leader !== undefined) {
+				core.leaderHeardAtMs = timers.getNowMs();
+			}
+
+			if (wasLeader) {
+				events.write('leader-stepped-down', {term});
+				onStepDown();
+			}
+		},
+	};
+	return core;
+}
--- /dev/null
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -0,0 +1,71 @@
+import type {
+	EventLog, Member, MetricSink, PeerMessage, PeerNetwork, RandomSource, TimerService,
+} from '@camphortack/core';
+import type {RecordLog} from '@camphortack/storage';
+import type {ConfigurationContent} from '../content/configuration-content.js';
+import type {VersionHistory} from '../content/version-history.js';
+import type {PublishRequest, PublishResult} from '../publish/publish-schemas.js';
+import type {KeeperRecord} from './keeper-set.js';
+
+export type KeeperOptions = {
+	/** The id of the daemon that runs the keeper. */
+	ownId: string;
+	availabilityZone: string;
+	/** A log of its own, opened; the opener closes it. */
+	log: RecordLog;
+	peers: PeerNetwork;
+	timers: TimerService;
+	random: RandomSource;
+	events: EventLog;
+	metrics: MetricSink;
+	/** The daemons that run the first keepers, the same list at each of them. */
+	initialKeeperIds: readonly string[];
+	/** The most voters, odd; further keepers are learners. */
+	mostVoters?: number;
+};
+
+export type KeeperRole = 'leader' | 'candidate' | 'follower' | 'learner' | 'joining';
+
+/** What an operator sees of a keeper. */
+export type KeeperStatus = {
+	identity: string;
+	clusterId: string | undefined;
+	role: KeeperRole;
+	/** The daemon that leads, if known. */
+	leaderId: string | undefined;
+	term: number;
+	lastIndex: number;
+	commitIndex: number;
+	/** The agreed version known here. */
+	version: number;
+	keepers: readonly KeeperRecord[];
+	/** Time since the leader was heard, or, at the leader, since a majority was. */
+	quorumAgeMs: number;
+};
+
+/** A version that is durable here and agreed, with what led to it. */
+export type KeeperListener = (content: ConfigurationContent) => void;
+
+/** One of the daemons that agree on the configuration. */
+export type Keeper = {
+	/** Handles a peer message whose kind starts with `consensus.`. */
+	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
+	/** Sets the live daemons; keepers among them are asked for a place if this one has none. */
+	setMembers(members: readonly Member[]): void;
+	/** Publishes a set. `onResult` is called exactly once, after a bounded time, unless the keeper is stopped. */
+	publish(request: PublishRequest, onResult: (result: PublishResult) => void): void;
+	/** Calls back with the current version, if there is one to serve, and with each later one. */
+	addListener(listener: KeeperListener): void;
+	/** Asks the leader whether this keeper is up to date; true only if it then holds every version agreed before the call. */
+	confirm(onEnd: (isConfirmed: boolean) => void): void;
+	/** Whether it was confirmed since its start, and is the only keeper of its availability zone. */
+	isSoleConfirmedInZone(): boolean;
+	getHistory(): VersionHistory;
+	/** Removes a keeper from the set; only the leader can. */
+	removeKeeper(keeperId: string): 'accepted' | 'not-leader' | 'unknown-keeper';
+	getStatus(): KeeperStatus;
+	/** Hands leadership over. */
+	startLeaving(): void;
+	/** Ends all timers. The log stays open. */
+	stop(): void;
+};
--- /dev/null
+++ b/packages/consensus/src/keeper/keeper-timings.ts
@@ -0,0 +1,36 @@
+/** How often the leader sends to each voter. */
+export const heartbeatMs = 500;
+/** How often the leader sends to a learner that lacks nothing. */
+export const learnerHeartbeatMs = 5000;
+/** How long committed entries are gathered before they go to the learners. */
+export const learnerBatchMs = 250;
+/** How long the leader waits for a learner or for a piece of a snapshot before it sends again. */
+export const resendMs = 1000;
+/** A voter asks for votes after a silence of the leader between these two. */
+export const shortestElectionTimeoutMs = 1500;
+export const longestElectionTimeoutMs = 3000;
+/** A leader that has not heard a majority for this long steps down. */
+export const quorumTimeoutMs = 1500;
+/** How often a keeper without a place in the set asks for one. */
+export const joinIntervalMs = 1000;
+/** How long a barrier may take. */
+export const barrierTimeoutMs = 1000;
+/** How long a publish may take before its outcome is reported as unknown. */
+export const publishTimeoutMs = 5000;
+/** How often a publish is sent again; its id makes that idempotent. */
+export const publishResendMs = 750;
+/** The most voters; further keepers are learners, which serve their availability zone. */
+export const mostVoters = 5;
+/** The most entries in one message. */
+export const mostEntriesPerMessage = 64;
+/** The most bytes of entries in one message, unless one entry alone is larger. */
+export const mostBytesPerMessage = 262_144;
+/** The size of a piece of a snapshot. */
+export const snapshotPieceBytes = 65_536;
+/** The log is compacted when it holds more applied entries or bytes than this. */
+export const mostAppliedEntries = 512;
+export const mostAppliedBytes = 4_194_304;
+/** Applied entries that stay in the log for keepers that are a little behind. */
+export const retainedEntries = 64;
+/** The most publishes that wait at the leader. */
+export const mostWaitingPublishes = 256;
--- /dev/null
+++ b/packages/consensus/src/keeper/keeper.ts
@@ -0,0 +1,315 @@
+import {createConfigurationMachine} from '../publish/configuration-machine.js';
+import {createPublishForwarder} from '../publish/publish-forwarder.js';
+import {createAppendHandler} from './append-handler.js';
+import {createApplier} from './applier.js';
+import {createBarrier} from './barrier.js';
+import {createBootstrap} from './bootstrap.js';
+import {createElection} from './election.js';
+import {createKeeperChanges} from './keeper-changes.js';
+import {createKeeperCore} from './keeper-core.js';
+import {keeperMessageSchema, type KeeperMessage, type KeeperMessageOf} from './keeper-messages.js';
+import type {Keeper, KeeperOptions, KeeperRole} from './keeper-options.js';
+import {createKeeperStore} from './keeper-store.js';
+import {joinIntervalMs} from './keeper-timings.js';
+import {createPublisher} from './publisher.js';
+import {createReplication} from './replication.js';
+
+/**
+ * Creates a keeper over its log. A keeper that is alone in its initial list elects itself at once.
+ * @param options - Its identity, its log and the ports that it works through.
+ * @throws {CamphortackError} If the log belongs to another keeper.
+ *
+ * @example
+ * ```ts
+ * const keeper = createKeeper({ownId: 'vm-1', initialKeeperIds: ['vm-1'], availabilityZone: 'north', log, peers, timers, random, events, metrics});
+ * keeper.publish({baseVersion: 0, publishId: 'first', objects, author: 'anna'}, result => {
+ * 	console.log(result.outcome);
+ * });
+ * ```
+ */
+export function createKeeper(options: KeeperOptions): Keeper {
+	const {ownId, timers, metrics, peers} = options;
+	const store = createKeeperStore({keeperId: ownId, log: options.log, random: options.random});
+	const machine = createConfigurationMachine();
+	const core = createKeeperCore({
+		options, store, machine, onStepDown: handleStepDown,
+	});
+	const applier = createApplier({
+		core,
+		onApplied(entry, result) {
+			publisher.handleApplied(entry, result);
+			if (entry.command.type === 'set-keepers') {
+				stepDownIfRemoved();
+			}
+
+			changes.makeNextChange();
+			barrier.handleApplied();
+		},
+		onDelivered() {
+			barrier.handleDelivered();
+		},
+	});
+	const replication = createReplication({core, applier, onProgress: handleProgress});
+	const publisher = createPublisher(core, replication);
+	const changes = createKeeperChanges(core, replication);
+	const barrier = createBarrier(core, replication, applier);
+	const election = createElection(core, () => {
+		replication.start();
+	});
+	const appendHandler = createAppendHandler(core, applier, election);
+	const bootstrap = createBootstrap(core, () => {
+		election.startCampaign();
+	});
+	const forwarder = createPublishForwarder({
+		timers, random: options.random, getContent: machine.getContent, send: sendProposal,
+	});
+	const forwardedRequests = new Set<string>();
+	let isConfirmed = false;
+
+	function handleStepDown(): void {
+		replication.stop();
+		publisher.reset();
+		changes.reset();
+	}
+
+	function stepDownIfRemoved(): void {
+		if (core.role === 'leader' && !core.isVoter()) {
+			core.becomeFollower(store.getTerm());
+		}
+	}
+
+	function handleProgress(): void {
+		changes.makeNextChange();
+		if (core.isLeaving) {
+			handOver();
+		}
+	}
+
+	/** Lets the voter that has everything start an election. */
+	function handOver(): void {
+		if (core.role !== 'leader') {
+			return;
+		}
+
+		const successor = core.getVoters().find(voter => (replication.findProgress(voter.identity)?.matchIndex ?? 0) >= store.getLastIndex());
+		if (successor !== undefined) {
+			core.send(successor.keeperId, {kind: 'consensus.timeout-now', ...core.getAddress(successor.identity)});
+		}
+	}
+
+	function sendProposal(requestId: string, proposal: KeeperMessageOf<'consensus.publish'>['proposal']): boolean {
+		if (core.role === 'leader') {
+			publisher.handleProposal(proposal, result => {
+				forwarder.handleResult(requestId, result);
+			});
+			return true;
+		}
+
+		if (core.leaderId === undefined) {
+			return false;
+		}
+
+		core.send(core.leaderId, {
+			kind: 'consensus.publish', requestId, proposal, isFromKeeper: true,
+		});
+		return true;
+	}
+
+	function handlePublish(fromPeerId: string, message: KeeperMessageOf<'consensus.publish'>): void {
+		const {requestId, proposal, isFromKeeper} = message;
+		const key = `${fromPeerId} ${requestId}`;
+		if (core.role === 'leader') {
+			publisher.handleProposal(proposal, result => {
+				peers.send(fromPeerId, {kind: isFromKeeper ? 'consensus.publish-result' : 'configuration.publish-result', requestId, result});
+			});
+		} else if (!isFromKeeper && !forwardedRequests.has(key)) {
+			forwardedRequests.add(key);
+			forwarder.submitProposal(proposal, result => {
+				forwardedRequests.delete(key);
+				if (result.outcome !== 'no-majority') {
+					peers.send(fromPeerId, {kind: 'configuration.publish-result', requestId, result});
+				}
+			});
+		}
+	}
+
+	function confirmUntilDone(): void {
+		if (isConfirmed || core.isStopped) {
+			return;
+		}
+
+		barrier.confirm(isDone => {
+			if (isDone) {
+				isConfirmed = true;
+				confirmation.cancel();
+				startDelivery();
+			}
+		});
+	}
+
+	/** From now on this keeper never holds less than it has given out, so it need not ask again after a restart. */
+	function startDelivery(): void {
+		if (store.wasConfirmed()) {
+			applier.startDelivery();
+			return;
+		}
+
+		store.setConfirmed(() => {
+			if (!core.isStopped) {
+				applier.startDelivery();
+			}
+		});
+	}
+
+	function handle(fromPeerId: string, message: KeeperMessage): void {
+		switch (message.kind) {
+			case 'consensus.vote-request': {
+				election.handleVoteRequest(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.vote-answer': {
+				election.handleVoteAnswer(message);
+				break;
+			}
+
+			case 'consensus.append': {
+				appendHandler.handleAppend(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.append-answer': {
+				replication.handleAppendAnswer(message);
+				break;
+			}
+
+			case 'consensus.snapshot-piece': {
+				appendHandler.handleSnapshotPiece(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.snapshot-answer': {
+				replication.handleSnapshotAnswer(message);
+				break;
+			}
+
+			case 'consensus.timeout-now': {
+				if (message.term === store.getTerm()) {
+					election.startTransfer();
+				}
+
+				break;
+			}
+
+			case 'consensus.join': {
+				changes.handleJoin(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.bootstrap-request': {
+				bootstrap.handleRequest(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.bootstrap-answer': {
+				bootstrap.handleAnswer(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.publish': {
+				handlePublish(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.publish-result': {
+				forwarder.handleResult(message.requestId, message.result);
+				break;
+			}
+
+			case 'consensus.barrier': {
+				barrier.handleRequest(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.barrier-answer': {
+				barrier.handleAnswer(message);
+				break;
+			}
+		}
+	}
+
+	function getRole(): KeeperRole {
+		const own = store.getKeepers().find(keeper => keeper.identity === store.getIdentity());
+		if (own === undefined) {
+			return 'joining';
+		}
+
+		return own.role === 'learner' ? 'learner' : core.role;
+	}
+
+	if (store.wasConfirmed()) {
+		applier.startDelivery();
+	}
+
+	election.start();
+	bootstrap.start();
+	confirmUntilDone();
+	const confirmation = timers.addInterval(joinIntervalMs, confirmUntilDone);
+
+	return {
+		handlePeerMessage(fromPeerId, message) {
+			if (core.isStopped) {
+				return;
+			}
+
+			const parsed = keeperMessageSchema.safeParse(message);
+			if (!parsed.success) {
+				metrics.increment('peer-malformed');
+				return;
+			}
+
+			const isForOther = 'toIdentity' in parsed.data && parsed.data.toIdentity !== store.getIdentity();
+			if (!isForOther) {
+				handle(fromPeerId, parsed.data);
+			}
+		},
+		setMembers(members) {
+			bootstrap.setKnownKeepers(members.filter(member => member.roles.includes('keeper')).map(member => member.id));
+		},
+		publish(request, onResult) {
+			forwarder.submitRequest(request, onResult);
+		},
+		addListener: applier.addListener,
+		confirm: barrier.confirm,
+		isSoleConfirmedInZone() {
+			const inZone = store.getKeepers().filter(keeper => keeper.availabilityZone === options.availabilityZone);
+			return isConfirmed && inZone.length === 1 && inZone[0]!.identity === store.getIdentity();
+		},
+		getHistory: machine.getHistory,
+		removeKeeper: changes.removeKeeper,
+		getStatus: () => ({
+			identity: store.getIdentity(),
+			clusterId: store.getBinding()?.clusterId,
+			role: getRole(),
+			leaderId: core.leaderId,
+			term: store.getTerm(),
+			lastIndex: store.getLastIndex(),
+			commitIndex: store.getCommitIndex(),
+			version: machine.getContent().version,
+			keepers: store.getKeepers(),
+			quorumAgeMs: core.role === 'leader' ? replication.getQuorumAgeMs() : timers.getNowMs() - core.leaderHeardAtMs,
+		}),
+		startLeaving() {
+			core.isLeaving = true;
+			handOver();
+		},
+		stop() {
+			core.isStopped = true;
+			confirmation.cancel();
+			election.stop();
+			replication.stop();
+			bootstrap.stop();
+			forwarder.stop();
+		},
+	};
+}
--- /dev/null
+++ b/packages/consensus/src/keeper/log-entry.ts
@@ -0,0 +1,31 @@
+import {z} from '../utils/zod.js';
+import {publishProposalSchema} from '../publish/publish-schemas.js';
+import {keeperRecordSchema} from './keeper-set.js';
+
+/** What an entry of the agreed log asks for. */
+export const commandSchema = z.discriminatedUnion('type', [
+	/** The first entry of a leader's term. */
+	z.object({type: z.literal('no-operation')}),
+	/** Replaces the set of keepers; in effect from its append on. */
+	z.object({type: z.literal('set-keepers'), keepers: z.array(keeperRecordSchema)}),
+	z.object({type: z.literal('publish'), proposal: publishProposalSchema}),
+]);
+
+export const logEntrySchema = z.object({
+	index: z.int().min(1),
+	term: z.int().min(1),
+	command: commandSchema,
+});
+
+export type Command = z.infer<typeof commandSchema>;
+export type LogEntry = z.infer<typeof logEntrySchema>;
+
+const entryOverheadBytes = 64;
+
+/**
+ * Estimates the encoded size of an entry.
+ * @param entry - The entry.
+ */
+export function getEntrySizeBytes(entry: LogEntry): number {
+	return entryOverheadBytes + (entry.command.type === 'no-operation' ? 0 : JSON.stringify(entry.command).length);
+}
--- /dev/null
+++ b/packages/consensus/src/keeper/progress.ts
@@ -0,0 +1,34 @@
+import type {KeeperRecord} from './keeper-set.js';
+import type {EncodedState} from './snapshot-transfer.js';
+
+/** What the leader knows of another keeper. */
+export type Progress = {
+	record: KeeperRecord;
+	/** The next entry to send. */
+	nextIndex: number;
+	/** The last entry that is synced there. */
+	matchIndex: number;
+	/** The last round that it answered. */
+	answeredRound: number;
+	answeredAtMs: number;
+	sentAtMs: number;
+	/** The snapshot that it is being sent. */
+	transfer?: {state: EncodedState; offset: number};
+};
+
+/**
+ * Creates what the leader knows of a keeper at first.
+ * @param record - The keeper.
+ * @param lastIndex - The leader's last index.
+ * @param nowMs - The present time; the keeper counts as heard.
+ */
+export function createProgress(record: KeeperRecord, lastIndex: number, nowMs: number): Progress {
+	return {
+		record,
+		nextIndex: lastIndex + 1,
+		matchIndex: 0,
+		answeredRound: 0,
+		answeredAtMs: nowMs,
+		sentAtMs: Number.NEGATIVE_INFINITY,
+	};
+}
--- /dev/null
+++ b/packages/consensus/src/publish/configuration-machine.ts
@@ -0,0 +1,94 @@
+import {configurationObjectsSchema} from '@camphortack/configuration';
+import {applyToContent, getInverseChanges} from '../content/apply-changes.js';
+import {emptyContent, type ConfigurationContent} from '../content/configuration-content.js';
+import {createVersionHistory, versionRecordSchema, type VersionHistory} from '../content/version-history.js';
+import {z} from '../utils/zod.js';
+import type {PublishProposal, PublishResult} from './publish-schemas.js';
+
+/** The machine's state, as a snapshot holds it. */
+export const machineStateSchema = z.object({
+	version: z.int(),
+	digest: z.number(),
+	objects: configurationObjectsSchema,
+	history: z.array(versionRecordSchema),
+});
+
+export type MachineState = z.infer<typeof machineStateSchema>;
+
+/** The state machine on the agreed log. The same proposals in the same order give the same results everywhere. */
+export type ConfigurationMachine = {
+	getContent(): ConfigurationContent;
+	getHistory(): VersionHistory;
+	/** Finds the result that is certain before the proposal is agreed: an earlier one of the same id, or a conflict. */
+	findResult(proposal: PublishProposal): PublishResult | undefined;
+	apply(proposal: PublishProposal): PublishResult;
+	getState(): MachineState;
+	setState(state: MachineState): void;
+};
+
+/** Creates the machine at version 0. */
+export function createConfigurationMachine(): ConfigurationMachine {
+	let content = emptyContent;
+	let history = createVersionHistory();
+
+	function findResult(proposal: PublishProposal): PublishResult | undefined {
+		const earlier = history.findPublish(proposal.publishId);
+		if (earlier !== undefined) {
+			const isSame = earlier.digest === proposal.digest && earlier.version === proposal.baseVersion + 1;
+			return isSame ? {outcome: 'published', version: earlier.version} : {outcome: 'rejected', reason: 'publish-id-reused'};
+		}
+
+		if (proposal.baseVersion > content.version) {
+			return {outcome: 'rejected', reason: 'unknown-base'};
+		}
+
+		return proposal.baseVersion === content.version ? undefined : getConflict(proposal.baseVersion);
+	}
+
+	function getConflict(baseVersion: number): PublishResult {
+		const winner = history.findVersion(baseVersion + 1);
+		return {
+			outcome: 'conflict',
+			version: content.version,
+			winner: winner === undefined ? undefined : {version: winner.version, author: winner.author, publishId: winner.publishId},
+		};
+	}
+
+	function apply(proposal: PublishProposal): PublishResult {
+		const known = findResult(proposal);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const changes = proposal.changes ?? [];
+		const next = applyToContent(content, content.version + 1, changes);
+		if (proposal.changes === undefined || next.digest !== proposal.digest) {
+			return {outcome: 'rejected', reason: 'digest-mismatch'};
+		}
+
+		const inverse = getInverseChanges(content.objects, changes);
+		history.addVersion({
+			version: next.version,
+			publishId: proposal.publishId,
+			author: proposal.author,
+			digest: next.digest,
+			changes,
+			inverse,
+			sizeBytes: JSON.stringify(changes).length + JSON.stringify(inverse).length,
+		});
+		content = next;
+		return {outcome: 'published', version: next.version};
+	}
+
+	return {
+		getContent: () => content,
+		getHistory: () => history,
+		findResult,
+		apply,
+		getState: () => ({...content, history: [...history.getRecords()]}),
+		setState(state) {
+			content = {version: state.version, digest: state.digest, objects: state.objects};
+			history = createVersionHistory(state.history);
+		},
+	};
+}
--- /dev/null
+++ b/packages/consensus/src/publish/publish-forwarder.ts
@@ -0,0 +1,120 @@
+import type {RandomSource, TimerService, TimerSubscription} from '@camphortack/core';
+import type {ConfigurationContent} from '../content/configuration-content.js';
+import {publishResendMs, publishTimeoutMs} from '../keeper/keeper-timings.js';
+import {getPublishProposal, mostPublishBytes} from './get-publish-proposal.js';
+import type {PublishProposal, PublishRequest, PublishResult} from './publish-schemas.js';
+
+/** Sends publishes towards the leader until a result comes or the time is up. */
+export type PublishForwarder = {
+	/** Turns a request into a proposal once its base is known here, and forwards it. */
+	submitRequest(request: PublishRequest, onResult: (result: PublishResult) => void): void;
+	submitProposal(proposal: PublishProposal, onResult: (result: PublishResult) => void): void;
+	handleResult(requestId: string, result: PublishResult): void;
+	stop(): void;
+};
+
+export type PublishForwarderOptions = {
+	timers: TimerService;
+	random: RandomSource;
+	getContent: () => ConfigurationContent;
+	/** Sends a proposal on; false if nobody is known who could take it. */
+	send: (requestId: string, proposal: PublishProposal) => boolean;
+};
+
+type Pending = {
+	findProposal: () => PublishProposal | undefined;
+	wasSent: boolean;
+	subscriptions: TimerSubscription[];
+	onResult: (result: PublishResult) => void;
+};
+
+/**
+ * Creates a forwarder.
+ * @param options - Where proposals go.
+ */
+export function createPublishForwarder(options: PublishForwarderOptions): PublishForwarder {
+	const {timers, random, getContent, send} = options;
+	const pending = new Map<string, Pending>();
+
+	function submit(findProposal: Pending['findProposal'], onResult: Pending['onResult']): void {
+		const requestId = random.getIdentifier();
+		const added: Pending = {
+			findProposal,
+			wasSent: false,
+			subscriptions: [],
+			onResult,
+		};
+		pending.set(requestId, added);
+		added.subscriptions = [
+			timers.addInterval(publishResendMs, () => {
+				attempt(requestId, added);
+			}),
+			timers.addTimer(publishTimeoutMs, () => {
+				end(requestId, getTimeoutResult(added));
+			}),
+		];
+		attempt(requestId, added);
+	}
+
+	function attempt(requestId: string, entry: Pending): void {
+		const proposal = entry.findProposal();
+		if (proposal === undefined) {
+			return;
+		}
+
+		if (JSON.stringify(proposal).length > mostPublishBytes) {
+			end(requestId, {outcome: 'rejected', reason: 'too-large'});
+			return;
+		}
+
+		const isSent = send(requestId, proposal);
+		entry.wasSent ||= isSent;
+	}
+
+	function getTimeoutResult(entry: Pending): PublishResult {
+		if (entry.findProposal() === undefined) {
+			return {outcome: 'rejected', reason: 'unknown-base'};
+		}
+
+		return {outcome: 'no-majority', state: entry.wasSent ? 'unknown' : 'not-published'};
+	}
+
+	function end(requestId: string, result: PublishResult): void {
+		const entry = pending.get(requestId);
+		if (entry === undefined) {
+			return;
+		}
+
+		pending.delete(requestId);
+		cancel(entry);
+		entry.onResult(result);
+	}
+
+	function cancel(entry: Pending): void {
+		for (const subscription of entry.subscriptions) {
+			subscription.cancel();
+		}
+	}
+
+	return {
+		submitRequest(request, onResult) {
+			let proposal: PublishProposal | undefined;
+			submit(() => {
+				const content = getContent();
+				proposal ??= content.version < request.baseVersion ? undefined : getPublishProposal(content, request);
+				return proposal;
+			}, onResult);
+		},
+		submitProposal(proposal, onResult) {
+			submit(() => proposal, onResult);
+		},
+		handleResult: end,
+		stop() {
+			for (const entry of pending.values()) {
+				cancel(entry);
+			}
+
+			pending.clear();
+		},
+	};
+}
--- /dev/null
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -0,0 +1,112 @@
+import {createSeededRandomSource, type Member, type PeerMessage} from '@camphortack/core';
+import {
+	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers, type FakeNetworkOptions,
+} from '@camphortack/testkit';
+import {createMemoryDisk, createMemoryRecordLog, type MemoryRecordLog} from '@camphortack/storage';
+import {createKeeper, type Keeper} from '../../src/index.js';
+import {addLogFault, type LogFault} from './add-log-fault.js';
+
+export type TestClusterOptions = {
+	seed?: number;
+	keeperIds?: readonly string[];
+	/** The list given to each keeper; the same as the ids unless stated. */
+	initialKeeperIds?: readonly string[];
+	zoneOf?: (id: string) => string;
+	network?: Partial<FakeNetworkOptions>;
+	syncMs?: number;
+	mostVoters?: number;
+	fault?: LogFault;
+};
+
+/** Keepers on a network, disks and time of the test's making. */
+export class TestCluster {
+	readonly timers = new VirtualTimers();
+	readonly events = new RecordingEventLog();
+	readonly metrics = new RecordingMetricSink();
+	readonly network: FakeNetwork;
+	readonly keepers = new Map<string, Keeper>();
+	readonly disks = new Map<string, ReturnType<typeof createMemoryDisk>>();
+	readonly logs = new Map<string, MemoryRecordLog>();
+	readonly random;
+	readonly #options: TestClusterOptions;
+
+	constructor(options: TestClusterOptions = {}) {
+		this.#options = options;
+		this.random = createSeededRandomSource(options.seed ?? 1);
+		this.network = new FakeNetwork({timers: this.timers, random: this.random, ...options.network});
+		for (const id of options.keeperIds ?? ['a', 'b', 'c']) {
+			this.disks.set(id, createMemoryDisk());
+			this.start(id);
+		}
+	}
+
+	start(id: string): Keeper {
+		const {initialKeeperIds, keeperIds, zoneOf, syncMs, mostVoters, fault} = this.#options;
+		const log = createMemoryRecordLog({timers: this.timers, disk: this.disks.get(id)!, syncDurationMs: syncMs});
+		this.logs.set(id, log);
+		const keeper = createKeeper({
+			ownId: id,
+			availabilityZone: zoneOf?.(id) ?? `zone-${id}`,
+			log: addLogFault(log, this.timers, fault),
+			peers: this.network.addPeer(id, (from, message) => {
+				this.handleMessage(id, from, message);
+			}),
+			timers: this.timers,
+			random: this.random,
+			events: this.events,
+			metrics: this.metrics,
+			initialKeeperIds: initialKeeperIds ?? keeperIds ?? ['a', 'b', 'c'],
+			mostVoters,
+		});
+		this.keepers.set(id, keeper);
+		return keeper;
+	}
+
+	handleMessage(id: string, from: string, message: PeerMessage): void {
+		this.keepers.get(id)?.handlePeerMessage(from, message);
+	}
+
+	crash(id: string): void {
+		this.keepers.get(id)?.stop();
+		this.keepers.delete(id);
+		this.logs.get(id)!.crash();
+		this.network.removePeer(id);
+	}
+
+	restart(id: string): Keeper {
+		this.crash(id);
+		return this.start(id);
+	}
+
+	loseDisk(id: string): void {
+		this.crash(id);
+		this.disks.set(id, createMemoryDisk());
+	}
+
+	/** Adds a keeper that is in no initial list. */
+	add(id: string): Keeper {
+		this.disks.set(id, createMemoryDisk());
+		const keeper = this.start(id);
+		keeper.setMembers([...this.keepers.keys()].map(keeperId => this.getMember(keeperId)));
+		return keeper;
+	}
+
+	getMember(id: string): Member {
+		return {
+			id,
+			incarnation: '1',
+			availabilityZone: this.#options.zoneOf?.(id) ?? `zone-${id}`,
+			roles: ['entry', 'keeper'],
+			host: '127.0.0.1',
+			peerPort: 1,
+		};
+	}
+
+	findLeaders(): string[] {
+		return [...this.keepers].filter(([, keeper]) => keeper.getStatus().role === 'leader').map(([id]) => id);
+	}
+
+	getLeader(): Keeper {
+		return this.keepers.get(this.findLeaders()[0]!)!;
+	}
+}
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -35,6 +35,7 @@
 	'slots-borrowed': 'Slots received from another daemon.',
 	'slots-lent': 'Slots given to another daemon.',
 	'configuration-version': 'The version of the configuration in force.',
+	'peer-malformed': 'Messages from other daemons dropped because they do not match their schema.',
 	'storage-synced': 'Group commits written and synced.',
 	'storage-sync-time': 'Duration of a group commit, in milliseconds.',
 	'consensus-elections': 'Elections started.',
