Add the distribution of the configuration to every daemon

Cause: a published version must be in force everywhere within 4 s and never revert, also at daemons without a disk and in zones without a keeper. Change: a follower for each daemon takes versions from the keeper in its process or from its place in its zone's tree, checks them by digest, stores them if it has a disk, and passes them on as deltas. A daemon that starts without a configuration takes one only from a keeper that a barrier proved up to date, or from the sole keeper of its zone. Conclusion: createConfigurationFollower can be wired.

--- a/packages/consensus/src/content/version-history.ts
+++ b/packages/consensus/src/content/version-history.ts
@@ -30,8 +30,8 @@
 	getRecords(): readonly VersionRecord[];
 	findVersion(version: number): VersionRecord | undefined;
 	findPublish(publishId: string): VersionRecord | undefined;
-	/** Finds the merged changes that lead from a version to the last one, or undefined if it is no longer kept. */
-	findChangesSince(version: number): ObjectChange[] | undefined;
+	/** Finds the merged changes that lead from one version to a later one, or undefined if they are not kept. */
+	findChangesBetween(fromVersion: number, toVersion: number): ObjectChange[] | undefined;
 	/** Finds the objects of an old version, given those of the last one. */
 	findObjects(version: number, lastObjects: ConfigurationObjects): ConfigurationObjects | undefined;
 };
@@ -75,9 +75,9 @@
 		getRecords: () => kept,
 		findVersion: version => (kept[0] === undefined ? undefined : kept[version - kept[0].version]),
 		findPublish: publishId => byPublishId.get(publishId),
-		findChangesSince(version) {
-			const since = findSince(version);
-			return since === undefined ? undefined : mergeChanges(since.map(record => record.changes));
+		findChangesBetween(fromVersion, toVersion) {
+			const since = findSince(fromVersion)?.slice(0, toVersion - fromVersion);
+			return since?.length === toVersion - fromVersion ? mergeChanges(since.map(record => record.changes)) : undefined;
 		},
 		findObjects(version, lastObjects) {
 			const since = findSince(version);
--- /dev/null
+++ b/packages/consensus/src/follower/distributor.ts
@@ -0,0 +1,121 @@
+import type {TimerService, TimerSubscription} from '@camphortack/core';
+import {emptyContent, type ConfigurationContent} from '../content/configuration-content.js';
+import {getChanges} from '../content/get-changes.js';
+import type {ObjectChange} from '../content/object-change.js';
+import type {FollowerMessage} from './follower-messages.js';
+import {passOnBatchMs, subscriptionLifetimeMs} from './follower-timings.js';
+import {splitChanges} from './update-pieces.js';
+
+/** Sends the versions in force here to the daemons that subscribe. */
+export type Distributor = {
+	/** Renews a subscription and answers it. */
+	addSubscriber(peerId: string, version: number, needsWhole: boolean): void;
+	/** Passes a new version on, together with others that follow at once. */
+	handleContent(): void;
+	getSubscriberCount(): number;
+	stop(): void;
+};
+
+export type DistributorOptions = {
+	timers: TimerService;
+	getContent: () => ConfigurationContent;
+	getKeeperAgeMs: () => number;
+	/** Finds the changes from a version to the one in force. */
+	findChangesSince: (version: number) => ObjectChange[] | undefined;
+	send: (peerId: string, message: FollowerMessage) => void;
+};
+
+type Subscriber = {version: number; expiresAtMs: number};
+type Update = {fromVersion: number; pieces: ObjectChange[][]};
+
+/**
+ * Creates a distributor without subscribers.
+ * @param options - What it sends and how.
+ */
+export function createDistributor(options: DistributorOptions): Distributor {
+	const {timers, getContent, getKeeperAgeMs, findChangesSince, send} = options;
+	const subscribers = new Map<string, Subscriber>();
+	let batch: TimerSubscription | undefined;
+	let updates = new Map<number, Update>();
+	let updatesVersion = 0;
+
+	/** Gets an update, made once for all that lack the same. */
+	function getUpdate(fromVersion: number): Update {
+		if (updatesVersion !== getContent().version) {
+			updatesVersion = getContent().version;
+			updates = new Map();
+		}
+
+		const known = updates.get(fromVersion) ?? makeUpdate(fromVersion);
+		updates.set(fromVersion, known);
+		return known;
+	}
+
+	function makeUpdate(fromVersion: number): Update {
+		const changes = fromVersion === 0 ? undefined : findChangesSince(fromVersion);
+		if (changes === undefined) {
+			return {fromVersion: 0, pieces: splitChanges(getChanges(emptyContent.objects, getContent().objects))};
+		}
+
+		return {fromVersion, pieces: splitChanges(changes)};
+	}
+
+	function sendUpdate(peerId: string, subscriber: Subscriber): void {
+		const {version, digest} = getContent();
+		const {fromVersion, pieces} = getUpdate(subscriber.version);
+		for (const [pieceIndex, changes] of pieces.entries()) {
+			send(peerId, {
+				kind: 'configuration.update',
+				fromVersion,
+				version,
+				digest,
+				pieceIndex,
+				pieceCount: pieces.length,
+				changes,
+				keeperAgeMs: Math.round(getKeeperAgeMs()),
+			});
+		}
+
+		subscriber.version = version;
+	}
+
+	function passOn(): void {
+		const nowMs = timers.getNowMs();
+		for (const [peerId, subscriber] of subscribers) {
+			if (subscriber.expiresAtMs < nowMs) {
+				subscribers.delete(peerId);
+			} else if (subscriber.version < getContent().version) {
+				sendUpdate(peerId, subscriber);
+			}
+		}
+	}
+
+	return {
+		addSubscriber(peerId, version, needsWhole) {
+			const subscriber = {version: needsWhole ? 0 : version, expiresAtMs: timers.getNowMs() + subscriptionLifetimeMs};
+			subscribers.set(peerId, subscriber);
+			const content = getContent();
+			if (subscriber.version < content.version) {
+				sendUpdate(peerId, subscriber);
+			} else {
+				send(peerId, {
+					kind: 'configuration.digest',
+					version: content.version,
+					digest: content.digest,
+					keeperAgeMs: Math.round(getKeeperAgeMs()),
+				});
+			}
+		},
+		handleContent() {
+			batch ??= timers.addTimer(passOnBatchMs, () => {
+				batch = undefined;
+				passOn();
+			});
+		},
+		getSubscriberCount: () => subscribers.size,
+		stop() {
+			batch?.cancel();
+			subscribers.clear();
+		},
+	};
+}
--- /dev/null
+++ b/packages/consensus/src/follower/update-pieces.ts
@@ -0,0 +1,67 @@
+import type {ObjectChange} from '../content/object-change.js';
+import type {FollowerMessageOf} from './follower-messages.js';
+import {updatePieceBytes} from './follower-timings.js';
+
+type UpdateMessage = FollowerMessageOf<'configuration.update'>;
+
+/** An update whose pieces have all arrived. */
+export type ReceivedUpdate = Pick<UpdateMessage, 'fromVersion' | 'version' | 'digest' | 'changes'>;
+
+/**
+ * Splits changes into pieces of bounded size. There is always at least one piece.
+ * @param changes - The changes.
+ */
+export function splitChanges(changes: readonly ObjectChange[]): ObjectChange[][] {
+	const pieces: ObjectChange[][] = [[]];
+	let sizeBytes = 0;
+	for (const change of changes) {
+		const changeBytes = JSON.stringify(change).length;
+		if (sizeBytes > 0 && sizeBytes + changeBytes > updatePieceBytes) {
+			pieces.push([]);
+			sizeBytes = 0;
+		}
+
+		pieces.at(-1)!.push(change);
+		sizeBytes += changeBytes;
+	}
+
+	return pieces;
+}
+
+/** Gathers the pieces of one update at a time. */
+export type UpdateReceiver = {
+	/** Takes a piece; returns the whole update once all pieces are here. */
+	addPiece(fromPeerId: string, piece: UpdateMessage): ReceivedUpdate | undefined;
+};
+
+/** Creates a receiver. A piece of another update discards what was gathered. */
+export function createUpdateReceiver(): UpdateReceiver {
+	let source = '';
+	let pieces = new Map<number, ObjectChange[]>();
+
+	return {
+		addPiece(fromPeerId, piece) {
+			const {fromVersion, version, digest, pieceIndex, pieceCount, changes} = piece;
+			const pieceSource = [fromPeerId, fromVersion, version, pieceCount].join(' ');
+			if (pieceSource !== source) {
+				source = pieceSource;
+				pieces = new Map();
+			}
+
+			pieces.set(pieceIndex, changes);
+			if (pieces.size < pieceCount) {
+				return undefined;
+			}
+
+			const gathered = pieces;
+			source = '';
+			pieces = new Map();
+			return {
+				fromVersion,
+				version,
+				digest,
+				changes: [...gathered.keys()].toSorted((left, right) => left - right).flatMap(index => gathered.get(index)!),
+			};
+		},
+	};
+}
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -7,3 +7,5 @@
 export type {KeeperRecord} from './keeper/keeper-set.js';
 export * from './publish/publish-schemas.js';
 export type * from './content/version-history.js';
+export * from './follower/configuration-follower.js';
+export type * from './follower/follower-options.js';
--- a/packages/consensus/src/keeper/keeper-core.ts
+++ b/packages/consensus/src/keeper/keeper-core.ts
@@ -50,7 +50,7 @@
 		role: 'follower',
 		leaderId: undefined,
 		leaderIdentity: undefined,
-		leaderHeardAtMs: Number.NEGATIVE_INFINITY,
+		leaderHeardAtMs: timers.getNowMs(),
 		isStopped: false,
 		isLeaving: false,
 		send(keeperId, message) {
--- /dev/null
+++ b/packages/consensus/test/follower/configuration-follower.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {getRequest, publish} from '../support/publish.js';
+import {TestCluster} from '../support/test-cluster.js';
+
+/** Three zones with a keeper and three daemons each, and one zone without a keeper. */
+function createFleet(): TestCluster {
+	const cluster = new TestCluster({zoneOf: id => `zone-${id.slice(0, 1)}`});
+	for (const id of ['a', 'b', 'c', 'a1', 'a2', 'a3', 'b1', 'b2', 'c1', 'd1', 'd2', 'd3']) {
+		cluster.startFollower(id);
+	}
+
+	cluster.shareMembers();
+	cluster.timers.advance(5000);
+	return cluster;
+}
+
+function getVersions(cluster: TestCluster, ids: readonly string[]): number[] {
+	return ids.map(id => cluster.followers.get(id)!.getStatus().version);
+}
+
+describe('createConfigurationFollower', () => {
+	it('brings a version into force on every daemon within 4 s, also in a zone without a keeper', () => {
+		const cluster = createFleet();
+		const startedAtMs = cluster.timers.getNowMs();
+		publish(cluster, 'b', getRequest('first', 0));
+		for (const [id, versions] of cluster.versions) {
+			assert.equal(versions.length, 1, id);
+			assert.ok(versions[0]!.atMs - startedAtMs < 4000, `${id} ${versions[0]!.atMs - startedAtMs}`);
+		}
+	});
+
+	it('publishes through any daemon', () => {
+		const cluster = createFleet();
+		const outcomes: string[] = [];
+		cluster.followers.get('d2')!.publish(getRequest('first', 0), result => {
+			outcomes.push(result.outcome);
+		});
+		cluster.timers.advance(4000);
+		assert.deepEqual(outcomes, ['published']);
+		assert.equal(cluster.followers.get('a3')!.getStatus().version, 1);
+	});
+
+	it('goes on in a zone that is cut off, says so, and serves a restarted daemon what its keeper has', () => {
+		const cluster = createFleet();
+		publish(cluster, 'a', getRequest('first', 0));
+		const zone = ['a', 'a1', 'a2', 'a3'];
+		const others = [...cluster.followers.keys()].filter(id => !zone.includes(id));
+		cluster.network.cutSides(zone, others);
+		cluster.timers.advance(4000);
+		publish(cluster, 'b', getRequest('second', 1));
+		cluster.crash('a2');
+		cluster.startFollower('a2');
+		cluster.shareMembers();
+		cluster.timers.advance(20_000);
+		assert.deepEqual(getVersions(cluster, [...zone, 'b1', 'd1']), [1, 1, 1, 1, 2, 2]);
+		assert.ok(cluster.followers.get('a2')!.getStatus().isStale);
+		assert.ok(!cluster.followers.get('d1')!.getStatus().isStale);
+		assert.ok(cluster.events.events.some(event => event.name === 'configuration-stale'));
+		cluster.network.healLinks();
+		cluster.timers.advance(6000);
+		assert.deepEqual(getVersions(cluster, zone), [2, 2, 2, 2]);
+		assert.ok(!cluster.followers.get('a2')!.getStatus().isStale);
+	});
+
+	it('gives a daemon that starts nothing older than what is agreed, even from a keeper that is behind', () => {
+		const cluster = createFleet();
+		publish(cluster, 'a', getRequest('first', 0));
+		cluster.crash('a');
+		publish(cluster, 'b', getRequest('second', 1), 8000);
+		cluster.network.cutSides(['a'], ['b', 'c']);
+		cluster.start('a');
+		cluster.startFollower('a');
+		cluster.crash('a1');
+		cluster.startFollower('a1');
+		cluster.shareMembers();
+		cluster.timers.advance(10_000);
+		assert.deepEqual(getVersions(cluster, ['a1']), [0]);
+		cluster.network.healLinks();
+		cluster.timers.advance(6000);
+		assert.deepEqual(getVersions(cluster, ['a1']), [2]);
+	});
+
+	it('starts a daemon with a disk where it was', () => {
+		const cluster = createFleet();
+		cluster.startFollower('a4', true);
+		cluster.shareMembers();
+		publish(cluster, 'a', getRequest('first', 0));
+		publish(cluster, 'a', getRequest('second', 1));
+		cluster.crash('a4');
+		cluster.startFollower('a4', true);
+		assert.deepEqual(getVersions(cluster, ['a4']), [2]);
+	});
+
+	it('finds its way around a daemon that died between it and the keeper', () => {
+		const cluster = new TestCluster({keeperIds: ['a'], zoneOf: () => 'zone-a'});
+		const ids = Array.from({length: 30}, (_, index) => `daemon-${index}`);
+		for (const id of ['a', ...ids]) {
+			cluster.startFollower(id);
+		}
+
+		cluster.shareMembers();
+		cluster.timers.advance(3000);
+		publish(cluster, 'a', getRequest('first', 0));
+		const inner = ids.filter(id => cluster.followers.get(id)!.getStatus().subscriberCount > 0);
+		assert.ok(inner.length > 0);
+		cluster.crash(inner[0]!);
+		publish(cluster, 'a', getRequest('second', 1), 4000);
+		const live = ids.filter(id => id !== inner[0]);
+		assert.deepEqual(new Set(getVersions(cluster, live)), new Set([2]));
+	});
+});
--- a/packages/consensus/test/keeper/keeper.test.ts
+++ b/packages/consensus/test/keeper/keeper.test.ts
@@ -1,27 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import type {PublishRequest, PublishResult} from '../../src/index.js';
-import {getObjects} from '../support/get-objects.js';
+import {getRequest, publish} from '../support/publish.js';
 import {TestCluster} from '../support/test-cluster.js';
 
-function getRequest(publishId: string, baseVersion: number, author = 'anna'): PublishRequest {
-	return {
-		baseVersion,
-		publishId,
-		objects: getObjects([publishId]),
-		author,
-	};
-}
-
-function publish(cluster: TestCluster, keeperId: string, request: PublishRequest, durationMs = 6000): PublishResult | undefined {
-	let ended: PublishResult | undefined;
-	cluster.keepers.get(keeperId)!.publish(request, result => {
-		ended = result;
-	});
-	cluster.timers.advance(durationMs);
-	return ended;
-}
-
 describe('a single keeper', () => {
 	it('elects itself at once and publishes', () => {
 		const cluster = new TestCluster({keeperIds: ['a']});
--- /dev/null
+++ b/packages/consensus/test/support/publish.ts
@@ -0,0 +1,23 @@
+import type {PublishRequest, PublishResult} from '../../src/index.js';
+import {getObjects} from './get-objects.js';
+import type {TestCluster} from './test-cluster.js';
+
+/** Gets a request whose set has one pool, named after the publish. */
+export function getRequest(publishId: string, baseVersion: number, author = 'anna'): PublishRequest {
+	return {
+		baseVersion,
+		publishId,
+		objects: getObjects([publishId]),
+		author,
+	};
+}
+
+/** Publishes at a keeper and moves the time on until well after the result must have come. */
+export function publish(cluster: TestCluster, keeperId: string, request: PublishRequest, durationMs = 6000): PublishResult | undefined {
+	let ended: PublishResult | undefined;
+	cluster.keepers.get(keeperId)!.publish(request, result => {
+		ended = result;
+	});
+	cluster.timers.advance(durationMs);
+	return ended;
+}
--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -3,7 +3,9 @@
 	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers, type FakeNetworkOptions,
 } from '@camphortack/testkit';
 import {createMemoryDisk, createMemoryRecordLog, type MemoryRecordLog} from '@camphortack/storage';
-import {createKeeper, type Keeper} from '../../src/index.js';
+import {
+	createConfigurationFollower, createKeeper, type ConfigurationFollower, type Keeper,
+} from '../../src/index.js';
 import {addLogFault, type LogFault} from './add-log-fault.js';
 
 export type TestClusterOptions = {
@@ -27,6 +29,9 @@
 	readonly keepers = new Map<string, Keeper>();
 	readonly disks = new Map<string, ReturnType<typeof createMemoryDisk>>();
 	readonly logs = new Map<string, MemoryRecordLog>();
+	readonly followers = new Map<string, ConfigurationFollower>();
+	/** The versions that came into force at each daemon, with the time, over all its restarts. */
+	readonly versions = new Map<string, Array<{version: number; atMs: number}>>();
 	readonly random;
 	readonly #options: TestClusterOptions;
 
@@ -41,12 +46,12 @@
 	}
 
 	start(id: string): Keeper {
-		const {initialKeeperIds, keeperIds, zoneOf, syncMs, mostVoters, fault} = this.#options;
+		const {initialKeeperIds, keeperIds, syncMs, mostVoters, fault} = this.#options;
 		const log = createMemoryRecordLog({timers: this.timers, disk: this.disks.get(id)!, syncDurationMs: syncMs});
 		this.logs.set(id, log);
 		const keeper = createKeeper({
 			ownId: id,
-			availabilityZone: zoneOf?.(id) ?? `zone-${id}`,
+			availabilityZone: this.getZone(id),
 			log: addLogFault(log, this.timers, fault),
 			peers: this.network.addPeer(id, (from, message) => {
 				this.handleMessage(id, from, message);
@@ -62,14 +67,61 @@
 		return keeper;
 	}
 
+	/** Starts the follower of a daemon, with the daemon's keeper if it has one. */
+	startFollower(id: string, hasDisk = false): ConfigurationFollower {
+		const keeper = this.keepers.get(id);
+		const versions = this.versions.get(id) ?? [];
+		this.versions.set(id, versions);
+		const follower = createConfigurationFollower({
+			ownId: id,
+			availabilityZone: this.getZone(id),
+			peers: this.network.addPeer(id, (from, message) => {
+				this.handleMessage(id, from, message);
+			}),
+			timers: this.timers,
+			random: this.random,
+			events: this.events,
+			metrics: this.metrics,
+			log: hasDisk ? this.openFollowerLog(id) : undefined,
+			keeper,
+			onConfiguration: ({version}) => {
+				versions.push({version, atMs: this.timers.getNowMs()});
+			},
+		});
+		this.followers.set(id, follower);
+		return follower;
+	}
+
+	openFollowerLog(id: string): MemoryRecordLog {
+		const disk = this.disks.get(id) ?? createMemoryDisk();
+		this.disks.set(id, disk);
+		const log = createMemoryRecordLog({timers: this.timers, disk});
+		this.logs.set(id, log);
+		return log;
+	}
+
+	/** Tells every follower which daemons live. */
+	shareMembers(): void {
+		const members = [...new Set([...this.keepers.keys(), ...this.followers.keys()])].map(id => this.getMember(id));
+		for (const part of [...this.keepers.values(), ...this.followers.values()]) {
+			part.setMembers(members);
+		}
+	}
+
 	handleMessage(id: string, from: string, message: PeerMessage): void {
-		this.keepers.get(id)?.handlePeerMessage(from, message);
+		if (message.kind.startsWith('consensus.')) {
+			this.keepers.get(id)?.handlePeerMessage(from, message);
+		} else {
+			this.followers.get(id)?.handlePeerMessage(from, message);
+		}
 	}
 
 	crash(id: string): void {
 		this.keepers.get(id)?.stop();
 		this.keepers.delete(id);
-		this.logs.get(id)!.crash();
+		this.followers.get(id)?.stop();
+		this.followers.delete(id);
+		this.logs.get(id)?.crash();
 		this.network.removePeer(id);
 	}
 
@@ -91,12 +143,16 @@
 		return keeper;
 	}
 
+	getZone(id: string): string {
+		return this.#options.zoneOf?.(id) ?? `zone-${id}`;
+	}
+
 	getMember(id: string): Member {
 		return {
 			id,
 			incarnation: '1',
-			availabilityZone: this.#options.zoneOf?.(id) ?? `zone-${id}`,
-			roles: ['entry', 'keeper'],
+			availabilityZone: this.getZone(id),
+			roles: this.keepers.has(id) ? ['entry', 'keeper'] : ['entry'],
 			host: '127.0.0.1',
 			peerPort: 1,
 		};
