Build the command line: configuration, operation, jobs and tokens

Cause: operators and callers had no program to drive a daemon with. A request is sent once; publish and submit send again under the same id while the outcome is not known, and say so if it stays so. Conclusion: the daemon's operators' and callers' ports can be wired to it.

--- /dev/null
+++ b/packages/cli/bin/camphortack.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+await import('../dist/main.js');
--- /dev/null
+++ b/packages/cli/src/api/api-client.ts
@@ -0,0 +1,99 @@
+import got, {RequestError, TimeoutError} from 'got';
+import {CommandError} from '../errors/command-error.js';
+import {exitCodes} from '../exit-codes.js';
+
+const connectTimeoutMs = 5000;
+const defaultAnswerTimeoutMs = 15_000;
+
+/** A request to a daemon. */
+export type ApiRequest = {
+	method: 'GET' | 'POST' | 'DELETE';
+	path: string;
+	body?: unknown;
+	/** The request changes nothing that matters, so that a lost answer means that nothing was done. A GET never does. */
+	isWithoutEffect?: boolean;
+	/** How long to wait for the answer. */
+	answerTimeoutMs?: number;
+};
+
+/** An answer, whatever its status. */
+export type ApiAnswer = {
+	status: number;
+	body: unknown;
+};
+
+/** Sends each request once and never retries by itself. */
+export type ApiClient = {
+	/**
+	 * Sends one request.
+	 * @throws CommandError `unreachable` if nothing was sent, `answer-lost` if the request may have been handled.
+	 */
+	send(request: ApiRequest): Promise<ApiAnswer>;
+};
+
+export type ApiClientOptions = {
+	baseUrl: string;
+	token?: string;
+};
+
+/** Failures that come before the first byte of the request is sent. */
+const connectFailureCodes = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EAI_AGAIN', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ERR_INVALID_URL']);
+const connectPhases = new Set(['lookup', 'connect', 'secureConnect']);
+
+/**
+ * Creates a client for one daemon.
+ * @param options - The daemon's address and the caller's token.
+ *
+ * @example
+ * ```ts
+ * const client = createApiClient({baseUrl: 'http://127.0.0.1:8082'});
+ * const {status} = await client.send({method: 'GET', path: '/v1/status'});
+ * ```
+ */
+export function createApiClient(options: ApiClientOptions): ApiClient {
+	const headers = options.token === undefined ? {} : {authorization: `Bearer ${options.token}`};
+	const baseUrl = options.baseUrl.replace(/\/+$/v, '');
+
+	return {
+		async send(request) {
+			try {
+				const response = await got(`${baseUrl}${request.path}`, {
+					method: request.method,
+					headers,
+					...(request.body !== undefined && {json: request.body}),
+					retry: {limit: 0},
+					followRedirect: false,
+					throwHttpErrors: false,
+					timeout: {connect: connectTimeoutMs, response: request.answerTimeoutMs ?? defaultAnswerTimeoutMs},
+				});
+				return {status: response.statusCode, body: parseBody(response.body)};
+			} catch (error) {
+				throw createSendError(error, request, baseUrl);
+			}
+		},
+	};
+}
+
+function parseBody(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
+function createSendError(error: unknown, request: ApiRequest, baseUrl: string): unknown {
+	if (!(error instanceof RequestError)) {
+		return error;
+	}
+
+	const isSent = error instanceof TimeoutError ? !connectPhases.has(error.event) : !connectFailureCodes.has(error.code);
+	const hasEffect = request.method !== 'GET' && request.isWithoutEffect !== true;
+	if (isSent && hasEffect) {
+		const message = `the daemon at ${baseUrl} took the request but its answer was lost (${error.message})`;
+		return new CommandError('answer-lost', message, exitCodes.unknown);
+	}
+
+	const message = `the daemon at ${baseUrl} cannot be reached (${error.message}); is it running, and is the address right?`;
+	return new CommandError('unreachable', message, exitCodes.unreachable);
+}
--- /dev/null
+++ b/packages/cli/src/api/api-schemas.ts
@@ -0,0 +1,78 @@
+import {z} from 'zod';
+import {configurationObjectsSchema} from '@camphortack/configuration';
+
+/** A version of the configuration with its objects. */
+export const configurationAnswerSchema = z.object({version: z.int(), objects: configurationObjectsSchema});
+
+export const publishedAnswerSchema = z.object({version: z.int()});
+
+export const conflictAnswerSchema = z.object({
+	conflict: z.object({version: z.int(), author: z.string(), objects: configurationObjectsSchema}),
+});
+
+export const historyAnswerSchema = z.object({
+	entries: z.array(z.object({version: z.int(), publishId: z.string(), author: z.string()})),
+});
+
+/** An amount of a limit: one number, or one for each of its measures. */
+const amountSchema = z.union([z.number(), z.record(z.string(), z.number())]);
+
+export const limitStatusSchema = z.object({
+	name: z.string(),
+	holderKind: z.string(),
+	holderName: z.string(),
+	declared: amountSchema,
+	share: amountSchema,
+	used: amountSchema,
+});
+
+export const limitsAnswerSchema = z.object({limits: z.array(limitStatusSchema)});
+
+const backendServerStatusSchema = z.object({
+	id: z.string(),
+	availabilityZone: z.string(),
+	slots: z.int(),
+	managerId: z.string().optional(),
+	heldSlots: z.int(),
+	busySlots: z.int(),
+	isEjected: z.boolean(),
+	isLeaving: z.boolean(),
+});
+
+/** What one daemon sees. */
+export const statusAnswerSchema = z.object({
+	daemon: z.object({
+		id: z.string(),
+		incarnation: z.string(),
+		availabilityZone: z.string(),
+		roles: z.array(z.string()),
+		isDraining: z.boolean(),
+		isReady: z.boolean(),
+	}),
+	configuration: z.object({version: z.int().optional(), isStale: z.boolean()}),
+	members: z.array(z.object({id: z.string(), availabilityZone: z.string(), isAlive: z.boolean()})),
+	keepers: z.object({
+		leaderId: z.string().optional(),
+		term: z.int().optional(),
+		isLeader: z.boolean(),
+		isReachable: z.boolean(),
+	}),
+	dispatcher: z.object({
+		queuedTasks: z.int(),
+		queuedBytes: z.int(),
+		runningTasks: z.int(),
+		openJobs: z.int(),
+		isDraining: z.boolean(),
+		backendServers: z.array(backendServerStatusSchema),
+	}),
+	limits: z.array(limitStatusSchema),
+});
+
+export const ticketsAnswerSchema = z.object({tickets: z.array(z.string()).min(1)});
+
+/** The body of an answer that is an error. */
+export const errorAnswerSchema = z.object({code: z.string().optional(), message: z.string().optional(), findings: z.array(z.json()).optional()});
+
+export type LimitStatus = z.infer<typeof limitStatusSchema>;
+export type StatusAnswer = z.infer<typeof statusAnswerSchema>;
+export type ConfigurationAnswer = z.infer<typeof configurationAnswerSchema>;
--- /dev/null
+++ b/packages/cli/src/api/send-or-find-lost.ts
@@ -0,0 +1,23 @@
+import {CommandError} from '../errors/command-error.js';
+import type {ApiAnswer, ApiClient, ApiRequest} from './api-client.js';
+
+/**
+ * Sends a request once.
+ * @param client - The client.
+ * @param request - The request.
+ * @param mayBeDone - Whether an earlier copy may have been handled; a daemon that is gone now proves nothing then.
+ * @returns The answer, or undefined if it was lost.
+ * @throws CommandError if the daemon cannot be reached and no earlier copy was sent.
+ */
+export async function sendOrFindLost(client: ApiClient, request: ApiRequest, mayBeDone: boolean): Promise<ApiAnswer | undefined> {
+	try {
+		return await client.send(request);
+	} catch (error) {
+		const isLost = error instanceof CommandError && (error.code === 'answer-lost' || mayBeDone);
+		if (!isLost) {
+			throw error;
+		}
+
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/cli/src/commands/cancel-command.ts
@@ -0,0 +1,26 @@
+import type {Usage} from 'clipanion';
+import {z} from 'zod';
+import {getAnswerOrThrow} from '../api/get-answer.js';
+import {exitCodes, type ExitCode} from '../exit-codes.js';
+import {CallersCommand} from './callers-command.js';
+import {createStringOption} from './options.js';
+
+export class CancelCommand extends CallersCommand {
+	static override paths = [['cancel']];
+
+	static override usage: Usage = {
+		category: 'Jobs',
+		description: 'Cancel a job.',
+		details: 'Queued tasks are dropped and running ones told to stop. The job\'s outcome tells which tasks may have run.',
+		examples: [['Cancel', '$0 cancel quote-4711']],
+	};
+
+	id = createStringOption({name: 'id'});
+
+	protected override async run(): Promise<ExitCode> {
+		const path = `/v1/jobs/${encodeURIComponent(this.id)}`;
+		await getAnswerOrThrow(this.getApiOrThrow(), {method: 'DELETE', path}, z.unknown());
+		this.print({id: this.id, isCancelled: true}, `${this.id} is cancelled; \`camphortack job ${this.id}\` tells what ran`);
+		return exitCodes.ok;
+	}
+}
--- /dev/null
+++ b/packages/cli/src/commands/history-command.ts
@@ -0,0 +1,23 @@
+import type {Usage} from 'clipanion';
+import {historyAnswerSchema} from '../api/api-schemas.js';
+import {getAnswerOrThrow} from '../api/get-answer.js';
+import {exitCodes, type ExitCode} from '../exit-codes.js';
+import {formatTable} from '../formatting/format-table.js';
+import {OperatorsCommand} from './operators-command.js';
+
+export class HistoryCommand extends OperatorsCommand {
+	static override paths = [['history']];
+
+	static override usage: Usage = {
+		category: 'Configuration',
+		description: 'List the published versions and their authors.',
+		examples: [['The versions', '$0 history']],
+	};
+
+	protected override async run(): Promise<ExitCode> {
+		const history = await getAnswerOrThrow(this.getApiOrThrow(), {method: 'GET', path: '/v1/configuration/history'}, historyAnswerSchema);
+		const rows = history.entries.map(entry => [String(entry.version), entry.author, entry.publishId]);
+		this.print(history, formatTable(['version', 'author', 'publish id'], rows));
+		return exitCodes.ok;
+	}
+}
--- /dev/null
+++ b/packages/cli/src/commands/limits-command.ts
@@ -0,0 +1,22 @@
+import type {Usage} from 'clipanion';
+import {limitsAnswerSchema} from '../api/api-schemas.js';
+import {getAnswerOrThrow} from '../api/get-answer.js';
+import {exitCodes, type ExitCode} from '../exit-codes.js';
+import {formatLimits} from '../formatting/format-limits.js';
+import {OperatorsCommand} from './operators-command.js';
+
+export class LimitsCommand extends OperatorsCommand {
+	static override paths = [['limits']];
+
+	static override usage: Usage = {
+		category: 'Operation',
+		description: 'Show each limit, this daemon\'s share of it, and what is used.',
+		examples: [['The limits', '$0 limits']],
+	};
+
+	protected override async run(): Promise<ExitCode> {
+		const answer = await getAnswerOrThrow(this.getApiOrThrow(), {method: 'GET', path: '/v1/limits'}, limitsAnswerSchema);
+		this.print(answer, formatLimits(answer.limits));
+		return exitCodes.ok;
+	}
+}
--- /dev/null
+++ b/packages/cli/src/commands/token-command.ts
@@ -0,0 +1,26 @@
+import {createHash} from 'node:crypto';
+import type {Usage} from 'clipanion';
+import {exitCodes, type ExitCode} from '../exit-codes.js';
+import {BaseCommand} from './base-command.js';
+
+export class TokenCommand extends BaseCommand {
+	static override paths = [['token']];
+
+	static override usage: Usage = {
+		category: 'Access',
+		description: 'Print a new random token and its hash.',
+		details: `
+			The hash goes into \`tokenHashes\`: of [operators] in the daemon's settings, or of a [customer ...] object.
+			The token itself is given to its holder and stored nowhere.
+		`,
+		examples: [['A new token', '$0 token']],
+	};
+
+	protected override async run(): Promise<ExitCode> {
+		const {random} = this.context;
+		const token = `${random.getIdentifier()}${random.getIdentifier()}`;
+		const tokenHash = createHash('sha256').update(token).digest('hex');
+		this.print({token, tokenHash}, `token      ${token}\ntokenHash  ${tokenHash}`);
+		return exitCodes.ok;
+	}
+}
--- /dev/null
+++ b/packages/cli/src/formatting/format-limits.ts
@@ -0,0 +1,33 @@
+import type {LimitStatus} from '../api/api-schemas.js';
+import {formatTable} from './format-table.js';
+
+/**
+ * Formats the limits and their use as a table.
+ * @param limits - The limits, as the daemon reports them.
+ */
+export function formatLimits(limits: readonly LimitStatus[]): string {
+	if (limits.length === 0) {
+		return 'no limits are declared';
+	}
+
+	const rows = limits.map(limit => [
+		limit.name,
+		`${limit.holderKind}/${limit.holderName}`,
+		formatAmount(limit.declared),
+		formatAmount(limit.share),
+		formatAmount(limit.used),
+	]);
+	return formatTable(['limit', 'holder', 'declared', 'share here', 'used'], rows);
+}
+
+function formatAmount(amount: LimitStatus['declared']): string {
+	if (typeof amount === 'number') {
+		return String(round(amount));
+	}
+
+	return Object.entries(amount).map(([measure, value]) => `${measure} ${round(value)}`).join(', ');
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
--- /dev/null
+++ b/packages/cli/src/formatting/format-status.ts
@@ -0,0 +1,92 @@
+import type {StatusAnswer} from '../api/api-schemas.js';
+import {formatLimits} from './format-limits.js';
+import {formatTable} from './format-table.js';
+
+const mostBackendServerRows = 40;
+
+/**
+ * Formats what one daemon sees, on one screen.
+ * @param status - The daemon's status.
+ */
+export function formatStatus(status: StatusAnswer): string {
+	return [
+		formatDaemon(status),
+		formatProblems(status),
+		formatZones(status),
+		formatBackendServers(status),
+		formatLimits(status.limits),
+	].join('\n\n');
+}
+
+function formatDaemon({daemon, configuration, keepers, dispatcher}: StatusAnswer): string {
+	const state = [daemon.isReady ? 'ready' : 'not ready', ...(daemon.isDraining ? ['draining'] : [])].join(', ');
+	const leader = keepers.leaderId === undefined ? 'no leader known' : `leader ${keepers.leaderId}, term ${keepers.term ?? '?'}`;
+	return [
+		`daemon         ${daemon.id} in ${daemon.availabilityZone} (${daemon.roles.join(', ')}): ${state}`,
+		`configuration  ${configuration.version === undefined ? 'none in force' : `version ${configuration.version} in force`}${configuration.isStale ? ', stale' : ''}`,
+		`keepers        ${leader}${keepers.isLeader ? ' (this daemon)' : ''}`,
+		`work           ${dispatcher.openJobs} open jobs, ${dispatcher.runningTasks} tasks running, ${dispatcher.queuedTasks} queued (${dispatcher.queuedBytes} bytes)`,
+	].join('\n');
+}
+
+/** Names what is cut off, lost or ejected. */
+function formatProblems(status: StatusAnswer): string {
+	const problems = getProblems(status);
+	return problems.length === 0 ? 'nothing is cut off' : ['cut off or out of work:', ...problems.map(problem => `  ${problem}`)].join('\n');
+}
+
+function getProblems({configuration, keepers, members, dispatcher}: StatusAnswer): string[] {
+	const deadZones = getZones(members).filter(zone => members.every(member => member.availabilityZone !== zone || !member.isAlive));
+	const deadMembers = members.filter(member => !member.isAlive && !deadZones.includes(member.availabilityZone));
+	return [
+		...(keepers.isReachable ? [] : ['the keepers cannot be reached: nothing can be published from here']),
+		...(configuration.isStale ? ['the configuration may be behind; the version in force stays in force'] : []),
+		...deadZones.map(zone => `availability zone ${zone}: none of its daemons is heard`),
+		...deadMembers.map(member => `daemon ${member.id} in ${member.availabilityZone} is not heard`),
+		...dispatcher.backendServers.filter(server => server.isEjected).map(server => `backend server ${server.id} is ejected`),
+		...dispatcher.backendServers.filter(server => server.isLeaving).map(server => `backend server ${server.id} is leaving`),
+	];
+}
+
+function formatZones({members, dispatcher}: StatusAnswer): string {
+	const rows = getZones([...members, ...dispatcher.backendServers]).map(zone => {
+		const zoneMembers = members.filter(member => member.availabilityZone === zone);
+		const servers = dispatcher.backendServers.filter(server => server.availabilityZone === zone);
+		const aliveCount = zoneMembers.filter(member => member.isAlive).length;
+		return [zone, `${aliveCount} of ${zoneMembers.length}`, String(servers.length), String(getSlots(servers))];
+	});
+	return formatTable(['zone', 'daemons alive', 'backend servers', 'slots'], rows);
+}
+
+function formatBackendServers({dispatcher}: StatusAnswer): string {
+	const servers = dispatcher.backendServers;
+	if (servers.length === 0) {
+		return 'no backend server has announced itself';
+	}
+
+	const rows = servers.slice(0, mostBackendServerRows).map(server => [
+		server.id,
+		server.availabilityZone,
+		String(server.slots),
+		String(server.heldSlots),
+		String(server.busySlots),
+		server.managerId ?? '?',
+		[...(server.isEjected ? ['ejected'] : []), ...(server.isLeaving ? ['leaving'] : [])].join(', '),
+	]);
+	const table = formatTable(['backend server', 'zone', 'slots', 'held here', 'busy here', 'slot manager', 'state'], rows);
+	const rest = servers.length - mostBackendServerRows;
+	return rest > 0 ? `${table}\n... and ${rest} more (--json lists all)` : table;
+}
+
+function getZones(entries: ReadonlyArray<{availabilityZone: string}>): string[] {
+	return [...new Set(entries.map(entry => entry.availabilityZone))].toSorted();
+}
+
+function getSlots(servers: StatusAnswer['dispatcher']['backendServers']): number {
+	let slots = 0;
+	for (const server of servers) {
+		slots += server.slots;
+	}
+
+	return slots;
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,4 @@
-/** The name of this package, as its daemon reports it. */
-export const packageName = '@camphortack/cli';
+export * from './adapters/crypto-random-source.js';
+export type * from './camphortack-context.js';
+export * from './exit-codes.js';
+export * from './run-camphortack.js';
--- /dev/null
+++ b/packages/cli/src/publishing/get-configuration.ts
@@ -0,0 +1,28 @@
+import type {ApiClient} from '../api/api-client.js';
+import {configurationAnswerSchema, type ConfigurationAnswer} from '../api/api-schemas.js';
+import {getAnswerOrThrow} from '../api/get-answer.js';
+import {CommandError} from '../errors/command-error.js';
+import {exitCodes} from '../exit-codes.js';
+
+/**
+ * Gets a version of the configuration, or the one in force.
+ * @param client - The client of the operators' port.
+ * @param version - The version; the one in force if absent.
+ */
+export async function getConfigurationOrThrow(client: ApiClient, version?: number): Promise<ConfigurationAnswer> {
+	const path = version === undefined ? '/v1/configuration' : `/v1/configuration/versions/${version}`;
+	return getAnswerOrThrow(client, {method: 'GET', path}, configurationAnswerSchema);
+}
+
+/**
+ * Reads a version as it is written on the command line.
+ * @param text - The text.
+ * @throws CommandError if it is not a whole number.
+ */
+export function parseVersionOrThrow(text: string): number {
+	if (!/^\d{1,15}$/v.test(text)) {
+		throw new CommandError('bad-version', `"${text}" is not a version; versions are whole numbers, see \`camphortack history\``, exitCodes.usage);
+	}
+
+	return Number(text);
+}
--- /dev/null
+++ b/packages/cli/src/run-camphortack.ts
@@ -0,0 +1,63 @@
+import {Builtins, Cli} from 'clipanion';
+import type {CamphortackContext} from './camphortack-context.js';
+import {CancelCommand} from './commands/cancel-command.js';
+import {CheckCommand} from './commands/check-command.js';
+import {DiffCommand} from './commands/diff-command.js';
+import {DrainCommand} from './commands/drain-command.js';
+import {HistoryCommand} from './commands/history-command.js';
+import {JobCommand} from './commands/job-command.js';
+import {LimitsCommand} from './commands/limits-command.js';
+import {PublishCommand} from './commands/publish-command.js';
+import {RollbackCommand} from './commands/rollback-command.js';
+import {ShowCommand} from './commands/show-command.js';
+import {StatusCommand} from './commands/status-command.js';
+import {SubmitCommand} from './commands/submit-command.js';
+import {TokenCommand} from './commands/token-command.js';
+import {VersionCommand} from './commands/version-command.js';
+import {exitCodes} from './exit-codes.js';
+import {getPackageVersion} from './utils/get-package-version.js';
+
+const commands = [
+	Builtins.HelpCommand,
+	CancelCommand,
+	CheckCommand,
+	DiffCommand,
+	DrainCommand,
+	HistoryCommand,
+	JobCommand,
+	LimitsCommand,
+	PublishCommand,
+	RollbackCommand,
+	ShowCommand,
+	StatusCommand,
+	SubmitCommand,
+	TokenCommand,
+	VersionCommand,
+];
+
+/**
+ * Runs one command.
+ * @param words - The words after the name of the program.
+ * @param context - Streams, environment, randomness and time.
+ * @returns The exit code.
+ *
+ * @example
+ * ```ts
+ * const exitCode = await runCamphortack(['check', 'objects/'], context);
+ * ```
+ */
+export async function runCamphortack(words: string[], context: CamphortackContext): Promise<number> {
+	const cli = Cli.from<CamphortackContext>(commands, {
+		binaryLabel: 'camphortack',
+		binaryName: 'camphortack',
+		binaryVersion: getPackageVersion(),
+	});
+	try {
+		cli.process(words, context);
+	} catch (error) {
+		context.stderr.write(cli.error(error instanceof Error ? error : new Error(String(error))));
+		return exitCodes.usage;
+	}
+
+	return cli.run(words, context);
+}
--- /dev/null
+++ b/packages/cli/test/commands/operation-commands.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import {it} from 'node:test';
+import {startFakeDaemon} from '../fixtures/fake-daemon.js';
+import {runCommand} from '../fixtures/run-command.js';
+
+const limits = [{
+	name: 'rate',
+	holderKind: 'customer',
+	holderName: 'chain',
+	declared: {tasksPerSecond: 90},
+	share: {tasksPerSecond: 30},
+	used: {tasksPerSecond: 12.345},
+}];
+const getServer = (id: string, availabilityZone: string, isEjected: boolean) => ({
+	id,
+	availabilityZone,
+	slots: 8,
+	managerId: 'n1',
+	heldSlots: 4,
+	busySlots: 3,
+	isEjected,
+	isLeaving: false,
+});
+const status = {
+	daemon: {
+		id: 'n1',
+		incarnation: 'i1',
+		availabilityZone: 'north',
+		roles: ['entry', 'keeper'],
+		isDraining: false,
+		isReady: true,
+	},
+	configuration: {version: 41, isStale: true},
+	members: [
+		{id: 'n1', availabilityZone: 'north', isAlive: true},
+		{id: 'n2', availabilityZone: 'north', isAlive: false},
+		{id: 's1', availabilityZone: 'south', isAlive: false},
+	],
+	keepers: {
+		leaderId: 's1',
+		term: 7,
+		isLeader: false,
+		isReachable: false,
+	},
+	dispatcher: {
+		queuedTasks: 5,
+		queuedBytes: 900,
+		runningTasks: 3,
+		openJobs: 2,
+		isDraining: false,
+		backendServers: [getServer('b1', 'north', false), getServer('b2', 'south', true)],
+	},
+	limits,
+};
+
+it('status shows on one screen what is in force, cut off, ejected and used', async context => {
+	const daemon = await startFakeDaemon(context, {'GET /v1/status': [{status: 200, body: status}]});
+	const {exitCode, stdout} = await runCommand(['status', '--operators-url', `${daemon.url}/`]);
+	assert.equal(exitCode, 0);
+	assert.equal(stdout, `\
+daemon         n1 in north (entry, keeper): ready
+configuration  version 41 in force, stale
+keepers        leader s1, term 7
+work           2 open jobs, 3 tasks running, 5 queued (900 bytes)
+
+cut off or out of work:
+  the keepers cannot be reached: nothing can be published from here
+  the configuration may be behind; the version in force stays in force
+  availability zone south: none of its daemons is heard
+  daemon n2 in north is not heard
+  backend server b2 is ejected
+
+zone   daemons alive  backend servers  slots
+north  1 of 2         1                8
+south  0 of 1         1                8
+
+backend server  zone   slots  held here  busy here  slot manager  state
+b1              north  8      4          3          n1
+b2              south  8      4          3          n1            ejected
+
+limit  holder          declared           share here         used
+rate   customer/chain  tasksPerSecond 90  tasksPerSecond 30  tasksPerSecond 12.35
+`);
+});
+
+it('limits prints the shares', async context => {
+	const daemon = await startFakeDaemon(context, {'GET /v1/limits': [{status: 200, body: {limits}}]});
+	const {stdout} = await runCommand(['limits', '--operators-url', daemon.url]);
+	assert.match(stdout, /tasksPerSecond 30/v);
+	const json = await runCommand(['limits', '--operators-url', daemon.url, '--json']);
+	assert.deepEqual(JSON.parse(json.stdout), {limits});
+});
+
+it('drain asks the daemon once, for itself or a backend server', async context => {
+	const daemon = await startFakeDaemon(context, {'POST /v1/drain': [{status: 200, body: {}}, {status: 503, body: {}}, 'lost']});
+	const first = await runCommand(['drain', '--operators-url', daemon.url]);
+	const second = await runCommand(['drain', '--backend-server', 'b1', '--operators-url', daemon.url]);
+	const third = await runCommand(['drain', '--operators-url', daemon.url]);
+	assert.deepEqual([first.exitCode, second.exitCode, third.exitCode], [0, 4, 6]);
+	assert.deepEqual(daemon.received.map(({body}) => body), [{}, {backendServerId: 'b1'}, {}]);
+});
+
+it('no request is sent again by the HTTP library', async context => {
+	const daemon = await startFakeDaemon(context, {'GET /v1/status': ['lost'], 'GET /v1/limits': [{status: 503, body: {code: 'draining', message: 'stopping'}}]});
+	const lost = await runCommand(['status', '--operators-url', daemon.url]);
+	const refused = await runCommand(['limits', '--operators-url', daemon.url]);
+	assert.deepEqual([lost.exitCode, refused.exitCode, refused.stderr], [3, 4, 'camphortack: refused (draining): stopping\n']);
+	assert.equal(daemon.received.length, 2);
+});
