Put the keeper, the follower and the leased limits into the daemon

Cause: the configuration desk and the limit book were in memory and for one daemon. Change: the daemon opens its data folder, runs the keeper and the follower and holds leased shares of the limits; a publish is answered once the version is in force here; the dispatcher waits for a share instead of refusing the first job after a publish, which the demo showed.

--- a/packages/bench/src/simulation/camphortack-policy.ts
+++ b/packages/bench/src/simulation/camphortack-policy.ts
@@ -22,6 +22,10 @@
 
 const unlimited: LimitBook = {
 	admitJob: () => ({isAdmitted: true}),
+	requestAdmission(_request, onDecision) {
+		onDecision({isAdmitted: true});
+	},
+	extendTask: () => true,
 	addTaskEnd: () => undefined,
 	addTaskNotRun: () => undefined,
 	closeJob: () => undefined,
--- /dev/null
+++ b/packages/daemon/src/composition/bind-configuration.ts
@@ -0,0 +1,51 @@
+import {createConfigurationFollower, createKeeper} from '@camphortack/consensus';
+import type {Container} from 'inversify';
+import {createConfigurationDesk} from '../configuration/create-configuration-desk.js';
+import {tokens} from './tokens.js';
+
+/**
+ * Binds the keeper, if this daemon has the role, and the follower that puts versions into force.
+ * @param container - The container; it has the sources, the peers, the storage and the dispatcher.
+ */
+export function bindConfiguration(container: Container): void {
+	container.bind(tokens.keeper).toDynamicValue(context => {
+		const storage = context.get(tokens.storage);
+		const {id, availabilityZone} = context.get(tokens.identity);
+		const {ids} = context.get(tokens.settings).keepers;
+		return storage && createKeeper({
+			ownId: id,
+			availabilityZone,
+			log: storage.configurationLog,
+			peers: context.get(tokens.peers),
+			timers: context.get(tokens.timers),
+			random: context.get(tokens.random),
+			events: context.get(tokens.events),
+			metrics: context.get(tokens.metrics),
+			initialKeeperIds: ids.length === 0 ? [id] : ids,
+		});
+	});
+	container.bind(tokens.follower).toDynamicValue(context => {
+		const dispatcher = context.get(tokens.dispatcher);
+		const limits = context.get(tokens.limits);
+		const {id, availabilityZone} = context.get(tokens.identity);
+		return createConfigurationFollower({
+			ownId: id,
+			availabilityZone,
+			peers: context.get(tokens.peers),
+			timers: context.get(tokens.timers),
+			random: context.get(tokens.random),
+			events: context.get(tokens.events),
+			metrics: context.get(tokens.metrics),
+			keeper: context.get(tokens.keeper),
+			onConfiguration(configuration) {
+				limits.setConfiguration(configuration);
+				dispatcher.setConfiguration(configuration);
+			},
+		});
+	});
+	container.bind(tokens.configurationDesk).toDynamicValue(context => createConfigurationDesk({
+		follower: context.get(tokens.follower),
+		keeper: context.get(tokens.keeper),
+		timers: context.get(tokens.timers),
+	}));
+}
--- /dev/null
+++ b/packages/daemon/src/composition/bind-dispatch.ts
@@ -0,0 +1,47 @@
+import {createDispatcher} from '@camphortack/dispatch';
+import {createLimitBook} from '@camphortack/policy';
+import type {Container} from 'inversify';
+import {HttpTaskStarter} from '../backend/http-task-starter.js';
+import {tokens} from './tokens.js';
+
+/**
+ * Binds the limits, the client of the backend servers and the dispatcher.
+ * @param container - The container; it has the sources and the peers.
+ */
+export function bindDispatch(container: Container): void {
+	container.bind(tokens.limits).toDynamicValue(context => {
+		const {id, incarnation, availabilityZone} = context.get(tokens.identity);
+		const {daemon, peers} = context.get(tokens.settings);
+		const zoneSeeds = peers.seeds.filter(seed => seed.availabilityZone === availabilityZone && seed.id !== id);
+		// Without a data folder of its own and without peers, nothing of an earlier process can still run.
+		const isEmbedded = daemon.dataFolder === undefined && peers.seeds.length === 0;
+		return createLimitBook({
+			ownId: id,
+			incarnation,
+			availabilityZone,
+			timers: context.get(tokens.timers),
+			random: context.get(tokens.random),
+			peers: context.get(tokens.peers),
+			fewestZoneMembers: zoneSeeds.length + 1,
+			earlierUse: isEmbedded ? 'none' : 'possible',
+		});
+	});
+	container.bind(tokens.taskStarter).toDynamicValue(() => new HttpTaskStarter(event => {
+		container.get(tokens.dispatcher).handleTaskEvent(event);
+	}));
+	container.bind(tokens.dispatcher).toDynamicValue(context => {
+		const {id, incarnation, availabilityZone} = context.get(tokens.identity);
+		return createDispatcher({
+			ownId: id,
+			incarnation,
+			availabilityZone,
+			timers: context.get(tokens.timers),
+			random: context.get(tokens.random),
+			metrics: context.get(tokens.metrics),
+			events: context.get(tokens.events),
+			peers: context.get(tokens.peers),
+			starter: context.get(tokens.taskStarter),
+			limits: context.get(tokens.limits),
+		});
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/composition/bind-jobs.ts
@@ -0,0 +1,21 @@
+import type {Container} from 'inversify';
+import {createJobService} from '../jobs/job-service.js';
+import {tokens} from './tokens.js';
+
+/**
+ * Binds the job service.
+ * @param container - The container; it has everything else.
+ */
+export function bindJobs(container: Container): void {
+	container.bind(tokens.jobs).toDynamicValue(context => {
+		const random = context.get(tokens.random);
+		return createJobService({
+			ownId: context.get(tokens.identity).id,
+			createIdentifier: () => random.getIdentifier(),
+			timers: context.get(tokens.timers),
+			metrics: context.get(tokens.metrics),
+			dispatcher: context.get(tokens.dispatcher),
+			hasConfiguration: () => container.get(tokens.configurationDesk).findConfiguration() !== undefined,
+		});
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/composition/bind-peers.ts
@@ -0,0 +1,27 @@
+import type {Container} from 'inversify';
+import {createPeerRouter} from '../peers/peer-router.js';
+import {TcpPeerNetwork} from '../peers/tcp-peer-network.js';
+import {getPeerTlsFiles} from './get-peer-tls-files.js';
+import {tokens} from './tokens.js';
+
+/**
+ * Binds the links to other daemons.
+ * @param container - The container; it has the sources.
+ */
+export function bindPeers(container: Container): void {
+	container.bind(tokens.peerRouter).toDynamicValue(context => createPeerRouter(context.get(tokens.metrics)));
+	container.bind(tokens.peerNetwork).toDynamicValue(context => {
+		const {peers} = context.get(tokens.settings);
+		return new TcpPeerNetwork({
+			ownId: context.get(tokens.identity).id,
+			host: peers.host,
+			port: peers.port,
+			tls: getPeerTlsFiles(peers),
+			timers: context.get(tokens.timers),
+			metrics: context.get(tokens.metrics),
+			events: context.get(tokens.events),
+			onMessage: context.get(tokens.peerRouter).handleMessage,
+		});
+	});
+	container.bind(tokens.peers).toDynamicValue(context => context.get(tokens.peerNetwork));
+}
--- /dev/null
+++ b/packages/daemon/src/composition/bind-sources.ts
@@ -0,0 +1,25 @@
+import type {Container} from 'inversify';
+import {DebugEventLog} from '../logs/debug-event-log.js';
+import {CountingMetricSink} from '../metrics/counting-metric-sink.js';
+import {StatsdMetricSink} from '../metrics/statsd-metric-sink.js';
+import {createProcessRandomSource} from '../random/create-process-random-source.js';
+import {SystemTimers} from '../time/system-timers.js';
+import {tokens} from './tokens.js';
+
+/**
+ * Binds time, randomness, events, metrics and the daemon's identity.
+ * @param container - The container; it has the settings.
+ */
+export function bindSources(container: Container): void {
+	container.bind(tokens.timers).toDynamicValue(() => new SystemTimers());
+	container.bind(tokens.random).toDynamicValue(() => createProcessRandomSource());
+	container.bind(tokens.events).toDynamicValue(() => new DebugEventLog());
+	container.bind(tokens.metrics).toDynamicValue(context => {
+		const {host, port, prefix} = context.get(tokens.settings).metrics;
+		return new CountingMetricSink(host === undefined ? undefined : new StatsdMetricSink({host, port, prefix}));
+	});
+	container.bind(tokens.identity).toDynamicValue(context => {
+		const {id, availabilityZone} = context.get(tokens.settings).daemon;
+		return {id, availabilityZone, incarnation: context.get(tokens.random).getIdentifier()};
+	});
+}
--- a/packages/daemon/src/composition/tokens.ts
+++ b/packages/daemon/src/composition/tokens.ts
@@ -1,7 +1,8 @@
 import type {EventLog, PeerNetwork, RandomSource} from '@camphortack/core';
 import type {Settings} from '@camphortack/configuration';
+import type {ConfigurationFollower, Keeper} from '@camphortack/consensus';
 import type {Dispatcher} from '@camphortack/dispatch';
-import type {LimitBook} from '@camphortack/policy';
+import type {LimitBookPart} from '@camphortack/policy';
 import type {ServiceIdentifier} from 'inversify';
 import type {HttpTaskStarter} from '../backend/http-task-starter.js';
 import type {ConfigurationDesk} from '../configuration/configuration-desk.js';
@@ -10,6 +11,7 @@
 import type {PeerRouter} from '../peers/peer-router.js';
 import type {TcpPeerNetwork} from '../peers/tcp-peer-network.js';
 import type {OwnIdentity} from '../runtime/own-identity.js';
+import type {DaemonStorage} from '../storage/daemon-storage.js';
 import type {SystemTimers} from '../time/system-timers.js';
 
 function createToken<Type>(name: string): ServiceIdentifier<Type> {
@@ -28,8 +30,11 @@
 	peerNetwork: createToken<TcpPeerNetwork>('peer-network'),
 	peers: createToken<PeerNetwork>('peers'),
 	taskStarter: createToken<HttpTaskStarter>('task-starter'),
-	limits: createToken<LimitBook>('limits'),
+	limits: createToken<LimitBookPart>('limits'),
 	dispatcher: createToken<Dispatcher>('dispatcher'),
+	storage: createToken<DaemonStorage | undefined>('storage'),
+	keeper: createToken<Keeper | undefined>('keeper'),
+	follower: createToken<ConfigurationFollower>('follower'),
 	configurationDesk: createToken<ConfigurationDesk>('configuration-desk'),
 	jobs: createToken<JobService>('jobs'),
 };
--- a/packages/daemon/src/configuration/configuration-desk.ts
+++ b/packages/daemon/src/configuration/configuration-desk.ts
@@ -33,6 +33,7 @@
 	publish(request: PublishRequest, onAnswer: (answer: PublishAnswer) => void): void;
 	/** Finds the version in force on this daemon. */
 	findConfiguration(): Configuration | undefined;
-	getHistory(): Promise<HistoryEntry[]>;
+	/** Finds the published versions that are kept; undefined at a daemon that is no keeper. */
+	findHistory(): Promise<HistoryEntry[] | undefined>;
 	findVersion(version: number): Promise<Configuration | undefined>;
 };
--- a/packages/daemon/src/http/operators-server.ts
+++ b/packages/daemon/src/http/operators-server.ts
@@ -11,6 +11,8 @@
 
 const mostPublishBytes = 33_554_432;
 
+const notKeeperBody = {code: 'not-a-keeper', message: 'This daemon keeps no history; ask one with the role keeper.'};
+
 const publishSchema = z.strictObject({
 	baseVersion: z.int().min(0),
 	publishId: nameSchema,
@@ -100,7 +102,8 @@
 		sendJson(response, 200, current ?? {version: 0, objects: configurationObjectsSchema.parse({})});
 	});
 	server.get('/v1/configuration/history', async (_request, response) => {
-		sendJson(response, 200, {entries: await configuration.getHistory()});
+		const entries = await configuration.findHistory();
+		sendJson(response, entries === undefined ? 421 : 200, entries === undefined ? notKeeperBody : {entries});
 	});
 	server.get('/v1/configuration/versions/:version', async (request, response) => {
 		const version = Number(getPathParameter(request.params, 'version'));
--- a/packages/daemon/src/runtime/get-daemon-status.ts
+++ b/packages/daemon/src/runtime/get-daemon-status.ts
@@ -10,15 +10,19 @@
 export function getDaemonStatus(container: Container, isDraining: boolean): Record<string, unknown> {
 	const {id, incarnation, availabilityZone} = container.get(tokens.identity);
 	const {roles} = container.get(tokens.settings).daemon;
-	const configuration = container.get(tokens.configurationDesk).findConfiguration();
+	const follower = container.get(tokens.follower).getStatus();
+	const {version, isStale, sourceId, keeperAgeMs} = follower;
 	return {
 		daemon: {
-			id, incarnation, availabilityZone, roles, isDraining, isReady: !isDraining && configuration !== undefined,
+			id, incarnation, availabilityZone, roles, isDraining, isReady: !isDraining && version > 0,
 		},
-		configuration: {version: configuration?.version ?? 0, isStale: false},
+		configuration: {
+			version, isStale, sourceId, keeperAgeMs,
+		},
+		keepers: getKeepers(container),
 		members: [{id, availabilityZone, isAlive: true}],
 		dispatcher: container.get(tokens.dispatcher).getStatus(),
-		limits: [],
+		limits: container.get(tokens.limits).getStatus().limits,
 		resources: getResources(),
 		counters: container.get(tokens.metrics).getValues(),
 	};
@@ -32,3 +36,16 @@
 		memoryBytes: process.memoryUsage.rss(),
 	};
 }
+
+function getKeepers(container: Container): Record<string, unknown> {
+	const status = container.get(tokens.keeper)?.getStatus();
+	const {isStale} = container.get(tokens.follower).getStatus();
+	return {
+		leaderId: status?.leaderId,
+		term: status?.term,
+		isLeader: status?.role === 'leader',
+		isReachable: !isStale,
+		role: status?.role,
+		ids: status?.keepers.map(keeper => keeper.keeperId),
+	};
+}
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -8,6 +8,7 @@
 import {createCallersServer} from '../http/callers-server.js';
 import {listen, type ListeningServer} from '../http/create-http-server.js';
 import {createOperatorsServer} from '../http/operators-server.js';
+import {getSeedMembers} from '../peers/get-seed-members.js';
 import {getDaemonStatus} from './get-daemon-status.js';
 
 /** Where a daemon listens. */
@@ -42,13 +43,17 @@
  * ```
  */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
-	const container = createContainer(settings);
 	const state = {isDraining: false};
 	let resolveStopped: () => void;
-	const stopped = new Promise<void>(resolve => {
+	let rejectStopped: (error: Error) => void;
+	const stopped = new Promise<void>((resolve, reject) => {
 		resolveStopped = resolve;
+		rejectStopped = reject;
+	});
+	const container = await createContainer(settings, error => {
+		container.get(tokens.events).write('daemon-failed', {reason: error.message});
+		rejectStopped(error);
 	});
-
 	const peersPort = await container.get(tokens.peerNetwork).listen();
 	startParts(container, peersPort);
 	const servers = await startServers(container, state, () => {
@@ -89,14 +94,28 @@
 };
 
 function startParts(container: Container, peersPort: number): void {
-	const identity = container.get(tokens.identity);
-	const {daemon, peers} = container.get(tokens.settings);
-	const dispatcher = container.get(tokens.dispatcher);
-	container.get(tokens.peerRouter).addPart('dispatch', dispatcher.handlePeerMessage);
+	const {daemon, peers, keepers} = container.get(tokens.settings);
+	const network = container.get(tokens.peerNetwork);
+	const router = container.get(tokens.peerRouter);
+	const keeper = container.get(tokens.keeper);
+	const parts = {
+		dispatch: container.get(tokens.dispatcher),
+		limits: container.get(tokens.limits),
+		configuration: container.get(tokens.follower),
+		...(keeper && {consensus: keeper}),
+	};
 	const ownMember: Member = {
-		...identity, roles: daemon.roles, host: peers.host, peerPort: peersPort,
+		...container.get(tokens.identity), roles: daemon.roles, host: peers.host, peerPort: peersPort,
 	};
-	dispatcher.setMembers([ownMember]);
+	const members = [ownMember, ...getSeedMembers(peers.seeds, keepers.ids)];
+	for (const {id, host, peerPort: port} of members) {
+		network.setAddress({id, host, port});
+	}
+
+	for (const [name, part] of Object.entries(parts)) {
+		router.addPart(name, part.handlePeerMessage);
+		part.setMembers(members);
+	}
 }
 
 async function startServers(container: Container, state: {isDraining: boolean}, onDrain: () => void): Promise<Servers> {
@@ -125,7 +144,7 @@
 		configuration,
 		checkObjects: objects => checkConfigurationObjects(objects).filter(finding => finding.level === 'error'),
 		getStatus: () => getDaemonStatus(container, state.isDraining),
-		getLimits: () => [],
+		getLimits: () => container.get(tokens.limits).getStatus().limits,
 		onDrain,
 		onDrainBackendServer: () => false,
 	});
@@ -141,6 +160,8 @@
 	const timers = container.get(tokens.timers);
 	jobs.startDraining();
 	container.get(tokens.dispatcher).startDraining();
+	container.get(tokens.limits).startLeaving();
+	container.get(tokens.keeper)?.startLeaving();
 	await new Promise<void>(resolve => {
 		const check = timers.addInterval(drainCheckIntervalMs, () => {
 			if (jobs.getOpenCount() === 0) {
@@ -154,6 +175,10 @@
 async function closeAll(container: Container, servers: Servers): Promise<void> {
 	await Promise.all([servers.callers.close(), servers.backendServers.close(), servers.operators.close()]);
 	await container.get(tokens.taskStarter).close();
+	container.get(tokens.follower).stop();
+	container.get(tokens.keeper)?.stop();
+	container.get(tokens.limits).stop();
+	await container.get(tokens.storage)?.close();
 	await container.get(tokens.peerNetwork).close();
 	await container.get(tokens.metrics).close();
 	container.get(tokens.timers).cancelAll();
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -1,4 +1,4 @@
-import {createEjectionTracker, createRunTimeEstimator} from '@camphortack/policy';
+import {createEjectionTracker, createRunTimeEstimator, type LimitRequest} from '@camphortack/policy';
 import type {
 	Job, JobOutcome, Member, RefusalCode,
 } from '@camphortack/core';
@@ -32,6 +32,7 @@
 /** A daemon that hears no other one uses a backend server this long after it announced itself here. */
 const directAnnouncementMs = 2900;
 const mostLoadsPerMessage = 16;
+const millisecondsPerSecond = 1000;
 
 /**
  * Creates the dispatcher of one daemon.
@@ -53,6 +54,8 @@
 	const leaseDurationMs = options.leaseDurationMs ?? defaultLeaseDurationMs;
 	let rules: PlacementRules | undefined;
 	let members: readonly Member[] = [];
+	/** The jobs that wait for a share of a limit. */
+	const admissions = new Map<string, {isCancelled: boolean}>();
 	let isDraining = false;
 
 	const ejection = createEjectionTracker({
@@ -234,24 +237,31 @@
 		const openJob = createJob(job.id, job, ({outcome}) => {
 			onEnd(outcome);
 		});
-		const decision = limits.admitJob({
-			jobId: job.id,
-			customer: job.customer,
-			service: job.service,
-			pool: openJob.pool,
-			taskCount: job.tasks.length,
-			expectedWorkerSeconds: getExpectedWorkMs(openJob) / 1000,
+		const admission = {isCancelled: false};
+		admissions.set(job.id, admission);
+		limits.requestAdmission(getLimitRequest(job, openJob), decision => {
+			admissions.delete(job.id);
+			if (!decision.isAdmitted) {
+				refuse(job.id, decision.code, onEnd, decision.retryAfterMs);
+				return;
+			}
+
+			if (admission.isCancelled) {
+				limits.closeJob(job.id);
+				refuse(job.id, 'cancelled', onEnd);
+				return;
+			}
+
+			acceptJob(openJob);
 		});
-		if (!decision.isAdmitted) {
-			refuse(job.id, decision.code, onEnd, decision.retryAfterMs);
-			return;
-		}
+	}
 
-		jobs.addJob(openJob, true);
-		if (addToQueue(openJob)) {
+	function acceptJob(job: OpenJob): void {
+		jobs.addJob(job, true);
+		if (addToQueue(job)) {
 			metrics.increment('job-accepted');
 		} else {
-			jobs.refuse(openJob, 'queue-full');
+			jobs.refuse(job, 'queue-full');
 		}
 	}
 
@@ -501,6 +511,12 @@
 		removeBackendServer: directory.remove,
 		submitJob,
 		cancelJob(jobId) {
+			const admission = admissions.get(jobId);
+			if (admission !== undefined) {
+				admission.isCancelled = true;
+				return true;
+			}
+
 			const job = jobs.findJob(jobId);
 			if (job !== undefined) {
 				jobs.giveUp(job, {failure: 'cancelled', refusal: 'cancelled'});
@@ -515,6 +531,14 @@
 	};
 }
 
-function getExpectedWorkMs(job: OpenJob): number {
-	return job.tasks.reduce((sum, task) => sum + task.queued.expectedRunTimeMs, 0);
+function getLimitRequest(job: Job, {pool, tasks}: OpenJob): LimitRequest {
+	const expectedWorkMs = tasks.reduce((sum, task) => sum + task.queued.expectedRunTimeMs, 0);
+	return {
+		jobId: job.id,
+		customer: job.customer,
+		service: job.service,
+		pool,
+		taskCount: job.tasks.length,
+		expectedWorkerSeconds: expectedWorkMs / millisecondsPerSecond,
+	};
 }
--- a/packages/dispatch/test/support/create-test-dispatcher.ts
+++ b/packages/dispatch/test/support/create-test-dispatcher.ts
@@ -95,6 +95,11 @@
 			calls.push(`admit ${jobId}`);
 			return {isAdmitted: true};
 		},
+		requestAdmission({jobId}, onDecision) {
+			calls.push(`admit ${jobId}`);
+			onDecision({isAdmitted: true});
+		},
+		extendTask: () => true,
 		addTaskEnd(jobId) {
 			calls.push(`end ${jobId}`);
 		},
--- a/packages/proof/src/demo/main.ts
+++ b/packages/proof/src/demo/main.ts
@@ -62,6 +62,10 @@
 		print(`  ${server.announcement.id}: ${server.starts.size} tasks, at most ${server.getMostRunning()} at once`);
 	}
 
+	if (first.outcome === 'refused') {
+		print(`  refused: ${first.code}: ${first.message}`);
+	}
+
 	print(`  first answer: ${first.outcome} after ${responseTimeMs} ms; resubmission: ${hasSameAnswer ? 'the same answer' : 'another answer'}`);
 	print(`  starts seen by the backend servers: ${starts} for ${taskCount} tasks`);
 
