--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,6 @@
 export * from './ejection/ejection-tracker.js';
 export * from './estimates/run-time-estimator.js';
-export * from './limits/limit-book.js';
+export * from './limits/create-limit-book.js';
+export type * from './limits/limit-book.js';
 export * from './queue/fair-queue.js';
 export * from './retries/retry-budget.js';
--- a/packages/policy/src/limits/leased-share.ts
+++ b/packages/policy/src/limits/leased-share.ts
@@ -8,18 +8,26 @@
 	/** The sequence of the request whose answer is in force. */
 	getAdopted(): number;
 	/** Takes an answer into force unless a newer one is, or its lease has ended. */
-	adopt(sequence: number, sentAtMs: number, amount: number): void;
+	adopt(grant: GrantedShare): void;
 	/** Gives up what is over an amount. */
 	lowerTo(amount: number): void;
 };
 
+/** An answer to a request. */
+export type GrantedShare = {
+	sequence: number;
+	/** When the request was sent, on the own clock. */
+	sentAtMs: number;
+	amount: number;
+};
+
 /** Creates a share of nothing. */
 export function createLeasedShare(timers: TimerService): LeasedShare {
 	let amount = 0;
 	let endsAtMs = -Infinity;
 	let adopted = 0;
 
-	function adopt(sequence: number, sentAtMs: number, grantedAmount: number): void {
+	function adopt({sequence, sentAtMs, amount: grantedAmount}: GrantedShare): void {
 		if (sequence > adopted && timers.getNowMs() < sentAtMs + leaseMs) {
 			adopted = sequence;
 			amount = grantedAmount;
--- a/packages/policy/src/limits/limit-messages.ts
+++ b/packages/policy/src/limits/limit-messages.ts
@@ -50,3 +50,5 @@
 export type ShareReport = z.infer<typeof shareReportSchema>;
 export type LimitMessage = z.infer<typeof limitMessageSchema>;
 export type LedgerMessage = Extract<LimitMessage, {kind: 'limits.ledger'}>;
+export type RequestMessage = Extract<LimitMessage, {kind: 'limits.request'}>;
+export type GrantMessage = Extract<LimitMessage, {kind: 'limits.grant'}>;
--- a/packages/policy/src/limits/managed-dimension.ts
+++ b/packages/policy/src/limits/managed-dimension.ts
@@ -1,14 +1,14 @@
 import type {RandomSource, TimerService} from '@camphortack/core';
-import {createLeasedShare, type LeasedShare} from './leased-share.js';
+import {createLeasedShare, type GrantedShare, type LeasedShare} from './leased-share.js';
 import {renewalIntervalMs} from './limit-constants.js';
 import type {LimitDimension} from './limit-dimensions.js';
 import type {LedgerMessage, ShareReport} from './limit-messages.js';
-import {createShareLedger} from './share-ledger.js';
+import {createShareLedger, type ShareClient} from './share-ledger.js';
 
 /** One dimension whose shares this daemon leases out in its availability zone. */
 export type ManagedDimension = {
 	/** Answers a report, or not if an answer to a newer one was given. */
-	grantShare(clientKey: string, isForeign: boolean, sequence: number, report: ShareReport): number | undefined;
+	grantShare(client: ShareClient, sequence: number, report: ShareReport): number | undefined;
 	/** Sets what this side of the availability zone may use by itself. */
 	setEntitlement(amount: number): void;
 	/** Counts an amount as unknown: someone else may have leased it out. */
@@ -17,7 +17,7 @@
 	/** Makes the reports that are due to the share managers of other availability zones. */
 	takeBorrowReports(zones: readonly string[]): BorrowReport[];
 	/** Takes a share lent by another availability zone. */
-	adoptBorrowed(zone: string, sequence: number, sentAtMs: number, amount: number): void;
+	adoptBorrowed(zone: string, grant: GrantedShare): void;
 	/** Takes in another share manager's ledger, once. */
 	addLedger(message: LedgerMessage): void;
 	/** Makes the ledger that another share manager goes on with. Nothing may be granted any more. */
@@ -60,9 +60,9 @@
 		return borrowed;
 	}
 
-	function grantShare(clientKey: string, isForeign: boolean, sequence: number, report: ShareReport): number | undefined {
-		const capacity = entitlement + (isForeign ? 0 : getBorrowed());
-		return ledger.grantShare(clientKey, isForeign, sequence, report, capacity);
+	function grantShare(client: ShareClient, sequence: number, report: ShareReport): number | undefined {
+		const capacity = entitlement + (client.isForeign ? 0 : getBorrowed());
+		return ledger.grantShare(client, sequence, report, capacity);
 	}
 
 	function takeBorrowReports(zones: readonly string[]): BorrowReport[] {
@@ -121,8 +121,8 @@
 		},
 		getEntitlement: () => entitlement,
 		takeBorrowReports,
-		adoptBorrowed(zone, sequence, sentAtMs, amount) {
-			loans.get(zone)?.share.adopt(sequence, sentAtMs, amount);
+		adoptBorrowed(zone, grant) {
+			loans.get(zone)?.share.adopt(grant);
 		},
 		addLedger(message) {
 			if (!receivedTransfers.has(message.transferId)) {
--- a/packages/policy/src/limits/share-ledger.ts
+++ b/packages/policy/src/limits/share-ledger.ts
@@ -7,14 +7,13 @@
 export type ShareLedger = {
 	/**
 	 * Takes a report and grants a share.
-	 * @param clientKey - The daemon and its incarnation.
-	 * @param isForeign - Whether the share would go to another availability zone.
+	 * @param shareClient - Who reports.
 	 * @param sequence - The sequence of the request.
 	 * @param report - What the client holds and wants.
 	 * @param capacity - What may be leased out in all.
 	 * @returns The amount granted, or undefined if the request is older than one already seen.
 	 */
-	grantShare(clientKey: string, isForeign: boolean, sequence: number, report: ShareReport, capacity: number): number | undefined;
+	grantShare(shareClient: ShareClient, sequence: number, report: ShareReport, capacity: number): number | undefined;
 	/**
 	 * Counts an amount as unknown, since someone else may have leased it out.
 	 * @param amount - The amount.
@@ -35,6 +34,14 @@
 	getLent(): number;
 };
 
+/** Who holds a share. */
+export type ShareClient = {
+	/** The daemon, its incarnation and, for a loan, its time as share manager. */
+	readonly clientKey: string;
+	/** Whether the share is used in another availability zone. */
+	readonly isForeign: boolean;
+};
+
 type Grant = {
 	sequence: number;
 	amount: number;
@@ -110,7 +117,7 @@
 	}
 
 	function setCommitted(client: Client): void {
-		const committed = client.grants.reduce((most, grant) => Math.max(most, grant.amount), client.claim);
+		const committed = Math.max(client.claim, ...client.grants.map(grant => grant.amount));
 		committedTotal += committed - client.committed;
 		client.committed = committed;
 	}
@@ -130,8 +137,9 @@
 		return client;
 	}
 
-	function grantShare(clientKey: string, isForeign: boolean, sequence: number, report: ShareReport, capacity: number): number | undefined {
+	function grantShare(shareClient: ShareClient, sequence: number, report: ShareReport, capacity: number): number | undefined {
 		sweep();
+		const {clientKey, isForeign} = shareClient;
 		const isNew = !clients.has(clientKey);
 		const client = clients.get(clientKey) ?? addClient(clientKey, isForeign);
 		if (sequence <= client.lastSequence) {
@@ -223,6 +231,15 @@
 		}
 	}
 
+	function getLent(): number {
+		let lent = 0;
+		for (const client of clients.values()) {
+			lent += client.isForeign ? client.committed : 0;
+		}
+
+		return lent;
+	}
+
 	return {
 		grantShare,
 		freeze,
@@ -232,6 +249,6 @@
 		isUnconfirmed,
 		getCommitted: () => committedTotal,
 		getLocalWant: () => localWant,
-		getLent: () => [...clients.values()].reduce((sum, client) => sum + (client.isForeign ? client.committed : 0), 0),
+		getLent,
 	};
 }
--- a/packages/policy/src/limits/share-manager.ts
+++ b/packages/policy/src/limits/share-manager.ts
@@ -1,8 +1,10 @@
 import type {PeerMessage, RandomSource, TimerService} from '@camphortack/core';
+import type {GrantedShare} from './leased-share.js';
 import type {LimitDimension} from './limit-dimensions.js';
 import type {LedgerMessage, LimitMessage, ShareReport} from './limit-messages.js';
 import {createManagedDimension, type ManagedDimension} from './managed-dimension.js';
 import type {RequestLog} from './request-log.js';
+import type {ShareClient} from './share-ledger.js';
 import type {ZoneManagers} from './zone-managers.js';
 
 /** The dimensions whose shares this daemon leases out, and the ledgers on their way to other daemons. */
@@ -13,10 +15,10 @@
 	resetDimensions(): void;
 	/** Adjusts to what this side of the availability zone may use. */
 	updateEntitlements(isIncreaseKnown: boolean): void;
-	grantShare(clientKey: string, isForeign: boolean, sequence: number, report: ShareReport): number | undefined;
+	grantShare(client: ShareClient, sequence: number, report: ShareReport): number | undefined;
 	handleLedger(fromPeerId: string, message: LedgerMessage): void;
 	handleLedgerReceived(transferId: string): void;
-	adoptBorrowed(key: string, zone: string, sequence: number, sentAtMs: number, amount: number): void;
+	adoptBorrowed(key: string, zone: string, grant: GrantedShare): void;
 	/** Sends the requests to other availability zones and the ledgers that are due. */
 	sendDue(): void;
 	findManaged(key: string): ManagedDimension | undefined;
@@ -181,13 +183,13 @@
 		assignDimensions,
 		resetDimensions,
 		updateEntitlements,
-		grantShare: (clientKey, isForeign, sequence, report) => managedByKey.get(report.key)?.managed.grantShare(clientKey, isForeign, sequence, report),
+		grantShare: (client, sequence, report) => managedByKey.get(report.key)?.managed.grantShare(client, sequence, report),
 		handleLedger,
 		handleLedgerReceived(transferId) {
 			transfers.delete(transferId);
 		},
-		adoptBorrowed(key, zone, sequence, sentAtMs, amount) {
-			managedByKey.get(key)?.managed.adoptBorrowed(zone, sequence, sentAtMs, amount);
+		adoptBorrowed(key, zone, grant) {
+			managedByKey.get(key)?.managed.adoptBorrowed(zone, grant);
 		},
 		sendDue,
 		findManaged: key => managedByKey.get(key)?.managed,
--- a/packages/policy/test/limits/limit-cluster.ts
+++ b/packages/policy/test/limits/limit-cluster.ts
@@ -1,8 +1,9 @@
-import type {ConfigurationObjects} from '@camphortack/configuration';
-import {configurationSchema} from '@camphortack/configuration';
+import {configurationSchema, type ConfigurationObjects} from '@camphortack/configuration';
 import {createSeededRandomSource, type Member} from '@camphortack/core';
 import {FakeNetwork, VirtualTimers} from '@camphortack/testkit';
-import {createLimitBook, type LimitBookPart, type LimitDecision, type LimitRequest} from '../../src/index.js';
+import {
+	createLimitBook, type LimitBookPart, type LimitDecision, type LimitRequest,
+} from '../../src/index.js';
 import {NodeTimers} from './node-timers.js';
 
 export type ClusterOptions = {
--- a/packages/policy/test/limits/run-fault-schedule.ts
+++ b/packages/policy/test/limits/run-fault-schedule.ts
@@ -36,9 +36,10 @@
 	return undefined;
 }
 
-export function offerLoad(cluster: LimitCluster, isBusy: (id: string) => boolean): void {
+/** Offers jobs at one daemon, or at all. */
+export function offerLoad(cluster: LimitCluster, busyId?: string): void {
 	for (const node of cluster.nodes.values()) {
-		if (isBusy(node.id) && cluster.random.getFraction() < 0.5) {
+		if ((busyId ?? node.id) === node.id && cluster.random.getFraction() < 0.5) {
 			cluster.offer(node.id, cluster.random.getInteger(1, 4), cluster.random.getInteger(50, 4900));
 		}
 	}
@@ -68,7 +69,7 @@
 		busyId = kind === 'skew' ? id : busyId;
 		bringAbout(cluster, kind, id, durationMs);
 		for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
-			offerLoad(cluster, each => busyId === undefined || each === busyId);
+			offerLoad(cluster, busyId);
 			cluster.timers.advance(100);
 			if (cluster.running > allLimits.tasksInFlight) {
 				return `${cluster.running} tasks in flight at ${cluster.timers.getNowMs()} ms`;
@@ -81,22 +82,47 @@
 
 function bringAbout(cluster: LimitCluster, kind: Fault['kind'], id: string, durationMs: number): void {
 	const {timers, isAlive} = cluster.nodes.get(id)!;
-	if (kind === 'crash' && isAlive) {
-		cluster.crash(id);
-	} else if (kind === 'restart') {
-		cluster.restart(id);
-	} else if (kind === 'pause') {
-		timers.pause();
-		cluster.updateViews();
-		cluster.timers.addTimer(durationMs, () => {
-			timers.resume();
+	switch (kind) {
+		case 'crash': {
+			if (isAlive) {
+				cluster.crash(id);
+			}
+
+			break;
+		}
+
+		case 'restart': {
+			cluster.restart(id);
+			break;
+		}
+
+		case 'pause': {
+			timers.pause();
 			cluster.updateViews();
-		});
-	} else if (kind === 'isolate') {
-		cluster.setGroups(node => node.id === id ? 1 : 0);
-	} else if (kind === 'cut-zone') {
-		cluster.setGroups(node => node.zone === 'z0' ? 0 : 1);
-	} else if (kind === 'heal') {
-		cluster.setGroups(() => 0);
+			cluster.timers.addTimer(durationMs, () => {
+				timers.resume();
+				cluster.updateViews();
+			});
+			break;
+		}
+
+		case 'isolate': {
+			cluster.setGroups(node => node.id === id ? 1 : 0);
+			break;
+		}
+
+		case 'cut-zone': {
+			cluster.setGroups(node => node.zone === 'z0' ? 0 : 1);
+			break;
+		}
+
+		case 'heal': {
+			cluster.setGroups(() => 0);
+			break;
+		}
+
+		case 'skew': {
+			break;
+		}
 	}
 }
