Let the command line agree with the daemon as it answers today

Cause: run against a real daemon, submit took unknown-job after an accepted job for a refusal, the empty set had no version to start from, and status failed without keepers. Change: such an answer leaves the outcome unknown (exit code 6); version 0 is the empty set; a daemon without keepers is shown as alone.

--- a/packages/cli/src/api/api-schemas.ts
+++ b/packages/cli/src/api/api-schemas.ts
@@ -56,7 +56,7 @@
 		term: z.int().optional(),
 		isLeader: z.boolean(),
 		isReachable: z.boolean(),
-	}),
+	}).optional(),
 	dispatcher: z.object({
 		queuedTasks: z.int(),
 		queuedBytes: z.int(),
--- a/packages/cli/src/formatting/format-status.ts
+++ b/packages/cli/src/formatting/format-status.ts
@@ -20,15 +20,23 @@
 
 function formatDaemon({daemon, configuration, keepers, dispatcher}: StatusAnswer): string {
 	const state = [daemon.isReady ? 'ready' : 'not ready', ...(daemon.isDraining ? ['draining'] : [])].join(', ');
-	const leader = keepers.leaderId === undefined ? 'no leader known' : `leader ${keepers.leaderId}, term ${keepers.term ?? '?'}`;
 	return [
 		`daemon         ${daemon.id} in ${daemon.availabilityZone} (${daemon.roles.join(', ')}): ${state}`,
 		`configuration  ${configuration.version === undefined ? 'none in force' : `version ${configuration.version} in force`}${configuration.isStale ? ', stale' : ''}`,
-		`keepers        ${leader}${keepers.isLeader ? ' (this daemon)' : ''}`,
+		`keepers        ${formatKeepers(keepers)}`,
 		`work           ${dispatcher.openJobs} open jobs, ${dispatcher.runningTasks} tasks running, ${dispatcher.queuedTasks} queued (${dispatcher.queuedBytes} bytes)`,
 	].join('\n');
 }
 
+function formatKeepers(keepers: StatusAnswer['keepers']): string {
+	if (keepers === undefined) {
+		return 'none: this daemon runs alone';
+	}
+
+	const leader = keepers.leaderId === undefined ? 'no leader known' : `leader ${keepers.leaderId}, term ${keepers.term ?? '?'}`;
+	return `${leader}${keepers.isLeader ? ' (this daemon)' : ''}`;
+}
+
 /** Names what is cut off, lost or ejected. */
 function formatProblems(status: StatusAnswer): string {
 	const problems = getProblems(status);
@@ -39,7 +47,7 @@
 	const deadZones = getZones(members).filter(zone => members.every(member => member.availabilityZone !== zone || !member.isAlive));
 	const deadMembers = members.filter(member => !member.isAlive && !deadZones.includes(member.availabilityZone));
 	return [
-		...(keepers.isReachable ? [] : ['the keepers cannot be reached: nothing can be published from here']),
+		...(keepers?.isReachable ?? true ? [] : ['the keepers cannot be reached: nothing can be published from here']),
 		...(configuration.isStale ? ['the configuration may be behind; the version in force stays in force'] : []),
 		...deadZones.map(zone => `availability zone ${zone}: none of its daemons is heard`),
 		...deadMembers.map(member => `daemon ${member.id} in ${member.availabilityZone} is not heard`),
--- a/packages/cli/src/publishing/get-configuration.ts
+++ b/packages/cli/src/publishing/get-configuration.ts
@@ -1,15 +1,23 @@
+import {configurationObjectsSchema} from '@camphortack/configuration';
 import type {ApiClient} from '../api/api-client.js';
 import {configurationAnswerSchema, type ConfigurationAnswer} from '../api/api-schemas.js';
 import {getAnswerOrThrow} from '../api/get-answer.js';
 import {CommandError} from '../errors/command-error.js';
 import {exitCodes} from '../exit-codes.js';
 
+/** Before the first publish the set is empty. */
+const versionOfEmptySet = 0;
+
 /**
  * Gets a version of the configuration, or the one in force.
  * @param client - The client of the operators' port.
  * @param version - The version; the one in force if absent.
  */
 export async function getConfigurationOrThrow(client: ApiClient, version?: number): Promise<ConfigurationAnswer> {
+	if (version === versionOfEmptySet) {
+		return {version, objects: configurationObjectsSchema.parse({})};
+	}
+
 	const path = version === undefined ? '/v1/configuration' : `/v1/configuration/versions/${version}`;
 	return getAnswerOrThrow(client, {method: 'GET', path}, configurationAnswerSchema);
 }
--- a/packages/cli/src/submitting/get-outcome.ts
+++ b/packages/cli/src/submitting/get-outcome.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {jobOutcomeSchema, type JobOutcome} from '@camphortack/core';
+import {jobOutcomeSchema, type JobOutcome, type RefusalCode} from '@camphortack/core';
 import type {ApiAnswer, ApiRequest} from '../api/api-client.js';
 import {createRefusalError, isSuccess, parseAnswerOrThrow} from '../api/get-answer.js';
 import {exitCodes, type ExitCode} from '../exit-codes.js';
@@ -41,7 +41,23 @@
 		}
 
 		case 'refused': {
-			return outcome.code === 'content-conflict' ? exitCodes.conflict : exitCodes.refused;
+			return getRefusalExitCode(outcome.code);
+		}
+	}
+}
+
+function getRefusalExitCode(code: RefusalCode): ExitCode {
+	switch (code) {
+		case 'content-conflict': {
+			return exitCodes.conflict;
+		}
+
+		case 'unknown-job': {
+			return exitCodes.failed;
+		}
+
+		default: {
+			return exitCodes.refused;
 		}
 	}
 }
--- a/packages/cli/src/submitting/submit-job.ts
+++ b/packages/cli/src/submitting/submit-job.ts
@@ -73,11 +73,11 @@
 	return outcome ?? waitForOutcomeOrThrow(id, submission.body.deadlineMs, options);
 }
 
-/** A refusal of a resend says nothing about the copy whose answer was lost, unless it says so. */
+/** A refusal of a resend, or of a question, says nothing about the copy that was sent before, unless it says so. */
 function findOutcomeOfResendOrThrow(answer: ApiAnswer, request: ApiRequest, id: string): JobOutcome | undefined {
 	const outcome = findOutcomeOfAcceptedOrThrow(answer, request, id);
 	if (outcome?.outcome === 'refused' && outcome.notRun === 'this-copy') {
-		throw createUnknownError(id, `the resend was refused (${outcome.code}): ${outcome.message}`);
+		throw createUnknownError(id, `the daemon refused to tell (${outcome.code}): ${outcome.message}`);
 	}
 
 	return outcome;
@@ -94,7 +94,7 @@
 		options.onProgress(`${id} is running`);
 		const answer = await sendOrFindLost(options.client, request, true);
 		if (answer !== undefined) {
-			return findOutcomeOfAcceptedOrThrow(answer, request, id);
+			return findOutcomeOfResendOrThrow(answer, request, id);
 		}
 
 		await options.wait(waitBetweenAttemptsMs);
--- a/packages/cli/test/commands/job-commands.test.ts
+++ b/packages/cli/test/commands/job-commands.test.ts
@@ -44,6 +44,9 @@
 		{
 			name: 'an open job whose daemon refuses to tell', answers: [open], poll: [{status: 404, body: {}}], exitCode: 6, attempts: 1, expected: /not known whether t1 ran/v,
 		},
+		{
+			name: 'an open job that is then not known', answers: [open], poll: [getRefusal('unknown-job', 'this-copy')], exitCode: 6, attempts: 1, expected: /not known whether t1 ran/v,
+		},
 		{
 			name: 'a failed job', answers: [failed], exitCode: 1, attempts: 1, expected: /failed \(task-lost\): 1 done, 1 may-have-run\n.*\n {2}task 1: may-have-run, connection reset/v,
 		},
@@ -101,6 +104,9 @@
 		{
 			words: ['job', 't1', '--wait-ms', '50', '--json'], answers: {'GET /v1/jobs/t1?waitMs=50': [failed]}, exitCode: 1, expected: `${JSON.stringify(failedOutcome, undefined, 2)}\n`,
 		},
+		{
+			words: ['job', 't1'], answers: {'GET /v1/jobs/t1?waitMs=0': [getRefusal('unknown-job', 'this-copy')]}, exitCode: 1, expected: 't1 was refused (unknown-job): full (this copy started nothing; whether an earlier copy ran is not known; try again in 1000 ms)\n',
+		},
 		{
 			words: ['cancel', 't1'], answers: {'DELETE /v1/jobs/t1': [{status: 200, body: {}}]}, exitCode: 0, expected: 't1 is cancelled; `camphortack job t1` tells what ran\n',
 		},
--- a/packages/cli/test/commands/publishing-commands.test.ts
+++ b/packages/cli/test/commands/publishing-commands.test.ts
@@ -86,6 +86,12 @@
 		});
 	});
 
+	it('can start from the empty set before the first publish', async context => {
+		const {daemon, stderr} = await publish(context, [accepted], ['--base', '0']);
+		assert.match(stderr, /on top of version 0:\n\+ pool\/oak/v);
+		assert.deepEqual(daemon.received.map(({route}) => route), [publishRoute]);
+	});
+
 	it('sends nothing if the set has errors', async context => {
 		const daemon = await startFakeDaemon(context, {});
 		const folder = await writeFolder(context, ['a.ini', '[pool oak]\nsize = 3\n']);
