--- a/packages/cli/src/submitting/get-outcome.ts
+++ b/packages/cli/src/submitting/get-outcome.ts
@@ -47,17 +47,9 @@
 }
 
 function getRefusalExitCode(code: RefusalCode): ExitCode {
-	switch (code) {
-		case 'content-conflict': {
-			return exitCodes.conflict;
-		}
-
-		case 'unknown-job': {
-			return exitCodes.failed;
-		}
-
-		default: {
-			return exitCodes.refused;
-		}
+	if (code === 'content-conflict') {
+		return exitCodes.conflict;
 	}
+
+	return code === 'unknown-job' ? exitCodes.failed : exitCodes.refused;
 }
--- a/packages/cli/test/commands/job-commands.test.ts
+++ b/packages/cli/test/commands/job-commands.test.ts
@@ -26,6 +26,8 @@
 	},
 });
 
+const unknownJobText = 't1 was refused (unknown-job): full (this copy started nothing; whether an earlier copy ran is not known; try again in 1000 ms)\n';
+
 async function submit(context: TestContext, answers: Record<string, FakeAnswer[]>, input: unknown = request): Promise<CommandResult & {daemon: FakeDaemon; sentIds: string[]}> {
 	const daemon = await startFakeDaemon(context, {'POST /v1/tickets': [{status: 200, body: {tickets: ['t1']}}], ...answers});
 	const result = await runCommand(['submit', '-', '--callers-url', daemon.url], {stdin: JSON.stringify(input)});
@@ -105,7 +107,7 @@
 			words: ['job', 't1', '--wait-ms', '50', '--json'], answers: {'GET /v1/jobs/t1?waitMs=50': [failed]}, exitCode: 1, expected: `${JSON.stringify(failedOutcome, undefined, 2)}\n`,
 		},
 		{
-			words: ['job', 't1'], answers: {'GET /v1/jobs/t1?waitMs=0': [getRefusal('unknown-job', 'this-copy')]}, exitCode: 1, expected: 't1 was refused (unknown-job): full (this copy started nothing; whether an earlier copy ran is not known; try again in 1000 ms)\n',
+			words: ['job', 't1'], answers: {'GET /v1/jobs/t1?waitMs=0': [getRefusal('unknown-job', 'this-copy')]}, exitCode: 1, expected: unknownJobText,
 		},
 		{
 			words: ['cancel', 't1'], answers: {'DELETE /v1/jobs/t1': [{status: 200, body: {}}]}, exitCode: 0, expected: 't1 is cancelled; `camphortack job t1` tells what ran\n',
