Warn of customers without tokens; let backend servers have tokens of their own

Cause: a customer without tokenHashes can be acted for by anybody, and nobody was told; backend servers had to hold an operator's token. Change: a warning no-token; [backend-servers] tokenHashes, empty by default: then the operators' tokens hold.

--- a/packages/configuration/src/check/check-customers.ts
+++ b/packages/configuration/src/check/check-customers.ts
@@ -4,7 +4,7 @@
 import type {CheckContext} from './check-context.js';
 import {getServicePools} from './get-service-pools.js';
 
-/** Reports customers whose cost no limit bounds, and tokens that two customers share. */
+/** Reports customers whose cost no limit bounds, customers without tokens, and tokens that two customers share. */
 export function checkCustomers(context: CheckContext): void {
 	const unbounded = getUnboundedServices(context.objects);
 	const tokenOwners = new Map<string, string>();
@@ -16,6 +16,10 @@
 			context.addWarning('unlimited-customer', object, 'limits', `no limit bounds what it may use of service "${service}"`);
 		}
 
+		if (customer.tokenHashes.length === 0) {
+			context.addWarning('no-token', object, 'tokenHashes', 'anybody who reaches the callers\' port may act for this customer');
+		}
+
 		checkTokens(object, customer.tokenHashes, tokenOwners, context);
 	}
 }
--- a/packages/configuration/src/settings/settings-schema.ts
+++ b/packages/configuration/src/settings/settings-schema.ts
@@ -46,6 +46,12 @@
 	port: portSchema,
 };
 
+const backendServersSettingsSchema = z.strictObject({
+	...listenerShape,
+	tokenHashes: z.array(tokenHashSchema).default([])
+		.describe('SHA-256 of each token that a backend server may announce itself with; none: the operators\' tokens.'),
+});
+
 const operatorsSettingsSchema = z.strictObject({
 	...listenerShape,
 	tokenHashes: z.array(tokenHashSchema).default([])
@@ -82,7 +88,7 @@
 export const settingsSchema = z.strictObject({
 	daemon: daemonSettingsSchema.describe('Who this daemon is.'),
 	callers: z.strictObject(listenerShape).describe('Where callers send requests and jobs (HTTP).'),
-	'backend-servers': z.strictObject(listenerShape).describe('Where backend servers announce themselves (HTTP).'),
+	'backend-servers': backendServersSettingsSchema.describe('Where backend servers announce themselves (HTTP).'),
 	operators: operatorsSettingsSchema.describe('Where operators publish and ask for the status (HTTP).'),
 	peers: peersSettingsSchema.describe('Where other daemons connect (TCP).'),
 	keepers: keepersSettingsSchema.describe('The daemons that keep the state that must survive.'),
--- a/packages/configuration/test/check/check-configuration-objects.test.ts
+++ b/packages/configuration/test/check/check-configuration-objects.test.ts
@@ -3,6 +3,8 @@
 import {formatFinding} from '@camphortack/core';
 import {checkConfigurationFiles, checkConfigurationInput} from '../../src/index.js';
 
+const hash = 'ab'.repeat(32);
+const token = `\ntokenHashes = ${hash}`;
 const soundSet = `
 [availability-zone north]
 [availability-zone south]
@@ -23,9 +25,9 @@
 [customer chain]
 services = quote
 limits = rate
+tokenHashes = ${'cd'.repeat(32)}
 `;
 const firstAddedLine = soundSet.split('\n').length;
-const hash = 'ab'.repeat(32);
 
 describe('checkConfigurationFiles', () => {
 	it('finds nothing in a sound set', () => {
@@ -43,7 +45,7 @@
 		},
 		{
 			name: 'no dangling name for an object that could not be read whole',
-			added: '[service s]\n[customer d]\nservices = s\nlimits = rate',
+			added: `[service s]\n[customer d]\nservices = s\nlimits = rate${token}`,
 			expected: ['+0 error missing-key service/s pool: is missing: must be a name'],
 		},
 		{
@@ -53,7 +55,7 @@
 		},
 		{
 			name: 'a name given twice',
-			added: '[customer d]\nlimits = rate, rate',
+			added: `[customer d]\nlimits = rate, rate${token}`,
 			expected: ['+1 error name-twice customer/d limits: names "rate" twice'],
 		},
 		{
@@ -63,7 +65,7 @@
 		},
 		{
 			name: 'a route to the pool that the service already has',
-			added: '[route r]\nservice = quote\ncustomers = d\npool = walnut\n[customer d]\nlimits = rate',
+			added: `[route r]\nservice = quote\ncustomers = d\npool = walnut\n[customer d]\nlimits = rate${token}`,
 			expected: ['+3 error route-without-effect route/r pool: service "quote" already uses pool "walnut"'],
 		},
 		{
@@ -83,37 +85,37 @@
 		},
 		{
 			name: 'a service that fits no backend server of a routed pool',
-			added: '[service s]\npool = oak\ndeclaredNeeds.processors = 9\n[route r]\nservice = s\ncustomers = d\npool = walnut\n[customer d]\nlimits = rate',
+			added: `[service s]\npool = oak\ndeclaredNeeds.processors = 9\n[route r]\nservice = s\ncustomers = d\npool = walnut\n[customer d]\nlimits = rate${token}`,
 			expected: ['+2 error never-fits service/s declaredNeeds.processors: asks for 9, but the largest backend server of pool "walnut" offers 8'],
 		},
 		{
 			name: 'a limit that bounds nothing',
-			added: '[limit l]\n[customer d]\nlimits = l',
+			added: `[limit l]\n[customer d]\nlimits = l${token}`,
 			expected: ['+0 error empty-limit limit/l: sets none of tasksPerSecond, tasksInFlight and workerSecondsPerHour'],
 		},
 		{
 			name: 'a limit that admits nothing',
-			added: '[limit l]\ntasksPerSecond = 0.5\n[customer d]\nlimits = l',
+			added: `[limit l]\ntasksPerSecond = 0.5\n[customer d]\nlimits = l${token}`,
 			expected: ['+1 error limit-admits-nothing limit/l tasksPerSecond: admits 0.5 tasks at once, so no task could ever start; raise it or burstSeconds'],
 		},
 		{
 			name: 'a share below one task',
-			added: '[limit l]\ntasksInFlight = 2\n[customer d]\nlimits = l\n[availability-zone east]',
+			added: `[limit l]\ntasksInFlight = 2\n[customer d]\nlimits = l${token}\n[availability-zone east]`,
 			expected: ['+1 error share-too-small limit/l tasksInFlight: leaves availability zone "north" a share of 0.67 tasks at once, so no task could ever start there'],
 		},
 		{
 			name: 'a limit that refuses large jobs for ever',
-			added: '[limit l]\ntasksInFlight = 100\n[customer d]\nlimits = l',
+			added: `[limit l]\ntasksInFlight = 100\n[customer d]\nlimits = l${token}`,
 			expected: ['+1 warning limit-below-largest-job limit/l tasksInFlight: a job of more than 100 tasks is always refused'],
 		},
 		{
 			name: 'a limit that another one of the same holder keeps from taking effect',
-			added: '[limit l]\ntasksPerSecond = 2000\n[customer d]\nlimits = rate, l',
+			added: `[limit l]\ntasksPerSecond = 2000\n[customer d]\nlimits = rate, l${token}`,
 			expected: ['+3 error limit-contradiction customer/d limits: limit "l" never takes effect: limit "rate" sets a smaller tasksPerSecond for the same customer/d'],
 		},
 		{
 			name: 'nothing in a higher rate with a smaller burst',
-			added: '[limit l]\ntasksPerSecond = 2000\nburstSeconds = 0.1\n[customer d]\nlimits = rate, l',
+			added: `[limit l]\ntasksPerSecond = 2000\nburstSeconds = 0.1\n[customer d]\nlimits = rate, l${token}`,
 			expected: [],
 		},
 		{
@@ -128,12 +130,17 @@
 		},
 		{
 			name: 'a customer that no limit bounds',
-			added: '[pool free]\n[service s]\npool = free\n[customer d]',
+			added: `[pool free]\n[service s]\npool = free\n[customer d]${token}`,
 			expected: ['+3 warning unlimited-customer customer/d limits: no limit bounds what it may use of service "s"'],
 		},
+		{
+			name: 'a customer without a token',
+			added: '[customer d]\nlimits = rate',
+			expected: ['+0 warning no-token customer/d tokenHashes: anybody who reaches the callers\' port may act for this customer'],
+		},
 		{
 			name: 'a token that two customers share',
-			added: `[customer d]\ntokenHashes = ${hash}\n[customer e]\ntokenHashes = ${hash}`,
+			added: `[customer d]${token}\n[customer e]${token}`,
 			expected: ['+3 error duplicate-token customer/e tokenHashes: has a token that customer/d has too'],
 		},
 	];
--- a/packages/configuration/test/settings/read-settings.test.ts
+++ b/packages/configuration/test/settings/read-settings.test.ts
@@ -20,7 +20,7 @@
 		const settings = readSettings('d.ini', '');
 		assert.deepEqual(settings.daemon, {id: 'daemon-1', availabilityZone: 'zone-1', roles: ['entry', 'keeper']});
 		assert.deepEqual([settings.callers, settings['backend-servers'], settings.operators.host], [
-			{host: '127.0.0.1', port: 0}, {host: '127.0.0.1', port: 0}, '127.0.0.1',
+			{host: '127.0.0.1', port: 0}, {host: '127.0.0.1', port: 0, tokenHashes: []}, '127.0.0.1',
 		]);
 		assert.deepEqual(settings.keepers.ids, []);
 	});
