Write the pages on operation, events, metrics and the configuration check

Cause: an operator had no page on installing, upgrading, replacing or alarms. Change: docs/OPERATIONS.md; docs/EVENTS.md and docs/METRICS.md with tables written from the catalogues and compared with them by tests, which also hold the names in the operators' page; docs/design/configuration-check.md with measured figures; the check skips holders that have at most one limit. Conclusion: catalogue and pages can no longer drift apart unseen.

--- a/packages/configuration/src/check/check-limit-contradictions.ts
+++ b/packages/configuration/src/check/check-limit-contradictions.ts
@@ -24,14 +24,18 @@
 
 	for (const [name, poolNames] of getServicePools(context.objects)) {
 		const service = services[name]!;
-		checkServiceAgainstPools(name, service, poolNames, context);
-		checkServiceCost(name, service, context);
+		if (service.limits.length > 0) {
+			checkServiceAgainstPools(name, service, poolNames, context);
+			checkServiceCost(name, service, context);
+		}
 	}
 }
 
 function checkHolders(kind: string, holders: Readonly<Record<string, LimitHolder>>, context: CheckContext): void {
 	for (const [name, holder] of Object.entries(holders)) {
-		checkHolder(getObjectName(kind, name), holder.limits, context);
+		if (holder.limits.length > 1) {
+			checkHolder(getObjectName(kind, name), holder.limits, context);
+		}
 	}
 }
 
--- /dev/null
+++ b/packages/core/test/docs/pages.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {describe, it} from 'node:test';
+import {
+	eventCatalogue, failureReasons, metricDescriptions, refusalCodeNames,
+} from '../../src/index.js';
+import {getPageTables, replaceTable} from './get-page-tables.js';
+
+function readPage(page: string): string {
+	return readFileSync(new URL(`../../../../docs/${page}`, import.meta.url), 'utf8');
+}
+
+describe('the pages for operators', () => {
+	for (const table of getPageTables()) {
+		it(`docs/${table.page} lists the ${table.name} as the code has them (write-page-tables.ts renews it)`, () => {
+			const text = readPage(table.page);
+			assert.equal(text, replaceTable(text, table));
+		});
+	}
+
+	it('docs/OPERATIONS.md names only events and metrics that exist', () => {
+		const text = readPage('OPERATIONS.md');
+		const eventNumbers = new Set(Object.values(eventCatalogue).map(({number}) => String(number)));
+		const metrics = new Set([
+			...Object.keys(metricDescriptions),
+			...refusalCodeNames.map(code => `refused-${code}`),
+			...failureReasons.map(reason => `job-failed-${reason}`),
+		]);
+		const mentionedEvents = [...text.matchAll(/\bE(?<number>\d{4})\b/gv)].map(match => match.groups!.number!);
+		const mentionedMetrics = [...text.matchAll(/`camphortack\.(?<name>[a-z\-]+)`/gv)].map(match => match.groups!.name!);
+		assert.ok(mentionedEvents.length > 5 && mentionedMetrics.length > 5);
+		assert.deepEqual(mentionedEvents.filter(number => !eventNumbers.has(number)), []);
+		assert.deepEqual(mentionedMetrics.filter(name => !metrics.has(name)), []);
+	});
+});
+
+describe('the event catalogue', () => {
+	it('gives each event a number of its own', () => {
+		const numbers = Object.values(eventCatalogue).map(({number}) => number);
+		assert.equal(new Set(numbers).size, numbers.length);
+	});
+});
