--- a/packages/cli/src/run-camphortack.ts
+++ b/packages/cli/src/run-camphortack.ts
@@ -35,6 +35,15 @@
 	VersionCommand,
 ];
 
+/** Creates the command line with all commands. */
+export function createCli(): Cli<CamphortackContext> {
+	return Cli.from<CamphortackContext>(commands, {
+		binaryLabel: 'camphortack',
+		binaryName: 'camphortack',
+		binaryVersion: getPackageVersion(),
+	});
+}
+
 /**
  * Runs one command.
  * @param words - The words after the name of the program.
@@ -47,11 +56,7 @@
  * ```
  */
 export async function runCamphortack(words: string[], context: CamphortackContext): Promise<number> {
-	const cli = Cli.from<CamphortackContext>(commands, {
-		binaryLabel: 'camphortack',
-		binaryName: 'camphortack',
-		binaryVersion: getPackageVersion(),
-	});
+	const cli = createCli();
 	try {
 		cli.process(words, context);
 	} catch (error) {
--- /dev/null
+++ b/packages/cli/test/page/get-command-line-page.test.ts
@@ -0,0 +1,19 @@
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {it} from 'node:test';
+import {createCli, exitCodes, getCommandLinePage} from '../../src/index.js';
+
+it('docs/COMMAND-LINE.md matches the commands', () => {
+	const page = readFileSync(new URL('../../../../docs/COMMAND-LINE.md', import.meta.url), 'utf8');
+	assert.equal(page, getCommandLinePage());
+});
+
+it('every command has a description, an example and --json, and every exit code is on the page', () => {
+	for (const definition of createCli().definitions()) {
+		assert.ok(definition.description !== undefined && (definition.examples ?? []).length > 0, definition.path);
+		assert.ok(definition.options.some(option => option.definition === '--json'), definition.path);
+	}
+
+	const listed = [...getCommandLinePage().matchAll(/^\| (?<code>\d) \|/gmv)].map(match => Number(match.groups!.code));
+	assert.deepEqual(listed, Object.values(exitCodes));
+});
