Report quotes that do not end their line instead of misreading them

Cause: the INI library reads k = "x;y" ; note as the value "x, silently; a header in quotes could decode to something that is no text. Change: a finding bad-quotes; such headers are taken as they stand. Conclusion: a value is read as written or reported.

--- a/packages/configuration/src/ini/read-ini-sections.ts
+++ b/packages/configuration/src/ini/read-ini-sections.ts
@@ -17,6 +17,8 @@
 };
 
 const headerPattern = /^\[(?<header>[^\]]*)\]\s*(?:[;#].*)?$/v;
+/** The library would take such a quote as part of the value, up to the first comment sign. */
+const unendedQuotePattern = /^[^=]+=\s*(?:"(?:.*[^"])?|'(?:.*[^'])?)$/v;
 const blankPattern = /^(?:[;#].*)?$/v;
 
 /**
@@ -39,7 +41,7 @@
 		const place: FindingPlace = {file, line: index + 1};
 		const header = headerPattern.exec(line)?.groups?.header;
 		if (header !== undefined) {
-			sections.push({header: unsafe(header), entries: [], place});
+			sections.push({header: decodeHeader(header), entries: [], place});
 		} else if (!blankPattern.test(line)) {
 			addEntry(line, place, sections.at(-1), findings);
 		}
@@ -50,7 +52,9 @@
 
 function addEntry(line: string, place: FindingPlace, section: IniSection | undefined, findings: ConfigurationFinding[]): void {
 	const entry = decodeEntry(line, place);
-	if (entry === undefined) {
+	if (unendedQuotePattern.test(line)) {
+		findings.push(createErrorFinding('bad-quotes', `${line} has a quote that does not end the line; put a comment in a line of its own`, place));
+	} else if (entry === undefined) {
 		findings.push(createErrorFinding('not-ini', `"${line}" is neither a [section] nor a key = value`, place));
 	} else if (section === undefined) {
 		findings.push(createErrorFinding('key-outside-section', `"${entry.key}" stands before the first [section]`, place));
@@ -59,6 +63,12 @@
 	}
 }
 
+/** A header in quotes may decode to another value than a text; it is then taken as it stands. */
+function decodeHeader(header: string): string {
+	const decoded: unknown = unsafe(header);
+	return typeof decoded === 'string' ? decoded : header;
+}
+
 function decodeEntry(line: string, place: FindingPlace): IniEntry | undefined {
 	if (!line.includes('=') || line.startsWith('[') || line.startsWith('=')) {
 		return undefined;
--- a/packages/configuration/src/page/get-configuration-page.ts
+++ b/packages/configuration/src/page/get-configuration-page.ts
@@ -9,7 +9,7 @@
     node packages/configuration/dist/page/main.js > docs/CONFIGURATION.md
 
 Both kinds of file are INI: \`key = value\` lines below a \`[section]\`, comments after \`;\` or \`#\`.
-Lists are separated by commas. A value that holds \`;\`, \`#\` or \`=\` stands in double quotes.
+Lists are separated by commas. A value that holds \`;\` or \`#\` stands in double quotes, which then end the line.
 The suffix of a key names its unit.`;
 
 const objectsIntroduction = `## Objects
