--- a/packages/cli/src/api/api-schemas.ts
+++ b/packages/cli/src/api/api-schemas.ts
@@ -19,8 +19,11 @@
 
 export const limitStatusSchema = z.object({
 	name: z.string(),
-	holderKind: z.string(),
-	holderName: z.string(),
+	/** What is counted, if the limit has several figures, as `rate`. */
+	resource: z.string().optional(),
+	/** The object that the figures belong to; absent if all that name the limit share them. */
+	holderKind: z.string().optional(),
+	holderName: z.string().optional(),
 	declared: amountSchema,
 	share: amountSchema,
 	used: amountSchema,
--- a/packages/cli/src/formatting/format-limits.ts
+++ b/packages/cli/src/formatting/format-limits.ts
@@ -11,8 +11,8 @@
 	}
 
 	const rows = limits.map(limit => [
-		limit.name,
-		`${limit.holderKind}/${limit.holderName}`,
+		limit.resource === undefined ? limit.name : `${limit.name}/${limit.resource}`,
+		limit.holderKind === undefined ? 'all that name it' : `${limit.holderKind}/${limit.holderName}`,
 		formatAmount(limit.declared),
 		formatAmount(limit.share),
 		formatAmount(limit.used),
--- a/packages/cli/test/commands/operation-commands.test.ts
+++ b/packages/cli/test/commands/operation-commands.test.ts
@@ -10,6 +10,12 @@
 	declared: {tasksPerSecond: 90},
 	share: {tasksPerSecond: 30},
 	used: {tasksPerSecond: 12.345},
+}, {
+	name: 'fleet',
+	resource: 'in-flight',
+	declared: 9000,
+	share: 3000,
+	used: 0,
 }];
 const getServer = (id: string, availabilityZone: string, isEjected: boolean) => ({
 	id,
@@ -78,8 +84,9 @@
 b1              north  8      4          3          n1
 b2              south  8      4          3          n1            ejected
 
-limit  holder          declared           share here         used
-rate   customer/chain  tasksPerSecond 90  tasksPerSecond 30  tasksPerSecond 12.35
+limit            holder            declared           share here         used
+rate             customer/chain    tasksPerSecond 90  tasksPerSecond 30  tasksPerSecond 12.35
+fleet/in-flight  all that name it  9000               3000               0
 `);
 });
 
--- a/packages/configuration/src/objects/object-kinds.ts
+++ b/packages/configuration/src/objects/object-kinds.ts
@@ -41,7 +41,7 @@
 		kind: 'limit',
 		collection: 'limits',
 		schema: limitSchema,
-		description: 'The declared cost: what its holder may use, in all availability zones together.',
+		description: 'The declared cost: what the objects that name it may use together, in all availability zones.',
 	},
 	{
 		kind: 'customer',
--- a/packages/configuration/src/objects/object-schemas.ts
+++ b/packages/configuration/src/objects/object-schemas.ts
@@ -62,7 +62,7 @@
 		.describe('The pool that runs them instead of the service\'s own.'),
 });
 
-/** The declared cost: what its holder may use, in all availability zones together. */
+/** The declared cost: what the objects that name it may use together, in all availability zones. */
 export const limitSchema = z.strictObject({
 	tasksPerSecond: z.number().positive().optional()
 		.describe('How many tasks may be accepted a second.'),
