Tell the requests of a restarted daemon from those of its earlier process

Requests and batches now carry the incarnation. Every keeper, not only the owner of the id, tells which daemon took over a table of tickets.

--- a/packages/register/src/client/chosen-id-claims.ts
+++ b/packages/register/src/client/chosen-id-claims.ts
@@ -105,7 +105,7 @@
 
 		send(answer.daemonId, {
 			kind: 'register.attach',
-			request: open.claim,
+			request: open.request,
 			id: open.job.id,
 			incarnation: answer.incarnation,
 			claim: answer.claim,
--- a/packages/register/src/client/open-job.ts
+++ b/packages/register/src/client/open-job.ts
@@ -23,6 +23,8 @@
 	readonly ticket: Ticket | undefined;
 	/** The number of the claim, and of the requests to other daemons. */
 	readonly claim: number;
+	/** Names this job in requests to other daemons, unlike that of any other process. */
+	readonly request: string;
 	state: OpenJobState;
 	outcome: Uint8Array | undefined;
 	/** Whether another daemon was sent this copy and may have started it. */
@@ -32,10 +34,10 @@
 	retry: TimerSubscription | undefined;
 	/** The copies at this daemon that wait for an answer. */
 	readonly copies: Set<Copy>;
-	/** The requests of other daemons that wait for an answer. */
-	/** The forwarded requests of other daemons that this job stands for, each with its sender's process. */
-	readonly forwardKeys: Set<string>;
-	readonly remoteCopies: Map<string, {peerId: string; request: number}>;
+	/** The forwarded requests of other daemons that this job stands for. */
+	readonly forwardedRequests: Set<string>;
+	/** The requests of other daemons that wait for an answer, each with its sender. */
+	readonly remoteCopies: Map<string, string>;
 };
 
 /** How much longer than its deadline a copy waits for another daemon, which refuses or fails it at the deadline. */
@@ -47,20 +49,22 @@
  * @param contentHash - The hash of its content.
  * @param ticket - The ticket, if its id is one.
  * @param claim - The number of the claim.
+ * @param request - What names the job in requests.
  */
-export function createOpenJob(job: Job, contentHash: string, ticket: Ticket | undefined, claim: number): OpenJob {
+export function createOpenJob(job: Job, contentHash: string, ticket: Ticket | undefined, claim: number, request: string): OpenJob {
 	return {
 		job,
 		contentHash,
 		ticket,
 		claim,
+		request,
 		state: 'claiming',
 		outcome: undefined,
 		mayHaveStarted: false,
 		forwardedToId: undefined,
 		retry: undefined,
 		copies: new Set(),
-		forwardKeys: new Set(),
+		forwardedRequests: new Set(),
 		remoteCopies: new Map(),
 	};
 }
--- a/packages/register/src/client/open-jobs.ts
+++ b/packages/register/src/client/open-jobs.ts
@@ -10,6 +10,7 @@
 } from './open-job.js';
 
 export type OpenJobsOptions = {
+	incarnation: string;
 	timers: TimerService;
 	send: (peerId: string, message: ClientMessage | KeeperMessage) => void;
 	startForwardedJob: (job: Job) => void;
@@ -19,12 +20,13 @@
 export type OpenJobs = {
 	findById(id: string): OpenJob | undefined;
 	findByClaim(claim: number): OpenJob | undefined;
+	findByRequest(request: string): OpenJob | undefined;
 	add(job: Job, contentHash: string): OpenJob;
 	remove(open: OpenJob): void;
 	/** Adds a copy of this daemon's own. */
 	addLocalCopy(open: OpenJob, deadlineMs: number, onDecision: (decision: ClaimDecision) => void): void;
 	/** Adds a copy of another daemon, or answers it. */
-	addRemoteCopy(open: OpenJob, peerId: string, request: number): void;
+	addRemoteCopy(open: OpenJob, peerId: string, request: string): void;
 	/** Lets the job run here. */
 	start(open: OpenJob): void;
 	/** Gives every copy its last decision and removes the job. */
@@ -71,15 +73,16 @@
  * @param options - The ports.
  */
 export function createOpenJobs(options: OpenJobsOptions): OpenJobs {
-	const {timers, send, startForwardedJob} = options;
+	const {incarnation, timers, send, startForwardedJob} = options;
+	const getRequest = (claim: number) => `${incarnation}.${claim}`;
 	const openJobs = new Map<string, OpenJob>();
-	const openJobsByClaim = new Map<number, OpenJob>();
+	const openJobsByRequest = new Map<string, OpenJob>();
 	let claimCount = 0;
 
 	function remove(open: OpenJob): void {
 		open.retry?.cancel();
 		openJobs.delete(open.job.id);
-		openJobsByClaim.delete(open.claim);
+		openJobsByRequest.delete(open.request);
 	}
 
 	function settle(open: OpenJob, decision: ClaimDecision): void {
@@ -89,7 +92,7 @@
 	}
 
 	function answerRemoteCopies(open: OpenJob, outcome: Uint8Array): void {
-		for (const {peerId, request} of open.remoteCopies.values()) {
+		for (const [request, peerId] of open.remoteCopies) {
 			send(peerId, {kind: 'register.answer', request, outcome});
 		}
 
@@ -106,11 +109,13 @@
 
 	return {
 		findById: id => openJobs.get(id),
-		findByClaim: claim => openJobsByClaim.get(claim),
+		findByClaim: claim => openJobsByRequest.get(getRequest(claim)),
+		findByRequest: request => openJobsByRequest.get(request),
 		add(job, contentHash) {
-			const open = createOpenJob(job, contentHash, parseTicket(job.id), ++claimCount);
+			claimCount++;
+			const open = createOpenJob(job, contentHash, parseTicket(job.id), claimCount, getRequest(claimCount));
 			openJobs.set(job.id, open);
-			openJobsByClaim.set(open.claim, open);
+			openJobsByRequest.set(open.request, open);
 			return open;
 		},
 		remove,
@@ -129,7 +134,7 @@
 		},
 		addRemoteCopy(open, peerId, request) {
 			if (open.outcome === undefined) {
-				open.remoteCopies.set(`${peerId}:${request}`, {peerId, request});
+				open.remoteCopies.set(request, peerId);
 			} else {
 				send(peerId, {kind: 'register.answer', request, outcome: open.outcome});
 			}
--- a/packages/register/src/client/outcome-outbox.ts
+++ b/packages/register/src/client/outcome-outbox.ts
@@ -2,6 +2,7 @@
 import type {KeeperMessage, OutcomeItem} from '../messages/register-messages.js';
 
 export type OutcomeOutboxOptions = {
+	incarnation: string;
 	timers: TimerService;
 	/** Finds the keeper that stores the outcomes of an id. */
 	findOwnerId: (id: string) => string | undefined;
@@ -13,7 +14,7 @@
 /** Sends outcomes to their keepers, after the callers were answered, many in one message. */
 export type OutcomeOutbox = {
 	add(item: OutcomeItem): void;
-	handleAdded(batch: number): void;
+	handleAdded(batch: string): void;
 	/** Gives up the oldest ones that may be given up, beyond a count. */
 	dropOldest(mostItems: number, mayDrop: (item: OutcomeItem) => boolean): void;
 	getCount(): number;
@@ -31,9 +32,11 @@
  * @param options - The ports.
  */
 export function createOutcomeOutbox(options: OutcomeOutboxOptions): OutcomeOutbox {
-	const {timers, findOwnerId, send, onStored} = options;
+	const {
+		incarnation, timers, findOwnerId, send, onStored,
+	} = options;
 	const waiting = new Map<string, OutcomeItem>();
-	const batches = new Map<number, Batch>();
+	const batches = new Map<string, Batch>();
 	let batchCount = 0;
 	let flushTimer: TimerSubscription | undefined;
 	const resendTimer = timers.addInterval(resendDelayMs, resend);
@@ -63,7 +66,7 @@
 	}
 
 	function sendBatch(ownerId: string, items: OutcomeItem[]): void {
-		const batch = ++batchCount;
+		const batch = `${incarnation}.${++batchCount}`;
 		batches.set(batch, {sentAtMs: timers.getNowMs(), items});
 		send(ownerId, {kind: 'register.add-outcomes', batch, items});
 	}
--- a/packages/register/src/client/register-client.ts
+++ b/packages/register/src/client/register-client.ts
@@ -93,8 +93,15 @@
 	};
 
 	const findOwnerId = (id: string) => assignment?.partitions[getPartition(id)]?.ownerId;
-	const openJobs = createOpenJobs({timers, send, startForwardedJob});
+	const getKeeperIds = () => [...new Set(assignment?.partitions.map(partition => partition.ownerId))];
+	const openJobs = createOpenJobs({
+		incarnation,
+		timers,
+		send,
+		startForwardedJob,
+	});
 	const outbox = createOutcomeOutbox({
+		incarnation,
 		timers,
 		findOwnerId,
 		send,
@@ -105,7 +112,7 @@
 		timers,
 		random,
 		tickets,
-		getKeeperIds: () => [...new Set(assignment?.partitions.map(partition => partition.ownerId))],
+		getKeeperIds,
 		send,
 	});
 	const chosenIds = createChosenIdClaims({
@@ -125,6 +132,7 @@
 		claimTimeoutMs,
 		mostOutcomeBytes: mostTicketOutcomeBytes,
 		findOwnerId,
+		getKeeperIds,
 		send,
 	});
 
@@ -197,7 +205,7 @@
 	}
 
 	function handleAnswer(message: ClientMessageOf<'register.answer'>): void {
-		const open = openJobs.findByClaim(message.request);
+		const open = openJobs.findByRequest(message.request);
 		if (open?.state === 'attached') {
 			openJobs.settle(open, getRemoteDecision(message.outcome));
 		} else if (open?.state === 'forwarded' || open?.state === 'finding') {
@@ -206,7 +214,7 @@
 	}
 
 	function handleNotHere(fromPeerId: string, message: ClientMessageOf<'register.not-here'>): void {
-		const open = openJobs.findByClaim(message.request);
+		const open = openJobs.findByRequest(message.request);
 		if (open?.state === 'attached') {
 			chosenIds.handleNotHere(open);
 		} else if (open?.state === 'forwarded') {
--- a/packages/register/src/client/ticket-router.ts
+++ b/packages/register/src/client/ticket-router.ts
@@ -19,6 +19,7 @@
 	claimTimeoutMs: number;
 	mostOutcomeBytes: number;
 	findOwnerId: (id: string) => string | undefined;
+	getKeeperIds: () => readonly string[];
 	send: (peerId: string, message: ClientMessage | KeeperMessage) => void;
 };
 
@@ -42,7 +43,7 @@
  */
 export function createTicketRouter(options: TicketRouterOptions): TicketRouter {
 	const {
-		ownId, incarnation, timers, openJobs, handover, members, claimTimeoutMs, mostOutcomeBytes, findOwnerId, send,
+		ownId, incarnation, timers, openJobs, handover, members, claimTimeoutMs, mostOutcomeBytes, findOwnerId, getKeeperIds, send,
 	} = options;
 	const outcomes = createOutcomeStore(mostOutcomeBytes);
 	/** Forwarded requests that were refused: a late copy of one must not start the job after all. */
@@ -106,7 +107,7 @@
 
 	function leaveToHeir(open: OpenJob): void {
 		const heirId = handover.findHeirId();
-		for (const {peerId, request} of open.remoteCopies.values()) {
+		for (const [request, peerId] of open.remoteCopies) {
 			send(peerId, {
 				kind: 'register.not-here',
 				request,
@@ -140,8 +141,7 @@
 	function sendForward(open: OpenJob, ownerId: string): void {
 		send(ownerId, {
 			kind: 'register.forward',
-			request: open.claim,
-			senderIncarnation: incarnation,
+			request: open.request,
 			incarnation: open.ticket!.incarnation,
 			contentHash: open.contentHash,
 			job: open.job,
@@ -150,31 +150,38 @@
 
 	function startFinding(open: OpenJob): void {
 		open.state = 'finding';
-		sendFind(open);
+		const ownerId = findOwnerId(open.job.id);
+		if (ownerId !== undefined) {
+			sendFind(open, ownerId);
+		}
+
+		// The outcome is at the owner of the id alone, but every keeper knows who took over a table of tickets.
+		let asked = 0;
 		openJobs.retryUntilTimeout(open, claimTimeoutMs, () => {
-			sendFind(open);
+			const keeperIds = getKeeperIds();
+			const keeperId = keeperIds[asked++ % keeperIds.length];
+			if (keeperId !== undefined) {
+				sendFind(open, keeperId);
+			}
 		});
 	}
 
-	function sendFind(open: OpenJob): void {
-		const ownerId = findOwnerId(open.job.id);
-		if (ownerId !== undefined) {
-			send(ownerId, {
-				kind: 'register.find-outcome',
-				request: open.claim,
-				id: open.job.id,
-				contentHash: open.contentHash,
-				incarnation: open.ticket!.incarnation,
-			});
-		}
+	function sendFind(open: OpenJob, keeperId: string): void {
+		send(keeperId, {
+			kind: 'register.find-outcome',
+			request: open.request,
+			id: open.job.id,
+			contentHash: open.contentHash,
+			incarnation: open.ticket!.incarnation,
+		});
 	}
 
 	return {
 		route,
 		release(open) {
 			handover.findTable(open.ticket!.incarnation)?.releaseTicket(open.ticket!);
-			for (const key of open.forwardKeys) {
-				refusedForwards.add(key);
+			for (const request of open.forwardedRequests) {
+				refusedForwards.add(request);
 			}
 		},
 		addOutcome(open) {
@@ -183,13 +190,12 @@
 		handleForward(fromPeerId, message) {
 			const {request, job, contentHash} = message;
 			const table = handover.findTable(message.incarnation);
-			const key = `${message.senderIncarnation}:${request}`;
 			if (table === undefined) {
 				send(fromPeerId, {kind: 'register.not-here', request, incarnation});
 				return;
 			}
 
-			if (refusedForwards.has(key)) {
+			if (refusedForwards.has(request)) {
 				return;
 			}
 
@@ -200,7 +206,7 @@
 			}
 
 			const open = known ?? openJobs.add(job, contentHash);
-			open.forwardKeys.add(key);
+			open.forwardedRequests.add(request);
 			openJobs.addRemoteCopy(open, fromPeerId, request);
 			if (known === undefined) {
 				claimTicket(open, table);
@@ -232,22 +238,22 @@
 			openJobs.settle(open, isUncertain ? getDecisionWithoutAnswer(open, 'register-unreachable') : decision);
 		},
 		handleOutcomeFound(message) {
-			const open = openJobs.findByClaim(message.request);
+			const open = openJobs.findByRequest(message.request);
 			if (open?.state !== 'finding') {
 				return;
 			}
 
-			const {outcome, heirId, isConflict} = message;
+			const {outcome, heirId, isConflict, isOwner} = message;
 			const isHeirLive = heirId !== undefined && heirId !== ownId && members.has(heirId);
 			if (isConflict) {
 				openJobs.refuse(open, 'content-conflict', 'this-copy');
 			} else if (outcome !== undefined) {
 				openJobs.settle(open, getStoredDecision(outcome));
-			} else if (handover.findTable(open.ticket!.incarnation) !== undefined) {
-				openJobs.settle(open, getDecisionWithoutAnswer(open, 'outcome-expired'));
-			} else if (isHeirLive && heirId !== open.forwardedToId) {
+			} else if (isHeirLive && heirId !== open.forwardedToId && handover.findTable(open.ticket!.incarnation) === undefined) {
 				forward(open, heirId);
-			} else {
+			} else if (isOwner && handover.findTable(open.ticket!.incarnation) !== undefined) {
+				openJobs.settle(open, getDecisionWithoutAnswer(open, 'outcome-expired'));
+			} else if (isOwner) {
 				openJobs.settle(open, getDecisionWithoutAnswer(open, 'ticket-owner-gone'));
 			}
 		},
--- a/packages/register/src/keeper/job-register.ts
+++ b/packages/register/src/keeper/job-register.ts
@@ -255,18 +255,20 @@
 
 	function handleFindOutcome(fromPeerId: string, message: KeeperMessageOf<'register.find-outcome'>): void {
 		const {request, id, contentHash, incarnation} = message;
-		if (!ownership.isOwned(id)) {
+		const isOwner = ownership.isOwned(id);
+		const heirId = state.heirs.get(incarnation);
+		if (!isOwner && heirId === undefined) {
 			return;
 		}
 
-		const record = state.records.findRecord(id);
+		const record = isOwner ? state.records.findRecord(id) : undefined;
 		const isConflict = record !== undefined && record.contentHash !== contentHash;
 		const outcome = record === undefined || isConflict ? undefined : state.outcomes.findOutcome(id);
-		const heirId = state.heirs.get(incarnation);
 		sendToClient(fromPeerId, {
 			kind: 'register.outcome-found',
 			request,
 			isConflict,
+			isOwner,
 			...(outcome !== undefined && {outcome}),
 			...(heirId !== undefined && {heirId}),
 		});
--- a/packages/register/src/messages/register-messages.ts
+++ b/packages/register/src/messages/register-messages.ts
@@ -6,6 +6,8 @@
 import {bytesSchema} from './bytes-schema.js';
 
 const countSchema = z.int().min(0);
+/** Correlates an answer with its request: the asking process and a number that is unique within it. */
+const requestSchema = z.string().max(160);
 
 /** Names one claim: the process that made it and its number there. */
 const claimantShape = {incarnation: z.string().max(128), claim: countSchema};
@@ -69,10 +71,10 @@
 	/** Gives back a claim that started nothing. */
 	z.object({kind: z.literal('register.release'), id: nameSchema, ...claimantShape}),
 	/** Stores outcomes. */
-	z.object({kind: z.literal('register.add-outcomes'), batch: countSchema, items: z.array(outcomeItemSchema)}),
+	z.object({kind: z.literal('register.add-outcomes'), batch: requestSchema, items: z.array(outcomeItemSchema)}),
 	/** Asks for the stored outcome of a ticket whose issuer is gone. */
 	z.object({
-		kind: z.literal('register.find-outcome'), request: countSchema, id: nameSchema, contentHash: z.string().max(64), incarnation: z.string(),
+		kind: z.literal('register.find-outcome'), request: requestSchema, id: nameSchema, contentHash: z.string().max(64), incarnation: z.string(),
 	}),
 	/** Says which daemon answers for the tickets of a process that stopped as planned. */
 	z.object({kind: z.literal('register.add-heir'), incarnation: z.string(), heirId: z.string()}),
@@ -84,27 +86,25 @@
 	z.object({
 		kind: z.literal('register.claim-answer'), id: nameSchema, claim: countSchema, incarnation: z.string(), answer: claimAnswerSchema,
 	}),
-	z.object({kind: z.literal('register.outcomes-added'), batch: countSchema}),
+	z.object({kind: z.literal('register.outcomes-added'), batch: requestSchema}),
 	z.object({
-		kind: z.literal('register.outcome-found'), request: countSchema, outcome: bytesSchema.optional(), heirId: z.string().optional(), isConflict: z.boolean(),
+		kind: z.literal('register.outcome-found'), request: requestSchema, outcome: bytesSchema.optional(), heirId: z.string().optional(), isConflict: z.boolean(), isOwner: z.boolean(),
 	}),
 	z.object({kind: z.literal('register.heir-added'), incarnation: z.string()}),
 	/** Asks the daemon that runs a job for its outcome. */
 	z.object({
-		kind: z.literal('register.attach'), request: countSchema, id: nameSchema, ...claimantShape,
+		kind: z.literal('register.attach'), request: requestSchema, id: nameSchema, ...claimantShape,
 	}),
 	/** The job is not open in that process, and the request has no effect there. */
 	z.object({
-		kind: z.literal('register.not-here'), request: countSchema, incarnation: z.string(), heirId: z.string().optional(),
+		kind: z.literal('register.not-here'), request: requestSchema, incarnation: z.string(), heirId: z.string().optional(),
 	}),
 	/** The outcome that an attached or forwarded request waits for. */
-	z.object({kind: z.literal('register.answer'), request: countSchema, outcome: bytesSchema}),
+	z.object({kind: z.literal('register.answer'), request: requestSchema, outcome: bytesSchema}),
 	/** Sends a job to the issuer of its ticket. */
 	z.object({
 		kind: z.literal('register.forward'),
-		request: countSchema,
-		/** The process that sends; `request` is unique within it. */
-		senderIncarnation: z.string(),
+		request: requestSchema,
 		incarnation: z.string(),
 		contentHash: z.string().max(64),
 		job: jobSubmissionSchema.extend({id: nameSchema}),
