Prove agreement and distribution under random schedules of faults

Cause: one winner a version, no step back and no lost acknowledgement must hold under crashes, lost disks, cuts, pauses, loss, doubling and reordering. Change: schedules by fast-check against a map of winners, with the agreed entries of all keepers compared as they are written; directed tests of each mechanism; four deliberate faults that the checks must notice. Changes are compared by value instead of by their text, and only changed objects hashed.

--- a/packages/consensus/src/content/apply-changes.ts
+++ b/packages/consensus/src/content/apply-changes.ts
@@ -1,5 +1,6 @@
 import type {ConfigurationObjects} from '@camphortack/configuration';
 import type {ConfigurationContent} from './configuration-content.js';
+import {findObject} from './find-object.js';
 import {moveDigest} from './object-digest.js';
 import {objectKinds, type ObjectChange} from './object-change.js';
 
@@ -21,16 +22,15 @@
 }
 
 function applyToKind(before: Record<string, unknown>, changes: readonly ObjectChange[]): Record<string, unknown> {
-	const after = new Map(Object.entries(before));
+	const set = changes.filter(change => change.value !== undefined).map(({name, value}) => [name, value] as const);
+	const after = {...before, ...Object.fromEntries(set)};
 	for (const {name, value} of changes) {
 		if (value === undefined) {
-			after.delete(name);
-		} else {
-			after.set(name, value);
+			Reflect.deleteProperty(after, name);
 		}
 	}
 
-	return Object.fromEntries(after);
+	return after;
 }
 
 /**
@@ -54,7 +54,7 @@
  */
 export function getInverseChanges(objects: ConfigurationObjects, changes: readonly ObjectChange[]): ObjectChange[] {
 	return changes.map(({kind, name}) => {
-		const value = objects[kind][name];
+		const value = findObject(objects, kind, name);
 		return value === undefined ? {kind, name} : {kind, name, value: {...value}};
 	});
 }
--- a/packages/consensus/src/content/get-changes.ts
+++ b/packages/consensus/src/content/get-changes.ts
@@ -1,5 +1,5 @@
 import type {ConfigurationObjects} from '@camphortack/configuration';
-import {toCanonicalJson} from '../utils/to-canonical-json.js';
+import {isSameValue} from '../utils/is-same-value.js';
 import {objectKinds, type ObjectChange, type ObjectKind} from './object-change.js';
 
 /**
@@ -19,13 +19,13 @@
 function getChangesOfKind(kind: ObjectKind, before: Record<string, Record<string, unknown>>, after: Record<string, Record<string, unknown>>): ObjectChange[] {
 	const changes: ObjectChange[] = [];
 	for (const [name, value] of Object.entries(after)) {
-		if (before[name] !== value && toCanonicalJson(before[name]) !== toCanonicalJson(value)) {
+		if (!Object.hasOwn(before, name) || !isSameValue(before[name], value)) {
 			changes.push({kind, name, value: {...value}});
 		}
 	}
 
 	for (const name of Object.keys(before)) {
-		if (after[name] === undefined) {
+		if (!Object.hasOwn(after, name)) {
 			changes.push({kind, name});
 		}
 	}
--- a/packages/consensus/src/content/object-digest.ts
+++ b/packages/consensus/src/content/object-digest.ts
@@ -1,6 +1,7 @@
 import type {ConfigurationObjects} from '@camphortack/configuration';
 import {getHash, hashRange} from '../utils/get-hash.js';
 import {toCanonicalJson} from '../utils/to-canonical-json.js';
+import {findObject} from './find-object.js';
 import {objectKinds, type ObjectChange} from './object-change.js';
 
 /**
@@ -27,7 +28,7 @@
 export function moveDigest(digest: number, objects: ConfigurationObjects, changes: readonly ObjectChange[]): number {
 	let moved = digest;
 	for (const {kind, name, value} of changes) {
-		const before: unknown = objects[kind][name];
+		const before = findObject(objects, kind, name);
 		moved += value === undefined ? 0 : getObjectHash(kind, name, value);
 		moved -= before === undefined ? 0 : getObjectHash(kind, name, before);
 		moved = (moved + hashRange) % hashRange;
--- a/packages/consensus/src/publish/get-publish-proposal.ts
+++ b/packages/consensus/src/publish/get-publish-proposal.ts
@@ -1,6 +1,6 @@
 import type {ConfigurationContent} from '../content/configuration-content.js';
 import {getChanges} from '../content/get-changes.js';
-import {getObjectsDigest} from '../content/object-digest.js';
+import {getObjectsDigest, moveDigest} from '../content/object-digest.js';
 import type {PublishProposal, PublishRequest} from './publish-schemas.js';
 
 /** The most bytes of changes that one publish may carry. */
@@ -13,11 +13,13 @@
  */
 export function getPublishProposal(content: ConfigurationContent, request: PublishRequest): PublishProposal {
 	const {baseVersion, publishId, author, objects} = request;
+	const changes = content.version === baseVersion ? getChanges(content.objects, objects) : undefined;
+	const digest = changes === undefined ? getObjectsDigest(objects) : moveDigest(content.digest, content.objects, changes);
 	return {
 		baseVersion,
 		publishId,
 		author,
-		digest: getObjectsDigest(objects),
-		changes: content.version === baseVersion ? getChanges(content.objects, objects) : undefined,
+		digest,
+		changes,
 	};
 }
--- a/packages/consensus/test/support/add-log-fault.ts
+++ b/packages/consensus/test/support/add-log-fault.ts
@@ -10,30 +10,26 @@
  * @param timers - The timers of the test.
  * @param fault - The fault, or undefined to leave the log as it is.
  */
-export function addLogFault(log: MemoryRecordLog, timers: TimerService, fault: LogFault | undefined): RecordLog {
-	switch (fault) {
-		case 'acknowledges-before-sync': {
-			return {
-				...log,
-				append(record, onSynced) {
-					log.append(record);
-					timers.addTimer(0, () => onSynced?.());
-				},
-			};
-		}
-
-		case 'forgets-votes': {
-			return {
-				...log,
-				append(record, onSynced) {
-					const isVote = typeof record === 'object' && record !== null && 'votedFor' in record;
-					log.append(isVote ? {...record, votedFor: undefined} : record, onSynced);
-				},
-			};
-		}
+export function addLogFault(log: MemoryRecordLog, timers: TimerService, fault: string | undefined): RecordLog {
+	if (fault === 'acknowledges-before-sync') {
+		return {
+			...log,
+			append(record, onSynced) {
+				log.append(record);
+				timers.addTimer(0, () => onSynced?.());
+			},
+		};
+	}
 
-		case undefined: {
-			return log;
-		}
+	if (fault === 'forgets-votes') {
+		return {
+			...log,
+			append(record, onSynced) {
+				const isVote = typeof record === 'object' && record !== null && 'votedFor' in record;
+				log.append(isVote ? {...record, votedFor: undefined} : record, onSynced);
+			},
+		};
 	}
+
+	return log;
 }
--- /dev/null
+++ b/packages/consensus/test/support/schedule-run.ts
@@ -0,0 +1,291 @@
+import assert from 'node:assert/strict';
+import type {PublishRequest, PublishResult} from '../../src/index.js';
+import {getRequest} from './publish.js';
+import {TestCluster, type ClusterFault} from './test-cluster.js';
+
+/** One step of a schedule. Numbers select keepers or daemons, modulo their count. */
+export type Step = {
+	kind: 'publish' | 'race' | 'stale-publish' | 'resend' | 'crash' | 'lose-disk' | 'restart' | 'cut' | 'isolate' | 'heal' | 'pause' | 'resume' | 'leave' | 'restart-daemon';
+	first: number;
+	second: number;
+	waitMs: number;
+};
+
+export type Schedule = {
+	seed: number;
+	keeperCount: number;
+	lossRatio: number;
+	doublingRatio: number;
+	longestDelayMs: number;
+	steps: readonly Step[];
+};
+
+type Publish = {request: PublishRequest; results: PublishResult[]; sentCount: number};
+
+const daemonIds = ['k0-daemon', 'k1-daemon', 'k9-daemon'];
+const mostSilenceMs = 60_000;
+
+/** Runs a schedule against real parts and compares with a naive model: a map from versions to publishes. */
+export class ScheduleRun {
+	readonly #cluster: TestCluster;
+	readonly #keeperIds: readonly string[];
+	readonly #schedule: Schedule;
+	readonly #publishes: Publish[] = [];
+	readonly #winners = new Map<number, string>();
+	readonly #digests = new Map<number, number>();
+
+	constructor(schedule: Schedule, fault?: ClusterFault) {
+		this.#schedule = schedule;
+		this.#keeperIds = Array.from({length: schedule.keeperCount}, (_, index) => `k${index}`);
+		this.#cluster = new TestCluster({
+			seed: schedule.seed,
+			keeperIds: this.#keeperIds,
+			network: {
+				lossRatio: schedule.lossRatio, doublingRatio: schedule.doublingRatio, shortestDelayMs: 0.5, longestDelayMs: schedule.longestDelayMs,
+			},
+			zoneOf: id => id.split('-')[0]!,
+			driftRatio: 0.01,
+			syncMs: 5,
+			fault,
+		});
+	}
+
+	/** Runs the schedule, heals everything and checks the end. */
+	run(): void {
+		const cluster = this.#cluster;
+		cluster.onInForce = (id, version, digest) => {
+			this.#checkInForce(id, version, digest);
+		};
+
+		for (const id of [...this.#keeperIds, ...daemonIds]) {
+			cluster.startFollower(id);
+		}
+
+		cluster.shareMembers();
+		cluster.timers.advance(8000);
+		for (const step of this.#schedule.steps) {
+			this.#runStep(step);
+			cluster.timers.advance(step.waitMs);
+			this.#checkLeaders();
+		}
+
+		this.#heal();
+		this.#checkPublishSucceeds();
+		this.#checkEnd();
+	}
+
+	#runStep({kind, first, second}: Step): void {
+		const cluster = this.#cluster;
+		const id = this.#getKeeperId(first);
+		const otherId = this.#getKeeperId(second);
+		switch (kind) {
+			case 'publish': {
+				this.#publish(id, this.#getVersion(id));
+				break;
+			}
+
+			case 'race': {
+				const baseVersion = this.#getVersion(id);
+				this.#publish(id, baseVersion);
+				this.#publish(otherId, baseVersion);
+				break;
+			}
+
+			case 'stale-publish': {
+				this.#publish(id, Math.max(0, this.#getVersion(id) - 1));
+				break;
+			}
+
+			case 'resend': {
+				if (this.#publishes.length > 0) {
+					this.#send(id, this.#publishes[second % this.#publishes.length]!);
+				}
+
+				break;
+			}
+
+			case 'crash': {
+				cluster.crash(id);
+				break;
+			}
+
+			case 'lose-disk': {
+				this.#loseDisk(id);
+				break;
+			}
+
+			case 'restart': {
+				this.#restart(id);
+				break;
+			}
+
+			case 'cut': {
+				cluster.network.cutLink(id, otherId);
+				break;
+			}
+
+			case 'isolate': {
+				cluster.network.cutSides([id], this.#keeperIds.filter(other => other !== id));
+				break;
+			}
+
+			case 'heal': {
+				cluster.network.healLinks();
+				break;
+			}
+
+			case 'pause': {
+				cluster.nodeTimers.get(id)!.pause();
+				break;
+			}
+
+			case 'resume': {
+				cluster.nodeTimers.get(id)!.resume();
+				break;
+			}
+
+			case 'leave': {
+				cluster.keepers.get(id)?.startLeaving();
+				break;
+			}
+
+			case 'restart-daemon': {
+				const daemonId = daemonIds[first % daemonIds.length]!;
+				cluster.crash(daemonId);
+				cluster.startFollower(daemonId);
+				cluster.shareMembers();
+				break;
+			}
+		}
+	}
+
+	#getKeeperId(number: number): string {
+		return this.#keeperIds[number % this.#keeperIds.length]!;
+	}
+
+	#getVersion(id: string): number {
+		return this.#cluster.keepers.get(id)?.getStatus().version ?? 0;
+	}
+
+	#publish(id: string, baseVersion: number): void {
+		const request = getRequest(`publish-${this.#publishes.length}`, baseVersion, id);
+		const added = {request, results: [], sentCount: 0};
+		this.#publishes.push(added);
+		this.#send(id, added);
+	}
+
+	#send(id: string, publish: Publish): void {
+		const keeper = this.#cluster.keepers.get(id);
+		if (keeper === undefined) {
+			return;
+		}
+
+		publish.sentCount++;
+		this.#cluster.nodeTimers.get(id)!.run(() => {
+			keeper.publish(publish.request, result => {
+				publish.results.push(result);
+				this.#checkResult(publish, result);
+			});
+		});
+	}
+
+	/** Loses a disk if the other voters with intact disks still make a majority. */
+	#loseDisk(id: string): void {
+		const statuses = [...this.#cluster.keepers].map(([keeperId, keeper]) => ({keeperId, status: keeper.getStatus()}));
+		const current = statuses.toSorted((left, right) => right.status.commitIndex - left.status.commitIndex)[0]?.status;
+		const voters = current?.keepers.filter(keeper => keeper.role === 'voter') ?? [];
+		const intact = voters.filter(voter => voter.keeperId !== id && statuses.some(({keeperId, status}) => keeperId === voter.keeperId && status.identity === voter.identity));
+		if (intact.length > voters.length / 2) {
+			this.#cluster.loseDisk(id);
+			this.#restart(id);
+		}
+	}
+
+	#restart(id: string): void {
+		this.#cluster.restart(id);
+		this.#cluster.startFollower(id);
+		this.#cluster.shareMembers();
+	}
+
+	#heal(): void {
+		const cluster = this.#cluster;
+		cluster.network.healLinks();
+		for (const id of this.#keeperIds) {
+			cluster.nodeTimers.get(id)!.resume();
+			this.#restart(id);
+		}
+
+		cluster.timers.advance(5000);
+	}
+
+	#checkResult(publish: Publish, result: PublishResult): void {
+		if (result.outcome === 'published') {
+			const winner = this.#winners.get(result.version) ?? publish.request.publishId;
+			assert.equal(publish.request.publishId, winner, `two publishes were told that they are version ${result.version}`);
+			assert.equal(result.version, publish.request.baseVersion + 1);
+			this.#winners.set(result.version, winner);
+		} else if (result.outcome === 'conflict') {
+			assert.ok(result.version > publish.request.baseVersion, 'a conflict without a later version');
+			assert.notEqual(result.winner?.publishId, publish.request.publishId, 'a publish lost against itself');
+		}
+	}
+
+	#checkInForce(id: string, version: number, digest: number | undefined): void {
+		const versions = this.#cluster.versions.get(id)!;
+		const before = versions.at(-2)?.version ?? 0;
+		const isRestartedKeeper = this.#keeperIds.includes(id) && version === before;
+		const isRestartedDaemon = daemonIds.includes(id) && version === before;
+		assert.ok(version > before || isRestartedKeeper || isRestartedDaemon, `${id} went from version ${before} back to ${version}`);
+		if (digest !== undefined) {
+			assert.equal(digest, this.#digests.get(version) ?? digest, `two contents of version ${version} in force`);
+			this.#digests.set(version, digest);
+		}
+	}
+
+	#checkLeaders(): void {
+		const terms = this.#cluster.events.events.filter(event => event.name === 'leader-elected').map(event => event.fields.term);
+		assert.equal(new Set(terms).size, terms.length, 'two leaders in one term');
+	}
+
+	/** After healing, a publish must succeed and be in force everywhere within a bounded time. */
+	#checkPublishSucceeds(): void {
+		const cluster = this.#cluster;
+		const endMs = cluster.timers.getNowMs() + mostSilenceMs;
+		const isDone = () => {
+			const last = this.#publishes.at(-1)?.results.at(-1);
+			return last?.outcome === 'published';
+		};
+
+		for (let attempt = 0; cluster.timers.getNowMs() < endMs && (attempt === 0 || !isDone()); attempt++) {
+			const id = this.#getKeeperId(attempt);
+			this.#publish(id, this.#getVersion(id));
+			cluster.timers.advance(5500);
+		}
+
+		assert.ok(isDone(), 'no publish succeeded after healing');
+		const finalVersion = Math.max(...this.#winners.keys());
+		while (cluster.timers.getNowMs() < endMs && !this.#isInForceEverywhere(finalVersion)) {
+			cluster.timers.advance(1000);
+		}
+
+		assert.ok(this.#isInForceEverywhere(finalVersion), `version ${finalVersion} is not in force everywhere after healing`);
+	}
+
+	#isInForceEverywhere(version: number): boolean {
+		return [...this.#cluster.followers.values()].every(follower => follower.getStatus().version === version);
+	}
+
+	/** Every acknowledged publish is in every keeper's history; what was refused as not published is in none. */
+	#checkEnd(): void {
+		for (const [id, keeper] of this.#cluster.keepers) {
+			const history = keeper.getHistory();
+			for (const {request, results, sentCount} of this.#publishes) {
+				const kept = history.findPublish(request.publishId);
+				const wasAcknowledged = results.some(result => result.outcome === 'published');
+				const wasRefused = results.length === sentCount && results.every(result => result.outcome === 'conflict' || (result.outcome === 'no-majority' && result.state === 'not-published'));
+				assert.ok(!wasAcknowledged || kept !== undefined, `${id} lost the acknowledged ${request.publishId}`);
+				assert.ok(!wasRefused || kept === undefined, `${id} has ${request.publishId}, which was refused`);
+			}
+		}
+	}
+}
--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -7,6 +7,8 @@
 	createConfigurationFollower, createKeeper, type ConfigurationFollower, type Keeper,
 } from '../../src/index.js';
 import {addLogFault, type LogFault} from './add-log-fault.js';
+import {CommittedEntries} from './committed-entries.js';
+import {NodeTimers} from './node-timers.js';
 
 export type TestClusterOptions = {
 	seed?: number;
@@ -17,9 +19,14 @@
 	network?: Partial<FakeNetworkOptions>;
 	syncMs?: number;
 	mostVoters?: number;
-	fault?: LogFault;
+	fault?: ClusterFault;
+	/** How far clocks may run wrong, as a share. */
+	driftRatio?: number;
 };
 
+/** Deliberate faults, which the checks must notice. */
+export type ClusterFault = LogFault | 'confirms-always' | 'keeps-identity';
+
 /** Keepers on a network, disks and time of the test's making. */
 export class TestCluster {
 	readonly timers = new VirtualTimers();
@@ -32,7 +39,11 @@
 	readonly followers = new Map<string, ConfigurationFollower>();
 	/** The versions that came into force at each daemon, with the time, over all its restarts. */
 	readonly versions = new Map<string, Array<{version: number; atMs: number}>>();
+	readonly nodeTimers = new Map<string, NodeTimers>();
+	readonly committedEntries = new CommittedEntries();
 	readonly random;
+	/** Called when a version has come into force at a daemon. */
+	onInForce?: (id: string, version: number, digest: number | undefined) => void;
 	readonly #options: TestClusterOptions;
 
 	constructor(options: TestClusterOptions = {}) {
@@ -47,16 +58,17 @@
 
 	start(id: string): Keeper {
 		const {initialKeeperIds, keeperIds, syncMs, mostVoters, fault} = this.#options;
-		const log = createMemoryRecordLog({timers: this.timers, disk: this.disks.get(id)!, syncDurationMs: syncMs});
+		const timers = this.#startTimers(id);
+		const log = createMemoryRecordLog({timers, disk: this.disks.get(id)!, syncDurationMs: syncMs});
 		this.logs.set(id, log);
 		const keeper = createKeeper({
 			ownId: id,
 			availabilityZone: this.getZone(id),
-			log: addLogFault(log, this.timers, fault),
+			log: this.committedEntries.watch(addLogFault(log, timers, fault)),
 			peers: this.network.addPeer(id, (from, message) => {
 				this.handleMessage(id, from, message);
 			}),
-			timers: this.timers,
+			timers,
 			random: this.random,
 			events: this.events,
 			metrics: this.metrics,
@@ -69,7 +81,8 @@
 
 	/** Starts the follower of a daemon, with the daemon's keeper if it has one. */
 	startFollower(id: string, hasDisk = false): ConfigurationFollower {
-		const keeper = this.keepers.get(id);
+		const keeper = this.#getFollowersKeeper(id);
+		const timers = this.keepers.has(id) ? this.nodeTimers.get(id)! : this.#startTimers(id);
 		const versions = this.versions.get(id) ?? [];
 		this.versions.set(id, versions);
 		const follower = createConfigurationFollower({
@@ -78,7 +91,7 @@
 			peers: this.network.addPeer(id, (from, message) => {
 				this.handleMessage(id, from, message);
 			}),
-			timers: this.timers,
+			timers,
 			random: this.random,
 			events: this.events,
 			metrics: this.metrics,
@@ -86,6 +99,7 @@
 			keeper,
 			onConfiguration: ({version}) => {
 				versions.push({version, atMs: this.timers.getNowMs()});
+				this.onInForce?.(id, version, this.followers.get(id)?.getStatus().digest);
 			},
 		});
 		this.followers.set(id, follower);
@@ -109,11 +123,8 @@
 	}
 
 	handleMessage(id: string, from: string, message: PeerMessage): void {
-		if (message.kind.startsWith('consensus.')) {
-			this.keepers.get(id)?.handlePeerMessage(from, message);
-		} else {
-			this.followers.get(id)?.handlePeerMessage(from, message);
-		}
+		const part = message.kind.startsWith('consensus.') ? this.keepers.get(id) : this.followers.get(id);
+		this.nodeTimers.get(id)!.run(() => part?.handlePeerMessage(from, message));
 	}
 
 	crash(id: string): void {
@@ -132,7 +143,12 @@
 
 	loseDisk(id: string): void {
 		this.crash(id);
-		this.disks.set(id, createMemoryDisk());
+		const disk = createMemoryDisk();
+		if (this.#options.fault === 'keeps-identity') {
+			disk.records.push(...this.disks.get(id)!.records.slice(0, 1));
+		}
+
+		this.disks.set(id, disk);
 	}
 
 	/** Adds a keeper that is in no initial list. */
@@ -165,4 +181,25 @@
 	getLeader(): Keeper {
 		return this.keepers.get(this.findLeaders()[0]!)!;
 	}
+
+	#startTimers(id: string): NodeTimers {
+		const driftRatio = this.#options.driftRatio ?? 0;
+		const timers = new NodeTimers(this.timers, 1 + (driftRatio * ((2 * this.random.getFraction()) - 1)));
+		this.nodeTimers.set(id, timers);
+		return timers;
+	}
+
+	#getFollowersKeeper(id: string): Keeper | undefined {
+		const keeper = this.keepers.get(id);
+		if (keeper === undefined || this.#options.fault !== 'confirms-always') {
+			return keeper;
+		}
+
+		return {
+			...keeper,
+			confirm(onEnd) {
+				onEnd(true);
+			},
+		};
+	}
 }
