Refuse at once what would make admitted jobs late

Cause: at twice the capacity jobs were admitted that missed their deadlines, or made others miss theirs; their work was lost. Change: admission predicts, from the turns of the waiting jobs, whether the new job and those before it end in time.

--- a/packages/dispatch/src/admission/check-admission.ts
+++ b/packages/dispatch/src/admission/check-admission.ts
@@ -1,7 +1,6 @@
 import type {Job, RefusalCode} from '@camphortack/core';
 import type {RunTimeEstimator} from '@camphortack/policy';
 import {fitsInto, type PlacementRules} from '../configuration/placement-rules.js';
-import type {QueueBook} from '../queues/queue-book.js';
 import type {BackendServerTable} from '../servers/backend-server-table.js';
 
 /** What admission looks at. */
@@ -10,7 +9,8 @@
 	rules: PlacementRules | undefined;
 	isDraining: boolean;
 	table: BackendServerTable;
-	queues: QueueBook;
+	/** Whether the job and those that wait already would meet their deadlines; undefined if it was asked elsewhere. */
+	meetsDeadlines?: (job: Job, pool: string, runTimeMs: number) => boolean;
 	estimator: RunTimeEstimator;
 	/** Whether other daemons could run the job. */
 	hasPartners: boolean;
@@ -79,11 +79,14 @@
 	return false;
 }
 
-function isDeadlineUnreachable({job, table, queues, estimator}: AdmissionInput, rules: PlacementRules, pool: string): boolean {
-	const slots = table.getSlotCount(pool);
-	const expectedWaitMs = slots === 0 ? 0 : queues.getQueuedWorkMs(pool) / slots;
+function isDeadlineUnreachable(input: AdmissionInput, rules: PlacementRules, pool: string): boolean {
+	const {job, estimator} = input;
+	if (input.meetsDeadlines === undefined) {
+		return false;
+	}
+
 	const serviceRunTimeMs = rules.findService(job.service)!.declaredRunTimeMs;
 	const declaredRunTimeMs = Math.max(...job.tasks.map(task => task.declaredRunTimeMs ?? serviceRunTimeMs));
 	const expectedRunTimeMs = estimator.getExpectedRunTimeMs(job.service, declaredRunTimeMs);
-	return expectedWaitMs + expectedRunTimeMs > job.deadlineMs;
+	return expectedRunTimeMs > job.deadlineMs || !input.meetsDeadlines(job, pool, expectedRunTimeMs);
 }
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -3,6 +3,7 @@
 	Job, JobOutcome, Member, RefusalCode,
 } from '@camphortack/core';
 import {checkAdmission} from '../admission/check-admission.js';
+import {createDeadlineCheck} from '../admission/deadline-check.js';
 import {createPlacementRules, type PlacementRules} from '../configuration/placement-rules.js';
 import {createPartReceiver} from '../handover/part-receiver.js';
 import {createPartSender, type HandedOverPart} from '../handover/part-sender.js';
@@ -139,6 +140,14 @@
 	const balancer = createBalancer({
 		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad,
 	});
+	const meetsDeadlines = createDeadlineCheck({
+		timers,
+		queues,
+		jobs,
+		partners,
+		getOwnLoad: getLoad,
+		getMeanRunTimeMs: service => estimator.getExpectedRunTimeMs(service, rules?.findService(service)?.declaredRunTimeMs ?? 0),
+	});
 	const inbox = createPeerInbox({metrics, onMessage: handleMessage});
 	timers.addInterval(expiryCheckIntervalMs, table.removeExpired);
 
@@ -224,7 +233,7 @@
 
 	function submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void {
 		const code = checkAdmission({
-			job, rules, isDraining, table, queues, estimator, hasPartners: members.length > 1,
+			job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
 		});
 		if (code !== undefined) {
 			refuse(job.id, code, onEnd);
@@ -287,7 +296,7 @@
 	/** Takes tasks that another daemon hands over. */
 	function openPart(key: string, job: Job, message: JobMessage, onEnd: (end: JobEnd) => void): RefusalCode | undefined {
 		const code = checkAdmission({
-			job, rules, isDraining, table, queues, estimator, hasPartners: false,
+			job, rules, isDraining, table, estimator, hasPartners: false,
 		});
 		if (code !== undefined) {
 			return code;
--- a/packages/dispatch/src/queues/queue-book.ts
+++ b/packages/dispatch/src/queues/queue-book.ts
@@ -15,9 +15,9 @@
 	/** Removes what waits of a job. */
 	removeJob(pool: string, jobKey: string): QueuedTask[];
 	getTaskCount(pool: string): number;
-	/** Gets the expected run time of all that waits for a pool. */
-	getQueuedWorkMs(pool: string): number;
 	getTotals(): Readonly<QueueTotals>;
+	/** Gets the jobs of a pool of which tasks wait, with how many. */
+	getWaitingJobs(pool: string): ReadonlyMap<string, number>;
 	/** Gets the pools for which a task waits. */
 	getWaitingPools(): string[];
 };
@@ -28,7 +28,8 @@
  */
 export function createQueueBook(getWeight: (customer: string) => number): QueueBook {
 	const queues = new Map<string, FairQueue>();
-	const workMs = new Map<string, number>();
+	const waitingJobs = new Map<string, Map<string, number>>();
+	const noJobs: ReadonlyMap<string, number> = new Map();
 	const totalsByService = new Map<string, QueueTotals>();
 	const totals: QueueTotals = {tasks: 0, bytes: 0};
 
@@ -58,7 +59,19 @@
 			counted.bytes += sign * task.sizeBytes;
 		}
 
-		workMs.set(task.pool, (workMs.get(task.pool) ?? 0) + (sign * task.expectedRunTimeMs));
+		countJob(task, sign);
+	}
+
+	function countJob({pool, jobId}: QueuedTask, sign: 1 | -1): void {
+		const jobs = waitingJobs.get(pool) ?? new Map<string, number>();
+		const tasks = (jobs.get(jobId) ?? 0) + sign;
+		if (tasks > 0) {
+			jobs.set(jobId, tasks);
+		} else {
+			jobs.delete(jobId);
+		}
+
+		waitingJobs.set(pool, jobs);
 	}
 
 	function addTasks(tasks: readonly OpenTask[], service: ServiceObject): 'added' | 'queue-full' {
@@ -114,7 +127,7 @@
 		takeTask,
 		removeJob,
 		getTaskCount: pool => queues.get(pool)?.getTaskCount() ?? 0,
-		getQueuedWorkMs: pool => workMs.get(pool) ?? 0,
+		getWaitingJobs: pool => waitingJobs.get(pool) ?? noJobs,
 		getTotals: () => totals,
 		getWaitingPools: () => [...queues].filter(([, queue]) => queue.getTaskCount() > 0).map(([pool]) => pool),
 	};
