Keep a margin for late long tasks, and cut the baselines' links too

Change: rounds count 1.4 times in the deadline check; baselines lose tasks sent across the cut; a fleet ledger of starts by task.

--- a/packages/bench/src/baselines/baseline-policies.ts
+++ b/packages/bench/src/baselines/baseline-policies.ts
@@ -25,6 +25,11 @@
 	const {deployment, timers, fleet} = context;
 	const endTask = createJobTracker(context, job);
 	return (server, runTimeMs) => {
+		if (isCut(context, daemonZone, server.availabilityZone)) {
+			endTask(false);
+			return;
+		}
+
 		const latencyMs = getLatencyMs(deployment, daemonZone, server.availabilityZone);
 		timers.addTimer(latencyMs, () => {
 			fleet.enqueue(server, runTimeMs, isDone => {
@@ -37,6 +42,11 @@
 	};
 }
 
+/** Tasks sent across a cut are lost. */
+function isCut({cut}: PolicyContext, left: string, right: string): boolean {
+	return cut.availabilityZone !== undefined && (left === cut.availabilityZone) !== (right === cut.availabilityZone);
+}
+
 function pickDaemonZone({deployment, random}: PolicyContext): string {
 	return getZoneName(deployment, random.getInteger(0, deployment.daemons - 1));
 }
--- a/packages/bench/src/bench/run-row.ts
+++ b/packages/bench/src/bench/run-row.ts
@@ -109,7 +109,7 @@
 	};
 }
 
-function startFault(scenario: Scenario, {fleet, timers}: PolicyContext, setZoneCut?: (zone: string | undefined) => void): void {
+function startFault(scenario: Scenario, {fleet, timers, cut}: PolicyContext, setZoneCut?: (zone: string | undefined) => void): void {
 	const firstFailureMs = 1000;
 	switch (scenario) {
 		case 'failing-backend-server': {
@@ -125,8 +125,10 @@
 		}
 
 		case 'zone-cut-off': {
+			cut.availabilityZone = 'zone-0';
 			setZoneCut?.('zone-0');
 			timers.addTimer(zoneCutLengthMs, () => {
+				cut.availabilityZone = undefined;
 				setZoneCut?.(undefined);
 			});
 			break;
--- a/packages/bench/src/simulation/camphortack-policy.ts
+++ b/packages/bench/src/simulation/camphortack-policy.ts
@@ -1,16 +1,11 @@
 import {configurationSchema, type Configuration} from '@camphortack/configuration';
-import {
-	backendServerAnnouncementSchema, createSeededRandomSource, type BackendServerAnnouncement, type Member, type TaskStart,
-	type TaskStartBatch, type TimerService,
-} from '@camphortack/core';
-import {
-	createDispatcher, TaskStarter, type Dispatcher, type TaskEvent,
-} from '@camphortack/dispatch';
+import {backendServerAnnouncementSchema, createSeededRandomSource, type Member} from '@camphortack/core';
+import {createDispatcher, type Dispatcher} from '@camphortack/dispatch';
 import type {LimitBook} from '@camphortack/policy';
 import {RecordingEventLog, RecordingMetricSink} from '@camphortack/testkit';
 import {getLatencyMs, getZoneName} from '../bench/deployments.js';
-import type {SimulatedFleet, SimulatedServer} from './simulated-fleet.js';
 import {SimulatedNetwork} from './simulated-network.js';
+import {SimulatedStarter} from './simulated-starter.js';
 import type {CreatePolicy, PolicyContext} from './simulation.js';
 import {meanTaskMs} from './workload.js';
 
@@ -27,49 +22,6 @@
 	closeJob: () => undefined,
 };
 
-/** Starts tasks on simulated backend servers, across the network. */
-class SimulatedStarter extends TaskStarter {
-	onEvent?: (event: TaskEvent) => void;
-	readonly #timers: TimerService;
-	readonly #fleet: SimulatedFleet;
-	readonly #latencyMs: (availabilityZone: string) => number;
-
-	constructor(timers: TimerService, fleet: SimulatedFleet, latencyMs: (availabilityZone: string) => number) {
-		super();
-		this.#timers = timers;
-		this.#fleet = fleet;
-		this.#latencyMs = latencyMs;
-	}
-
-	override start({id}: BackendServerAnnouncement, batch: TaskStartBatch): void {
-		const server = this.#fleet.servers.find(other => other.id === id)!;
-		this.#timers.addTimer(this.#latencyMs(server.availabilityZone), () => {
-			for (const task of batch.tasks) {
-				this.#run(server, task);
-			}
-		});
-	}
-
-	override stop(): void {
-		// Tasks of the bench run to their end.
-	}
-
-	#run(server: SimulatedServer, {attempt, payload}: TaskStart): void {
-		const isRun = this.#fleet.tryRun(server, Number(payload), isDone => {
-			this.#answer(server, isDone ? {attempt, state: 'done', result: null} : {attempt, state: 'error', message: 'failed'});
-		});
-		if (!isRun) {
-			this.#answer(server, {attempt, state: 'not-run', reason: 'no free slot'});
-		}
-	}
-
-	#answer(server: SimulatedServer, answer: Extract<TaskEvent, {kind: 'answer'}>['answer']): void {
-		this.#timers.addTimer(this.#latencyMs(server.availabilityZone), () => {
-			this.onEvent?.({kind: 'answer', backendServerId: server.id, answer});
-		});
-	}
-}
-
 /** The real dispatchers over the simulated fleet. */
 export const createCamphortackPolicy: CreatePolicy = context => {
 	const {deployment, timers, random, fleet} = context;
--- a/packages/bench/src/simulation/simulated-fleet.ts
+++ b/packages/bench/src/simulation/simulated-fleet.ts
@@ -29,12 +29,15 @@
 /** Backend servers in virtual time, with a ledger of their slots. */
 export class SimulatedFleet {
 	readonly servers: SimulatedServer[] = [];
+	/** How often each task of each job started. */
+	readonly startsByTask = new Map<string, number>();
 	readonly totals: FleetTotals = {
 		startedTasks: 0, refusedTasks: 0, failedTasks: 0, lateFailedTasks: 0, lateStartedTasks: 0,
 	};
 
 	/** From when failures count as late. */
 	countFailuresFromMs = Infinity;
+	readonly #serversById = new Map<string, SimulatedServer>();
 	readonly #timers: TimerService;
 	readonly #random: RandomSource;
 
@@ -44,9 +47,24 @@
 	}
 
 	addServer(id: string, availabilityZone: string, slots: number): void {
-		this.servers.push({
+		const server: SimulatedServer = {
 			id, availabilityZone, slots, fault: 'none', busySlots: 0, mostBusySlots: 0, waiting: [],
-		});
+		};
+		this.servers.push(server);
+		this.#serversById.set(id, server);
+	}
+
+	getServer(id: string): SimulatedServer {
+		const server = this.#serversById.get(id);
+		if (server === undefined) {
+			throw new Error(`no backend server "${id}"`);
+		}
+
+		return server;
+	}
+
+	countStart(task: string): void {
+		this.startsByTask.set(task, (this.startsByTask.get(task) ?? 0) + 1);
 	}
 
 	/** Runs a task, or refuses it if no slot is free. */
--- a/packages/bench/src/simulation/simulation.ts
+++ b/packages/bench/src/simulation/simulation.ts
@@ -14,6 +14,8 @@
 	random: RandomSource;
 	fleet: SimulatedFleet;
 	deadlineMs: number;
+	/** The availability zone that is cut off from the others, if any. */
+	cut: {availabilityZone?: string};
 	/** Called when a daemon has the job's answer. */
 	onEnd: ReportEnd;
 };
@@ -45,6 +47,6 @@
 	}
 
 	return {
-		deployment, timers, random, fleet, deadlineMs,
+		deployment, timers, random, fleet, deadlineMs, cut: {},
 	};
 }
--- a/packages/dispatch/src/admission/deadline-check.ts
+++ b/packages/dispatch/src/admission/deadline-check.ts
@@ -14,6 +14,9 @@
 	getMeanRunTimeMs: (service: string) => number;
 };
 
+/** Rounds are taken to last longer by this factor, since long tasks come late. */
+const turnMargin = 1.4;
+
 /**
  * Creates the check of whether a job can be taken without making itself or an earlier one late.
  * Waiting jobs are served in turn, one task each, so that a job with `n` waiting tasks takes `n` rounds
@@ -37,7 +40,7 @@
 		}
 
 		const waiting = queues.getWaitingJobs(pool);
-		const roundMs = meanRunTimeMs * (waiting.size + 1) / Math.max(1, ownLoad.slots);
+		const roundMs = turnMargin * meanRunTimeMs * (waiting.size + 1) / Math.max(1, ownLoad.slots);
 		const ownTasks = Math.ceil(job.tasks.length * ownLoad.slots / slots);
 		return (ownTasks * roundMs) + runTimeMs <= job.deadlineMs && leavesOthersInTime(waiting, roundMs, meanRunTimeMs);
 	}
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -469,6 +469,11 @@
 		balanceAll();
 	}
 
+	function getHeldSlots(server: BackendServerRecord): number {
+		const isManager = server.managerId === ownId && server.managedFromMs <= timers.getNowMs();
+		return isManager && mayUse(server) && !server.isLeaving ? server.announcement.slots : 0;
+	}
+
 	function getStatus(): DispatcherStatus {
 		const {tasks, bytes} = queues.getTotals();
 		return {
@@ -482,7 +487,7 @@
 				availabilityZone: server.announcement.availabilityZone,
 				slots: server.announcement.slots,
 				managerId: server.managerId,
-				heldSlots: server.managerId === ownId && server.managedFromMs <= timers.getNowMs() ? server.announcement.slots : 0,
+				heldSlots: getHeldSlots(server),
 				busySlots: server.busySlots,
 				isEjected: ejection.isEjected(server.id),
 				isLeaving: server.isLeaving,
