--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -173,14 +173,7 @@
 	}
 
 	function getAllLoads(): PoolLoad[] {
-		const pools = new Set<string>();
-		for (const server of table.getAll()) {
-			for (const pool of server.pools) {
-				pools.add(pool);
-			}
-		}
-
-		return [...pools].slice(0, mostLoadsPerMessage).map(pool => getLoad(pool));
+		return table.getPools().slice(0, mostLoadsPerMessage).map(pool => getLoad(pool));
 	}
 
 	function placeOn(server: BackendServerRecord): void {
@@ -226,8 +219,7 @@
 
 	function setPoolSizes(pools: readonly string[]): void {
 		for (const pool of pools) {
-			const size = [...table.getAll()].filter(server => server.pools.includes(pool)).length;
-			ejection.setPoolSize(pool, size, rules?.findPool(pool)?.largestEjectedShare ?? 0);
+			ejection.setPoolSize(pool, table.getPoolSize(pool), rules?.findPool(pool)?.largestEjectedShare ?? 0);
 		}
 	}
 
@@ -383,16 +375,16 @@
 	function handleMessage(peerId: string, message: DispatchMessage): void {
 		const wasConnected = heartbeats.isConnected();
 		heartbeats.noteHeard(peerId);
+		if (!wasConnected && heartbeats.isConnected()) {
+			managers.renewAll();
+		}
+
 		partners.noteHeard(peerId);
 		if ('loads' in message) {
 			partners.addLoads(peerId, message.loads);
 		}
 
 		handleByKind(peerId, message);
-		if (!wasConnected) {
-			placer.placeAll();
-		}
-
 		if ('loads' in message) {
 			balanceAll();
 		}
--- a/packages/dispatch/src/servers/backend-server-table.ts
+++ b/packages/dispatch/src/servers/backend-server-table.ts
@@ -42,6 +42,10 @@
 	/** Gets the usable slots of a pool that this daemon manages. */
 	getSlotCount(pool: string): number;
 	getFreeSlotCount(pool: string): number;
+	/** Gets the pools for which backend servers of this zone work. */
+	getPools(): string[];
+	/** Gets how many backend servers work for a pool. */
+	getPoolSize(pool: string): number;
 };
 
 const shortestBlockMs = 50;
@@ -57,6 +61,9 @@
 	const servers = new Map<string, BackendServerRecord>();
 	const availableByPool = new Map<string, Set<BackendServerRecord>>();
 	const unblockTimers = new Map<string, TimerSubscription>();
+	/** Those whose manager is this daemon. */
+	const managed = new Set<BackendServerRecord>();
+	const poolSizes = new Map<string, number>();
 	const noServers: ReadonlySet<BackendServerRecord> = new Set();
 	let rules: PlacementRules | undefined;
 
@@ -71,7 +78,15 @@
 
 	function setPools(server: BackendServerRecord): void {
 		const {services, availabilityZone} = server.announcement;
+		countInPools(server, -1);
 		server.pools = rules?.getPoolsOf(services, availabilityZone) ?? [];
+		countInPools(server, 1);
+	}
+
+	function countInPools(server: BackendServerRecord, sign: 1 | -1): void {
+		for (const pool of server.pools) {
+			poolSizes.set(pool, (poolSizes.get(pool) ?? 0) + sign);
+		}
 	}
 
 	function announce(announcement: BackendServerAnnouncement, isDirect: boolean): boolean {
@@ -126,6 +141,8 @@
 
 	function remove(server: BackendServerRecord): void {
 		servers.delete(server.id);
+		managed.delete(server);
+		countInPools(server, -1);
 		leaveAvailable(server);
 		unblockTimers.get(server.id)?.cancel();
 		unblockTimers.delete(server.id);
@@ -139,6 +156,12 @@
 	}
 
 	function refresh(server: BackendServerRecord): void {
+		if (server.managerId === ownId && servers.get(server.id) === server) {
+			managed.add(server);
+		} else {
+			managed.delete(server);
+		}
+
 		if (!isUsable(server)) {
 			leaveAvailable(server);
 			return;
@@ -210,7 +233,7 @@
 
 	function sumManaged(pool: string, getSlots: (server: BackendServerRecord) => number): number {
 		let slots = 0;
-		for (const server of servers.values()) {
+		for (const server of managed) {
 			if (isManaged(server) && server.pools.includes(pool)) {
 				slots += getSlots(server);
 			}
@@ -241,6 +264,8 @@
 		},
 		removeExpired,
 		getSlotCount: pool => sumManaged(pool, server => server.isLeaving ? 0 : server.announcement.slots),
+		getPools: () => [...poolSizes].filter(([, size]) => size > 0).map(([pool]) => pool),
+		getPoolSize: pool => poolSizes.get(pool) ?? 0,
 		getFreeSlotCount: pool => sumManaged(pool, server => getFreeSlots(server)),
 	};
 }
--- a/packages/dispatch/src/servers/server-directory.ts
+++ b/packages/dispatch/src/servers/server-directory.ts
@@ -1,4 +1,6 @@
-import type {BackendServerAnnouncement, Member, TimerService} from '@camphortack/core';
+import type {
+	BackendServerAnnouncement, Member, TimerService, TimerSubscription,
+} from '@camphortack/core';
 import {mostServersPerMessage, type SendDispatchMessage} from '../messages/dispatch-messages.js';
 import type {BackendServerRecord} from './backend-server-record.js';
 import type {BackendServerTable} from './backend-server-table.js';
@@ -33,6 +35,7 @@
 
 /** Renewals are passed on to the manager this often in a time to live. */
 const forwardsPerTimeToLive = 2;
+const tellDelayMs = 20;
 
 /**
  * Creates the directory.
@@ -41,6 +44,8 @@
 export function createServerDirectory(options: ServerDirectoryOptions): ServerDirectory {
 	const {ownId, availabilityZone, timers, table, managers, send} = options;
 	let members: readonly Member[] = [];
+	const changed = new Set<BackendServerRecord>();
+	let tellTimer: TimerSubscription | undefined;
 	let knownPeers = new Map<string, string>();
 
 	function setMembers(newMembers: readonly Member[]): void {
@@ -57,10 +62,26 @@
 
 	/** Describes to a daemon that joined what this daemon manages. */
 	function describeManaged(peerId: string): void {
-		const managed = [...table.getAll()].filter(server => server.managerId === ownId && !server.isLeaving);
-		for (let start = 0; start < managed.length; start += mostServersPerMessage) {
-			const announcements = managed.slice(start, start + mostServersPerMessage).map(server => server.announcement);
-			send(peerId, {kind: 'dispatch.servers', announcements});
+		describe([peerId], [...table.getAll()].filter(server => server.managerId === ownId));
+	}
+
+	/** Changes go out together, so that a rack that starts costs one message for each daemon. */
+	function tellChanged(server: BackendServerRecord): void {
+		changed.add(server);
+		tellTimer ??= timers.addTimer(tellDelayMs, () => {
+			tellTimer = undefined;
+			describe(managers.getPeerIds(), [...changed]);
+			changed.clear();
+		});
+	}
+
+	function describe(peerIds: readonly string[], servers: readonly BackendServerRecord[]): void {
+		const staying = servers.filter(server => !server.isLeaving);
+		for (let start = 0; start < staying.length; start += mostServersPerMessage) {
+			const announcements = staying.slice(start, start + mostServersPerMessage).map(server => server.announcement);
+			for (const peerId of peerIds) {
+				send(peerId, {kind: 'dispatch.servers', announcements});
+			}
 		}
 	}
 
@@ -78,7 +99,7 @@
 
 		if (isChanged) {
 			managers.assign(server);
-			tellZone({kind: 'dispatch.servers', announcements: [announcement]});
+			tellChanged(server);
 			options.onChanged(server);
 		} else {
 			forwardRenewal(server);
@@ -116,7 +137,7 @@
 
 			managers.assign(server);
 			if (!knownPeers.has(peerId)) {
-				tellZone({kind: 'dispatch.servers', announcements: [announcement]});
+				tellChanged(server);
 			}
 
 			options.onChanged(server);
--- a/packages/dispatch/src/servers/slot-managers.ts
+++ b/packages/dispatch/src/servers/slot-managers.ts
@@ -25,6 +25,8 @@
 	handleRelease(peerId: string, message: ReleaseMessage): void;
 	/** Reports a slot that fell free on a backend server that another daemon manages now. */
 	noteSlotFree(server: BackendServerRecord): void;
+	/** Waits for the leases that others may have been given while this daemon heard nobody. */
+	renewAll(): void;
 	/** Gets the other live daemons of the zone. */
 	getPeerIds(): readonly string[];
 };
@@ -107,6 +109,7 @@
 
 	function waitForLeases(server: BackendServerRecord, delayMs: number): void {
 		server.managedFromMs = timers.getNowMs() + delayMs;
+		table.refresh(server);
 		timers.addTimer(delayMs, () => {
 			table.refresh(server);
 		});
@@ -172,6 +175,13 @@
 				addRelease(server);
 			}
 		},
+		renewAll() {
+			for (const server of table.getAll()) {
+				if (server.managerId === ownId) {
+					waitForLeases(server, takeoverMs);
+				}
+			}
+		},
 		getPeerIds: () => members.map(member => member.id).filter(id => id !== ownId),
 	};
 }
