--- /dev/null
+++ b/packages/daemon/src/runtime/get-daemon-status.ts
@@ -0,0 +1,51 @@
+import process from 'node:process';
+import type {Container} from 'inversify';
+import {tokens} from '../composition/tokens.js';
+
+/**
+ * Gets what `camphortack status` shows.
+ * @param container - The daemon's parts.
+ * @param isDraining - Whether a planned stop has begun.
+ */
+export function getDaemonStatus(container: Container, isDraining: boolean): Record<string, unknown> {
+	const {id, incarnation, availabilityZone} = container.get(tokens.identity);
+	const {roles} = container.get(tokens.settings).daemon;
+	const follower = container.get(tokens.follower).getStatus();
+	const {version, isStale, sourceId, keeperAgeMs} = follower;
+	return {
+		daemon: {
+			id, incarnation, availabilityZone, roles, isDraining, isReady: !isDraining && version > 0,
+		},
+		configuration: {
+			version, isStale, sourceId, keeperAgeMs,
+		},
+		keepers: getKeepers(container),
+		members: [{id, availabilityZone, isAlive: true}],
+		dispatcher: container.get(tokens.dispatcher).getStatus(),
+		limits: container.get(tokens.limits).getStatus().limits,
+		resources: getResources(),
+		counters: container.get(tokens.metrics).getValues(),
+	};
+}
+
+function getResources(): {processorTimeMs: number; memoryBytes: number} {
+	const {user, system} = process.cpuUsage();
+	const microsecondsPerMillisecond = 1000;
+	return {
+		processorTimeMs: (user + system) / microsecondsPerMillisecond,
+		memoryBytes: process.memoryUsage.rss(),
+	};
+}
+
+function getKeepers(container: Container): Record<string, unknown> {
+	const status = container.get(tokens.keeper)?.getStatus();
+	const {isStale} = container.get(tokens.follower).getStatus();
+	return {
+		leaderId: status?.leaderId,
+		term: status?.term,
+		isLeader: status?.role === 'leader',
+		isReachable: !isStale,
+		role: status?.role,
+		ids: status?.keepers.map(keeper => keeper.keeperId),
+	};
+}
