--- a/packages/bench/src/simulation/camphortack-policy.ts
+++ b/packages/bench/src/simulation/camphortack-policy.ts
@@ -1,12 +1,12 @@
 import {configurationSchema, type Configuration} from '@camphortack/configuration';
 import {backendServerAnnouncementSchema, createSeededRandomSource, type Member} from '@camphortack/core';
 import {createDispatcher, type Dispatcher} from '@camphortack/dispatch';
-import type {LimitBook} from '@camphortack/policy';
 import {RecordingEventLog, RecordingMetricSink} from '@camphortack/testkit';
 import {getLatencyMs, getZoneName} from '../bench/deployments.js';
 import {SimulatedNetwork} from './simulated-network.js';
 import {SimulatedStarter} from './simulated-starter.js';
 import type {CreatePolicy, PolicyContext} from './simulation.js';
+import {unlimited} from './unlimited.js';
 import {meanTaskMs} from './workload.js';
 
 /** Messages between dispatchers that carry neither a request nor its answer. */
@@ -15,17 +15,6 @@
 ];
 const startMs = 5000;
 
-const unlimited: LimitBook = {
-	admitJob: () => ({isAdmitted: true}),
-	requestAdmission(_request, onDecision) {
-		onDecision({isAdmitted: true});
-	},
-	extendTask: () => true,
-	addTaskEnd: () => undefined,
-	addTaskNotRun: () => undefined,
-	closeJob: () => undefined,
-};
-
 /** The real dispatchers over the simulated fleet. */
 export const createCamphortackPolicy: CreatePolicy = context => {
 	const {deployment, timers, random, fleet} = context;
--- a/packages/bench/src/simulation/simulated-starter.ts
+++ b/packages/bench/src/simulation/simulated-starter.ts
@@ -27,6 +27,11 @@
 
 		const server = this.#fleet.getServer(id);
 		this.#timers.addTimer(this.#latencyMs(server.availabilityZone), () => {
+			if (server.fault === 'dead') {
+				this.onEvent?.({kind: 'connect-refused', backendServerId: id, attempts: batch.tasks.map(task => task.attempt)});
+				return;
+			}
+
 			for (const task of batch.tasks) {
 				this.#run(server, task);
 			}
--- a/packages/bench/test/support/create-cluster.ts
+++ b/packages/bench/test/support/create-cluster.ts
@@ -8,6 +8,7 @@
 } from '@camphortack/testkit';
 import {SimulatedFleet} from '../../src/simulation/simulated-fleet.js';
 import {SimulatedStarter} from '../../src/simulation/simulated-starter.js';
+import {unlimited} from '../../src/simulation/unlimited.js';
 
 export type ClusterOptions = {
 	daemons: number;
@@ -78,9 +79,7 @@
 				dispatcher.handlePeerMessage(from, message);
 			}),
 			starter,
-			limits: {
-				admitJob: () => ({isAdmitted: true}), addTaskEnd: () => undefined, addTaskNotRun: () => undefined, closeJob: () => undefined,
-			},
+			limits: unlimited,
 		});
 		starter.onEvent = dispatcher.handleTaskEvent;
 		dispatcher.setConfiguration(configurationSchema.parse({
--- a/packages/dispatch/src/configuration/placement-rules.ts
+++ b/packages/dispatch/src/configuration/placement-rules.ts
@@ -3,6 +3,8 @@
 
 /** The parts of a configuration that placement asks for. */
 export type PlacementRules = {
+	/** Whether any service allows second attempts. */
+	readonly hasHedging: boolean;
 	hasCustomer(customer: string): boolean;
 	getWeight(customer: string): number;
 	findService(service: string): ServiceObject | undefined;
@@ -50,6 +52,7 @@
 	}
 
 	return {
+		hasHedging: Object.values(objects.services).some(service => service.hedgeBudgetRatio > 0),
 		hasCustomer: customer => Object.hasOwn(objects.customers, customer),
 		getWeight: customer => objects.customers[customer]?.weight ?? 1,
 		findService: service => Object.hasOwn(objects.services, service) ? objects.services[service] : undefined,
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -25,11 +25,13 @@
 import type {BackendServerRecord} from '../servers/backend-server-record.js';
 import {createServerDirectory} from '../servers/server-directory.js';
 import {createSlotManagers} from '../servers/slot-managers.js';
+import {createHedger} from '../tasks/hedger.js';
 import {createTaskRunner} from '../tasks/task-runner.js';
 import type {Dispatcher, DispatcherOptions, DispatcherStatus} from './dispatcher.js';
 
 const defaultLeaseDurationMs = 2000;
 const expiryCheckIntervalMs = 500;
+const hedgeCheckIntervalMs = 50;
 /** A daemon that hears no other one uses a backend server this long after it announced itself here. */
 const directAnnouncementMs = 2900;
 const mostLoadsPerMessage = 16;
@@ -90,7 +92,10 @@
 		estimator,
 		getRetryBudget: retryBudgets.getRetryBudget,
 		onReturned: returnTask,
-		onDone: jobs.endTask,
+		onDone(task) {
+			hedger.addDone(task.job.service);
+			jobs.endTask(task);
+		},
 		onFailed(task, failure) {
 			jobs.giveUp(task.job, {failure});
 		},
@@ -152,6 +157,22 @@
 		getMeanRunTimeMs: service => estimator.getExpectedRunTimeMs(service, rules?.findService(service)?.declaredRunTimeMs ?? 0),
 	});
 	const inbox = createPeerInbox({metrics, onMessage: handleMessage});
+	const hedger = createHedger({
+		timers,
+		metrics,
+		table,
+		queues,
+		runner,
+		estimator,
+		getHedgeBudgetRatio: service => rules?.findService(service)?.hedgeBudgetRatio ?? 0,
+		mayUse,
+		isEjected: ejection.isEjected,
+	});
+	timers.addInterval(hedgeCheckIntervalMs, () => {
+		if (rules?.hasHedging === true) {
+			hedger.check();
+		}
+	});
 	timers.addInterval(expiryCheckIntervalMs, table.removeExpired);
 
 	function send(peerId: string, message: DispatchMessage): void {
--- a/packages/dispatch/src/messages/dispatch-messages.ts
+++ b/packages/dispatch/src/messages/dispatch-messages.ts
@@ -1,4 +1,3 @@
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- Comes with @camphortack/core.
 import {z} from 'zod';
 import {
 	backendServerAnnouncementSchema, jobOutcomeSchema, mostTasksPerJob, nameSchema, taskSchema,
--- /dev/null
+++ b/packages/dispatch/src/tasks/hedger.ts
@@ -0,0 +1,101 @@
+import type {MetricSink, TimerService} from '@camphortack/core';
+import {createRetryBudget, type RetryBudget, type RunTimeEstimator} from '@camphortack/policy';
+import type {OpenTask} from '../jobs/open-job.js';
+import type {QueueBook} from '../queues/queue-book.js';
+import {addUsedResources, hasRoomFor, type BackendServerRecord} from '../servers/backend-server-record.js';
+import type {BackendServerTable} from '../servers/backend-server-table.js';
+import type {Attempt} from './attempt.js';
+import type {TaskRunner} from './task-runner.js';
+
+export type HedgerOptions = {
+	timers: TimerService;
+	metrics: MetricSink;
+	table: BackendServerTable;
+	queues: QueueBook;
+	runner: TaskRunner;
+	estimator: RunTimeEstimator;
+	/** Gets the second attempts that a service allows, as a share of its tasks; 0 for none. */
+	getHedgeBudgetRatio: (service: string) => number;
+	mayUse: (server: BackendServerRecord) => boolean;
+	isEjected: (backendServerId: string) => boolean;
+};
+
+/** Starts second attempts for slow tasks of idempotent jobs, within each service's budget. */
+export type Hedger = {
+	/** Counts a task that ended, which adds to its service's budget. */
+	addDone(service: string): void;
+	/** Looks for slow tasks. */
+	check(): void;
+};
+
+/** A task is slow once it runs this many times as long as 95% of its service's tasks. */
+const slowFactor = 2;
+const slowQuantile = 0.95;
+
+/**
+ * Creates the hedger.
+ * @param options - The parts that it works on.
+ */
+export function createHedger(options: HedgerOptions): Hedger {
+	const {timers, metrics, table, runner} = options;
+	const budgets = new Map<string, RetryBudget>();
+
+	function getBudget(service: string): RetryBudget {
+		let budget = budgets.get(service);
+		if (budget === undefined) {
+			budget = createRetryBudget({timers, ratio: options.getHedgeBudgetRatio(service), floorPerSecond: 0});
+			budgets.set(service, budget);
+		}
+
+		return budget;
+	}
+
+	function check(): void {
+		for (const attempt of [...runner.getRunning()].filter(other => isSlow(other))) {
+			hedge(attempt);
+		}
+	}
+
+	function isSlow({task, startedAtMs, isAbandoned}: Attempt): boolean {
+		const {job} = task;
+		if (isAbandoned || !job.idempotent || task.attempts.size > 1 || options.getHedgeBudgetRatio(job.service) === 0) {
+			return false;
+		}
+
+		const usualMs = options.estimator.findQuantileMs(job.service, slowQuantile);
+		return usualMs !== undefined && timers.getNowMs() - startedAtMs > slowFactor * usualMs;
+	}
+
+	function hedge({task, server}: Attempt): void {
+		const {pool, service} = task.job;
+		const other = options.queues.getTaskCount(pool) > 0 ? undefined : findOther(pool, server, task);
+		if (other === undefined || !getBudget(service).takeRetry()) {
+			return;
+		}
+
+		metrics.increment('hedge-started');
+		addUsedResources(other, task.needs, 1);
+		runner.startTasks(other, task.job, [task]);
+		table.refresh(other);
+	}
+
+	function findOther(pool: string, server: BackendServerRecord, {job, needs}: OpenTask): BackendServerRecord | undefined {
+		for (const other of table.getAvailable(pool)) {
+			const isFit = other.announcement.services.includes(job.service) && hasRoomFor(other, needs);
+			if (other !== server && isFit && options.mayUse(other) && !options.isEjected(other.id)) {
+				return other;
+			}
+		}
+
+		return undefined;
+	}
+
+	return {
+		addDone(service) {
+			if (options.getHedgeBudgetRatio(service) > 0) {
+				getBudget(service).addSuccess();
+			}
+		},
+		check,
+	};
+}
--- a/packages/dispatch/test/support/create-test-dispatcher.ts
+++ b/packages/dispatch/test/support/create-test-dispatcher.ts
@@ -3,7 +3,6 @@
 	backendServerAnnouncementSchema, createSeededRandomSource, type BackendServerAnnouncement, type Job, type JobOutcome,
 } from '@camphortack/core';
 import type {LimitBook} from '@camphortack/policy';
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
 import * as testkit from '@camphortack/testkit';
 import {createDispatcher, type Dispatcher} from '../../src/index.js';
 import {FakeTaskStarter, type FakeBehaviour} from './fake-task-starter.js';
--- a/packages/policy/src/limits/limit-book.ts
+++ b/packages/policy/src/limits/limit-book.ts
@@ -20,6 +20,13 @@
 export type LimitBook = {
 	/** Takes the job's use out of every limit that applies, all or none. */
 	admitJob(request: LimitRequest): LimitDecision;
+	/** Admits a job as `admitJob` does, but waits up to 50 ms for a share that other daemons could spare. */
+	requestAdmission(request: LimitRequest, onDecision: (decision: LimitDecision) => void): void;
+	/**
+	 * Reserves more worker-seconds for a running task that will outrun what is reserved for it.
+	 * @returns False if the task must be stopped now.
+	 */
+	extendTask(jobId: string, workerSeconds: number): boolean;
 	/** Gives back what a task that ended no longer holds, and charges what it really used. */
 	addTaskEnd(jobId: string, usedWorkerSeconds: number): void;
 	/** Gives back what a task that never started held. */
@@ -30,13 +37,6 @@
 
 /** The limit book as the daemon drives it. */
 export type LimitBookPart = LimitBook & {
-	/** Admits a job as `admitJob` does, but waits up to 50 ms for a share that other daemons could spare. */
-	requestAdmission(request: LimitRequest, onDecision: (decision: LimitDecision) => void): void;
-	/**
-	 * Reserves more worker-seconds for a running task that will outrun what is reserved for it.
-	 * @returns False if the task must be stopped now.
-	 */
-	extendTask(jobId: string, workerSeconds: number): boolean;
 	setConfiguration(configuration: Configuration): void;
 	/** Sets the live daemons of all availability zones, this one included. */
 	setMembers(members: readonly Member[]): void;
