Put the job register into the daemon

Cause: ids were checked in the memory of one daemon, so a resubmission after a restart or to another daemon could run again. Change: the job service claims each id from the register's client; tickets are issued and owned by the daemon, ids of the caller's choosing are decided by their keeper, which syncs the record before the start; a keeper starts its register once it knows whether its disk was there at the first start; a planned stop waits until the outcomes are stored. Tokens of backend servers and inherited object names are checked as the settings say.

--- a/packages/consensus/src/keeper/keeper-options.ts
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -30,6 +30,8 @@
 export type KeeperStatus = {
 	identity: string;
 	clusterId: string | undefined;
+	/** Whether this keeper, with this disk, took part in the cluster's first start. */
+	isFounder: boolean;
 	role: KeeperRole;
 	/** The daemon that leads, if known. */
 	leaderId: string | undefined;
--- a/packages/consensus/src/keeper/keeper.ts
+++ b/packages/consensus/src/keeper/keeper.ts
@@ -290,6 +290,7 @@
 		getStatus: () => ({
 			identity: store.getIdentity(),
 			clusterId: store.getBinding()?.clusterId,
+			isFounder: store.getBinding()?.bootstrapperId !== undefined,
 			role: getRole(),
 			leaderId: core.leaderId,
 			term: store.getTerm(),
--- a/packages/daemon/src/composition/bind-jobs.ts
+++ b/packages/daemon/src/composition/bind-jobs.ts
@@ -7,15 +7,12 @@
  * @param container - The container; it has everything else.
  */
 export function bindJobs(container: Container): void {
-	container.bind(tokens.jobs).toDynamicValue(context => {
-		const random = context.get(tokens.random);
-		return createJobService({
-			ownId: context.get(tokens.identity).id,
-			createIdentifier: () => random.getIdentifier(),
-			timers: context.get(tokens.timers),
-			metrics: context.get(tokens.metrics),
-			dispatcher: context.get(tokens.dispatcher),
-			hasConfiguration: () => container.get(tokens.configurationDesk).findConfiguration() !== undefined,
-		});
-	});
+	container.bind(tokens.jobs).toDynamicValue(context => createJobService({
+		timers: context.get(tokens.timers),
+		metrics: context.get(tokens.metrics),
+		dispatcher: context.get(tokens.dispatcher),
+		register: context.get(tokens.registerClient),
+		tickets: context.get(tokens.tickets),
+		hasConfiguration: () => container.get(tokens.configurationDesk).findConfiguration() !== undefined,
+	}));
 }
--- a/packages/daemon/src/composition/create-container.ts
+++ b/packages/daemon/src/composition/create-container.ts
@@ -6,6 +6,7 @@
 import {bindDispatch} from './bind-dispatch.js';
 import {bindJobs} from './bind-jobs.js';
 import {bindPeers} from './bind-peers.js';
+import {bindRegister} from './bind-register.js';
 import {bindSources} from './bind-sources.js';
 import {tokens} from './tokens.js';
 
@@ -31,6 +32,7 @@
 	bindPeers(container);
 	bindDispatch(container);
 	bindConfiguration(container);
+	bindRegister(container);
 	bindJobs(container);
 	return container;
 }
--- a/packages/daemon/src/composition/tokens.ts
+++ b/packages/daemon/src/composition/tokens.ts
@@ -3,6 +3,7 @@
 import type {ConfigurationFollower, Keeper} from '@camphortack/consensus';
 import type {Dispatcher} from '@camphortack/dispatch';
 import type {LimitBookPart} from '@camphortack/policy';
+import type {RegisterAssignment, RegisterClient, TicketTable} from '@camphortack/register';
 import type {ServiceIdentifier} from 'inversify';
 import type {HttpTaskStarter} from '../backend/http-task-starter.js';
 import type {ConfigurationDesk} from '../configuration/configuration-desk.js';
@@ -10,6 +11,7 @@
 import type {CountingMetricSink} from '../metrics/counting-metric-sink.js';
 import type {PeerRouter} from '../peers/peer-router.js';
 import type {TcpPeerNetwork} from '../peers/tcp-peer-network.js';
+import type {RegisterPart} from '../register/register-part.js';
 import type {OwnIdentity} from '../runtime/own-identity.js';
 import type {DaemonStorage} from '../storage/daemon-storage.js';
 import type {SystemTimers} from '../time/system-timers.js';
@@ -36,5 +38,9 @@
 	keeper: createToken<Keeper | undefined>('keeper'),
 	follower: createToken<ConfigurationFollower>('follower'),
 	configurationDesk: createToken<ConfigurationDesk>('configuration-desk'),
+	assignment: createToken<RegisterAssignment>('register-assignment'),
+	tickets: createToken<TicketTable>('tickets'),
+	registerClient: createToken<RegisterClient>('register-client'),
+	register: createToken<RegisterPart | undefined>('register'),
 	jobs: createToken<JobService>('jobs'),
 };
--- a/packages/daemon/src/http/send-json.ts
+++ b/packages/daemon/src/http/send-json.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {getRefusalDescription, type JobOutcome} from '@camphortack/core';
+import {getOutcomeText} from '../jobs/get-outcome-text.js';
 
 const statusOfComplete = 200;
 const statusOfFailed = 500;
@@ -13,12 +14,16 @@
  * @param headers - Further headers.
  */
 export function sendJson(response: ServerResponse, status: number, value: unknown, headers: Record<string, string> = {}): void {
+	sendText(response, status, JSON.stringify(value), headers);
+}
+
+function sendText(response: ServerResponse, status: number, text: string, headers: Record<string, string> = {}): void {
 	if (response.headersSent || response.destroyed) {
 		return;
 	}
 
 	response.writeHead(status, {'content-type': 'application/json', ...headers});
-	response.end(JSON.stringify(value));
+	response.end(text);
 }
 
 /**
@@ -28,7 +33,7 @@
  */
 export function sendOutcome(response: ServerResponse, outcome: JobOutcome): void {
 	if (outcome.outcome !== 'refused') {
-		sendJson(response, outcome.outcome === 'complete' ? statusOfComplete : statusOfFailed, outcome);
+		sendText(response, outcome.outcome === 'complete' ? statusOfComplete : statusOfFailed, getOutcomeText(outcome));
 		return;
 	}
 
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -2,15 +2,19 @@
 	Job, JobOutcome, JobSubmission, MetricSink, RefusedOutcome, TimerService,
 } from '@camphortack/core';
 import type {Dispatcher} from '@camphortack/dispatch';
+import {
+	getContentHash, type ClaimDecision, type RegisterClient, type TicketTable,
+} from '@camphortack/register';
 import {createRefusal} from '../http/create-refusal.js';
 import {createJobTable} from './job-table.js';
-import {getContentHash} from './get-content-hash.js';
 
-/** Between the callers' interface and the dispatcher: ids, resubmissions, stored outcomes. */
+/** Between the callers' interface and the dispatcher: ids, resubmissions, answers. */
 export type JobService = {
 	/** Takes a submission. `onAnswer` is called exactly once. */
 	submitJob(submission: JobSubmission, onAnswer: (outcome: JobOutcome) => void): void;
-	/** Waits for the outcome of a job, at most as long as asked. */
+	/** Runs a job that another daemon forwarded because this one issued its ticket. */
+	startForwardedJob(job: Job): void;
+	/** Waits for the outcome of a job that came through this daemon, at most as long as asked. */
 	waitForOutcome(id: string, waitMs: number): Promise<JobOutcome | 'running'>;
 	cancelJob(id: string): boolean;
 	createTickets(count: number): string[];
@@ -22,16 +26,16 @@
 };
 
 export type JobServiceOptions = {
-	ownId: string;
-	createIdentifier: () => string;
 	timers: TimerService;
 	metrics: MetricSink;
 	dispatcher: Dispatcher;
+	register: RegisterClient;
+	tickets: TicketTable;
 	hasConfiguration: () => boolean;
 };
 
 const outcomeRetentionMs = 600_000;
-const mostEndedJobs = 50_000;
+const mostOutcomeBytes = 16_777_216;
 const expiryIntervalMs = 5000;
 
 /**
@@ -39,8 +43,8 @@
  * @param options - The parts that it uses.
  */
 export function createJobService(options: JobServiceOptions): JobService {
-	const {timers, metrics, dispatcher} = options;
-	const table = createJobTable({retentionMs: outcomeRetentionMs, mostEndedJobs});
+	const {timers, metrics, dispatcher, register, tickets} = options;
+	const table = createJobTable({retentionMs: outcomeRetentionMs, mostOutcomeBytes});
 	let isDraining = false;
 	timers.addInterval(expiryIntervalMs, () => {
 		table.dropExpired(timers.getNowMs());
@@ -51,56 +55,64 @@
 		return refusal;
 	};
 
-	const findRefusal = (submission: JobSubmission): RefusedOutcome | undefined => {
-		const notRun = submission.id === undefined ? 'job' : 'this-copy';
+	const findRefusal = ({id}: JobSubmission): RefusedOutcome | undefined => {
+		const notRun = id === undefined ? 'job' : 'this-copy';
 		if (isDraining) {
-			return createRefusal('draining', {id: submission.id, notRun});
+			return createRefusal('draining', {id, notRun});
 		}
 
-		if (!options.hasConfiguration()) {
-			return createRefusal('no-configuration', {id: submission.id, notRun});
-		}
-
-		return undefined;
+		return options.hasConfiguration() ? undefined : createRefusal('no-configuration', {id, notRun});
 	};
 
-	const startJob = (job: Job) => {
+	const runJob = (job: Job) => {
+		table.getOpenEntry(job.id);
 		dispatcher.submitJob(job, outcome => {
+			register.addOutcome(job.id, outcome);
 			table.endEntry(job.id, outcome, timers.getNowMs());
 		});
 	};
 
-	const createTicket = () => `t.${options.ownId}.${options.createIdentifier()}`;
-
-	return {
-		submitJob(submission, onAnswer) {
-			const refusal = findRefusal(submission);
-			if (refusal !== undefined) {
-				onAnswer(countRefusal(refusal));
-				return;
+	const handleDecision = (job: Job, decision: ClaimDecision, onAnswer: (outcome: JobOutcome) => void) => {
+		switch (decision.kind) {
+			case 'start': {
+				table.getOpenEntry(job.id).waiters.add(onAnswer);
+				runJob(job);
+				break;
 			}
 
-			const job: Job = {...submission, id: submission.id ?? createTicket()};
-			const contentHash = getContentHash(job);
-			const known = table.findEntry(job.id);
-			if (known === undefined) {
-				table.addEntry(job.id, contentHash).waiters.add(onAnswer);
-				startJob(job);
-				return;
+			case 'attach': {
+				metrics.increment('job-attached');
+				break;
 			}
 
-			if (known.contentHash !== contentHash) {
-				onAnswer(countRefusal(createRefusal('content-conflict', {id: job.id, notRun: 'this-copy'})));
-				return;
+			case 'outcome': {
+				onAnswer(decision.outcome);
+				break;
 			}
 
-			metrics.increment('job-attached');
-			if (known.outcome === undefined) {
-				known.waiters.add(onAnswer);
-			} else {
-				onAnswer(known.outcome);
+			case 'refused': {
+				onAnswer(countRefusal(createRefusal(decision.code, {id: job.id, notRun: decision.notRun})));
+				break;
 			}
-		},
+		}
+	};
+
+	const submitJob = (submission: JobSubmission, onAnswer: (outcome: JobOutcome) => void) => {
+		const refusal = findRefusal(submission);
+		if (refusal !== undefined) {
+			onAnswer(countRefusal(refusal));
+			return;
+		}
+
+		const job: Job = {...submission, id: submission.id ?? tickets.issueTickets(1)[0]!};
+		register.claimJob(job, getContentHash(job), decision => {
+			handleDecision(job, decision, onAnswer);
+		});
+	};
+
+	return {
+		submitJob,
+		startForwardedJob: runJob,
 		async waitForOutcome(id, waitMs) {
 			const entry = table.findEntry(id);
 			if (entry === undefined) {
@@ -125,7 +137,7 @@
 			});
 		},
 		cancelJob: id => dispatcher.cancelJob(id),
-		createTickets: count => Array.from({length: count}, createTicket),
+		createTickets: count => tickets.issueTickets(count),
 		countRefusal,
 		startDraining() {
 			isDraining = true;
--- a/packages/daemon/src/jobs/job-table.ts
+++ b/packages/daemon/src/jobs/job-table.ts
@@ -1,25 +1,26 @@
 import type {JobOutcome} from '@camphortack/core';
+import {getOutcomeText} from './get-outcome-text.js';
 
 /** What this daemon remembers of one job. */
 export type JobEntry = {
 	id: string;
-	contentHash: string;
+	waiters: Set<(outcome: JobOutcome) => void>;
 	outcome?: JobOutcome;
 	endedAtMs?: number;
-	waiters: Set<(outcome: JobOutcome) => void>;
 };
 
 export type JobTableOptions = {
 	/** How long an outcome is kept after the job's end. */
 	retentionMs: number;
-	/** How many ended jobs are kept at most; the oldest go first. */
-	mostEndedJobs: number;
+	/** How many bytes of outcomes are kept at most; the oldest go first. */
+	mostOutcomeBytes: number;
 };
 
-/** The jobs that this daemon runs, and those that ended not long ago. */
+/** The jobs that run through this daemon, and those that ended not long ago, for callers who ask by id. */
 export type JobTable = {
 	findEntry(id: string): JobEntry | undefined;
-	addEntry(id: string, contentHash: string): JobEntry;
+	/** Gets the entry of a job, and adds one if there is none that is open. */
+	getOpenEntry(id: string): JobEntry;
 	/** Stores the outcome and answers everybody who waits. A refused job is forgotten, since none of it ran. */
 	endEntry(id: string, outcome: JobOutcome, nowMs: number): void;
 	/** Drops the outcomes whose retention has passed. */
@@ -30,31 +31,52 @@
 
 /**
  * Creates a table of jobs with bounded memory.
- * @param options - How long and how many ended jobs are kept.
+ * @param options - How long and how many bytes of outcomes are kept.
  *
  * @example
  * ```ts
- * const table = createJobTable({retentionMs: 600_000, mostEndedJobs: 100_000});
- * table.addEntry('job-1', hash).waiters.add(answer);
+ * const table = createJobTable({retentionMs: 600_000, mostOutcomeBytes: 16_777_216});
+ * table.getOpenEntry('job-1').waiters.add(answer);
  * table.endEntry('job-1', outcome, timers.getNowMs());
  * ```
  */
-export function createJobTable(options: JobTableOptions): JobTable {
+export function createJobTable({retentionMs, mostOutcomeBytes}: JobTableOptions): JobTable {
 	const openEntries = new Map<string, JobEntry>();
 	/** In the order in which the jobs ended, so that the oldest come first. */
 	const endedEntries = new Map<string, JobEntry>();
+	let outcomeBytes = 0;
+
+	const dropEnded = (entry: JobEntry) => {
+		endedEntries.delete(entry.id);
+		outcomeBytes -= entry.outcome === undefined ? 0 : getOutcomeText(entry.outcome).length;
+	};
 
-	const dropOldest = () => {
-		const [oldestId] = endedEntries.keys();
-		if (oldestId !== undefined) {
-			endedEntries.delete(oldestId);
+	const addEnded = (entry: JobEntry, outcome: JobOutcome) => {
+		const earlier = endedEntries.get(entry.id);
+		if (earlier !== undefined) {
+			dropEnded(earlier);
+		}
+
+		endedEntries.set(entry.id, entry);
+		outcomeBytes += getOutcomeText(outcome).length;
+		for (const oldest of endedEntries.values()) {
+			if (outcomeBytes <= mostOutcomeBytes) {
+				return;
+			}
+
+			dropEnded(oldest);
 		}
 	};
 
 	return {
 		findEntry: id => openEntries.get(id) ?? endedEntries.get(id),
-		addEntry(id, contentHash) {
-			const entry: JobEntry = {id, contentHash, waiters: new Set()};
+		getOpenEntry(id) {
+			const known = openEntries.get(id);
+			if (known !== undefined) {
+				return known;
+			}
+
+			const entry: JobEntry = {id, waiters: new Set()};
 			openEntries.set(id, entry);
 			return entry;
 		},
@@ -68,11 +90,7 @@
 			entry.outcome = outcome;
 			entry.endedAtMs = nowMs;
 			if (outcome.outcome !== 'refused') {
-				endedEntries.set(id, entry);
-			}
-
-			if (endedEntries.size > options.mostEndedJobs) {
-				dropOldest();
+				addEnded(entry, outcome);
 			}
 
 			const waiters = [...entry.waiters];
@@ -83,11 +101,11 @@
 		},
 		dropExpired(nowMs) {
 			for (const entry of endedEntries.values()) {
-				if (nowMs - (entry.endedAtMs ?? nowMs) < options.retentionMs) {
+				if (nowMs - (entry.endedAtMs ?? nowMs) < retentionMs) {
 					return;
 				}
 
-				endedEntries.delete(entry.id);
+				dropEnded(entry);
 			}
 		},
 		getOpenCount: () => openEntries.size,
--- a/packages/daemon/src/runtime/get-daemon-status.ts
+++ b/packages/daemon/src/runtime/get-daemon-status.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import type {Container} from 'inversify';
 import {tokens} from '../composition/tokens.js';
+import {getLimitStatuses} from './get-limit-statuses.js';
 
 /**
  * Gets what `camphortack status` shows.
@@ -22,7 +23,7 @@
 		keepers: getKeepers(container),
 		members: [{id, availabilityZone, isAlive: true}],
 		dispatcher: container.get(tokens.dispatcher).getStatus(),
-		limits: container.get(tokens.limits).getStatus().limits,
+		limits: getLimitStatuses(container.get(tokens.limits)),
 		resources: getResources(),
 		counters: container.get(tokens.metrics).getValues(),
 	};
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -1,5 +1,6 @@
-import {checkConfigurationObjects, type Settings} from '@camphortack/configuration';
-import type {Member} from '@camphortack/core';
+import {checkConfigurationObjects, findOwn, type Settings} from '@camphortack/configuration';
+import type {Member, PeerMessage} from '@camphortack/core';
+import {isKeeperMessage} from '@camphortack/register';
 import type {Container} from 'inversify';
 import {createContainer} from '../composition/create-container.js';
 import {tokens} from '../composition/tokens.js';
@@ -10,6 +11,7 @@
 import {createOperatorsServer} from '../http/operators-server.js';
 import {getSeedMembers} from '../peers/get-seed-members.js';
 import {getDaemonStatus} from './get-daemon-status.js';
+import {getLimitStatuses} from './get-limit-statuses.js';
 
 /** Where a daemon listens. */
 export type DaemonAddresses = {
@@ -29,6 +31,7 @@
 };
 
 const drainCheckIntervalMs = 20;
+const longestOutcomeWaitMs = 3000;
 
 /**
  * Starts a daemon in this process.
@@ -87,6 +90,25 @@
 	};
 }
 
+/** A part that hears of the live daemons and of their messages. */
+type DaemonPart = {
+	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
+	setMembers(members: readonly Member[]): void;
+};
+
+function createRegisterRouter(client: DaemonPart, register: DaemonPart | undefined): DaemonPart {
+	return {
+		handlePeerMessage(fromPeerId, message) {
+			const part = isKeeperMessage(message) ? register : client;
+			part?.handlePeerMessage(fromPeerId, message);
+		},
+		setMembers(members) {
+			client.setMembers(members);
+			register?.setMembers(members);
+		},
+	};
+}
+
 type Servers = {
 	callers: ListeningServer;
 	backendServers: ListeningServer;
@@ -98,11 +120,14 @@
 	const network = container.get(tokens.peerNetwork);
 	const router = container.get(tokens.peerRouter);
 	const keeper = container.get(tokens.keeper);
-	const parts = {
+	const registerClient = container.get(tokens.registerClient);
+	const register = container.get(tokens.register);
+	const parts: Record<string, DaemonPart> = {
 		dispatch: container.get(tokens.dispatcher),
 		limits: container.get(tokens.limits),
 		configuration: container.get(tokens.follower),
 		...(keeper && {consensus: keeper}),
+		register: createRegisterRouter(registerClient, register),
 	};
 	const ownMember: Member = {
 		...container.get(tokens.identity), roles: daemon.roles, host: peers.host, peerPort: peersPort,
@@ -124,27 +149,28 @@
 	const configuration = container.get(tokens.configurationDesk);
 	const jobs = container.get(tokens.jobs);
 	const {tokenHashes} = settings.operators;
-	const isOperator = (authorization: string | undefined) => tokenHashes.length === 0 || isTokenAccepted(authorization, tokenHashes);
+	const backendServerHashes = settings['backend-servers'].tokenHashes.length === 0 ? tokenHashes : settings['backend-servers'].tokenHashes;
+	const createCheck = (hashes: readonly string[]) => (authorization: string | undefined) => hashes.length === 0 || isTokenAccepted(authorization, hashes);
 
 	const callers = createCallersServer({
 		jobs,
 		isReady: () => !state.isDraining && configuration.findConfiguration() !== undefined,
 		isAuthorized(authorization, customer) {
-			const hashes = configuration.findConfiguration()?.objects.customers[customer]?.tokenHashes ?? [];
+			const hashes = findOwn(configuration.findConfiguration()?.objects.customers ?? {}, customer)?.tokenHashes ?? [];
 			return hashes.length === 0 || isTokenAccepted(authorization, hashes);
 		},
 	});
 	const backendServers = createBackendServersServer({
-		isAuthorized: isOperator,
+		isAuthorized: createCheck(backendServerHashes),
 		onAnnouncement: dispatcher.announceBackendServer,
 		onFarewell: dispatcher.removeBackendServer,
 	});
 	const operators = createOperatorsServer({
-		isAuthorized: isOperator,
+		isAuthorized: createCheck(tokenHashes),
 		configuration,
 		checkObjects: objects => checkConfigurationObjects(objects).filter(finding => finding.level === 'error'),
 		getStatus: () => getDaemonStatus(container, state.isDraining),
-		getLimits: () => container.get(tokens.limits).getStatus().limits,
+		getLimits: () => getLimitStatuses(container.get(tokens.limits)),
 		onDrain,
 		onDrainBackendServer: () => false,
 	});
@@ -170,11 +196,30 @@
 			}
 		});
 	});
+	await storeOutcomes(container);
+}
+
+/** Waits until the keepers have the outcomes of the last jobs, at most as long as a resubmission waits for them. */
+async function storeOutcomes(container: Container): Promise<void> {
+	const timers = container.get(tokens.timers);
+	const client = container.get(tokens.registerClient);
+	const endAtMs = timers.getNowMs() + longestOutcomeWaitMs;
+	await new Promise<void>(resolve => {
+		const check = timers.addInterval(drainCheckIntervalMs, () => {
+			if (client.getStatus().unstoredOutcomes === 0 || timers.getNowMs() >= endAtMs) {
+				check.cancel();
+				resolve();
+			}
+		});
+	});
 }
 
 async function closeAll(container: Container, servers: Servers): Promise<void> {
 	await Promise.all([servers.callers.close(), servers.backendServers.close(), servers.operators.close()]);
 	await container.get(tokens.taskStarter).close();
+	container.get(tokens.registerClient).close();
+	container.get(tokens.register)?.close();
+	container.get(tokens.tickets).close();
 	container.get(tokens.follower).stop();
 	container.get(tokens.keeper)?.stop();
 	container.get(tokens.limits).stop();
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -5,3 +5,4 @@
 export * from './partitions/assignment.js';
 export * from './tickets/ticket.js';
 export * from './tickets/ticket-table.js';
+export {isClientMessage, isKeeperMessage} from './messages/register-messages.js';
