Try a failing backend server with one task at a time, and predict waits better

Cause: in the first seconds a backend server that fails everything got eight tasks at a time until it was ejected (1.7% of tasks failed from 1 s to 8 s); short queues made admission refuse jobs that would have been in time.

--- a/packages/dispatch/src/admission/deadline-check.ts
+++ b/packages/dispatch/src/admission/deadline-check.ts
@@ -14,13 +14,20 @@
 	getMeanRunTimeMs: (service: string) => number;
 };
 
-/** Rounds are taken to last longer by this factor, since long tasks come late. */
-const turnMargin = 1.4;
+/** A job of which tasks wait here, with the time that it has left for waiting. */
+type WaitingJob = {taskCount: number; remainingMs: number};
+
+/** Tasks are taken to run longer by this factor, since long tasks come late. */
+const runTimeMargin = 1.4;
+/** A queue that has lasted this long is taken to go on growing as fast as it is served. */
+const lastingQueueMs = 3000;
+/** A daemon that manages no slots takes a job's last task to wait this many times as long as its first. */
+const foreignWaitFactor = 3;
 
 /**
  * Creates the check of whether a job can be taken without making itself or an earlier one late.
- * Waiting jobs are served in turn, one task each, so that a job with `n` waiting tasks takes `n` rounds
- * of as many tasks as there are jobs.
+ * Waiting jobs are served in turn, one task each. If no more jobs come, a job with `n` waiting tasks ends when each
+ * other one has had `n` turns or all that it needs. If the queue lasts, others take the place of those that end.
  * @param options - The queues here and what is known of the partners'.
  */
 export function createDeadlineCheck(options: DeadlineCheckOptions): (job: Job, pool: string, runTimeMs: number) => boolean {
@@ -35,14 +42,17 @@
 
 		const meanRunTimeMs = options.getMeanRunTimeMs(job.service);
 		const waitMs = meanRunTimeMs * queuedTasks / slots;
-		if (waitMs + runTimeMs > job.deadlineMs) {
-			return false;
+		if (ownLoad.slots === 0 || waitMs + runTimeMs > job.deadlineMs) {
+			return (foreignWaitFactor * waitMs) + runTimeMs <= job.deadlineMs;
 		}
 
-		const waiting = queues.getWaitingJobs(pool);
-		const roundMs = turnMargin * meanRunTimeMs * (waiting.size + 1) / Math.max(1, ownLoad.slots);
 		const ownTasks = Math.ceil(job.tasks.length * ownLoad.slots / slots);
-		return (ownTasks * roundMs) + runTimeMs <= job.deadlineMs && leavesOthersInTime(waiting, roundMs, meanRunTimeMs);
+		const waiting = [
+			{taskCount: ownTasks, remainingMs: job.deadlineMs - runTimeMs},
+			...getWaiting(pool, meanRunTimeMs),
+		];
+		const turnMs = runTimeMargin * meanRunTimeMs / ownLoad.slots;
+		return areInTime(waiting, turnMs, Math.min(1, queues.getWaitingTimeMs(pool) / lastingQueueMs));
 	}
 
 	function getTotals(pool: string, ownLoad: PoolLoad): {slots: number; queuedTasks: number} {
@@ -55,19 +65,31 @@
 		return {slots, queuedTasks};
 	}
 
-	/** A job that would be late even if it were alone keeps no other one out. */
-	function leavesOthersInTime(waiting: ReadonlyMap<string, number>, roundMs: number, meanRunTimeMs: number): boolean {
+	function getWaiting(pool: string, meanRunTimeMs: number): WaitingJob[] {
 		const nowMs = timers.getNowMs();
-		for (const [key, taskCount] of waiting) {
-			const remainingMs = (jobs.findJob(key)?.deadlineAtMs ?? Infinity) - nowMs - meanRunTimeMs;
-			const aloneMs = taskCount * roundMs / (waiting.size + 1);
-			if (taskCount * roundMs > remainingMs && aloneMs <= remainingMs) {
-				return false;
-			}
+		return [...queues.getWaitingJobs(pool)].map(([key, taskCount]) => ({
+			taskCount,
+			remainingMs: (jobs.findJob(key)?.deadlineAtMs ?? Infinity) - nowMs - meanRunTimeMs,
+		}));
+	}
+
+	return meetsDeadlines;
+}
+
+/** Whether all jobs end in time. One that would be late even if it were alone keeps no other one out. */
+function areInTime(waiting: readonly WaitingJob[], turnMs: number, lasting: number): boolean {
+	const byTaskCount = waiting.toSorted((left, right) => left.taskCount - right.taskCount);
+	let turnsOfShorter = 0;
+	for (const [index, {taskCount, remainingMs}] of byTaskCount.entries()) {
+		const turnsIfLast = turnsOfShorter + (taskCount * (byTaskCount.length - index));
+		const turnsIfLasting = taskCount * byTaskCount.length;
+		const turns = turnsIfLast + (lasting * (turnsIfLasting - turnsIfLast));
+		if (turns * turnMs > remainingMs && taskCount * turnMs <= remainingMs) {
+			return false;
 		}
 
-		return true;
+		turnsOfShorter += taskCount;
 	}
 
-	return meetsDeadlines;
+	return true;
 }
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -66,7 +66,7 @@
 	});
 	const estimator = createRunTimeEstimator({timers});
 	const retryBudgets = createRetryBudgets(timers, service => rules?.findService(service)?.retryBudgetRatio ?? 0);
-	const queues = createQueueBook(customer => rules?.getWeight(customer) ?? 1);
+	const queues = createQueueBook(timers, customer => rules?.getWeight(customer) ?? 1);
 	const table = createBackendServerTable({
 		ownId,
 		timers,
--- a/packages/dispatch/src/placement/get-shares.ts
+++ b/packages/dispatch/src/placement/get-shares.ts
@@ -20,19 +20,27 @@
 	return freeSlots >= taskCount ? fillFreeSlots(taskCount, capacities) : levelQueues(taskCount, capacities);
 }
 
+/** The first daemon that has room for all the rest gets it; while there is none, the one with the most room is filled. */
 function fillFreeSlots(taskCount: number, capacities: readonly Capacity[]): number[] {
 	const shares = capacities.map(() => 0);
-	const byRoom = [...capacities.keys()].toSorted((left, right) => capacities[right]!.room - capacities[left]!.room);
+	const left = capacities.map(capacity => getFreeSlots(capacity));
 	let remaining = taskCount;
-	for (const index of byRoom) {
-		const share = Math.min(remaining, getFreeSlots(capacities[index]!));
-		shares[index] = share;
+	while (remaining > 0) {
+		const index = chooseIndex(remaining, left);
+		const share = Math.min(remaining, left[index]!);
+		left[index]! -= share;
+		shares[index]! += share;
 		remaining -= share;
 	}
 
 	return shares;
 }
 
+function chooseIndex(taskCount: number, freeSlots: readonly number[]): number {
+	const sufficient = freeSlots.findIndex(count => count >= taskCount);
+	return sufficient === -1 ? freeSlots.indexOf(Math.max(...freeSlots)) : sufficient;
+}
+
 function getFreeSlots({slots, room}: Capacity): number {
 	return Math.max(0, Math.min(slots, Math.floor(room)));
 }
--- a/packages/dispatch/src/placement/placer.ts
+++ b/packages/dispatch/src/placement/placer.ts
@@ -50,11 +50,12 @@
 	}
 
 	function fillServer(server: BackendServerRecord, pool: string): void {
-		if (!options.mayUse(server) || !ejection.mayStart(server.id)) {
+		const isTried = table.isSuspect(server) && server.busySlots > 0;
+		if (isTried || !options.mayUse(server) || !ejection.mayStart(server.id)) {
 			return;
 		}
 
-		const isTrial = ejection.isEjected(server.id);
+		const isTrial = ejection.isEjected(server.id) || table.isSuspect(server);
 		const tasks = takeTasks(server, pool, isTrial ? 1 : getFreeSlots(server));
 		for (const [job, jobTasks] of groupBy(tasks, task => task.job)) {
 			options.runner.startTasks(server, job, jobTasks);
--- a/packages/dispatch/src/queues/queue-book.ts
+++ b/packages/dispatch/src/queues/queue-book.ts
@@ -1,4 +1,5 @@
 import type {ServiceObject} from '@camphortack/configuration';
+import type {TimerService} from '@camphortack/core';
 import {createFairQueue, type FairQueue, type QueuedTask} from '@camphortack/policy';
 import type {OpenTask} from '../jobs/open-job.js';
 
@@ -18,17 +19,21 @@
 	getTotals(): Readonly<QueueTotals>;
 	/** Gets the jobs of a pool of which tasks wait, with how many. */
 	getWaitingJobs(pool: string): ReadonlyMap<string, number>;
+	/** Gets for how long some task has been waiting without a break. */
+	getWaitingTimeMs(pool: string): number;
 	/** Gets the pools for which a task waits. */
 	getWaitingPools(): string[];
 };
 
 /**
  * Creates the queues.
+ * @param timers - The source of time.
  * @param getWeight - Gets a customer's share, relative to the other customers.
  */
-export function createQueueBook(getWeight: (customer: string) => number): QueueBook {
+export function createQueueBook(timers: TimerService, getWeight: (customer: string) => number): QueueBook {
 	const queues = new Map<string, FairQueue>();
 	const waitingJobs = new Map<string, Map<string, number>>();
+	const waitingSinceMs = new Map<string, number>();
 	const noJobs: ReadonlyMap<string, number> = new Map();
 	const totalsByService = new Map<string, QueueTotals>();
 	const totals: QueueTotals = {tasks: 0, bytes: 0};
@@ -72,6 +77,11 @@
 		}
 
 		waitingJobs.set(pool, jobs);
+		if (jobs.size === 0) {
+			waitingSinceMs.delete(pool);
+		} else if (!waitingSinceMs.has(pool)) {
+			waitingSinceMs.set(pool, timers.getNowMs());
+		}
 	}
 
 	function addTasks(tasks: readonly OpenTask[], service: ServiceObject): 'added' | 'queue-full' {
@@ -128,6 +138,7 @@
 		removeJob,
 		getTaskCount: pool => queues.get(pool)?.getTaskCount() ?? 0,
 		getWaitingJobs: pool => waitingJobs.get(pool) ?? noJobs,
+		getWaitingTimeMs: pool => timers.getNowMs() - (waitingSinceMs.get(pool) ?? timers.getNowMs()),
 		getTotals: () => totals,
 		getWaitingPools: () => [...queues].filter(([, queue]) => queue.getTaskCount() > 0).map(([pool]) => pool),
 	};
--- a/packages/dispatch/src/servers/backend-server-record.ts
+++ b/packages/dispatch/src/servers/backend-server-record.ts
@@ -15,6 +15,8 @@
 	/** Until when nothing is started after a refused connection or a not-run answer. */
 	blockedUntilMs: number;
 	consecutiveRefusals: number;
+	/** The jobs whose tasks failed here since the last task that ended well. */
+	readonly failedJobIds: Set<string>;
 	/** The daemon that leases out its slots. */
 	managerId: string;
 	/** From when this daemon may use the slots if it is the manager. */
@@ -48,6 +50,7 @@
 		isLeaving: false,
 		blockedUntilMs: Number.NEGATIVE_INFINITY,
 		consecutiveRefusals: 0,
+		failedJobIds: new Set(),
 		managerId: '',
 		managedFromMs: Infinity,
 		busySlots: 0,
--- a/packages/dispatch/src/servers/backend-server-table.ts
+++ b/packages/dispatch/src/servers/backend-server-table.ts
@@ -37,6 +37,12 @@
 	/** Blocks new work for a while after a refused connection or a not-run answer. */
 	block(server: BackendServerRecord): void;
 	noteSignOfLife(server: BackendServerRecord): void;
+	/** Notes a task that ended well. */
+	noteSuccess(server: BackendServerRecord): void;
+	/** Notes a task that failed; a backend server that fails several jobs and none ends well is blocked for a while. */
+	noteFailure(server: BackendServerRecord, jobId: string): void;
+	/** Whether it lately only failed, so that one task at a time is enough to try it. */
+	isSuspect(server: BackendServerRecord): boolean;
 	/** Removes those that stopped renewing. */
 	removeExpired(): void;
 	/** Gets the usable slots of a pool that this daemon manages. */
@@ -51,6 +57,8 @@
 const shortestBlockMs = 50;
 const longestBlockMs = 2000;
 const mostDoublings = 6;
+const fewestFailedJobs = 3;
+const largestSuspectShare = 0.3;
 
 /**
  * Creates the table.
@@ -63,6 +71,7 @@
 	const unblockTimers = new Map<string, TimerSubscription>();
 	/** Those whose manager is this daemon. */
 	const managed = new Set<BackendServerRecord>();
+	const suspects = new Set<BackendServerRecord>();
 	const poolSizes = new Map<string, number>();
 	const noServers: ReadonlySet<BackendServerRecord> = new Set();
 	let rules: PlacementRules | undefined;
@@ -142,6 +151,7 @@
 	function remove(server: BackendServerRecord): void {
 		servers.delete(server.id);
 		managed.delete(server);
+		suspects.delete(server);
 		countInPools(server, -1);
 		leaveAvailable(server);
 		unblockTimers.get(server.id)?.cancel();
@@ -212,6 +222,18 @@
 		}));
 	}
 
+	function noteFailure(server: BackendServerRecord, jobId: string): void {
+		if (server.failedJobIds.size < fewestFailedJobs) {
+			server.failedJobIds.add(jobId);
+		}
+
+		const mostSuspects = Math.max(1, Math.floor(managed.size * largestSuspectShare));
+		if (server.failedJobIds.size >= fewestFailedJobs && (suspects.has(server) || suspects.size < mostSuspects)) {
+			suspects.add(server);
+			block(server);
+		}
+	}
+
 	function removeExpired(): void {
 		const nowMs = timers.getNowMs();
 		for (const server of servers.values()) {
@@ -260,8 +282,14 @@
 		block,
 		noteSignOfLife(server) {
 			server.lastSignOfLifeMs = timers.getNowMs();
+		},
+		noteSuccess(server) {
 			server.consecutiveRefusals = 0;
+			server.failedJobIds.clear();
+			suspects.delete(server);
 		},
+		noteFailure,
+		isSuspect: server => suspects.has(server),
 		removeExpired,
 		getSlotCount: pool => sumManaged(pool, server => server.isLeaving ? 0 : server.announcement.slots),
 		getPools: () => [...poolSizes].filter(([, size]) => size > 0).map(([pool]) => pool),
--- a/packages/dispatch/src/tasks/task-runner.ts
+++ b/packages/dispatch/src/tasks/task-runner.ts
@@ -144,6 +144,9 @@
 		addEvidence(attempt, answer.state, durationMs);
 		if (answer.state === 'done') {
 			options.estimator.addSample(task.job.service, durationMs);
+			table.noteSuccess(attempt.server);
+		} else {
+			table.noteFailure(attempt.server, task.job.id);
 		}
 
 		if (isAbandoned || task.job.hasEnded || task.state !== 'running') {
@@ -192,6 +195,10 @@
 
 	function endWithoutAnswer(attempt: Attempt, kind: 'connect-refused' | 'connection-lost'): void {
 		const {task, isAbandoned} = attempt;
+		if (kind === 'connection-lost') {
+			table.noteFailure(attempt.server, task.job.id);
+		}
+
 		addEvidence(attempt, kind === 'connect-refused' ? kind : 'lost', timers.getNowMs() - attempt.startedAtMs);
 		if (isAbandoned || task.job.hasEnded || task.state !== 'running' || task.attempts.size > 0) {
 			task.mayHaveRun ||= kind === 'connection-lost';
