Run tasks that need a large backend server wherever it is managed

Cause: a task that fits only a backend server which another daemon manages waited until its deadline; and a task that fits no free slot made placement call itself without end (stack overflow, found by the new test). Change: a task router hands such tasks to the manager; the balancer leaves them there; a round of placement is not started again from inside.

--- a/packages/bench/test/simulation/failures.test.ts
+++ b/packages/bench/test/simulation/failures.test.ts
@@ -74,6 +74,24 @@
 		assert.equal(cluster.outcomes.get('after')?.outcome, 'complete');
 	});
 
+	it('run on the one backend server of the zone that is large enough, whoever manages it', () => {
+		const cluster = createCluster({daemons: 4, servers: 8});
+		const large = {...cluster.announcements[0]!, incarnation: 'second', processors: 64};
+		cluster.nodes[0]!.dispatcher.announceBackendServer(large);
+		cluster.timers.advance(3000);
+		for (const [index, node] of cluster.nodes.entries()) {
+			cluster.submit(node, `job-${index}`, [], {tasks: [{payload: 100, needs: {processors: 32}}, {payload: 100}]});
+			cluster.submit(node, `too-large-${index}`, [], {tasks: [{payload: 100, needs: {processors: 65}}]});
+		}
+
+		cluster.timers.advance(1000);
+		for (const [id, outcome] of cluster.outcomes) {
+			assert.equal(outcome.outcome === 'refused' ? outcome.code : outcome.outcome, id.startsWith('job') ? 'complete' : 'never-fits', id);
+		}
+
+		assert.equal(cluster.outcomes.size, 8);
+	});
+
 	it('place again at once what the other daemon refused', () => {
 		const cluster = createCluster({daemons: 2, servers: 8});
 		cluster.timers.advance(3000);
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -18,6 +18,7 @@
 import {createPartnerTable} from '../peers/partner-table.js';
 import {createPeerInbox} from '../peers/peer-inbox.js';
 import {createBalancer} from '../placement/balancer.js';
+import {createTaskRouter} from '../placement/task-router.js';
 import {createPlacer} from '../placement/placer.js';
 import {createQueueBook} from '../queues/queue-book.js';
 import {createRetryBudgets} from '../retries/retry-budgets.js';
@@ -145,8 +146,9 @@
 	const placer = createPlacer({
 		timers, metrics, queues, jobs, table, runner, ejection, mayUse,
 	});
+	const router = createTaskRouter({ownId, table, sender});
 	const balancer = createBalancer({
-		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad,
+		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad, fitsInZone: router.fitsInZone,
 	});
 	const meetsDeadlines = createDeadlineCheck({
 		timers,
@@ -307,7 +309,7 @@
 	}
 
 	function addToQueue(job: OpenJob): boolean {
-		const isAdded = queues.addTasks(job.tasks, rules!.findService(job.service)!) === 'added';
+		const isAdded = queues.addTasks(router.route(job), rules!.findService(job.service)!) === 'added';
 		if (isAdded) {
 			placePool(job.pool);
 			metrics.setGauge('task-queued', queues.getTotals().tasks);
--- a/packages/dispatch/src/placement/balancer.ts
+++ b/packages/dispatch/src/placement/balancer.ts
@@ -1,3 +1,4 @@
+import type {TaskNeeds} from '@camphortack/core';
 import type {JobBook} from '../jobs/job-book.js';
 import type {OpenJob, OpenTask} from '../jobs/open-job.js';
 import type {PartSender} from '../handover/part-sender.js';
@@ -14,6 +15,8 @@
 	partners: PartnerTable;
 	sender: PartSender;
 	getOwnLoad: (pool: string) => PoolLoad;
+	/** Whether some backend server of the zone is large enough for a task; then the task router has placed it. */
+	fitsInZone: (pool: string, service: string, needs: TaskNeeds) => boolean;
 };
 
 /** Hands waiting tasks over to daemons that can start them sooner. */
@@ -69,7 +72,7 @@
 	function takeTasks(pool: string, count: number): {tasks: OpenTask[]; isExhausted: boolean} {
 		const tasks: OpenTask[] = [];
 		while (tasks.length < count) {
-			const queued = queues.takeTask(pool, () => true);
+			const queued = queues.takeTask(pool, ({service, needs}) => needs === undefined || !options.fitsInZone(pool, service, needs));
 			const task = queued === undefined ? undefined : jobs.findJob(queued.jobId)?.tasks[queued.index];
 			if (task === undefined) {
 				return {tasks, isExhausted: true};
--- a/packages/dispatch/src/placement/placer.ts
+++ b/packages/dispatch/src/placement/placer.ts
@@ -35,12 +35,20 @@
  */
 export function createPlacer(options: PlacerOptions): Placer {
 	const {timers, metrics, queues, jobs, table, ejection} = options;
+	const poolsInPlacement = new Set<string>();
 
+	/** Filling a backend server reports what is left of it, which must not start the same round again. */
 	function placePool(pool: string): void {
-		if (queues.getTaskCount(pool) === 0) {
+		if (queues.getTaskCount(pool) === 0 || poolsInPlacement.has(pool)) {
 			return;
 		}
 
+		poolsInPlacement.add(pool);
+		fillServers(pool);
+		poolsInPlacement.delete(pool);
+	}
+
+	function fillServers(pool: string): void {
 		for (const server of [...table.getAvailable(pool)].values()) {
 			fillServer(server, pool);
 			if (queues.getTaskCount(pool) === 0) {
@@ -57,6 +65,10 @@
 
 		const isTrial = ejection.isEjected(server.id) || table.isSuspect(server);
 		const tasks = takeTasks(server, pool, isTrial ? 1 : getFreeSlots(server));
+		if (tasks.length === 0) {
+			return;
+		}
+
 		for (const [job, jobTasks] of groupBy(tasks, task => task.job)) {
 			options.runner.startTasks(server, job, jobTasks);
 		}
