--- a/packages/bench/test/simulation/leases.test.ts
+++ b/packages/bench/test/simulation/leases.test.ts
@@ -4,12 +4,16 @@
 
 const runTimesMs = Array.from({length: 20}, (_, index) => 50 + (index * 20));
 
-/** Submits a job every 50 ms, to one daemon after the other. */
-function runLoad(cluster: Cluster, prefix: string, durationMs: number, nodes: readonly Node[] = cluster.nodes): void {
+/** Submits jobs every 50 ms, to one daemon after the other. */
+function runLoad(cluster: Cluster, prefix: string, durationMs: number, {nodes = cluster.nodes, jobsAtOnce = 1}: LoadOptions = {}): void {
 	const {submit, advance} = cluster;
+	let submitted = 0;
 	for (let passedMs = 0; passedMs < durationMs; passedMs += 50) {
 		const live = nodes.filter(node => node.isUp);
-		submit(live[(passedMs / 50) % live.length]!, `${prefix}-${passedMs}`, runTimesMs);
+		for (let job = 0; job < jobsAtOnce; job++) {
+			submit(live[submitted++ % live.length]!, `${prefix}-${passedMs}-${job}`, runTimesMs);
+		}
+
 		advance(50);
 	}
 }
@@ -19,18 +23,21 @@
 	assert.deepEqual([...fleet.startsByTask].filter(([, starts]) => starts > 1), []);
 }
 
+type LoadOptions = {nodes?: readonly Node[]; jobsAtOnce?: number};
+
 describe('slot leases', () => {
 	for (const {daemons, servers} of [{daemons: 2, servers: 30}, {daemons: 8, servers: 30}, {daemons: 130, servers: 1050}]) {
 		it(`are never given twice with ${daemons} daemons and ${servers} backend servers of a zone`, () => {
 			const cluster = createCluster({daemons, servers});
 			cluster.timers.advance(3000);
+			const seconds = daemons > 100 ? 1 : 4;
 			const sentBefore = cluster.network.totals.sentMessages;
 			const bytesBefore = cluster.network.totals.sentBytes;
-			runLoad(cluster, 'job', daemons > 100 ? 1000 : 4000);
-			const seconds = daemons > 100 ? 1 : 4;
+			runLoad(cluster, 'job', seconds * 1000, {jobsAtOnce: Math.ceil(servers / 20)});
 			const perDaemon = (cluster.network.totals.sentMessages - sentBefore) / daemons / seconds;
 			const bytesPerDaemon = (cluster.network.totals.sentBytes - bytesBefore) / daemons / seconds;
-			console.log(`${daemons} daemons, ${servers} servers: ${perDaemon.toFixed(1)} messages and ${bytesPerDaemon.toFixed(0)} bytes a second for each daemon`);
+			const tasks = cluster.fleet.totals.startedTasks / seconds;
+			console.log(`${daemons} daemons, ${servers} servers, ${tasks.toFixed(0)} tasks a second: ${perDaemon.toFixed(1)} messages and ${bytesPerDaemon.toFixed(0)} bytes a second for each daemon`);
 			cluster.timers.advance(10_000);
 			assert.equal(cluster.overLeased.size, 0);
 			assert.equal(cluster.fleet.totals.refusedTasks, 0);
@@ -87,7 +94,7 @@
 		const others = cluster.nodes.slice(1);
 		cluster.setMembers(others, others);
 		cluster.timers.advance(4000);
-		runLoad(cluster, 'before', 1000, others);
+		runLoad(cluster, 'before', 1000, {nodes: others});
 		cluster.setMembers(cluster.nodes, cluster.nodes);
 		cluster.advance(100);
 		assert.ok(joining.dispatcher.getStatus().backendServers.some(({heldSlots}) => heldSlots > 0));
