--- a/packages/dispatch/src/admission/deadline-check.ts
+++ b/packages/dispatch/src/admission/deadline-check.ts
@@ -20,7 +20,7 @@
 /** Tasks are taken to run longer by this factor, since long tasks come late. */
 const runTimeMargin = 1.4;
 /** A queue that has lasted this long is taken to go on growing as fast as it is served. */
-const lastingQueueMs = 3000;
+const lastingQueueMs = 10_000;
 /** A daemon that manages no slots takes a job's last task to wait this many times as long as its first. */
 const foreignWaitFactor = 3;
 
