--- a/packages/policy/src/limits/create-limit-book.ts
+++ b/packages/policy/src/limits/create-limit-book.ts
@@ -71,7 +71,7 @@
 		getEntitlement,
 		getEarlierUse,
 	});
-	const waiting = createWaitingAdmissions({timers, admitJob, findLacking: request => accounts.findLacking(request, getHeldDimensions(request))});
+	const waiting = createWaitingAdmissions({timers, admitJob, findLacking: request => accounts.getLacking(request, getHeldDimensions(request)).at(0)});
 	const ticks = timers.addInterval(tickMs, tick);
 
 	function getEntitlement({capacity, isWhole, holdMs, lagMs}: LimitDimension): number {
@@ -152,10 +152,10 @@
 
 		checkPause();
 		const dimensions = getHeldDimensions(request);
-		const lacking = accounts.findLacking(request, dimensions);
+		const lacking = accounts.getLacking(request, dimensions);
 		const decision = accounts.admitJob(request, dimensions);
-		if (lacking !== undefined) {
-			addUrgent(lacking);
+		for (const held of lacking) {
+			addUrgent(held);
 		}
 
 		return decision;
@@ -174,7 +174,7 @@
 
 	function requestAdmission(request: LimitRequest, onDecision: (decision: LimitDecision) => void): void {
 		const decision = admitJob(request);
-		const lacking = decision.isAdmitted ? undefined : accounts.findLacking(request, getHeldDimensions(request));
+		const [lacking] = decision.isAdmitted ? [] : accounts.getLacking(request, getHeldDimensions(request));
 		if (lacking === undefined || !waiting.add(request, lacking, onDecision)) {
 			onDecision(decision);
 		}
--- a/packages/policy/src/limits/job-accounts.ts
+++ b/packages/policy/src/limits/job-accounts.ts
@@ -6,8 +6,8 @@
 export type JobAccounts = {
 	/** Takes the job's use out of every dimension, all or none. */
 	admitJob(request: LimitRequest, dimensions: readonly HeldDimension[]): LimitDecision;
-	/** Finds a dimension that has too little left for the job. */
-	findLacking(request: LimitRequest, dimensions: readonly HeldDimension[]): HeldDimension | undefined;
+	/** Gets the dimensions that have too little left for the job. */
+	getLacking(request: LimitRequest, dimensions: readonly HeldDimension[]): HeldDimension[];
 	extendTask(jobId: string, workerSeconds: number): boolean;
 	addTaskEnd(jobId: string, usedWorkerSeconds: number): void;
 	addTaskNotRun(jobId: string): void;
@@ -34,15 +34,18 @@
 export function createJobAccounts(): JobAccounts {
 	const jobs = new Map<string, OpenJob>();
 
-	function findLacking(request: LimitRequest, dimensions: readonly HeldDimension[]): HeldDimension | undefined {
-		return dimensions.find(held => held.getFree() < getAmount(held, request));
+	function getLacking(request: LimitRequest, dimensions: readonly HeldDimension[]): HeldDimension[] {
+		return dimensions.filter(held => held.getFree() < getAmount(held, request));
 	}
 
 	function admitJob(request: LimitRequest, dimensions: readonly HeldDimension[]): LimitDecision {
-		const lacking = findLacking(request, dimensions);
-		if (lacking !== undefined) {
-			lacking.demand.addShortfall(getAmount(lacking, request));
-			const {code, retryAfterMs} = lacking.getDimension();
+		const lacking = getLacking(request, dimensions);
+		for (const held of lacking) {
+			held.demand.addShortfall(getAmount(held, request));
+		}
+
+		if (lacking.length > 0) {
+			const {code, retryAfterMs} = lacking[0]!.getDimension();
 			return {isAdmitted: false, code, retryAfterMs};
 		}
 
@@ -135,7 +138,7 @@
 
 	return {
 		admitJob,
-		findLacking,
+		getLacking,
 		extendTask,
 		addTaskEnd,
 		addTaskNotRun,
--- a/packages/policy/src/limits/managed-dimension.ts
+++ b/packages/policy/src/limits/managed-dimension.ts
@@ -138,7 +138,9 @@
 
 /** Asks every other availability zone for an equal part of what is missing; gives back in proportion. */
 function getLoanWant(amount: number, borrowed: number, deficit: number, zoneCount: number): number {
-	return deficit >= borrowed
-		? amount + ((deficit - borrowed) / zoneCount)
-		: Math.max(0, amount * Math.max(0, deficit) / borrowed);
+	if (deficit >= borrowed) {
+		return amount + ((deficit - borrowed) / zoneCount);
+	}
+
+	return borrowed > 0 ? amount * Math.max(0, deficit) / borrowed : 0;
 }
--- a/packages/policy/src/limits/share-ledger.ts
+++ b/packages/policy/src/limits/share-ledger.ts
@@ -177,9 +177,9 @@
 
 	/** Under contention shares are cut in proportion, but for one client at a time whose job would not fit in. */
 	function getLocalTarget(clientKey: string, client: Client, report: ShareReport, capacity: number): number {
-		if (localWant <= capacity) {
+		if (localWant <= capacity || capacity <= 0) {
 			waiting.delete(clientKey);
-			return capacity;
+			return Math.max(0, capacity);
 		}
 
 		const proportional = Math.ceil(capacity * client.want / localWant);
@@ -196,7 +196,7 @@
 
 		return first.clientKey === clientKey
 			? first.need
-			: Math.floor(proportional * (1 - (first.need / capacity)));
+			: Math.floor(proportional * Math.max(0, 1 - (first.need / capacity)));
 	}
 
 	function freeze(amount: number, capacity: number, hasEarlierUse: boolean): void {
