--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -45,6 +45,7 @@
 	'peer-malformed': 'Messages from other daemons dropped because they do not match their schema.',
 	'storage-synced': 'Group commits written and synced.',
 	'storage-sync-time': 'Duration of a group commit, in milliseconds.',
+	'register-malformed': 'Messages of the job register dropped because they were malformed.',
 	'consensus-elections': 'Elections started.',
 	'membership-suspected': 'Daemons suspected to have failed.',
 } as const;
