--- a/packages/daemon/src/http/read-json-body.ts
+++ b/packages/daemon/src/http/read-json-body.ts
@@ -65,6 +65,10 @@
 		});
 		request.on('error', reject);
 		request.on('close', () => {
+			if (request.complete) {
+				return;
+			}
+
 			reject(new CamphortackError('caller-gone', 'the connection ended before the body'));
 		});
 	});
