--- /dev/null
+++ b/packages/bench/src/slopes/storage-slope.ts
@@ -0,0 +1,130 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {performance} from 'node:perf_hooks';
+import {createSeededRandomSource} from '@camphortack/core';
+import {openDataFolder, openRecordLog, type RecordLog} from '@camphortack/storage';
+import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
+
+/** Values measured at several sizes. */
+export type Slope = {
+	name: string;
+	points: Array<{size: number; value: number}>;
+	unit: string;
+};
+
+/** A log on the disk of the machine, and its counters. */
+export type DiskLog = {
+	log: RecordLog;
+	metrics: RecordingMetricSink;
+};
+
+const atOnceSizes = [1, 10, 100];
+const warmUpMs = 300;
+const measuredMs = 1500;
+const recordBytes = 120;
+
+/**
+ * Opens a log in a folder of its own, and removes it afterwards.
+ * @param use - What is done with the log.
+ */
+export async function withDiskLog<Result>(use: (diskLog: DiskLog) => Promise<Result>): Promise<Result> {
+	const path = await mkdtemp(join(tmpdir(), 'camphortack-slope-'));
+	const metrics = new RecordingMetricSink();
+	const dataFolder = await openDataFolder({path, daemonId: 'slope', random: createSeededRandomSource(1)});
+	const log = await openRecordLog({
+		dataFolder,
+		name: 'slope',
+		events: new RecordingEventLog(),
+		metrics,
+		timers: new VirtualTimers(),
+		onFailure(error) {
+			throw error;
+		},
+	});
+	try {
+		return await use({log, metrics});
+	} finally {
+		await log.close();
+		await dataFolder.close();
+		await rm(path, {recursive: true});
+	}
+}
+
+/** Measures how many records a second are durable, with so many writers that each wait for the one before. */
+export async function measureStorageSlope(): Promise<Slope> {
+	const points: Slope['points'] = [];
+	for (const size of atOnceSizes) {
+		// eslint-disable-next-line no-await-in-loop -- One measurement at a time.
+		const {recordsPerSecond} = await measureWriters(size);
+		points.push({size, value: recordsPerSecond});
+	}
+
+	return {name: 'durable records a second, by writers at once', points, unit: 'records/s'};
+}
+
+/** Measures how many records share one sync. */
+export async function measureRecordsPerSyncSlope(): Promise<Slope> {
+	const points: Slope['points'] = [];
+	for (const size of atOnceSizes) {
+		// eslint-disable-next-line no-await-in-loop -- One measurement at a time.
+		const {recordsPerSecond, syncsPerSecond} = await measureWriters(size);
+		points.push({size, value: recordsPerSecond / syncsPerSecond});
+	}
+
+	return {name: 'records a sync, by writers at once', points, unit: 'records/sync'};
+}
+
+/** Measures how many syncs a second the disk takes. */
+export async function measureSyncSlope(): Promise<Slope> {
+	const points: Slope['points'] = [];
+	for (const size of atOnceSizes) {
+		// eslint-disable-next-line no-await-in-loop -- One measurement at a time.
+		const {syncsPerSecond} = await measureWriters(size);
+		points.push({size, value: syncsPerSecond});
+	}
+
+	return {name: 'syncs a second, by writers at once', points, unit: 'syncs/s'};
+}
+
+async function measureWriters(writers: number): Promise<{recordsPerSecond: number; syncsPerSecond: number}> {
+	return withDiskLog(async ({log, metrics}) => {
+		const record = 'r'.repeat(recordBytes);
+		let recordCount = 0;
+		let isStopped = false;
+		const write = () => {
+			if (!isStopped) {
+				log.append(record, () => {
+					recordCount++;
+					write();
+				});
+			}
+		};
+
+		for (let writer = 0; writer < writers; writer++) {
+			write();
+		}
+
+		await sleep(warmUpMs);
+		const startedAtMs = performance.now();
+		const recordsBefore = recordCount;
+		const syncsBefore = metrics.getCount('storage-synced');
+		await sleep(measuredMs);
+		const seconds = (performance.now() - startedAtMs) / 1000;
+		isStopped = true;
+		return {
+			recordsPerSecond: (recordCount - recordsBefore) / seconds,
+			syncsPerSecond: (metrics.getCount('storage-synced') - syncsBefore) / seconds,
+		};
+	});
+}
+
+/**
+ * Waits.
+ * @param durationMs - How long.
+ */
+export async function sleep(durationMs: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, durationMs);
+	});
+}
--- a/packages/register/src/client/open-job.ts
+++ b/packages/register/src/client/open-job.ts
@@ -45,19 +45,11 @@
 
 /**
  * Creates a job without copies.
- * @param job - The job.
- * @param contentHash - The hash of its content.
- * @param ticket - The ticket, if its id is one.
- * @param claim - The number of the claim.
- * @param request - What names the job in requests.
+ * @param identity - The job and what names it.
  */
-export function createOpenJob(job: Job, contentHash: string, ticket: Ticket | undefined, claim: number, request: string): OpenJob {
+export function createOpenJob(identity: Pick<OpenJob, 'job' | 'contentHash' | 'ticket' | 'claim' | 'request'>): OpenJob {
 	return {
-		job,
-		contentHash,
-		ticket,
-		claim,
-		request,
+		...identity,
 		state: 'claiming',
 		outcome: undefined,
 		mayHaveStarted: false,
--- a/packages/register/src/client/open-jobs.ts
+++ b/packages/register/src/client/open-jobs.ts
@@ -113,7 +113,13 @@
 		findByRequest: request => openJobsByRequest.get(request),
 		add(job, contentHash) {
 			claimCount++;
-			const open = createOpenJob(job, contentHash, parseTicket(job.id), claimCount, getRequest(claimCount));
+			const open = createOpenJob({
+				job,
+				contentHash,
+				ticket: parseTicket(job.id),
+				claim: claimCount,
+				request: getRequest(claimCount),
+			});
 			openJobs.set(job.id, open);
 			openJobsByRequest.set(open.request, open);
 			return open;
--- a/packages/register/src/keeper/job-records.ts
+++ b/packages/register/src/keeper/job-records.ts
@@ -86,7 +86,9 @@
 			findGeneration(id)?.records.delete(id);
 		},
 		* getRecords() {
-			for (const {startedAtMs, records} of generations) {
+			// A copy, since generations may be dropped while a caller takes the records one by one.
+			const kept = [...generations];
+			for (const {startedAtMs, records} of kept) {
 				for (const [id, record] of records) {
 					yield {id, record, atMs: startedAtMs};
 				}
--- a/packages/register/src/keeper/job-register.ts
+++ b/packages/register/src/keeper/job-register.ts
@@ -54,6 +54,8 @@
 	setMembers(members: readonly Member[]): void;
 	/** Says that a process is known to be gone: its running jobs count as failed. */
 	markIncarnationGone(daemonId: string, incarnation: string): void;
+	/** Replaces the log by the present state now, and not only when it has grown. */
+	writeSnapshot(): void;
 	getStatus(): JobRegisterStatus;
 	/** Stops the timers. The log is the opener's to close. */
 	close(): void;
@@ -364,6 +366,7 @@
 			}
 		},
 		markIncarnationGone,
+		writeSnapshot: journal.writeSnapshot,
 		getStatus: () => ({
 			epoch: epoch.epoch,
 			recordCount: state.records.getCount(),
--- a/packages/register/src/keeper/register-journal.ts
+++ b/packages/register/src/keeper/register-journal.ts
@@ -17,6 +17,8 @@
 	getNowMs(): number;
 	/** Changes the state and writes the change. */
 	write(record: RegisterLogRecord, onSynced?: () => void): void;
+	/** Replaces the log by the present state. */
+	writeSnapshot(): void;
 	/** Calls back once everything written so far is durable. */
 	flush(onSynced: () => void): void;
 };
@@ -31,7 +33,7 @@
 	} = options;
 	let recordsSinceSnapshot = 0;
 	const snapshot = log.getSnapshot();
-	const snapshotRecords: readonly unknown[] = Array.isArray(snapshot) ? snapshot : [];
+	const snapshotRecords: readonly unknown[] = Array.isArray(snapshot) ? snapshot.flat() : [];
 	for (const record of [...snapshotRecords, ...log.getRecords()]) {
 		state.apply(registerLogRecordSchema.parse(record));
 	}
@@ -44,15 +46,20 @@
 		log.append(record, onSynced);
 		recordsSinceSnapshot++;
 		if (recordsSinceSnapshot >= Math.max(recordsPerSnapshot, 2 * state.records.getCount())) {
-			recordsSinceSnapshot = 0;
-			state.records.dropExpired(getNowMs());
-			log.writeSnapshot(state.getLogRecords());
+			writeSnapshot();
 		}
 	}
 
+	function writeSnapshot(): void {
+		recordsSinceSnapshot = 0;
+		state.records.dropExpired(getNowMs());
+		log.writeSnapshotInParts(state.getLogRecordParts());
+	}
+
 	return {
 		getNowMs,
 		write,
+		writeSnapshot,
 		flush(onSynced) {
 			write({kind: 'tick', atMs: getNowMs()}, onSynced);
 		},
--- a/packages/register/src/keeper/register-log-record.ts
+++ b/packages/register/src/keeper/register-log-record.ts
@@ -1,5 +1,4 @@
 import {nameSchema} from '@camphortack/core';
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The schemas of the core package are made with the same library.
 import {z} from 'zod';
 import {bytesSchema} from '../messages/bytes-schema.js';
 
--- a/packages/register/src/keeper/register-state.ts
+++ b/packages/register/src/keeper/register-state.ts
@@ -1,6 +1,6 @@
 import {getPartition} from '../partitions/assignment.js';
 import {createOutcomeStore, type OutcomeStore} from '../outcomes/outcome-store.js';
-import {createJobRecords, type JobRecords} from './job-records.js';
+import {createJobRecords, type JobRecord, type JobRecords} from './job-records.js';
 import type {RegisterLogRecord, RegisterLogRecordOf} from './register-log-record.js';
 
 /** What a keeper durably knows of a partition. */
@@ -18,8 +18,8 @@
 	readonly partitions: ReadonlyMap<number, OwnedPartition>;
 	/** Changes the state as a record of the log says. */
 	apply(record: RegisterLogRecord): void;
-	/** Gets the records that lead to the present state. */
-	getLogRecords(): RegisterLogRecord[];
+	/** Gets the records that lead to the present state, in parts. Changes made meanwhile may show in later parts. */
+	getLogRecordParts(): Iterable<RegisterLogRecord[]>;
 	findEpoch(): RegisterLogRecordOf<'epoch'> | undefined;
 	/** Gets the latest time of the register's clock in the log. */
 	getLatestAtMs(): number;
@@ -32,6 +32,8 @@
 
 /** How many planned stops are remembered. */
 const mostHeirs = 1000;
+/** How many records a snapshot encodes in one turn. */
+const recordsPerPart = 500;
 
 /**
  * Creates the state of a register without records.
@@ -99,25 +101,44 @@
 		}
 	}
 
-	function getJobLogRecords(): RegisterLogRecord[] {
-		const logRecords: RegisterLogRecord[] = [];
+	function * getLogRecords(): Iterable<RegisterLogRecord> {
+		if (epoch !== undefined) {
+			yield epoch;
+		}
+
+		for (const [partition, owned] of partitions) {
+			yield {kind: 'partition', partition, ...owned};
+		}
+
+		for (const [incarnation, heirId] of heirs) {
+			yield {kind: 'heir', incarnation, heirId};
+		}
+
 		for (const {id, record, atMs} of records.getRecords()) {
-			const {
-				contentHash, claim, taskCount, isEnded, claimant: {daemonId, incarnation},
-			} = record;
-			const common = {
-				atMs,
-				id,
-				contentHash,
-				daemonId,
-				incarnation,
-				claim,
-			};
-			const outcome = isEnded ? outcomes.findOutcome(id) : undefined;
-			logRecords.push(isEnded ? {kind: 'outcome', ...common, ...(outcome !== undefined && {outcome})} : {kind: 'claim', ...common, taskCount});
+			yield getJobLogRecord(id, record, atMs);
+		}
+
+		for (const claimant of records.getClaimants()) {
+			yield {kind: 'process', ...claimant};
 		}
 
-		return logRecords;
+		yield {kind: 'tick', atMs: latestAtMs};
+	}
+
+	function getJobLogRecord(id: string, record: JobRecord, atMs: number): RegisterLogRecord {
+		const {
+			contentHash, claim, taskCount, isEnded, claimant: {daemonId, incarnation},
+		} = record;
+		const common = {
+			atMs,
+			id,
+			contentHash,
+			daemonId,
+			incarnation,
+			claim,
+		};
+		const outcome = isEnded ? outcomes.findOutcome(id) : undefined;
+		return isEnded ? {kind: 'outcome', ...common, ...(outcome !== undefined && {outcome})} : {kind: 'claim', ...common, taskCount};
 	}
 
 	return {
@@ -171,14 +192,18 @@
 				}
 			}
 		},
-		getLogRecords: () => [
-			...(epoch === undefined ? [] : [epoch]),
-			...[...partitions].map(([partition, owned]) => ({kind: 'partition' as const, partition, ...owned})),
-			...[...heirs].map(([incarnation, heirId]) => ({kind: 'heir' as const, incarnation, heirId})),
-			...getJobLogRecords(),
-			...[...records.getClaimants()].filter(claimant => claimant.isGone).map(claimant => ({kind: 'process' as const, ...claimant})),
-			{kind: 'tick', atMs: latestAtMs},
-		],
+		* getLogRecordParts() {
+			let part: RegisterLogRecord[] = [];
+			for (const record of getLogRecords()) {
+				part.push(record);
+				if (part.length === recordsPerPart) {
+					yield part;
+					part = [];
+				}
+			}
+
+			yield part;
+		},
 		findEpoch: () => epoch,
 		getLatestAtMs: () => latestAtMs,
 	};
--- a/packages/register/src/messages/register-messages.ts
+++ b/packages/register/src/messages/register-messages.ts
@@ -1,7 +1,6 @@
 import {
 	jobSubmissionSchema, nameSchema, refusalCodeNames, type PeerMessage,
 } from '@camphortack/core';
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The schemas of the core package are made with the same library.
 import {z} from 'zod';
 import {bytesSchema} from './bytes-schema.js';
 
--- a/packages/register/test/differential.test.ts
+++ b/packages/register/test/differential.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
 import fc from 'fast-check';
 import {createTestJob} from './support/register-schedules.js';
 import {daemonIds, RegisterWorld, type Copy} from './support/register-world.js';
--- a/packages/register/test/support/keeper-pair.ts
+++ b/packages/register/test/support/keeper-pair.ts
@@ -1,10 +1,8 @@
 import {createSeededRandomSource, type PeerMessage} from '@camphortack/core';
 import {createMemoryDisk, createMemoryRecordLog, type MemoryDisk} from '@camphortack/storage';
-/* eslint-disable n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use. */
 import {
 	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers,
 } from '@camphortack/testkit';
-/* eslint-enable n/no-extraneous-import, import-x/no-extraneous-dependencies */
 import {createJobRegister, type JobRegister} from '@camphortack/register';
 
 export const retentionMs = 600_000;
--- a/packages/register/test/support/register-schedules.ts
+++ b/packages/register/test/support/register-schedules.ts
@@ -1,5 +1,4 @@
 import type {Job} from '@camphortack/core';
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
 import fc from 'fast-check';
 import {daemonIds, RegisterWorld, type DeliberateFault} from './register-world.js';
 
--- a/packages/register/test/support/register-world.ts
+++ b/packages/register/test/support/register-world.ts
@@ -4,11 +4,9 @@
 import {
 	createMemoryDisk, createMemoryRecordLog, type MemoryDisk, type MemoryRecordLog,
 } from '@camphortack/storage';
-/* eslint-disable n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use. */
 import {
 	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers,
 } from '@camphortack/testkit';
-/* eslint-enable n/no-extraneous-import, import-x/no-extraneous-dependencies */
 import {
 	createAssignment, createJobRegister, createRegisterClient, createTicketTable, getContentHash,
 	type ClaimDecision, type JobRegister, type RegisterAssignment, type RegisterClient, type TicketTable,
--- a/packages/register/test/tickets/ticket-table.test.ts
+++ b/packages/register/test/tickets/ticket-table.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createSeededRandomSource} from '@camphortack/core';
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
 import {VirtualTimers} from '@camphortack/testkit';
 import {createTicketTable, parseTicket} from '@camphortack/register';
 
--- a/packages/storage/src/folder/data-folder.ts
+++ b/packages/storage/src/folder/data-folder.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {join} from 'node:path';
 import type {RandomSource} from '@camphortack/core';
 import crc32 from 'crc-32';
@@ -133,5 +132,5 @@
 
 async function writeManifest(fileSystem: FileSystem, path: string, manifest: Manifest): Promise<void> {
 	const start = encodeLogFileStart(manifestHeader, 1, 0);
-	await writeFileAtomically(fileSystem, path, Buffer.concat([start, encodeFrame(1, encodeRecord(manifest), 0)]));
+	await writeFileAtomically(fileSystem, path, [start, encodeFrame(1, encodeRecord(manifest), 0)]);
 }
--- a/packages/storage/src/log/create-memory-record-log.ts
+++ b/packages/storage/src/log/create-memory-record-log.ts
@@ -39,18 +39,18 @@
 	const {timers, disk, syncDurationMs = 2} = options;
 	const snapshot = disk.snapshot === undefined ? undefined : decodeRecords(disk.snapshot)[0];
 	const records = disk.records.flatMap(bytes => decodeRecords(bytes));
-	let queue: Array<{bytes: Uint8Array; isSnapshot: boolean; onSynced: (() => void) | undefined}> = [];
+	let queue: Array<{getBytes: () => Uint8Array; isSnapshot: boolean; onSynced: (() => void) | undefined}> = [];
 	let isSyncing = false;
 	let isStopped = false;
 	let isFailing = false;
 	let syncCount = 0;
 
-	function add(bytes: Uint8Array, isSnapshot: boolean, onSynced: (() => void) | undefined): void {
+	function add(getBytes: () => Uint8Array, isSnapshot: boolean, onSynced: (() => void) | undefined): void {
 		if (isStopped) {
 			return;
 		}
 
-		queue.push({bytes, isSnapshot, onSynced});
+		queue.push({getBytes, isSnapshot, onSynced});
 		startSync();
 	}
 
@@ -78,12 +78,12 @@
 		}
 
 		syncCount++;
-		for (const {bytes, isSnapshot} of batch) {
+		for (const {getBytes, isSnapshot} of batch) {
 			if (isSnapshot) {
-				disk.snapshot = bytes;
+				disk.snapshot = getBytes();
 				disk.records = [];
 			} else {
-				disk.records.push(bytes);
+				disk.records.push(getBytes());
 			}
 		}
 
@@ -98,10 +98,16 @@
 		getSnapshot: () => snapshot,
 		getRecords: () => records,
 		append(record, onSynced) {
-			add(encodeRecord(record), false, onSynced);
+			const bytes = encodeRecord(record);
+			add(() => bytes, false, onSynced);
 		},
 		writeSnapshot(state, onSynced) {
-			add(encodeRecord(state), true, onSynced);
+			const bytes = encodeRecord(state);
+			add(() => bytes, true, onSynced);
+		},
+		writeSnapshotInParts(parts, onSynced) {
+			// The parts are taken late, so that they show records that are appended meanwhile.
+			add(() => encodeRecord([...parts]), true, onSynced);
 		},
 		async close() {
 			isStopped = true;
--- a/packages/storage/src/log/log-files.ts
+++ b/packages/storage/src/log/log-files.ts
@@ -4,19 +4,10 @@
 import type {DataFolder} from '../folder/data-folder.js';
 import {temporarySuffix} from '../utils/write-file-atomically.js';
 import {readLogFile, type LogFileContent} from './log-file.js';
-
-const sequenceDigits = 16;
-
-/** The kinds of file that a log is kept in. */
-export type LogFileKind = 'log' | 'snapshot';
-
-/** One file of a log. */
-export type LogFileName = {
-	fileName: string;
-	kind: LogFileKind;
-	/** The first sequence number of a log file, the last one that a snapshot covers. */
-	sequence: number;
-};
+import {
+	getLogFileHeader, getLogFileNames, getLogFilePath, type LogFileName,
+} from './log-file-names.js';
+import {getSnapshotState} from './snapshot-file.js';
 
 /** What was found on disk when a log was opened. */
 export type LoadedLog = {
@@ -30,42 +21,6 @@
 	tornBytes: number;
 };
 
-/**
- * Gets the path of a file of a log.
- * @param dataFolder - The data folder.
- * @param name - The log.
- * @param kind - The kind of file.
- * @param sequence - Its sequence number.
- */
-export function getLogFilePath(dataFolder: DataFolder, name: string, kind: LogFileKind, sequence: number): string {
-	return join(dataFolder.path, `${name}-${String(sequence).padStart(sequenceDigits, '0')}.${kind}`);
-}
-
-/**
- * Gets the files of a log, by rising sequence number, and removes files that were never finished.
- * @param dataFolder - The data folder.
- * @param name - The log.
- */
-export async function getLogFileNames(dataFolder: DataFolder, name: string): Promise<LogFileName[]> {
-	const files: LogFileName[] = [];
-	for (const fileName of await dataFolder.fileSystem.getFileNames(dataFolder.path)) {
-		const match = /^(?<logName>.+)-(?<digits>\d{16})\.(?<kind>log|snapshot)(?<temporary>\.tmp)?$/v.exec(fileName)?.groups;
-		if (match?.logName !== name) {
-			continue;
-		}
-
-		if (match.temporary === temporarySuffix) {
-			// eslint-disable-next-line no-await-in-loop -- There is at most a handful of them.
-			await dataFolder.fileSystem.removeFile(join(dataFolder.path, fileName));
-			continue;
-		}
-
-		files.push({fileName, kind: match.kind === 'log' ? 'log' : 'snapshot', sequence: Number(match.digits)});
-	}
-
-	return files.toSorted((left, right) => left.sequence - right.sequence);
-}
-
 /**
  * Reads what a log holds and checks that nothing is missing.
  * @param dataFolder - The data folder.
@@ -74,6 +29,7 @@
  * @throws StorageError if a file is damaged or missing.
  */
 export async function loadLog(dataFolder: DataFolder, name: string, events: EventLog): Promise<LoadedLog> {
+	await removeUnfinishedFiles(dataFolder, name);
 	const files = await getLogFileNames(dataFolder, name);
 	const latestSnapshot = files.findLast(file => file.kind === 'snapshot');
 	const firstSequence = latestSnapshot === undefined ? 1 : latestSnapshot.sequence + 1;
@@ -99,6 +55,15 @@
 	return loaded;
 }
 
+async function removeUnfinishedFiles(dataFolder: DataFolder, name: string): Promise<void> {
+	for (const fileName of await dataFolder.fileSystem.getFileNames(dataFolder.path)) {
+		if (fileName.startsWith(`${name}-`) && fileName.endsWith(temporarySuffix)) {
+			// eslint-disable-next-line no-await-in-loop -- There is at most a handful of them.
+			await dataFolder.fileSystem.removeFile(join(dataFolder.path, fileName));
+		}
+	}
+}
+
 type MissingCheck = {
 	dataFolder: DataFolder;
 	name: string;
@@ -125,13 +90,8 @@
 }
 
 async function readSnapshot(dataFolder: DataFolder, name: string, file: LogFileName): Promise<unknown> {
-	const content = await readContent(dataFolder, name, file, false);
-	if (content.records.length !== 1) {
-		const path = join(dataFolder.path, file.fileName);
-		throw new StorageError('storage-damaged', path, 'the snapshot holds no state; put the data folder back from a copy', {offsetBytes: content.wholeBytes});
-	}
-
-	return content.records[0];
+	const {records} = await readContent(dataFolder, name, file, false);
+	return getSnapshotState(join(dataFolder.path, file.fileName), records);
 }
 
 type LogFileReading = {
@@ -176,7 +136,7 @@
 	const content = readLogFile({
 		path,
 		bytes,
-		header: {kind: file.kind, folderIdentity: dataFolder.identity, name},
+		header: getLogFileHeader(dataFolder, name, file.kind),
 		firstSequence: file.sequence,
 		seed: dataFolder.checksumSeed,
 		mayHaveTornTail,
--- a/packages/storage/src/log/open-record-log.ts
+++ b/packages/storage/src/log/open-record-log.ts
@@ -1,5 +1,4 @@
 import {Buffer} from 'node:buffer';
-import {join} from 'node:path';
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import type {DataFolder} from '../folder/data-folder.js';
 import type {AppendFile} from '../ports/file-system.js';
@@ -7,12 +6,12 @@
 import {writeAll} from '../utils/write-all.js';
 import {writeFileAtomically} from '../utils/write-file-atomically.js';
 import {encodeFrame} from './frame.js';
-import {encodeLogFileStart, type LogFileHeader} from './log-file.js';
-import {
-	getLogFileNames, getLogFilePath, loadLog, type LogFileKind,
-} from './log-files.js';
+import {encodeLogFileStart} from './log-file.js';
+import {getLogFileHeader, getLogFileNames, getLogFilePath} from './log-file-names.js';
+import {loadLog} from './log-files.js';
 import type {RecordLog} from './record-log.js';
 import {createStorageFailure} from './storage-failure.js';
+import {writeSnapshotFile} from './snapshot-file.js';
 
 export type RecordLogOptions = {
 	dataFolder: DataFolder;
@@ -25,11 +24,12 @@
 	onFailure: (error: Error) => void;
 };
 
-type Pending = {
-	bytes: Uint8Array;
-	isSnapshot: boolean;
-	onSynced: (() => void) | undefined;
-};
+type Pending
+	= {kind: 'record'; bytes: Uint8Array; onSynced: (() => void) | undefined}
+		| {kind: 'snapshot'; parts: Iterable<Uint8Array>; isInParts: boolean; onSynced: (() => void) | undefined};
+
+type PendingRecord = Extract<Pending, {kind: 'record'}>;
+type PendingSnapshot = Extract<Pending, {kind: 'snapshot'}>;
 
 /**
  * Opens a log of a data folder, or creates it. A tail that was not written whole is cut off and reported.
@@ -59,14 +59,19 @@
 	let {nextSequence} = loaded;
 	let queue: Pending[] = [];
 	let running: Promise<void> | undefined;
+	let runningSnapshot: Promise<void> | undefined;
 	let isFailed = false;
 	let isClosed = false;
+	let appendedCount = 0;
+	let syncedCount = 0;
+	let waiters: Array<{count: number; onSynced: () => void; onFailed: (error: Error) => void}> = [];
 
 	function add(pending: Pending): void {
 		if (isFailed || isClosed) {
 			return;
 		}
 
+		appendedCount += pending.kind === 'record' ? 1 : 0;
 		queue.push(pending);
 		running ??= run();
 	}
@@ -82,36 +87,48 @@
 				await writeBatch(batch);
 			}
 		} catch (error) {
-			isFailed = true;
-			queue = [];
-			const failure = createStorageFailure(error, dataFolder.path);
-			events.write('storage-sync-failed', {name, message: failure.message});
-			onFailure(failure);
+			fail(error);
 		}
 
 		running = undefined;
 	}
 
+	function fail(error: unknown): void {
+		if (isFailed) {
+			return;
+		}
+
+		isFailed = true;
+		queue = [];
+		const failure = createStorageFailure(error, dataFolder.path);
+		events.write('storage-sync-failed', {name, message: failure.message});
+		for (const {onFailed} of waiters) {
+			onFailed(failure);
+		}
+
+		onFailure(failure);
+	}
+
 	async function writeBatch(batch: readonly Pending[]): Promise<void> {
-		let records: Pending[] = [];
+		let records: PendingRecord[] = [];
 		for (const pending of batch) {
-			if (pending.isSnapshot) {
-				// eslint-disable-next-line no-await-in-loop -- The order of appends and snapshots is kept.
-				await writeRecords(records);
-				// eslint-disable-next-line no-await-in-loop -- The order of appends and snapshots is kept.
-				await replaceBySnapshot(pending.bytes);
-				pending.onSynced?.();
-				records = [];
-			} else {
+			if (pending.kind === 'record') {
 				records.push(pending);
+				continue;
 			}
+
+			// eslint-disable-next-line no-await-in-loop -- The order of appends and snapshots is kept.
+			await writeRecords(records);
+			records = [];
+			// eslint-disable-next-line no-await-in-loop -- The order of appends and snapshots is kept.
+			await startSnapshot(pending);
 		}
 
 		await writeRecords(records);
 	}
 
-	async function writeRecords(records: readonly Pending[]): Promise<void> {
-		if (records.length === 0) {
+	async function writeRecords(records: readonly PendingRecord[]): Promise<void> {
+		if (records.length === 0 || isFailed) {
 			return;
 		}
 
@@ -125,44 +142,95 @@
 		for (const record of records) {
 			record.onSynced?.();
 		}
+
+		syncedCount += records.length;
+		notifyWaiters();
 	}
 
-	async function replaceBySnapshot(state: Uint8Array): Promise<void> {
+	/** Lets later records go to a new file, and writes the snapshot beside them. */
+	async function startSnapshot(pending: PendingSnapshot): Promise<void> {
 		const lastSequence = nextSequence - 1;
-		const oldFiles = await getLogFileNames(dataFolder, name);
 		const nextPath = await createLogFile(dataFolder, name, nextSequence);
-		const start = encodeLogFileStart(getHeader(dataFolder, name, 'snapshot'), lastSequence, seed);
-		const content = Buffer.concat([start, encodeFrame(lastSequence, state, seed)]);
-		await writeFileAtomically(fileSystem, getLogFilePath(dataFolder, name, 'snapshot', lastSequence), content);
 		await file.close();
 		file = await fileSystem.openAppendFile(nextPath);
-		for (const old of oldFiles.filter(({kind, sequence}) => sequence < (kind === 'log' ? nextSequence : lastSequence))) {
-			// eslint-disable-next-line no-await-in-loop -- Removals are few; a log is not hurt by one that is left over.
-			await fileSystem.removeFile(join(dataFolder.path, old.fileName));
+		const previousSnapshot = runningSnapshot;
+		runningSnapshot = (async () => {
+			await previousSnapshot;
+			await writeSnapshot(pending, lastSequence);
+		})();
+	}
+
+	async function writeSnapshot(pending: PendingSnapshot, lastSequence: number): Promise<void> {
+		if (isFailed) {
+			return;
+		}
+
+		try {
+			await writeSnapshotFile(dataFolder, name, {...pending, lastSequence, waitForRecords});
+			pending.onSynced?.();
+		} catch (error) {
+			fail(error);
 		}
 	}
 
+	/** Waits until every record appended so far is durable. */
+	async function waitForRecords(): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			waiters.push({count: appendedCount, onSynced: resolve, onFailed: reject});
+			notifyWaiters();
+		});
+	}
+
+	function notifyWaiters(): void {
+		const isReady = ({count}: {count: number}) => count <= syncedCount;
+		for (const {onSynced} of waiters.filter(waiter => isReady(waiter))) {
+			onSynced();
+		}
+
+		waiters = waiters.filter(waiter => !isReady(waiter));
+	}
+
 	return {
 		getSnapshot: () => loaded.snapshot,
 		getRecords: () => loaded.records,
 		append(record, onSynced) {
-			add({bytes: encodeRecord(record), isSnapshot: false, onSynced});
+			add({kind: 'record', bytes: encodeRecord(record), onSynced});
 		},
 		writeSnapshot(state, onSynced) {
-			add({bytes: encodeRecord(state), isSnapshot: true, onSynced});
+			add({
+				kind: 'snapshot',
+				parts: [encodeRecord(state)],
+				isInParts: false,
+				onSynced,
+			});
+		},
+		writeSnapshotInParts(parts, onSynced) {
+			add({
+				kind: 'snapshot',
+				parts: encodeEach(parts),
+				isInParts: true,
+				onSynced,
+			});
 		},
 		async close() {
 			isClosed = true;
 			await running;
+			await runningSnapshot;
 			await file.close();
 		},
 	};
 }
 
+function * encodeEach(parts: Iterable<unknown>): Iterable<Uint8Array> {
+	for (const part of parts) {
+		yield encodeRecord(part);
+	}
+}
+
 async function createLogFile(dataFolder: DataFolder, name: string, firstSequence: number): Promise<string> {
 	const path = getLogFilePath(dataFolder, name, 'log', firstSequence);
-	const start = encodeLogFileStart(getHeader(dataFolder, name, 'log'), firstSequence, dataFolder.checksumSeed);
-	await writeFileAtomically(dataFolder.fileSystem, path, start);
+	const start = encodeLogFileStart(getLogFileHeader(dataFolder, name, 'log'), firstSequence, dataFolder.checksumSeed);
+	await writeFileAtomically(dataFolder.fileSystem, path, [start]);
 	return path;
 }
 
@@ -175,7 +243,3 @@
 
 	return file;
 }
-
-function getHeader(dataFolder: DataFolder, name: string, kind: LogFileKind): LogFileHeader {
-	return {kind, folderIdentity: dataFolder.identity, name};
-}
--- a/packages/storage/src/log/record-log.ts
+++ b/packages/storage/src/log/record-log.ts
@@ -19,6 +19,15 @@
 	 * @param onSynced - Called once the snapshot is durable.
 	 */
 	writeSnapshot(state: unknown, onSynced?: () => void): void;
+	/**
+	 * Replaces all records appended so far by a snapshot that is written in parts while appends go on, so that a large
+	 * state does not hold up the process. A part may already show records that are appended later; they are found
+	 * again after it at opening, so applying them twice must be harmless.
+	 * `getSnapshot` then gives the array of the parts.
+	 * @param parts - Gives the parts; each is encoded in a turn of its own.
+	 * @param onSynced - Called once the snapshot is durable.
+	 */
+	writeSnapshotInParts(parts: Iterable<unknown>, onSynced?: () => void): void;
 	/** Waits for pending syncs and closes the files. */
 	close(): Promise<void>;
 };
--- /dev/null
+++ b/packages/storage/src/log/snapshot-file.ts
@@ -0,0 +1,73 @@
+import {join} from 'node:path';
+import {StorageError} from '../errors/storage-error.js';
+import type {DataFolder} from '../folder/data-folder.js';
+import {encodeRecord} from '../utils/record-codec.js';
+import {writeFileAtomically} from '../utils/write-file-atomically.js';
+import {encodeFrame} from './frame.js';
+import {encodeLogFileStart} from './log-file.js';
+import {getLogFileHeader, getLogFileNames, getLogFilePath} from './log-file-names.js';
+
+/** The last record of a snapshot file, which shows that the file is whole. */
+type SnapshotEnd = {
+	partCount: number;
+	/** Whether the state is the array of the parts, and not the only one. */
+	isInParts: boolean;
+};
+
+export type SnapshotFile = {
+	lastSequence: number;
+	parts: Iterable<Uint8Array>;
+	isInParts: boolean;
+	/** Waits until every record that the parts may show is durable. */
+	waitForRecords: () => Promise<void>;
+};
+
+/**
+ * Writes a snapshot, then removes the files that it replaces.
+ * @param dataFolder - The data folder.
+ * @param name - The log.
+ * @param snapshot - The state and the sequence number up to which it replaces records.
+ */
+export async function writeSnapshotFile(dataFolder: DataFolder, name: string, snapshot: SnapshotFile): Promise<void> {
+	const {lastSequence, waitForRecords} = snapshot;
+	const path = getLogFilePath(dataFolder, name, 'snapshot', lastSequence);
+	await writeFileAtomically(dataFolder.fileSystem, path, encodeSnapshot(dataFolder, name, snapshot), waitForRecords);
+	for (const {kind, sequence, fileName} of await getLogFileNames(dataFolder, name)) {
+		if (sequence < (kind === 'log' ? lastSequence + 1 : lastSequence)) {
+			// eslint-disable-next-line no-await-in-loop -- Removals are few; a log is not hurt by one that is left over.
+			await dataFolder.fileSystem.removeFile(join(dataFolder.path, fileName));
+		}
+	}
+}
+
+/**
+ * Gets the state from the records of a snapshot file.
+ * @param path - The file.
+ * @param records - Its records.
+ * @throws StorageError if the file was cut off.
+ */
+export function getSnapshotState(path: string, records: readonly unknown[]): unknown {
+	const end = records.at(-1);
+	if (!isSnapshotEnd(end) || end.partCount !== records.length - 1) {
+		throw new StorageError('storage-damaged', path, 'the snapshot is cut off; put the data folder back from a copy');
+	}
+
+	return end.isInParts ? records.slice(0, -1) : records[0];
+}
+
+function * encodeSnapshot(dataFolder: DataFolder, name: string, snapshot: SnapshotFile): Iterable<Uint8Array> {
+	const {checksumSeed: seed} = dataFolder;
+	const {lastSequence, parts, isInParts} = snapshot;
+	yield encodeLogFileStart(getLogFileHeader(dataFolder, name, 'snapshot'), lastSequence, seed);
+	let partCount = 0;
+	for (const part of parts) {
+		yield encodeFrame(lastSequence + partCount, part, seed);
+		partCount++;
+	}
+
+	yield encodeFrame(lastSequence + partCount, encodeRecord({partCount, isInParts} satisfies SnapshotEnd), seed);
+}
+
+function isSnapshotEnd(value: unknown): value is SnapshotEnd {
+	return typeof value === 'object' && value !== null && 'partCount' in value && 'isInParts' in value;
+}
--- a/packages/storage/test/log/open-record-log.test.ts
+++ b/packages/storage/test/log/open-record-log.test.ts
@@ -54,6 +54,30 @@
 		assert.deepEqual([...fileSystem.files.keys()].toSorted(), ['/data/manifest', '/data/register-0000000000000100.snapshot', '/data/register-0000000000000101.log']);
 	});
 
+	it('shows no snapshot before the records that it shows are durable, and goes on with appends meanwhile', async context => {
+		const fileSystem = new FaultyFileSystem();
+		context.after(() => {
+			fileSystem.heldPaths = undefined;
+		});
+		const {log} = await openLog(fileSystem);
+		const hasSnapshot = () => [...fileSystem.files.keys()].some(path => path.endsWith('.snapshot'));
+		log.writeSnapshotInParts((function * () {
+			fileSystem.heldPaths = /\.log$/v;
+			log.append('late');
+			yield 'shows late';
+		})());
+		await settle();
+		assert.equal(hasSnapshot(), false);
+		fileSystem.heldPaths = /\.snapshot/v;
+		await settle();
+		await new Promise<void>(resolve => {
+			log.append('durable beside a slow snapshot', resolve);
+		});
+		fileSystem.heldPaths = undefined;
+		await settle();
+		assert.equal(hasSnapshot(), true);
+	});
+
 	it('cuts off a torn tail and reports it', async () => {
 		const fileSystem = await createFilledFolder(['a', 'b']);
 		fileSystem.damageFile(logPath, bytes => bytes.slice(0, -1));
@@ -156,7 +180,7 @@
 	});
 
 	it('loses nothing acknowledged, whatever a crash keeps of the rest', async () => {
-		const steps = fc.array(fc.constantFrom<CrashStep>('append', 'settle', 'snapshot', 'crash'), {maxLength: 40});
+		const steps = fc.array(fc.constantFrom<CrashStep>('append', 'settle', 'snapshot', 'snapshot-in-parts', 'crash'), {maxLength: 40});
 		await fc.assert(fc.asyncProperty(steps, fc.integer(), async (schedule, seed) => runCrashSchedule(schedule, seed)), {numRuns: 300});
 	});
 
@@ -165,7 +189,13 @@
 	});
 });
 
-type CrashStep = 'append' | 'settle' | 'snapshot' | 'crash';
+type CrashStep = 'append' | 'settle' | 'snapshot' | 'snapshot-in-parts' | 'crash';
+
+/** The last part shows what was appended while the snapshot was written. */
+function * getParts(position: number, state: {appended: number}): Iterable<number> {
+	yield position;
+	yield state.appended;
+}
 
 async function runCrashSchedule(schedule: readonly CrashStep[], seed: number, shouldIgnoreSyncs = false): Promise<void> {
 	const random = createSeededRandomSource(seed);
@@ -184,6 +214,9 @@
 		async snapshot() {
 			log.writeSnapshot(state.appended);
 		},
+		async 'snapshot-in-parts'() {
+			log.writeSnapshotInParts(getParts(state.appended, state));
+		},
 		async crash() {
 			for (let turn = random.getInteger(0, 12); turn > 0; turn--) {
 				// eslint-disable-next-line no-await-in-loop -- The crash comes between any two steps.
@@ -192,7 +225,10 @@
 
 			state.fileSystem = state.fileSystem.crash(random);
 			({log} = await openLog(state.fileSystem));
-			const found = Number(log.getRecords().at(-1) ?? log.getSnapshot() ?? 0);
+			const snapshot = log.getSnapshot();
+			const [position, shown] = Array.isArray(snapshot) ? snapshot.map(Number) : [0, 0];
+			assert.ok(shown! <= Number(log.getRecords().at(-1) ?? position), 'a snapshot shows no record that is not durable');
+			const found = Number(log.getRecords().at(-1) ?? (Array.isArray(snapshot) ? snapshot.at(-1) : snapshot) ?? 0);
 			assert.ok(found >= state.acknowledged && found <= state.appended, `acknowledged ${state.acknowledged}, found ${found} of ${state.appended}`);
 			state.appended = found;
 			state.acknowledged = found;
--- a/packages/storage/test/support/append-forever.ts
+++ b/packages/storage/test/support/append-forever.ts
@@ -1,6 +1,5 @@
 import process from 'node:process';
 import {createSeededRandomSource} from '@camphortack/core';
-// eslint-disable-next-line n/no-extraneous-import, import-x/no-extraneous-dependencies -- The workspace holds what only tests use.
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {openDataFolder, openRecordLog} from '@camphortack/storage';
 
--- a/packages/storage/test/support/faulty-file-system.ts
+++ b/packages/storage/test/support/faulty-file-system.ts
@@ -18,6 +18,8 @@
 	shouldFailSync = false;
 	/** Syncs that report success and do nothing, to show that the tests notice. */
 	shouldIgnoreSyncs = false;
+	/** Files whose syncs take until this is changed. */
+	heldPaths: RegExp | undefined;
 	/** How many more bytes the disk takes. */
 	freeBytes = Number.POSITIVE_INFINITY;
 	/** The most bytes that one write takes. */
@@ -78,6 +80,7 @@
 
 		const takeBytes = this.#takeBytes.bind(this);
 		const checkSync = this.#checkSync.bind(this);
+		const waitWhileHeld = this.#waitWhileHeld.bind(this, path);
 		return new class extends AppendFile {
 			override async write(bytes: Uint8Array): Promise<number> {
 				const taken = takeBytes(bytes.length);
@@ -86,6 +89,7 @@
 			}
 
 			override async sync(): Promise<void> {
+				await waitWhileHeld();
 				if (!checkSync()) {
 					return;
 				}
@@ -165,6 +169,15 @@
 		return taken;
 	}
 
+	async #waitWhileHeld(path: string): Promise<void> {
+		while (this.heldPaths?.test(path) === true) {
+			// eslint-disable-next-line no-await-in-loop -- The test changes it in another turn.
+			await new Promise<void>(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	}
+
 	#checkSync(): boolean {
 		if (this.shouldFailSync) {
 			throw Object.assign(new Error('input/output error'), {code: 'EIO'});
