Let voters pass committed entries on to learners, and measure the slopes

Change: each voter but the leader sends committed entries to its part of the learners; the leader helps a learner that stays behind for 1.5 s. The slopes of agreement and distribution are measured by measureConsensusSlopes. Conclusion: the leader's cost no longer grows with every zone's entries.

--- /dev/null
+++ b/packages/bench/src/slopes/consensus-slope.ts
@@ -0,0 +1,156 @@
+import {
+	ConsensusFleet, getFleetObjects, type ConsensusFleetOptions, type Traffic,
+} from './consensus-fleet.js';
+
+/** A figure at several sizes. */
+export type ConsensusSlope = {
+	name: string;
+	unit: string;
+	points: Array<{size: number; value: number}>;
+};
+
+const sizes: Array<ConsensusFleetOptions & {size: number}> = [
+	{
+		size: 2, zoneCount: 1, daemonsPerZone: 2, keeperCount: 1,
+	},
+	{
+		size: 8, zoneCount: 4, daemonsPerZone: 2, keeperCount: 3,
+	},
+	{
+		size: 32, zoneCount: 4, daemonsPerZone: 8, keeperCount: 4,
+	},
+	{
+		size: 128, zoneCount: 4, daemonsPerZone: 32, keeperCount: 4,
+	},
+	{
+		size: 3120, zoneCount: 24, daemonsPerZone: 130, keeperCount: 24,
+	},
+];
+const measuredSeconds = 30;
+/** 36,000 changes a day. */
+const changeIntervalMs = 2400;
+
+/** Measures agreement and distribution in virtual time, and the processor time of a message in real time. */
+export async function measureConsensusSlopes(): Promise<ConsensusSlope[]> {
+	const slopes = new Map<string, ConsensusSlope>();
+	const add = (name: string, unit: string, size: number, value: number) => {
+		const slope = slopes.get(name) ?? {name, unit, points: []};
+		slope.points.push({size, value: Math.round(value * 10) / 10});
+		slopes.set(name, slope);
+	};
+
+	for (const options of sizes) {
+		const fleet = new ConsensusFleet(options);
+		fleet.publish('first', getFleetObjects(0), 10_000);
+		fleet.resetTraffic();
+		fleet.timers.advance(measuredSeconds * 1000);
+		addTraffic(fleet, 'idle', options.size, add);
+		fleet.resetTraffic();
+		const startedAtMs = publishMany(fleet);
+		addTraffic(fleet, 'changing', options.size, add);
+		fleet.timers.advance(4000);
+		add('publish-to-in-force-everywhere-worst', 'ms', options.size, Math.max(...getDelays(fleet, startedAtMs, options.size)));
+	}
+
+	for (const keeperCount of [3, 5]) {
+		add('election-worst-of-10', 'ms', keeperCount, Math.max(...measureElections(keeperCount)));
+	}
+
+	for (const missed of [10, 100, 1000]) {
+		add('catch-up-bytes', 'B', missed, measureCatchUp(missed));
+	}
+
+	return [...slopes.values()];
+}
+
+type Add = (name: string, unit: string, size: number, value: number) => void;
+
+function publishMany(fleet: ConsensusFleet): number[] {
+	const count = Math.round(measuredSeconds * 1000 / changeIntervalMs);
+	return Array.from({length: count}, (_, index) => {
+		const startedAtMs = fleet.timers.getNowMs();
+		fleet.publish(`publish-${index}`, getFleetObjects(index + 1), changeIntervalMs);
+		return startedAtMs;
+	});
+}
+
+/** Gets the time from each publish until the last daemon had it in force; throws if one has it never. */
+function getDelays(fleet: ConsensusFleet, startedAtMs: readonly number[], daemonCount: number): number[] {
+	return startedAtMs.map((startMs, index) => {
+		const version = index + 2;
+		const count = fleet.inForceCounts.get(version) ?? 0;
+		if (count !== daemonCount) {
+			throw new Error(`version ${version} came into force at ${count} of ${daemonCount} daemons`);
+		}
+
+		return fleet.lastInForceAtMs.get(version)! - startMs;
+	});
+}
+
+function addTraffic(fleet: ConsensusFleet, state: 'idle' | 'changing', size: number, add: Add): void {
+	const roles = getRoles(fleet);
+	for (const [role, traffic] of roles) {
+		add(`${state}-sent-${role}`, 'B/s', size, traffic.sentBytes / measuredSeconds);
+		add(`${state}-received-${role}`, 'B/s', size, traffic.receivedBytes / measuredSeconds);
+		add(`${state}-messages-${role}`, 'messages/s', size, (traffic.sentMessages + traffic.receivedMessages) / measuredSeconds);
+	}
+
+	const all = [...fleet.parts.values()].map(part => part.traffic);
+	const messages = all.reduce((sum, traffic) => sum + traffic.receivedMessages, 0);
+	const handlingMs = all.reduce((sum, traffic) => sum + traffic.handlingMs, 0);
+	add(`${state}-handling-time-per-message`, 'µs', size, handlingMs * 1000 / Math.max(1, messages));
+}
+
+/** Gets the busiest daemon of each role. */
+function getRoles(fleet: ConsensusFleet): Map<string, Traffic> {
+	const busiest = new Map<string, Traffic>();
+	for (const {keeper, follower, traffic} of fleet.parts.values()) {
+		const daemonRole = follower!.getStatus().subscriberCount > 0 ? 'inner-daemon' : 'leaf-daemon';
+		const role = keeper === undefined ? daemonRole : keeper.getStatus().role;
+		const known = busiest.get(role);
+		if (known === undefined || traffic.sentBytes + traffic.receivedBytes > known.sentBytes + known.receivedBytes) {
+			busiest.set(role, {...traffic});
+		}
+	}
+
+	return busiest;
+}
+
+/** Measures the time from a leader's crash until another one leads. */
+function measureElections(keeperCount: number): number[] {
+	return Array.from({length: 10}, (_, index) => {
+		const fleet = new ConsensusFleet({
+			zoneCount: keeperCount, daemonsPerZone: 1, keeperCount, seed: index + 1,
+		});
+		const leaderId = fleet.findLeaderId()!;
+		const startedAtMs = fleet.timers.getNowMs();
+		fleet.crash(leaderId);
+		while (![...fleet.parts].some(([id, {keeper}]) => id !== leaderId && keeper!.getStatus().role === 'leader')) {
+			fleet.timers.advance(10);
+		}
+
+		return fleet.timers.getNowMs() - startedAtMs;
+	});
+}
+
+/** Measures what a daemon receives until it is up to date after missing changes. */
+function measureCatchUp(missed: number): number {
+	const fleet = new ConsensusFleet({zoneCount: 1, daemonsPerZone: 2, keeperCount: 1});
+	const keeperId = 'zone-0-daemon-0';
+	const daemonId = 'zone-0-daemon-1';
+	fleet.publish('first', getFleetObjects(0), 5000);
+	fleet.network.cutSides([keeperId], [daemonId]);
+	fleet.timers.advance(7000);
+	for (let index = 1; index <= missed; index++) {
+		fleet.publish(`publish-${index}`, getFleetObjects(index), 20);
+	}
+
+	fleet.resetTraffic();
+	fleet.network.healLinks();
+	const follower = fleet.parts.get(daemonId)!.follower!;
+	while (follower.getStatus().version <= missed) {
+		fleet.timers.advance(10);
+	}
+
+	return fleet.parts.get(daemonId)!.traffic.receivedBytes;
+}
--- a/packages/consensus/src/content/object-change.ts
+++ b/packages/consensus/src/content/object-change.ts
@@ -1,5 +1,5 @@
+import {z} from 'zod';
 import type {ConfigurationObjects} from '@camphortack/configuration';
-import {z} from '../utils/zod.js';
 
 /** The kinds of objects, in the order in which they are compared. */
 export const objectKinds = ['availabilityZones', 'pools', 'services', 'routes', 'limits', 'customers'] as const satisfies ReadonlyArray<keyof ConfigurationObjects>;
--- a/packages/consensus/src/content/version-history.ts
+++ b/packages/consensus/src/content/version-history.ts
@@ -1,5 +1,5 @@
+import {z} from 'zod';
 import type {ConfigurationObjects} from '@camphortack/configuration';
-import {z} from '../utils/zod.js';
 import {applyChanges} from './apply-changes.js';
 import {mergeChanges} from './merge-changes.js';
 import {objectChangeSchema, type ObjectChange} from './object-change.js';
--- a/packages/consensus/src/follower/content-store.ts
+++ b/packages/consensus/src/follower/content-store.ts
@@ -1,9 +1,9 @@
+import {z} from 'zod';
 import {configurationObjectsSchema} from '@camphortack/configuration';
 import type {RecordLog} from '@camphortack/storage';
 import {applyToContent} from '../content/apply-changes.js';
 import {emptyContent, type ConfigurationContent} from '../content/configuration-content.js';
 import {objectChangeSchema, type ObjectChange} from '../content/object-change.js';
-import {z} from '../utils/zod.js';
 import {mostFollowerRecords} from './follower-timings.js';
 
 const contentSchema = z.object({version: z.int(), digest: z.number(), objects: configurationObjectsSchema});
--- a/packages/consensus/src/follower/follower-messages.ts
+++ b/packages/consensus/src/follower/follower-messages.ts
@@ -1,6 +1,6 @@
+import {z} from 'zod';
 import {objectChangeSchema} from '../content/object-change.js';
 import {publishResultSchema} from '../publish/publish-schemas.js';
-import {z} from '../utils/zod.js';
 
 /** Every message that carries the configuration from a daemon to the next. */
 export const followerMessageSchema = z.discriminatedUnion('kind', [
--- a/packages/consensus/src/keeper/append-handler.ts
+++ b/packages/consensus/src/keeper/append-handler.ts
@@ -2,11 +2,15 @@
 import type {Election} from './election.js';
 import type {KeeperCore} from './keeper-core.js';
 import type {KeeperMessageOf} from './keeper-messages.js';
+import {findFedIndex} from './learner-feeder.js';
+import type {LogEntry} from './log-entry.js';
 import {createStateReceiver} from './snapshot-transfer.js';
 
 /** A follower's work: takes the log from the leader and answers once it is synced. */
 export type AppendHandler = {
 	handleAppend(fromPeerId: string, message: KeeperMessageOf<'consensus.append'>): void;
+	/** Takes committed entries from a voter and answers to the leader. */
+	handleFeed(message: KeeperMessageOf<'consensus.feed'>): void;
 	handleSnapshotPiece(fromPeerId: string, message: KeeperMessageOf<'consensus.snapshot-piece'>): void;
 };
 
@@ -58,22 +62,28 @@
 		return Math.min(start, store.getCommitIndex());
 	}
 
-	function storeEntries(fromPeerId: string, message: KeeperMessageOf<'consensus.append'>): void {
-		const lastIndex = message.previousIndex + message.entries.length;
-		const firstNew = message.entries.findIndex(entry => entry.index > store.getBase().index && store.findTermAt(entry.index) !== entry.term);
-		const {term} = message;
-		const answerMatched = () => {
-			if (!core.isStopped && store.getTerm() === term) {
-				answer(fromPeerId, message.fromIdentity, {isMatched: true, index: Math.min(lastIndex, store.getSyncedIndex()), round: message.round});
-			}
-		};
-
+	/** Stores what is new of some entries. */
+	function storeEntries(entries: readonly LogEntry[], onSynced: () => void): void {
+		const firstNew = entries.findIndex(entry => entry.index > store.getBase().index && store.findTermAt(entry.index) !== entry.term);
 		if (firstNew === -1) {
-			answerMatched();
+			onSynced();
 		} else {
-			store.appendEntries(message.entries.slice(firstNew), answerMatched);
+			store.appendEntries(entries.slice(firstNew), onSynced);
 		}
+	}
+
+	function answerMatched(leader: {keeperId: string; identity: string; term: number}, lastIndex: number, round: number): void {
+		if (!core.isStopped && store.getTerm() === leader.term) {
+			answer(leader.keeperId, leader.identity, {isMatched: true, index: Math.min(lastIndex, store.getSyncedIndex()), round});
+		}
+	}
 
+	function takeEntries(fromPeerId: string, message: KeeperMessageOf<'consensus.append'>): void {
+		const lastIndex = message.previousIndex + message.entries.length;
+		const leader = {keeperId: fromPeerId, identity: message.fromIdentity, term: message.term};
+		storeEntries(message.entries, () => {
+			answerMatched(leader, lastIndex, message.round);
+		});
 		applier.commit(Math.min(message.commitIndex, lastIndex));
 	}
 
@@ -84,11 +94,26 @@
 			}
 
 			if (isMatching(message)) {
-				storeEntries(fromPeerId, message);
+				takeEntries(fromPeerId, message);
 			} else {
 				answer(fromPeerId, message.fromIdentity, {isMatched: false, index: getHint(message.previousIndex), round: message.round});
 			}
 		},
+		handleFeed(message) {
+			const lastIndex = findFedIndex(core, message);
+			const {leaderId, leaderIdentity} = core;
+			if (lastIndex === undefined) {
+				return;
+			}
+
+			const term = store.getTerm();
+			storeEntries(message.entries, () => {
+				if (leaderId !== undefined && leaderIdentity !== undefined) {
+					answerMatched({keeperId: leaderId, identity: leaderIdentity, term}, lastIndex, 0);
+				}
+			});
+			applier.commit(lastIndex);
+		},
 		handleSnapshotPiece(fromPeerId, message) {
 			if (!acceptLeader(fromPeerId, message)) {
 				return;
--- a/packages/consensus/src/keeper/applier.ts
+++ b/packages/consensus/src/keeper/applier.ts
@@ -23,6 +23,8 @@
 
 export type ApplierOptions = {
 	core: KeeperCore;
+	/** Called when the commit index has moved on from an index. */
+	onCommitted: (previousIndex: number) => void;
 	onApplied: (entry: LogEntry, result: PublishResult | undefined) => void;
 	/** Called when more has become durable and was given to listeners. */
 	onDelivered: () => void;
@@ -35,7 +37,7 @@
  * @param options - The keeper's shared state and who wants to know.
  */
 export function createApplier(options: ApplierOptions): Applier {
-	const {core, onApplied, onDelivered} = options;
+	const {core, onCommitted, onApplied, onDelivered} = options;
 	const {store, machine} = core;
 	const listeners: KeeperListener[] = [];
 	let appliedIndex = 0;
@@ -58,11 +60,13 @@
 	}
 
 	function commitUpTo(index: number): void {
+		const previousIndex = store.getCommitIndex();
 		const applied = applyUpTo(index);
 		const content = machine.getContent();
 		store.setCommitIndex(index, () => {
 			markDurable(index, content);
 		});
+		onCommitted(previousIndex);
 		compactIfLarge();
 		for (const {entry, result} of applied) {
 			onApplied(entry, result);
--- a/packages/consensus/src/keeper/keeper-messages.ts
+++ b/packages/consensus/src/keeper/keeper-messages.ts
@@ -1,4 +1,4 @@
-import {z} from '../utils/zod.js';
+import {z} from 'zod';
 import {publishProposalSchema, publishResultSchema} from '../publish/publish-schemas.js';
 import {logEntrySchema} from './log-entry.js';
 
@@ -38,6 +38,14 @@
 		commitIndex: z.int(),
 		round: z.int(),
 	}),
+	/** Committed entries that a voter passes on to a learner in the leader's place. */
+	z.object({
+		kind: z.literal('consensus.feed'),
+		...addressShape,
+		previousIndex: z.int(),
+		previousTerm: z.int(),
+		entries: z.array(logEntrySchema),
+	}),
 	z.object({
 		kind: z.literal('consensus.append-answer'),
 		...addressShape,
--- a/packages/consensus/src/keeper/keeper-set.ts
+++ b/packages/consensus/src/keeper/keeper-set.ts
@@ -1,4 +1,4 @@
-import {z} from '../utils/zod.js';
+import {z} from 'zod';
 
 /** A keeper as the agreed log names it. */
 export const keeperRecordSchema = z.object({
--- a/packages/consensus/src/keeper/keeper-timings.ts
+++ b/packages/consensus/src/keeper/keeper-timings.ts
@@ -4,6 +4,8 @@
 export const learnerHeartbeatMs = 5000;
 /** How long committed entries are gathered before they go to the learners. */
 export const learnerBatchMs = 250;
+/** How long a learner may lack a committed entry before the leader sends it itself, in place of the voter that should. */
+export const feedTimeoutMs = 1500;
 /** How long the leader waits for a learner or for a piece of a snapshot before it sends again. */
 export const resendMs = 1000;
 /** A voter asks for votes after a silence of the leader between these two. */
--- a/packages/consensus/src/keeper/keeper.ts
+++ b/packages/consensus/src/keeper/keeper.ts
@@ -11,6 +11,7 @@
 import type {Keeper, KeeperOptions, KeeperRole} from './keeper-options.js';
 import {createKeeperStore} from './keeper-store.js';
 import {joinIntervalMs} from './keeper-timings.js';
+import {createLearnerFeeder} from './learner-feeder.js';
 import {createPublisher} from './publisher.js';
 import {createReplication} from './replication.js';
 
@@ -34,8 +35,10 @@
 	const core = createKeeperCore({
 		options, store, machine, onStepDown: handleStepDown,
 	});
+	const feeder = createLearnerFeeder(core);
 	const applier = createApplier({
 		core,
+		onCommitted: feeder.handleCommitted,
 		onApplied(entry, result) {
 			publisher.handleApplied(entry, result);
 			if (entry.command.type === 'set-keepers') {
@@ -178,6 +181,11 @@
 				break;
 			}
 
+			case 'consensus.feed': {
+				appendHandler.handleFeed(message);
+				break;
+			}
+
 			case 'consensus.append-answer': {
 				replication.handleAppendAnswer(message);
 				break;
@@ -308,6 +316,7 @@
 			confirmation.cancel();
 			election.stop();
 			replication.stop();
+			feeder.stop();
 			bootstrap.stop();
 			forwarder.stop();
 		},
--- a/packages/consensus/src/keeper/progress.ts
+++ b/packages/consensus/src/keeper/progress.ts
@@ -12,6 +12,8 @@
 	answeredRound: number;
 	answeredAtMs: number;
 	sentAtMs: number;
+	/** Since when it lacks a committed entry, as far as the leader knows. */
+	behindSinceMs?: number;
 	/** The snapshot that it is being sent. */
 	transfer?: {state: EncodedState; offset: number};
 };
@@ -30,5 +32,6 @@
 		answeredRound: 0,
 		answeredAtMs: nowMs,
 		sentAtMs: Number.NEGATIVE_INFINITY,
+		behindSinceMs: Number.NEGATIVE_INFINITY,
 	};
 }
--- a/packages/consensus/src/keeper/replication.ts
+++ b/packages/consensus/src/keeper/replication.ts
@@ -4,9 +4,9 @@
 import type {KeeperMessageOf} from './keeper-messages.js';
 import {getMajority, getMajorityValue} from './keeper-set.js';
 import {
-	heartbeatMs, learnerBatchMs, learnerHeartbeatMs, mostBytesPerMessage, mostEntriesPerMessage, quorumTimeoutMs, resendMs, snapshotPieceBytes,
+	feedTimeoutMs, heartbeatMs, learnerBatchMs, learnerHeartbeatMs, quorumTimeoutMs, resendMs, snapshotPieceBytes,
 } from './keeper-timings.js';
-import {getEntrySizeBytes, type Command, type LogEntry} from './log-entry.js';
+import {getBatch, type Command, type LogEntry} from './log-entry.js';
 import {createProgress, type Progress} from './progress.js';
 import {encodeState, type EncodedState} from './snapshot-transfer.js';
 
@@ -106,7 +106,7 @@
 
 	function sendEntries(progress: Progress): void {
 		const {record, nextIndex} = progress;
-		const entries = getBatch(nextIndex, record.role === 'learner' ? store.getCommitIndex() : store.getLastIndex());
+		const entries = getBatch(store, nextIndex, record.role === 'learner' ? store.getCommitIndex() : store.getLastIndex());
 		progress.nextIndex += entries.length;
 		core.send(record.keeperId, {
 			kind: 'consensus.append',
@@ -120,21 +120,6 @@
 		});
 	}
 
-	function getBatch(fromIndex: number, toIndex: number): LogEntry[] {
-		const batch: LogEntry[] = [];
-		let sizeBytes = 0;
-		for (const entry of store.getEntries(fromIndex, Math.min(mostEntriesPerMessage, Math.max(0, toIndex - fromIndex + 1)))) {
-			sizeBytes += getEntrySizeBytes(entry);
-			if (batch.length > 0 && sizeBytes > mostBytesPerMessage) {
-				break;
-			}
-
-			batch.push(entry);
-		}
-
-		return batch;
-	}
-
 	function sendPiece(progress: Progress): void {
 		progress.transfer ??= {state: getEncodedState(), offset: 0};
 		const {state, offset} = progress.transfer;
@@ -168,12 +153,24 @@
 		}
 
 		applier.commit(index);
+		noteLearnersBehind();
+		if (core.getVoters().length > 1) {
+			return;
+		}
+
 		learnerBatch ??= timers.addTimer(learnerBatchMs, () => {
 			learnerBatch = undefined;
 			sendToLearners();
 		});
 	}
 
+	/** Other voters pass new entries on to the learners; one that stays behind is helped after a while. */
+	function noteLearnersBehind(): void {
+		for (const progress of progresses.values()) {
+			progress.behindSinceMs ??= timers.getNowMs();
+		}
+	}
+
 	function beat(): void {
 		if (getQuorumAgeMs() > quorumTimeoutMs) {
 			core.becomeFollower(store.getTerm());
@@ -198,7 +195,8 @@
 			return 0;
 		}
 
-		return progress.matchIndex < store.getCommitIndex() ? resendMs : learnerHeartbeatMs;
+		const behindMs = progress.behindSinceMs === undefined ? 0 : timers.getNowMs() - progress.behindSinceMs;
+		return behindMs > feedTimeoutMs ? resendMs : learnerHeartbeatMs;
 	}
 
 	function getQuorumAgeMs(): number {
@@ -229,6 +227,10 @@
 	function addMatch(progress: Progress, index: number): void {
 		progress.matchIndex = Math.max(progress.matchIndex, index);
 		progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+		if (progress.matchIndex >= store.getCommitIndex()) {
+			progress.behindSinceMs = undefined;
+		}
+
 		if (progress.transfer !== undefined && progress.matchIndex >= progress.transfer.state.lastIndex) {
 			progress.transfer = undefined;
 		}
@@ -245,7 +247,8 @@
 			return progress.nextIndex <= store.getLastIndex();
 		}
 
-		return learnerBatch === undefined && progress.nextIndex <= store.getCommitIndex();
+		const isFed = progress.behindSinceMs === undefined || timers.getNowMs() - progress.behindSinceMs <= feedTimeoutMs;
+		return learnerBatch === undefined && !isFed && progress.nextIndex <= store.getCommitIndex();
 	}
 
 	function handleMismatch(progress: Progress, hintIndex: number): void {
--- a/packages/consensus/src/keeper/snapshot-transfer.ts
+++ b/packages/consensus/src/keeper/snapshot-transfer.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {z} from '../utils/zod.js';
+import {z} from 'zod';
 import {machineStateSchema} from '../publish/configuration-machine.js';
 import type {KeeperCore} from './keeper-core.js';
 import type {KeeperMessageOf} from './keeper-messages.js';
--- a/packages/consensus/src/keeper/store-records.ts
+++ b/packages/consensus/src/keeper/store-records.ts
@@ -1,4 +1,4 @@
-import {z} from '../utils/zod.js';
+import {z} from 'zod';
 import {machineStateSchema} from '../publish/configuration-machine.js';
 import {keeperRecordSchema} from './keeper-set.js';
 import {logEntrySchema} from './log-entry.js';
--- a/packages/consensus/src/publish/configuration-machine.ts
+++ b/packages/consensus/src/publish/configuration-machine.ts
@@ -1,8 +1,8 @@
+import {z} from 'zod';
 import {configurationObjectsSchema} from '@camphortack/configuration';
 import {applyToContent, getInverseChanges} from '../content/apply-changes.js';
 import {emptyContent, type ConfigurationContent} from '../content/configuration-content.js';
 import {createVersionHistory, versionRecordSchema, type VersionHistory} from '../content/version-history.js';
-import {z} from '../utils/zod.js';
 import type {PublishProposal, PublishResult} from './publish-schemas.js';
 
 /** The machine's state, as a snapshot holds it. */
--- a/packages/consensus/src/publish/publish-schemas.ts
+++ b/packages/consensus/src/publish/publish-schemas.ts
@@ -1,6 +1,6 @@
+import {z} from 'zod';
 import type {ConfigurationObjects} from '@camphortack/configuration';
 import {objectChangeSchema} from '../content/object-change.js';
-import {z} from '../utils/zod.js';
 
 /** What an operator asks to publish. */
 export type PublishRequest = {
