--- a/packages/consensus/src/keeper/keeper.ts
+++ b/packages/consensus/src/keeper/keeper.ts
@@ -297,7 +297,8 @@
 		removeKeeper: changes.removeKeeper,
 		getStatus: () => ({
 			identity: store.getIdentity(),
-			clusterId: store.getBinding()?.clusterId,
+			clusterId: store.getLastIndex() > 0 ? store.getBinding()?.clusterId : undefined,
+			isFounder: store.getBinding()?.bootstrapperId !== undefined && store.getLastIndex() > 0,
 			role: getRole(),
 			leaderId: core.leaderId,
 			term: store.getTerm(),
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -1,5 +1,6 @@
-import {checkConfigurationObjects, type Settings} from '@camphortack/configuration';
-import type {Member} from '@camphortack/core';
+import {checkConfigurationObjects, findOwn, type Settings} from '@camphortack/configuration';
+import type {Member, PeerMessage} from '@camphortack/core';
+import {isKeeperMessage} from '@camphortack/register';
 import type {Container} from 'inversify';
 import {createContainer} from '../composition/create-container.js';
 import {tokens} from '../composition/tokens.js';
@@ -8,7 +9,9 @@
 import {createCallersServer} from '../http/callers-server.js';
 import {listen, type ListeningServer} from '../http/create-http-server.js';
 import {createOperatorsServer} from '../http/operators-server.js';
+import {getSeedMembers} from '../peers/get-seed-members.js';
 import {getDaemonStatus} from './get-daemon-status.js';
+import {getLimitStatuses} from './get-limit-statuses.js';
 
 /** Where a daemon listens. */
 export type DaemonAddresses = {
@@ -28,6 +31,7 @@
 };
 
 const drainCheckIntervalMs = 20;
+const longestOutcomeWaitMs = 3000;
 
 /**
  * Starts a daemon in this process.
@@ -42,13 +46,17 @@
  * ```
  */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
-	const container = createContainer(settings);
 	const state = {isDraining: false};
 	let resolveStopped: () => void;
-	const stopped = new Promise<void>(resolve => {
+	let rejectStopped: (error: Error) => void;
+	const stopped = new Promise<void>((resolve, reject) => {
 		resolveStopped = resolve;
+		rejectStopped = reject;
+	});
+	const container = await createContainer(settings, error => {
+		container.get(tokens.events).write('daemon-failed', {reason: error.message});
+		rejectStopped(error);
 	});
-
 	const peersPort = await container.get(tokens.peerNetwork).listen();
 	startParts(container, peersPort);
 	const servers = await startServers(container, state, () => {
@@ -82,6 +90,25 @@
 	};
 }
 
+/** A part that hears of the live daemons and of their messages. */
+type DaemonPart = {
+	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
+	setMembers(members: readonly Member[]): void;
+};
+
+function createRegisterRouter(client: DaemonPart, register: DaemonPart | undefined): DaemonPart {
+	return {
+		handlePeerMessage(fromPeerId, message) {
+			const part = isKeeperMessage(message) ? register : client;
+			part?.handlePeerMessage(fromPeerId, message);
+		},
+		setMembers(members) {
+			client.setMembers(members);
+			register?.setMembers(members);
+		},
+	};
+}
+
 type Servers = {
 	callers: ListeningServer;
 	backendServers: ListeningServer;
@@ -89,14 +116,31 @@
 };
 
 function startParts(container: Container, peersPort: number): void {
-	const identity = container.get(tokens.identity);
-	const {daemon, peers} = container.get(tokens.settings);
-	const dispatcher = container.get(tokens.dispatcher);
-	container.get(tokens.peerRouter).addPart('dispatch', dispatcher.handlePeerMessage);
+	const {daemon, peers, keepers} = container.get(tokens.settings);
+	const network = container.get(tokens.peerNetwork);
+	const router = container.get(tokens.peerRouter);
+	const keeper = container.get(tokens.keeper);
+	const registerClient = container.get(tokens.registerClient);
+	const register = container.get(tokens.register);
+	const parts: Record<string, DaemonPart> = {
+		dispatch: container.get(tokens.dispatcher),
+		limits: container.get(tokens.limits),
+		configuration: container.get(tokens.follower),
+		...(keeper && {consensus: keeper}),
+		register: createRegisterRouter(registerClient, register),
+	};
 	const ownMember: Member = {
-		...identity, roles: daemon.roles, host: peers.host, peerPort: peersPort,
+		...container.get(tokens.identity), roles: daemon.roles, host: peers.host, peerPort: peersPort,
 	};
-	dispatcher.setMembers([ownMember]);
+	const members = [ownMember, ...getSeedMembers(peers.seeds, keepers.ids)];
+	for (const {id, host, peerPort: port} of members) {
+		network.setAddress({id, host, port});
+	}
+
+	for (const [name, part] of Object.entries(parts)) {
+		router.addPart(name, part.handlePeerMessage);
+		part.setMembers(members);
+	}
 }
 
 async function startServers(container: Container, state: {isDraining: boolean}, onDrain: () => void): Promise<Servers> {
@@ -105,27 +149,28 @@
 	const configuration = container.get(tokens.configurationDesk);
 	const jobs = container.get(tokens.jobs);
 	const {tokenHashes} = settings.operators;
-	const isOperator = (authorization: string | undefined) => tokenHashes.length === 0 || isTokenAccepted(authorization, tokenHashes);
+	const backendServerHashes = settings['backend-servers'].tokenHashes.length === 0 ? tokenHashes : settings['backend-servers'].tokenHashes;
+	const createCheck = (hashes: readonly string[]) => (authorization: string | undefined) => hashes.length === 0 || isTokenAccepted(authorization, hashes);
 
 	const callers = createCallersServer({
 		jobs,
 		isReady: () => !state.isDraining && configuration.findConfiguration() !== undefined,
 		isAuthorized(authorization, customer) {
-			const hashes = configuration.findConfiguration()?.objects.customers[customer]?.tokenHashes ?? [];
+			const hashes = findOwn(configuration.findConfiguration()?.objects.customers ?? {}, customer)?.tokenHashes ?? [];
 			return hashes.length === 0 || isTokenAccepted(authorization, hashes);
 		},
 	});
 	const backendServers = createBackendServersServer({
-		isAuthorized: isOperator,
+		isAuthorized: createCheck(backendServerHashes),
 		onAnnouncement: dispatcher.announceBackendServer,
 		onFarewell: dispatcher.removeBackendServer,
 	});
 	const operators = createOperatorsServer({
-		isAuthorized: isOperator,
+		isAuthorized: createCheck(tokenHashes),
 		configuration,
 		checkObjects: objects => checkConfigurationObjects(objects).filter(finding => finding.level === 'error'),
 		getStatus: () => getDaemonStatus(container, state.isDraining),
-		getLimits: () => [],
+		getLimits: () => getLimitStatuses(container.get(tokens.limits)),
 		onDrain,
 		onDrainBackendServer: () => false,
 	});
@@ -141,6 +186,8 @@
 	const timers = container.get(tokens.timers);
 	jobs.startDraining();
 	container.get(tokens.dispatcher).startDraining();
+	container.get(tokens.limits).startLeaving();
+	container.get(tokens.keeper)?.startLeaving();
 	await new Promise<void>(resolve => {
 		const check = timers.addInterval(drainCheckIntervalMs, () => {
 			if (jobs.getOpenCount() === 0) {
@@ -149,11 +196,34 @@
 			}
 		});
 	});
+	await storeOutcomes(container);
+}
+
+/** Waits until the keepers have the outcomes of the last jobs, at most as long as a resubmission waits for them. */
+async function storeOutcomes(container: Container): Promise<void> {
+	const timers = container.get(tokens.timers);
+	const client = container.get(tokens.registerClient);
+	const endAtMs = timers.getNowMs() + longestOutcomeWaitMs;
+	await new Promise<void>(resolve => {
+		const check = timers.addInterval(drainCheckIntervalMs, () => {
+			if (client.getStatus().unstoredOutcomes === 0 || timers.getNowMs() >= endAtMs) {
+				check.cancel();
+				resolve();
+			}
+		});
+	});
 }
 
 async function closeAll(container: Container, servers: Servers): Promise<void> {
 	await Promise.all([servers.callers.close(), servers.backendServers.close(), servers.operators.close()]);
 	await container.get(tokens.taskStarter).close();
+	container.get(tokens.registerClient).close();
+	container.get(tokens.register)?.close();
+	container.get(tokens.tickets).close();
+	container.get(tokens.follower).stop();
+	container.get(tokens.keeper)?.stop();
+	container.get(tokens.limits).stop();
+	await container.get(tokens.storage)?.close();
 	await container.get(tokens.peerNetwork).close();
 	await container.get(tokens.metrics).close();
 	container.get(tokens.timers).cancelAll();
