--- a/packages/consensus/test/keeper/keeper.test.ts
+++ b/packages/consensus/test/keeper/keeper.test.ts
@@ -122,11 +122,14 @@
 		cluster.start('a');
 		cluster.timers.advance(30_000);
 		assert.deepEqual(cluster.findLeaders(), []);
+		const {clusterId: ownClusterId, isFounder} = cluster.keepers.get('a')!.getStatus();
+		assert.deepEqual([ownClusterId, isFounder], [undefined, false]);
 		cluster.network.healLinks();
 		cluster.start('c');
 		cluster.timers.advance(15_000);
 		assert.deepEqual([...cluster.keepers.values()].map(keeper => keeper.getStatus().clusterId), [clusterId, clusterId, clusterId]);
 		assert.equal(cluster.keepers.get('a')!.getStatus().version, 1);
+		assert.deepEqual(['a', 'b', 'c'].map(id => cluster.keepers.get(id)!.getStatus().isFounder), [false, true, true]);
 	});
 
 	it('hand leadership over when the leader leaves, without a silence', () => {
