--- a/packages/consensus/src/keeper/election.ts
+++ b/packages/consensus/src/keeper/election.ts
@@ -56,7 +56,7 @@
 	}
 
 	function handleSilence(): void {
-		if (core.role !== 'leader' && core.isVoter()) {
+		if (core.role !== 'leader' && core.isVoter() && !core.isLeaving) {
 			startCampaign(true, false);
 		}
 	}
