Let a daemon that drains hand over tasks with needs too

Cause: tasks that name what they need stayed at a daemon that no longer manages slots, until their deadline. Change: they move once the daemon manages nothing; a round of placement that throws no longer blocks the next one.

--- a/packages/bench/test/simulation/leases.test.ts
+++ b/packages/bench/test/simulation/leases.test.ts
@@ -136,7 +136,7 @@
 		const draining = cluster.nodes[0]!;
 		const other = cluster.nodes[1]!;
 		for (let index = 0; index < 10; index++) {
-			cluster.submit(draining, `job-${index}`, runTimesMs);
+			cluster.submit(draining, `job-${index}`, runTimesMs, {tasks: runTimesMs.map(payload => ({payload, needs: {processors: 0.1}}))});
 		}
 
 		cluster.advance(10);
--- a/packages/dispatch/src/placement/balancer.ts
+++ b/packages/dispatch/src/placement/balancer.ts
@@ -49,15 +49,15 @@
 		const shares = getShares(queuedTasks, [{id: ownId, slots: ownLoad.slots, room: 0}, ...capacities]);
 		for (const [index, {id}] of capacities.entries()) {
 			const share = shares[index + 1] ?? 0;
-			if (share > 0 && !handOver(id, pool, share)) {
+			if (share > 0 && !handOver(id, pool, share, ownLoad)) {
 				return;
 			}
 		}
 	}
 
 	/** Hands over up to `count` tasks; false if no more can be handed over. */
-	function handOver(peerId: string, pool: string, count: number): boolean {
-		const {tasks, isExhausted} = takeTasks(pool, count);
+	function handOver(peerId: string, pool: string, count: number, ownLoad: PoolLoad): boolean {
+		const {tasks, isExhausted} = takeTasks(pool, count, ownLoad);
 		for (const [job, jobTasks] of groupBy(tasks, task => task.job)) {
 			if (sender.sendPart(peerId, job, jobTasks)) {
 				partners.addHandedOver(peerId, pool, jobTasks.length);
@@ -69,10 +69,12 @@
 		return !isExhausted;
 	}
 
-	function takeTasks(pool: string, count: number): {tasks: OpenTask[]; isExhausted: boolean} {
+	/** Tasks with needs stay where the task router put them, as long as this daemon manages slots. */
+	function takeTasks(pool: string, count: number, ownLoad: PoolLoad): {tasks: OpenTask[]; isExhausted: boolean} {
 		const tasks: OpenTask[] = [];
 		while (tasks.length < count) {
-			const queued = queues.takeTask(pool, ({service, needs}) => needs === undefined || !options.fitsInZone(pool, service, needs));
+			const queued = queues.takeTask(pool, ({service, needs}) =>
+				needs === undefined || ownLoad.slots === 0 || !options.fitsInZone(pool, service, needs));
 			const task = queued === undefined ? undefined : jobs.findJob(queued.jobId)?.tasks[queued.index];
 			if (task === undefined) {
 				return {tasks, isExhausted: true};
--- a/packages/dispatch/src/placement/placer.ts
+++ b/packages/dispatch/src/placement/placer.ts
@@ -44,8 +44,11 @@
 		}
 
 		poolsInPlacement.add(pool);
-		fillServers(pool);
-		poolsInPlacement.delete(pool);
+		try {
+			fillServers(pool);
+		} finally {
+			poolsInPlacement.delete(pool);
+		}
 	}
 
 	function fillServers(pool: string): void {
