Print exactly the agreed keys in the bench's JSON lines

Cause: rows carried keys that were not agreed. Change: steady rows have the seven keys; others have the scenario too, and the failed tasks where a backend server fails everything.

--- a/packages/bench/src/bench/main.ts
+++ b/packages/bench/src/bench/main.ts
@@ -45,9 +45,18 @@
 	}
 }
 
+/** Leaves out what says nothing: the scenario of a steady load, and failures where nothing fails. */
+function getJsonRow({scenario, failedTaskRatio, ...row}: Row): Partial<Row> {
+	if (scenario === 'steady') {
+		return row;
+	}
+
+	return scenario === 'failing-backend-server' ? {...row, scenario, failedTaskRatio} : {...row, scenario};
+}
+
 function print(row: Row): void {
 	if (values.json) {
-		console.log(JSON.stringify(row));
+		console.log(JSON.stringify(getJsonRow(row)));
 		return;
 	}
 
