--- a/packages/register/src/client/table-handover.ts
+++ b/packages/register/src/client/table-handover.ts
@@ -124,10 +124,10 @@
 			const {incarnation, part, isLast} = message;
 			const known = incoming.get(incarnation) ?? {nextPart: 0, entries: []};
 			if (!adopted.has(incarnation) && known.nextPart === part) {
-				const entries = [...known.entries, ...message.entries];
-				incoming.set(incarnation, {nextPart: part + 1, entries});
+				known.entries.push(...message.entries);
+				incoming.set(incarnation, {nextPart: part + 1, entries: known.entries});
 				if (isLast) {
-					adopt(message, entries);
+					adopt(message, known.entries);
 				}
 			}
 
--- a/packages/register/src/keeper/partition-ownership.ts
+++ b/packages/register/src/keeper/partition-ownership.ts
@@ -47,6 +47,8 @@
 	let assignment: RegisterAssignment | undefined;
 	/** The next part of each partition that is being taken. */
 	const takingParts = new Map<number, number>();
+	/** The ids of the partitions that leave, gathered once for an assignment: nothing changes them any more. */
+	let leavingIds: Map<number, string[]> | undefined;
 	const retries: TimerSubscription = timers.addInterval(retryIntervalMs, askForAll);
 
 	function isAssigned(partition: number): boolean {
@@ -60,6 +62,7 @@
 
 		assignment = next;
 		takingParts.clear();
+		leavingIds = undefined;
 		for (const [partition, {ownerId, previousOwnerId, isPreviousOwnerLost}] of next.partitions.entries()) {
 			if (ownerId !== ownId || state.partitions.has(partition)) {
 				continue;
@@ -129,36 +132,54 @@
 
 		const owned = state.partitions.get(partition);
 		const isKnown = owned?.state === 'owned';
-		const records = isKnown ? getHandedRecords(partition) : [];
+		const ids = isKnown ? getLeavingIds(partition) : [];
 		const start = part * recordsPerPart;
 		sendToKeeper(fromPeerId, {
 			kind: 'register.partition-part',
 			partition,
 			version,
 			part,
-			isLast: start + recordsPerPart >= records.length,
+			isLast: start + recordsPerPart >= ids.length,
 			isKnown,
 			quarantineLeftMs: isKnown ? Math.max(0, owned.quarantineUntilMs - journal.getNowMs()) : 0,
-			records: records.slice(start, start + recordsPerPart),
+			records: ids.slice(start, start + recordsPerPart).flatMap(id => getHandedRecords(id)),
 		});
 	}
 
-	function getHandedRecords(partition: number): HandedRecord[] {
-		const handed: HandedRecord[] = [];
-		for (const {id, record} of state.records.getRecords()) {
-			if (getPartition(id) === partition) {
-				const {claimant, ...rest} = record;
-				handed.push({
-					id,
-					...rest,
-					daemonId: claimant.daemonId,
-					incarnation: claimant.incarnation,
-					outcome: record.isEnded ? state.outcomes.findOutcome(id) : undefined,
-				});
+	function getLeavingIds(partition: number): readonly string[] {
+		leavingIds ??= gatherLeavingIds();
+		return leavingIds.get(partition) ?? [];
+	}
+
+	function gatherLeavingIds(): Map<number, string[]> {
+		const gathered = new Map<number, string[]>();
+		for (const {id} of state.records.getRecords()) {
+			const partition = getPartition(id);
+			if (!isAssigned(partition)) {
+				const ids = gathered.get(partition) ?? [];
+				ids.push(id);
+				gathered.set(partition, ids);
 			}
 		}
 
-		return handed;
+		return gathered;
+	}
+
+	/** Gets the record of an id, or none if it was dropped meanwhile. */
+	function getHandedRecords(id: string): HandedRecord[] {
+		const record = state.records.findRecord(id);
+		if (record === undefined) {
+			return [];
+		}
+
+		const {claimant: {daemonId, incarnation}, ...rest} = record;
+		return [{
+			id,
+			...rest,
+			daemonId,
+			incarnation,
+			outcome: record.isEnded ? state.outcomes.findOutcome(id) : undefined,
+		}];
 	}
 
 	function handlePart(message: KeeperMessageOf<'register.partition-part'>): void {
