--- a/packages/register/src/client/chosen-id-claims.ts
+++ b/packages/register/src/client/chosen-id-claims.ts
@@ -93,9 +93,7 @@
 	function attach(open: OpenJob, answer: Extract<ClaimAnswer, {kind: 'attach'}>): void {
 		if (open.state === 'claiming') {
 			open.state = 'attached';
-			for (const copy of open.copies) {
-				copy.onDecision({kind: 'attach'});
-			}
+			tellToAttach(open);
 
 			// The owner is asked again, since it may know meanwhile that the other daemon is gone.
 			openJobs.retryUntilDeadline(open, () => {
@@ -112,6 +110,14 @@
 		});
 	}
 
+	function tellToAttach(open: OpenJob): void {
+		if (!open.isToldToAttach) {
+			open.isToldToAttach = true;
+			const [firstCopy] = open.copies;
+			firstCopy?.onDecision({kind: 'attach'});
+		}
+	}
+
 	return {
 		claim(open) {
 			waitForOwner(open);
--- a/packages/register/src/client/open-job.ts
+++ b/packages/register/src/client/open-job.ts
@@ -27,6 +27,8 @@
 	readonly request: string;
 	state: OpenJobState;
 	outcome: Uint8Array | undefined;
+	/** Whether the copies were told that another copy runs. */
+	isToldToAttach: boolean;
 	/** Whether another daemon was sent this copy and may have started it. */
 	mayHaveStarted: boolean;
 	/** The daemon that the job was last forwarded to. */
@@ -52,6 +54,7 @@
 		...identity,
 		state: 'claiming',
 		outcome: undefined,
+		isToldToAttach: false,
 		mayHaveStarted: false,
 		forwardedToId: undefined,
 		retry: undefined,
--- a/packages/register/src/client/register-client.ts
+++ b/packages/register/src/client/register-client.ts
@@ -46,7 +46,7 @@
 export type RegisterClient = {
 	/**
 	 * Claims a job.
-	 * @param onDecision - Called with `start`, `outcome` or `refused`, after one or more `attach` if the copy has to wait.
+	 * @param onDecision - Called with `start`, `outcome` or `refused`, after one `attach` if the copy has to wait.
 	 */
 	claimJob(job: Job, contentHash: string, onDecision: (decision: ClaimDecision) => void): void;
 	/** Says how a job ended that was told to start. A refused one started nothing and may be claimed again. */
--- a/packages/register/src/keeper/register-journal.ts
+++ b/packages/register/src/keeper/register-journal.ts
@@ -11,6 +11,9 @@
 	recordsPerSnapshot: number;
 };
 
+/** A log that grew to this part of what a snapshot waits for is replaced by one at opening. */
+const openingsPerSnapshot = 5;
+
 /** Keeps the state and its log in step. */
 export type RegisterJournal = {
 	/** Gets the register's clock, which stands still while the keeper does not run. */
@@ -31,7 +34,7 @@
 	const {
 		log, state, timers, recordsPerSnapshot,
 	} = options;
-	let recordsSinceSnapshot = 0;
+	let recordsSinceSnapshot = log.getRecords().length;
 	const snapshot = log.getSnapshot();
 	const snapshotRecords: readonly unknown[] = Array.isArray(snapshot) ? snapshot.flat() : [];
 	for (const record of [...snapshotRecords, ...log.getRecords()]) {
@@ -56,6 +59,11 @@
 		log.writeSnapshotInParts(state.getLogRecordParts());
 	}
 
+	if (recordsSinceSnapshot >= recordsPerSnapshot / openingsPerSnapshot) {
+		// The log then lets go of what it found, which the state holds as well.
+		writeSnapshot();
+	}
+
 	return {
 		getNowMs,
 		write,
--- a/packages/storage/src/log/open-record-log.ts
+++ b/packages/storage/src/log/open-record-log.ts
@@ -167,6 +167,8 @@
 
 		try {
 			await writeSnapshotFile(dataFolder, name, {...pending, lastSequence, waitForRecords});
+			loaded.snapshot = undefined;
+			loaded.records = [];
 			pending.onSynced?.();
 		} catch (error) {
 			fail(error);
--- a/packages/storage/src/log/record-log.ts
+++ b/packages/storage/src/log/record-log.ts
@@ -3,9 +3,9 @@
  * A failed sync is never retried: the log reports it to its opener once and takes nothing more.
  */
 export type RecordLog = {
-	/** Gets the snapshot that was found at opening, or undefined. */
+	/** Gets the snapshot that was found at opening, or undefined. It is let go once a new one is written. */
 	getSnapshot(): unknown;
-	/** Gets the records that were found at opening, written after the snapshot. */
+	/** Gets the records that were found at opening, written after the snapshot. They are let go with it. */
 	getRecords(): readonly unknown[];
 	/**
 	 * Appends a record. Records appended while a sync runs share the next one (group commit).
