Hand a table of tickets to one process of the neighbour only

A neighbour that took the table, started a ticket and restarted could take the same table again while its acknowledgement was lost, and start the ticket a second time (seed 14 of the random schedules). The parts now name the process that may take them, and a second planned stop has no effect.

--- a/packages/register/src/client/register-client.ts
+++ b/packages/register/src/client/register-client.ts
@@ -54,7 +54,10 @@
 	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
 	setMembers(members: readonly Member[]): void;
 	setAssignment(assignment: RegisterAssignment): void;
-	/** Hands the table of tickets to a neighbour, at a planned stop and once no job runs. */
+	/**
+	 * Hands the tables of tickets to a neighbour, at a planned stop and once no job runs. `onDone` is not called if the
+	 * neighbour falls silent, so bound the wait; the tickets then end with this process.
+	 */
 	handOverTickets(neighbourId: string, onDone: () => void): void;
 	getStatus(): RegisterClientStatus;
 	close(): void;
@@ -109,10 +112,12 @@
 	});
 	const handover = createTableHandover({
 		ownId,
+		incarnation,
 		timers,
 		random,
 		tickets,
 		getKeeperIds,
+		findIncarnation: daemonId => members.get(daemonId)?.incarnation,
 		send,
 	});
 	const chosenIds = createChosenIdClaims({
--- a/packages/register/src/client/table-handover.ts
+++ b/packages/register/src/client/table-handover.ts
@@ -4,17 +4,23 @@
 
 export type TableHandoverOptions = {
 	ownId: string;
+	incarnation: string;
 	timers: TimerService;
 	random: RandomSource;
 	tickets: TicketTable;
 	retentionMs?: number;
 	getKeeperIds: () => readonly string[];
+	/** Finds the live process of a daemon. */
+	findIncarnation: (daemonId: string) => string | undefined;
 	send: (peerId: string, message: ClientMessage | KeeperMessage) => void;
 };
 
 /** Moves a table of tickets to a neighbour at a planned stop, and takes the tables of others. */
 export type TableHandover = {
-	/** Hands the own table and the adopted ones over, in parts. */
+	/**
+	 * Hands the own table and the adopted ones over, in parts, to the present process of a neighbour. Without one, the
+	 * tickets end with this process. Only the first call has an effect.
+	 */
 	start(neighbourId: string, onDone: () => void): void;
 	/** Finds the own or an adopted table. */
 	findTable(incarnation: string): TicketTable | undefined;
@@ -29,7 +35,7 @@
 const entriesPerPart = 1000;
 const retryIntervalMs = 500;
 
-type Outgoing = {neighbourId: string; tables: HandedTable[]; part: number; onDone: () => void};
+type Outgoing = {neighbourId: string; heirIncarnation: string; tables: HandedTable[]; part: number; onDone: () => void};
 
 /**
  * Creates the handover of tables.
@@ -37,7 +43,7 @@
  */
 export function createTableHandover(options: TableHandoverOptions): TableHandover {
 	const {
-		ownId, timers, random, tickets, retentionMs, getKeeperIds, send,
+		ownId, incarnation: ownIncarnation, timers, random, tickets, retentionMs, getKeeperIds, findIncarnation, send,
 	} = options;
 	const adopted = new Map<string, TicketTable>();
 	/** Tables of which some parts have come. */
@@ -46,6 +52,7 @@
 	const unannounced = new Map<string, Set<string>>();
 	let outgoing: Outgoing | undefined;
 	let heirId: string | undefined;
+	let isStarted = false;
 	const retries: TimerSubscription = timers.addInterval(retryIntervalMs, () => {
 		sendPart();
 		announce();
@@ -56,7 +63,9 @@
 			return;
 		}
 
-		const {neighbourId, tables: [table], part} = outgoing;
+		const {
+			neighbourId, heirIncarnation, tables: [table], part,
+		} = outgoing;
 		if (table === undefined) {
 			return;
 		}
@@ -65,6 +74,7 @@
 		send(neighbourId, {
 			kind: 'register.table-part',
 			...table,
+			heirIncarnation,
 			part,
 			isLast: start + entriesPerPart >= table.entries.length,
 			entries: table.entries.slice(start, start + entriesPerPart),
@@ -105,13 +115,25 @@
 
 	return {
 		start(neighbourId, onDone) {
+			if (isStarted) {
+				return;
+			}
+
+			isStarted = true;
 			const tables = [tickets, ...adopted.values()];
 			for (const table of tables) {
 				table.fence();
 			}
 
+			const heirIncarnation = findIncarnation(neighbourId);
+			if (heirIncarnation === undefined) {
+				onDone();
+				return;
+			}
+
 			outgoing = {
 				neighbourId,
+				heirIncarnation,
 				tables: tables.map(table => table.getHandedTable()),
 				part: 0,
 				onDone,
@@ -121,7 +143,13 @@
 		findTable: incarnation => incarnation === tickets.owner.incarnation ? tickets : adopted.get(incarnation),
 		findHeirId: () => heirId,
 		handlePart(fromPeerId, message) {
-			const {incarnation, part, isLast} = message;
+			const {
+				incarnation, part, isLast, heirIncarnation,
+			} = message;
+			if (heirIncarnation !== ownIncarnation) {
+				return;
+			}
+
 			const known = incoming.get(incarnation) ?? {nextPart: 0, entries: []};
 			if (!adopted.has(incarnation) && known.nextPart === part) {
 				known.entries.push(...message.entries);
--- a/packages/register/src/messages/register-messages.ts
+++ b/packages/register/src/messages/register-messages.ts
@@ -111,6 +111,8 @@
 	/** Part of the table of tickets of a daemon that stops as planned. */
 	z.object({
 		kind: z.literal('register.table-part'),
+		/** The only process that may take it: a later one of the same daemon would start again what that one started. */
+		heirIncarnation: z.string(),
 		part: countSchema,
 		isLast: z.boolean(),
 		availabilityZone: z.string(),
--- a/packages/register/test/client/register-client.test.ts
+++ b/packages/register/test/client/register-client.test.ts
@@ -65,6 +65,21 @@
 		assert.equal(submit(world, 'd1', ticket), 'failed daemon-lost may-have-run');
 	});
 
+	it('starts no ticket twice if the neighbour that took the tickets restarts while they are still sent', () => {
+		const world = createWorld();
+		const ticket = world.issueTicket('d2')!;
+		world.stop('d2', 'd1');
+		world.timers.advance(0.6);
+		world.network.cutLink('d1', 'd2');
+		assert.equal(submit(world, 'd1', ticket, 10), 'waits');
+		world.kill('d1');
+		world.start('d1');
+		world.network.healLinks();
+		world.timers.advance(2000);
+		submit(world, 'd1', ticket);
+		assert.equal(world.starts.get(ticket), 1);
+	});
+
 	it('starts unused tickets at the neighbour after a planned stop, and used ones never', () => {
 		const world = createWorld();
 		const used = world.issueTicket('d3')!;
