--- a/packages/consensus/src/keeper/keeper-options.ts
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -29,6 +29,7 @@
 /** What an operator sees of a keeper. */
 export type KeeperStatus = {
 	identity: string;
+	/** Undefined until the keeper has received its place in a cluster. */
 	clusterId: string | undefined;
 	/** Whether this keeper, with this disk, took part in the cluster's first start. */
 	isFounder: boolean;
