--- a/packages/register/test/client/register-client.test.ts
+++ b/packages/register/test/client/register-client.test.ts
@@ -65,6 +65,22 @@
 		assert.equal(submit(world, 'd1', ticket), 'failed daemon-lost may-have-run');
 	});
 
+	it('never takes the answer to an earlier process for its own', () => {
+		for (let seed = 1; seed <= 10; seed++) {
+			const world = new RegisterWorld({seed, hasNetworkFaults: false});
+			world.submit('d2', createTestJob('a', 0, deadlineMs));
+			world.submit('d2', createTestJob('b', 1, deadlineMs));
+			world.timers.advance(10);
+			world.submit('d3', createTestJob('a', 0, deadlineMs));
+			world.timers.advance(10);
+			world.kill('d3');
+			world.start('d3');
+			world.submit('d3', createTestJob('b', 1, deadlineMs));
+			world.timers.advance(5000);
+			assert.deepEqual(world.violations, []);
+		}
+	});
+
 	it('starts no ticket twice if the neighbour that took the tickets restarts while they are still sent', () => {
 		const world = createWorld();
 		const ticket = world.issueTicket('d2')!;
