--- a/packages/consensus/src/keeper/append-handler.ts
+++ b/packages/consensus/src/keeper/append-handler.ts
@@ -31,7 +31,7 @@
 			return false;
 		}
 
-		if (store.getBinding()?.clusterId !== message.clusterId) {
+		if (message.clusterId !== undefined && store.getBinding()?.clusterId !== message.clusterId) {
 			store.setBinding({clusterId: message.clusterId});
 		}
 
--- a/packages/consensus/src/keeper/keeper-messages.ts
+++ b/packages/consensus/src/keeper/keeper-messages.ts
@@ -31,7 +31,8 @@
 	z.object({
 		kind: z.literal('consensus.append'),
 		...addressShape,
-		clusterId: z.string(),
+		/** Left out once the receiver has shown that it belongs to the cluster. */
+		clusterId: z.string().optional(),
 		previousIndex: z.int(),
 		previousTerm: z.int(),
 		entries: z.array(logEntrySchema),
--- a/packages/consensus/src/keeper/replication.ts
+++ b/packages/consensus/src/keeper/replication.ts
@@ -111,7 +111,7 @@
 		core.send(record.keeperId, {
 			kind: 'consensus.append',
 			...core.getAddress(record.identity),
-			clusterId: store.getBinding()!.clusterId,
+			...(progress.matchIndex === 0 && {clusterId: store.getBinding()!.clusterId}),
 			previousIndex: nextIndex - 1,
 			previousTerm: store.findTermAt(nextIndex - 1)!,
 			entries,
--- a/packages/consensus/test/schedules.test.ts
+++ b/packages/consensus/test/schedules.test.ts
@@ -1,8 +1,13 @@
+import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {runConsensusSchedules} from './support/run-consensus-schedules.js';
+import {findConsensusFailure, runConsensusSchedules} from './support/run-consensus-schedules.js';
 
 describe('consensus under random schedules', () => {
 	it('keeps what it promises in 60 schedules', () => {
 		runConsensusSchedules(60, 20_261);
 	});
+
+	it('is seen to fail over logs that acknowledge before they sync', () => {
+		assert.match(findConsensusFailure('acknowledges-before-sync', 12, 2) ?? '', /committed different entries/v);
+	});
 });
