Drop configuration that was meant for an earlier start of a daemon

Cause: a daemon without a disk that restarts within 6 s could be pushed a whole set under the subscription of its earlier start, by a source that no barrier had proved up to date, and so step back. Change: each start draws an id, which its sources repeat in what they send. Conclusion: a first version comes only in answer to the daemon's own request.

--- a/packages/consensus/src/follower/configuration-follower.ts
+++ b/packages/consensus/src/follower/configuration-follower.ts
@@ -16,6 +16,8 @@
 import {createRecentSteps} from './recent-steps.js';
 import {createUpdateReceiver, type ReceivedUpdate} from './update-pieces.js';
 
+const largestStartId = 0xFF_FF_FF;
+
 /**
  * Creates the part of a daemon that brings the configuration into force and passes it on.
  * @param options - Its place, its ports and, if there is one, the keeper in the same process.
@@ -36,6 +38,7 @@
 	const store = createContentStore(options.log);
 	const steps = createRecentSteps();
 	const receiver = createUpdateReceiver();
+	const startId = random.getInteger(0, largestStartId);
 	/** The last version received; in force once it is stored. */
 	let received = store.getStored();
 	let content: ConfigurationContent = emptyContent;
@@ -140,6 +143,7 @@
 
 		peers.send(sourceId, {
 			kind: 'configuration.subscribe',
+			startId,
 			version: received.version,
 			availabilityZone,
 			isStarting: received.version === 0,
@@ -189,14 +193,14 @@
 
 	function handleSubscribe(fromPeerId: string, message: FollowerMessageOf<'configuration.subscribe'>): void {
 		if (!message.isStarting) {
-			distributor.addSubscriber(fromPeerId, message.version, message.needsWhole);
+			distributor.addSubscriber(fromPeerId, message.startId, message.needsWhole ? 0 : message.version);
 			return;
 		}
 
 		keeper?.confirm(isConfirmed => {
 			const maySend = isConfirmed || (message.availabilityZone === availabilityZone && keeper.isSoleConfirmedInZone());
 			if (maySend && !isStopped) {
-				distributor.addSubscriber(fromPeerId, 0, false);
+				distributor.addSubscriber(fromPeerId, message.startId, 0);
 			}
 		});
 	}
@@ -233,6 +237,11 @@
 				return;
 			}
 
+			const isForEarlierStart = parsed.data.kind !== 'configuration.subscribe' && 'startId' in parsed.data && parsed.data.startId !== startId;
+			if (isForEarlierStart) {
+				return;
+			}
+
 			switch (parsed.data.kind) {
 				case 'configuration.subscribe': {
 					handleSubscribe(fromPeerId, parsed.data);
--- a/packages/consensus/src/follower/distributor.ts
+++ b/packages/consensus/src/follower/distributor.ts
@@ -9,7 +9,7 @@
 /** Sends the versions in force here to the daemons that subscribe. */
 export type Distributor = {
 	/** Renews a subscription and answers it. */
-	addSubscriber(peerId: string, version: number, needsWhole: boolean): void;
+	addSubscriber(peerId: string, startId: number, version: number): void;
 	/** Passes a new version on, together with others that follow at once. */
 	handleContent(): void;
 	getSubscriberCount(): number;
@@ -25,7 +25,7 @@
 	send: (peerId: string, message: FollowerMessage) => void;
 };
 
-type Subscriber = {version: number; expiresAtMs: number};
+type Subscriber = {startId: number; version: number; expiresAtMs: number};
 type Update = {fromVersion: number; pieces: ObjectChange[][]};
 
 /**
@@ -66,6 +66,7 @@
 		for (const [pieceIndex, changes] of pieces.entries()) {
 			send(peerId, {
 				kind: 'configuration.update',
+				startId: subscriber.startId,
 				fromVersion,
 				version,
 				digest,
@@ -91,8 +92,8 @@
 	}
 
 	return {
-		addSubscriber(peerId, version, needsWhole) {
-			const subscriber = {version: needsWhole ? 0 : version, expiresAtMs: timers.getNowMs() + subscriptionLifetimeMs};
+		addSubscriber(peerId, startId, version) {
+			const subscriber = {startId, version, expiresAtMs: timers.getNowMs() + subscriptionLifetimeMs};
 			subscribers.set(peerId, subscriber);
 			const content = getContent();
 			if (subscriber.version < content.version) {
@@ -100,6 +101,7 @@
 			} else {
 				send(peerId, {
 					kind: 'configuration.digest',
+					startId,
 					version: content.version,
 					digest: content.digest,
 					keeperAgeMs: Math.round(getKeeperAgeMs()),
--- a/packages/consensus/test/follower/configuration-follower.test.ts
+++ b/packages/consensus/test/follower/configuration-follower.test.ts
@@ -81,6 +81,21 @@
 		assert.deepEqual(getVersions(cluster, ['a1']), [2]);
 	});
 
+	it('drops what was meant for an earlier start of the daemon', () => {
+		const cluster = createFleet();
+		const content = {version: 1, digest: 0, changes: []};
+		const piece = {pieceIndex: 0, pieceCount: 1};
+		cluster.followers.get('d1')!.handlePeerMessage('a', {
+			kind: 'configuration.update',
+			startId: -1,
+			fromVersion: 0,
+			keeperAgeMs: 0,
+			...content,
+			...piece,
+		});
+		assert.deepEqual(getVersions(cluster, ['d1']), [0]);
+	});
+
 	it('starts a daemon with a disk where it was', () => {
 		const cluster = createFleet();
 		cluster.startFollower('a4', true);
