--- a/packages/register/src/messages/bytes-schema.ts
+++ b/packages/register/src/messages/bytes-schema.ts
@@ -1,4 +1,3 @@
-
 import {z} from 'zod';
 
 /** Encoded bytes, as they come from a message or the log. */
