Add the membership of daemons

Cause: the daemon took its members from the settings and noticed no failure. Change: createMembership detects failures inside a zone with one probe a period and daemon, indirect probes, suspicion, refutation and changes passed on; other zones are heard through one elected gateway a pair of zones.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,1 @@
-/** The name of this package, as its daemon reports it. */
-export const packageName = '@camphortack/membership';
+export * from './create-membership.js';
