Let a rate leak away evenly and cut shares at a level under contention

Cause: at 0.9 of a rate, evenly offered, 28% of the tasks were refused although the declared figure allowed them: a start stayed held for a whole burst, and shares cut in proportion to noisy wants moved back and forth. Change: a rate is a leaking amount (its pace is what the share manager counts for the daemon); under contention shares are cut at the level at which they add up; only a job larger than the level gets the shares of others.

--- a/packages/policy/src/limits/create-limit-book.ts
+++ b/packages/policy/src/limits/create-limit-book.ts
@@ -310,7 +310,7 @@
 		if (lender !== undefined) {
 			shareManager.adoptBorrowed(key, lender, grant);
 		} else if (held !== undefined && managers.findManager(key, ownZone) === fromPeerId) {
-			held.share.adopt(grant);
+			held.adoptGrant(grant);
 			waiting.retry(held);
 		}
 	}
--- a/packages/policy/src/limits/held-dimension.ts
+++ b/packages/policy/src/limits/held-dimension.ts
@@ -1,6 +1,7 @@
 import type {TimerService} from '@camphortack/core';
-import {createLeasedShare, type LeasedShare} from './leased-share.js';
-import {renewalIntervalMs} from './limit-constants.js';
+import {createLeakingCounter} from './leaking-counter.js';
+import {createLeasedShare, type GrantedShare, type LeasedShare} from './leased-share.js';
+import {clockDriftFactor, renewalIntervalMs} from './limit-constants.js';
 import type {LimitDimension} from './limit-dimensions.js';
 import type {ShareReport} from './limit-messages.js';
 import {createShareDemand, type ShareDemand} from './share-demand.js';
@@ -8,12 +9,14 @@
 
 /** What this daemon holds and wants of one dimension. */
 export type HeldDimension = {
-	readonly share: LeasedShare;
+	readonly share: Pick<LeasedShare, 'getAmount'>;
 	readonly counter: UseCounter;
 	readonly demand: ShareDemand;
 	getDimension(): LimitDimension;
 	/** Replaces the declared figure. A lowered one takes hold at once, in proportion. */
 	setDimension(dimension: LimitDimension): void;
+	/** Takes an answer of the share manager into force. */
+	adoptGrant(grant: GrantedShare): void;
 	/** Gets what may be admitted now. */
 	getFree(): number;
 	isReportDue(isUrgent: boolean): boolean;
@@ -33,14 +36,25 @@
 /** Creates the record of a dimension of which nothing is held. */
 export function createHeldDimension(timers: TimerService, firstDimension: LimitDimension): HeldDimension {
 	const share = createLeasedShare(timers);
-	const counter = createUseCounter(timers);
+	const counter = firstDimension.resource === 'rate' ? createLeakingCounter(timers, getLeakPerMs) : createUseCounter(timers);
 	const demand = createShareDemand(timers);
 	let dimension = firstDimension;
 	let reportedAtMs = -Infinity;
 	let lastClaim = 0;
 	let isRequired = false;
 
+	/** What the share manager counts as held by this daemon may leak away within the lag. */
+	function getLeakPerMs(): number {
+		return Math.max(share.getAmount(), lastClaim) / (dimension.lagMs * clockDriftFactor);
+	}
+
+	function adoptGrant(grant: GrantedShare): void {
+		counter.getHeld();
+		share.adopt(grant);
+	}
+
 	function setDimension(next: LimitDimension): void {
+		counter.getHeld();
 		if (next.capacity < dimension.capacity) {
 			const lowered = share.getAmount() * next.capacity / dimension.capacity;
 			share.lowerTo(next.isWhole ? Math.floor(lowered) : lowered);
@@ -70,7 +84,8 @@
 	}
 
 	function getClaim(): number {
-		return Math.max(counter.getHeld(), share.getAmount());
+		const held = counter.getHeld();
+		return Math.max(dimension.isWhole ? Math.ceil(held) : held, share.getAmount());
 	}
 
 	function takeReport(): ShareReport {
@@ -88,7 +103,7 @@
 			adopted: share.getAdopted(),
 			claim: lastClaim,
 			want,
-			need: demand.getNeed() === 0 ? 0 : held + demand.getNeed(),
+			need: demand.getNeed(),
 		};
 		demand.addReport();
 		return report;
@@ -100,6 +115,7 @@
 		demand,
 		getDimension: () => dimension,
 		setDimension,
+		adoptGrant,
 		getFree: () => share.getAmount() - counter.getHeld(),
 		isReportDue,
 		takeReport,
--- a/packages/policy/src/limits/limit-messages.ts
+++ b/packages/policy/src/limits/limit-messages.ts
@@ -12,7 +12,7 @@
 	/** What the sender may hold from now on until an answer allows more. */
 	claim: amountSchema,
 	want: amountSchema,
-	/** The least that would be of use, if something was refused for lack of a share. */
+	/** The smallest job that was refused for lack of a share, or 0. */
 	need: amountSchema,
 });
 
--- a/packages/policy/src/limits/share-demand.ts
+++ b/packages/policy/src/limits/share-demand.ts
@@ -17,9 +17,9 @@
 };
 
 /** After this time without such use the highest use counts half. */
-const peakHalfLifeMs = 5000;
+const peakHalfLifeMs = 1500;
 /** How many times the last interval's use is wanted in reserve. */
-const reserveFactor = 1;
+const reserveFactor = 0.5;
 /** A shortfall counts for this many reports. */
 const shortfallReports = 2;
 
--- a/packages/policy/src/limits/share-ledger.ts
+++ b/packages/policy/src/limits/share-ledger.ts
@@ -68,6 +68,8 @@
 
 /** Clients whose lease has ended are looked for this often. */
 const sweepIntervalMs = 1000;
+/** The level of contention is worked out anew after this time. */
+const levelLifetimeMs = 200;
 const tolerance = 1e-9;
 
 /**
@@ -85,6 +87,7 @@
 	let committedTotal = 0;
 	let localWant = 0;
 	let sweptAtMs = 0;
+	let level = {amount: 0, capacity: 0, setAtMs: -Infinity};
 
 	function sweep(): void {
 		const nowMs = timers.getNowMs();
@@ -175,15 +178,15 @@
 		return dimension.isWhole ? Math.floor(amount + tolerance) : amount;
 	}
 
-	/** Under contention shares are cut in proportion, but for one client at a time whose job would not fit in. */
+	/** Under contention nobody gets more than the level, but for one client at a time whose job is larger than that. */
 	function getLocalTarget(clientKey: string, client: Client, report: ShareReport, capacity: number): number {
 		if (localWant <= capacity || capacity <= 0) {
 			waiting.delete(clientKey);
 			return Math.max(0, capacity);
 		}
 
-		const proportional = Math.ceil(capacity * client.want / localWant);
-		if (report.need > proportional && report.need <= capacity) {
+		const level = getLevel(capacity);
+		if (report.need > level && report.need <= capacity) {
 			waiting.set(clientKey, {clientKey, need: report.need});
 		} else {
 			waiting.delete(clientKey);
@@ -191,12 +194,26 @@
 
 		const [first] = waiting.values();
 		if (first === undefined) {
-			return proportional;
+			return level;
 		}
 
 		return first.clientKey === clientKey
-			? first.need
-			: Math.floor(proportional * Math.max(0, 1 - (first.need / capacity)));
+			? Math.max(level, Math.min(capacity, client.claim + first.need))
+			: Math.floor(level * Math.max(0, 1 - (first.need / capacity)));
+	}
+
+	/** Gets the level at which the wants, cut off there, add up to the capacity. */
+	function getLevel(capacity: number): number {
+		const nowMs = timers.getNowMs();
+		if (level.capacity !== capacity || nowMs >= level.setAtMs + levelLifetimeMs) {
+			level = {amount: findLevel(getLocalWants(), capacity), capacity, setAtMs: nowMs};
+		}
+
+		return dimension.isWhole ? Math.ceil(level.amount) : level.amount;
+	}
+
+	function getLocalWants(): number[] {
+		return [...clients.values()].filter(client => !client.isForeign && client.want > 0).map(client => client.want);
 	}
 
 	function freeze(amount: number, capacity: number, hasEarlierUse: boolean): void {
@@ -252,3 +269,18 @@
 		getLent,
 	};
 }
+
+function findLevel(wants: number[], capacity: number): number {
+	let left = capacity;
+	let count = wants.length;
+	for (const want of wants.toSorted((one, other) => one - other)) {
+		if (want >= left / count) {
+			return left / count;
+		}
+
+		left -= want;
+		count--;
+	}
+
+	return capacity;
+}
