--- a/packages/policy/test/limits/limit-book.test.ts
+++ b/packages/policy/test/limits/limit-book.test.ts
@@ -5,7 +5,7 @@
 import {findPassed, offerLoad, runFaultSchedule} from './run-fault-schedule.js';
 
 const fault = fc.record({
-	kind: fc.constantFrom('crash', 'restart', 'pause', 'isolate', 'cut-zone', 'heal', 'skew'),
+	kind: fc.constantFrom('crash', 'restart', 'pause', 'isolate', 'cut-zone', 'heal', 'skew', 'one-way'),
 	node: fc.nat(5),
 	durationMs: fc.integer({min: 500, max: 45_000}),
 });
--- a/packages/policy/test/limits/run-fault-schedule.ts
+++ b/packages/policy/test/limits/run-fault-schedule.ts
@@ -46,7 +46,7 @@
 }
 
 export type Fault = {
-	kind: 'crash' | 'restart' | 'pause' | 'isolate' | 'cut-zone' | 'heal' | 'skew';
+	kind: 'crash' | 'restart' | 'pause' | 'isolate' | 'cut-zone' | 'heal' | 'skew' | 'one-way';
 	node: number;
 	durationMs: number;
 };
@@ -121,6 +121,12 @@
 			break;
 		}
 
+		case 'one-way': {
+			const others = [...cluster.nodes.keys()].filter(other => other !== id);
+			cluster.network.cutLink(id, others[cluster.random.getInteger(0, others.length - 1)]!);
+			break;
+		}
+
 		case 'skew': {
 			break;
 		}
