--- a/packages/consensus/src/utils/zod.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-
-export {z} from 'zod';
