--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,2 @@
-export * from './create-membership.js';
+/** The name of this package, as its daemon reports it. */
+export const packageName = '@camphortack/membership';
