--- a/packages/policy/test/limits/measure-limits.ts
+++ b/packages/policy/test/limits/measure-limits.ts
@@ -1,4 +1,4 @@
-import {LimitCluster} from './limit-cluster.js';
+import {LimitCluster} from '../../../proof/src/explore/limits/limit-cluster.js';
 
 /**
  * Prints, for three ways of holding one declared rate, the messages a second and the share of jobs that were refused
--- a/packages/policy/test/queue/measure-queue.ts
+++ b/packages/policy/test/queue/measure-queue.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {createFairQueue, type QueuedTask} from '../../src/index.js';
 
 /** Prints the time of one task through the queue, for some numbers of customers and of waiting tasks. */
--- a/packages/policy/test/limits/limit-cluster.ts
+++ b/packages/proof/src/explore/limits/limit-cluster.ts
@@ -3,7 +3,7 @@
 import {FakeNetwork, VirtualTimers} from '@camphortack/testkit';
 import {
 	createLimitBook, type LimitBookPart, type LimitDecision, type LimitRequest,
-} from '../../src/index.js';
+} from '@camphortack/policy';
 import {NodeTimers} from './node-timers.js';
 
 export type ClusterOptions = {
