--- a/packages/policy/test/limits/limit-book.test.ts
+++ b/packages/policy/test/limits/limit-book.test.ts
@@ -85,6 +85,35 @@
 		assert.ok(during >= 0.9 * steady, `${during} after ${steady}`);
 	});
 
+	it('keeps a share manager that was paused from leasing out what others took over', () => {
+		const cluster = new LimitCluster({seed: 8, zones: 1, nodesPerZone: 3});
+		cluster.start({limits: {bill: {burstSeconds: 1, tasksInFlight: 20}}});
+		cluster.timers.advance(12_000);
+		const {managerId} = cluster.nodes.get('z0n0')!.book.getStatus().limits[0]!;
+		const {timers} = cluster.nodes.get(managerId!)!;
+		const offer = () => {
+			for (const id of cluster.nodes.keys()) {
+				if (id !== managerId) {
+					cluster.offer(id, 1, 4000);
+				}
+			}
+		};
+
+		timers.pause();
+		// Its connections are reset meanwhile, so that no message waits for it.
+		cluster.network.cutSides([managerId!], [...cluster.nodes.keys()].filter(id => id !== managerId));
+		cluster.updateViews();
+		runLoad(cluster, 90_000, offer);
+		assert.equal(cluster.running, 20, 'the others have not taken over');
+		cluster.network.healLinks();
+		timers.resume();
+		runLoad(cluster, 900, () => {
+			cluster.offer(managerId!, 1, 4000);
+			offer();
+		});
+		assert.ok(cluster.running <= 20, `${cluster.running} in flight`);
+	});
+
 	it('refuses with the code of the limit, all or none, and gives back what did not run', () => {
 		const cluster = startCluster(5, {tasksInFlight: 600, tasksPerSecond: 30});
 		const {book} = cluster.nodes.get('z0n0')!;
--- a/packages/proof/src/explore/limits/limit-cluster.ts
+++ b/packages/proof/src/explore/limits/limit-cluster.ts
@@ -112,11 +112,10 @@
 	updateViews(longestDelayMs = 2500): void {
 		for (const node of this.nodes.values()) {
 			this.timers.addTimer(longestDelayMs * (0.4 + (0.6 * this.random.getFraction())), () => {
-				node.timers.run(() => {
-					if (node.isAlive) {
-						node.book.setMembers(this.#getView(node));
-					}
-				});
+				// A paused process notices nothing, and after its pause only what a later update tells it.
+				if (node.isAlive && !node.timers.isPaused) {
+					node.book.setMembers(this.#getView(node));
+				}
 			});
 		}
 	}
