--- a/packages/policy/test/limits/limit-cluster.ts
+++ b/packages/proof/src/explore/limits/limit-cluster.ts
@@ -3,7 +3,7 @@
 import {FakeNetwork, VirtualTimers} from '@camphortack/testkit';
 import {
 	createLimitBook, type LimitBookPart, type LimitDecision, type LimitRequest,
-} from '../../src/index.js';
+} from '@camphortack/policy';
 import {NodeTimers} from './node-timers.js';
 
 export type ClusterOptions = {
@@ -112,11 +112,10 @@
 	updateViews(longestDelayMs = 2500): void {
 		for (const node of this.nodes.values()) {
 			this.timers.addTimer(longestDelayMs * (0.4 + (0.6 * this.random.getFraction())), () => {
-				node.timers.run(() => {
-					if (node.isAlive) {
-						node.book.setMembers(this.#getView(node));
-					}
-				});
+				// A paused process notices nothing, and after its pause only what a later update tells it.
+				if (node.isAlive && !node.timers.isPaused) {
+					node.book.setMembers(this.#getView(node));
+				}
 			});
 		}
 	}
