Find out which daemons live, at a constant cost each

The list of daemons was fixed by the settings, so a dead daemon stayed in it and a new one never came. Daemons of a zone now watch their neighbour in the ring of names, suspect, declare dead, refute and gossip; two gateways per pair of zones carry digests.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -55,6 +55,18 @@
 	'peer-frame-rejected': {
 		number: 1402, level: 'warning', happened: 'A frame from a peer was malformed or too large; the link was closed.', action: 'Look for a program that speaks to the wrong port.',
 	},
+	'member-joined': {
+		number: 1403, level: 'info', happened: 'Another daemon has joined or is heard again.', action: 'None.',
+	},
+	'member-lost': {
+		number: 1404, level: 'warning', happened: 'Another daemon has left or does not answer.', action: 'Look at the VM if the daemon was not stopped on purpose.',
+	},
+	'zone-unreachable': {
+		number: 1405, level: 'warning', happened: 'No daemon of an availability zone is heard.', action: 'Look for a network partition.',
+	},
+	'zone-reachable': {
+		number: 1406, level: 'info', happened: 'An availability zone is heard again.', action: 'None.',
+	},
 	'leader-elected': {
 		number: 1500, level: 'info', happened: 'This keeper leads the configuration log.', action: 'None.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -47,6 +47,9 @@
 	'storage-sync-time': 'Duration of a group commit, in milliseconds.',
 	'consensus-elections': 'Elections started.',
 	'membership-suspected': 'Daemons suspected to have failed.',
+	'membership-declared-dead': 'Daemons declared dead here.',
+	'membership-refuted': 'False suspicions and deaths of this daemon that it refuted.',
+	'membership-sent': 'Messages sent to find out which daemons live.',
 } as const;
 
 export type MetricName = keyof typeof metricDescriptions | `refused-${RefusalCode}` | `job-failed-${FailureReason}`;
--- /dev/null
+++ b/packages/membership/src/gossip/gossip.ts
@@ -0,0 +1,121 @@
+import type {RandomSource, TimerService, TimerSubscription} from '@camphortack/core';
+import {
+	getTransmissions, gossipDelayMs, gossipIntervalMs, gossipTargets,
+} from '../membership-timings.js';
+import {mostUpdatesPerMessage, type ZoneObservation} from '../messages/membership-messages.js';
+import type {MemberRecord} from '../table/member-record.js';
+import {getSample} from '../utils/get-sample.js';
+
+/** The changes that travel with a message. */
+export type Updates = {
+	records: MemberRecord[];
+	observations: ZoneObservation[];
+};
+
+export type GossipOptions = {
+	timers: TimerService;
+	random: RandomSource;
+	/** Gets the other live daemons of the own availability zone. */
+	getTargetIds: () => string[];
+	send: (peerId: string) => void;
+};
+
+/** Spreads changes through the availability zone, each a bounded number of times. Nothing is sent while nothing changes. */
+export type Gossip = {
+	/**
+	 * Spreads a record.
+	 * @param record - The record; it replaces an older one of the same daemon.
+	 * @param sourceId - The daemon that told it, which needs no telling.
+	 */
+	addRecord(record: MemberRecord, sourceId: string | undefined): void;
+	addObservation(observation: ZoneObservation, sourceId: string | undefined): void;
+	/** Takes the changes that go with a message, those told the fewest times first. */
+	takeUpdates(peerId: string): Updates;
+	stop(): void;
+};
+
+type Entry = {
+	record?: MemberRecord;
+	observation?: ZoneObservation;
+	sourceId: string | undefined;
+	remaining: number;
+};
+
+/**
+ * Creates the gossip.
+ * @param options - To whom and when to tell.
+ */
+export function createGossip({timers, random, getTargetIds, send}: GossipOptions): Gossip {
+	const entries = new Map<string, Entry>();
+	let timer: TimerSubscription | undefined;
+
+	function add(key: string, entry: Omit<Entry, 'remaining'>): void {
+		entries.set(key, {...entry, remaining: getTransmissions(getTargetIds().length + 1)});
+		timer ??= timers.addTimer(gossipDelayMs, sendRound);
+	}
+
+	function sendRound(): void {
+		timer = undefined;
+		const targetIds = getTargetIds();
+		for (const peerId of getSample(targetIds, gossipTargets, random)) {
+			if (entries.size > 0 && [...entries.values()].some(entry => entry.sourceId !== peerId)) {
+				send(peerId);
+			}
+		}
+
+		dropUnsendable(targetIds);
+		if (entries.size > 0) {
+			timer = timers.addTimer(gossipIntervalMs, sendRound);
+		}
+	}
+
+	/** Drops the changes that nobody is left to be told of. */
+	function dropUnsendable(targetIds: readonly string[]): void {
+		for (const [key, entry] of entries) {
+			if (targetIds.every(id => id === entry.sourceId)) {
+				entries.delete(key);
+			}
+		}
+	}
+
+	function takeUpdates(peerId: string): Updates {
+		const updates: Updates = {records: [], observations: []};
+		if (entries.size === 0) {
+			return updates;
+		}
+
+		const due = [...entries].filter(([, entry]) => entry.sourceId !== peerId)
+			.toSorted(([, left], [, right]) => right.remaining - left.remaining)
+			.slice(0, mostUpdatesPerMessage);
+		for (const [key, entry] of due) {
+			if (entry.record !== undefined) {
+				updates.records.push(entry.record);
+			}
+
+			if (entry.observation !== undefined) {
+				updates.observations.push(entry.observation);
+			}
+
+			entry.remaining--;
+			if (entry.remaining <= 0) {
+				entries.delete(key);
+			}
+		}
+
+		return updates;
+	}
+
+	return {
+		addRecord(record, sourceId) {
+			add(`daemon ${record.id}`, {record, sourceId});
+		},
+		addObservation(observation, sourceId) {
+			add(`zone ${observation.availabilityZone} ${observation.observerId}`, {observation, sourceId});
+		},
+		takeUpdates,
+		stop() {
+			timer?.cancel();
+			entries.clear();
+		},
+	};
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,2 @@
-/** The name of this package, as its daemon reports it. */
-export const packageName = '@camphortack/membership';
+export * from './create-membership.js';
+export type * from './membership.js';
--- /dev/null
+++ b/packages/membership/src/merge/record-merger.ts
@@ -0,0 +1,97 @@
+import type {MetricSink} from '@camphortack/core';
+import type {FailureDetector} from '../detection/failure-detector.js';
+import type {Gossip} from '../gossip/gossip.js';
+import {isLive, isNewer, type MemberRecord} from '../table/member-record.js';
+import type {MemberTable} from '../table/member-table.js';
+
+export type RecordMergerOptions = {
+	table: MemberTable;
+	gossip: Gossip;
+	detector: FailureDetector;
+	metrics: MetricSink;
+};
+
+/** Decides which records of others are taken. */
+export type RecordMerger = {
+	/** Takes and spreads what was just found out here. */
+	mergeVerdict(record: MemberRecord): void;
+	/** Takes and spreads news of another daemon; false if it is not newer. */
+	mergeRecord(record: MemberRecord, sourceId: string): boolean;
+	/** Takes a record of an exchange, which may be old; false if it is not newer. */
+	mergeTransferred(record: MemberRecord): boolean;
+	spread(records: readonly MemberRecord[], sourceId: string): void;
+};
+
+/**
+ * Creates the merger.
+ * @param options - The table and those who spread and check.
+ */
+export function createRecordMerger({table, gossip, detector, metrics}: RecordMergerOptions): RecordMerger {
+	const ownId = table.getOwn().id;
+
+	/** Refutes what is said about this daemon, or about an earlier process of the same name. */
+	function refute(record: MemberRecord): boolean {
+		const own = table.getOwn();
+		const isMine = record.incarnation === own.incarnation && record.state === 'alive';
+		if (isMine || !isNewer(record, own)) {
+			return false;
+		}
+
+		metrics.increment('membership-refuted');
+		table.setOwn({...own, counter: record.counter + 1});
+		gossip.addRecord(table.getOwn(), undefined);
+		return false;
+	}
+
+	/** Takes a death as a suspicion to be checked here. */
+	function mergeDoubtful(record: MemberRecord): boolean {
+		const isChanged = table.merge({...record, state: 'suspect'});
+		if (isChanged || table.findRecord(record.id)?.counter === record.counter) {
+			detector.doubt(record.id);
+		}
+
+		return isChanged;
+	}
+
+	/** Whether a record says that a daemon is dead that counts as live here. */
+	function isDeathOfLive(record: MemberRecord): boolean {
+		const known = table.findRecord(record.id);
+		const isInOwnZone = record.availabilityZone === table.getOwn().availabilityZone;
+		return isInOwnZone && record.state === 'dead' && known !== undefined && isLive(known) && known.incarnation === record.incarnation;
+	}
+
+	function merge(record: MemberRecord, isTrusted: boolean): boolean {
+		if (record.id === ownId) {
+			return refute(record);
+		}
+
+		return isDeathOfLive(record) && !isTrusted ? mergeDoubtful(record) : table.merge(record);
+	}
+
+	function spread(records: readonly MemberRecord[], sourceId: string): void {
+		for (const record of records) {
+			const known = table.findRecord(record.id);
+			if (known !== undefined && record.id !== ownId) {
+				gossip.addRecord(known, sourceId);
+			}
+		}
+	}
+
+	return {
+		mergeVerdict(record) {
+			if (table.merge(record)) {
+				gossip.addRecord(record, undefined);
+			}
+		},
+		mergeRecord(record, sourceId) {
+			const isChanged = merge(record, !detector.isHeardLately(record.id));
+			if (isChanged) {
+				spread([record], sourceId);
+			}
+
+			return isChanged;
+		},
+		mergeTransferred: record => merge(record, false),
+		spread,
+	};
+}
--- /dev/null
+++ b/packages/membership/src/table/member-table.ts
@@ -0,0 +1,186 @@
+import type {Member, TimerService} from '@camphortack/core';
+import {deadRetentionMs} from '../membership-timings.js';
+import {hashText} from '../utils/hash-text.js';
+import {
+	getMember, isLive, isNewer, type MemberRecord,
+} from './member-record.js';
+
+export type MemberTableOptions = {
+	ownRecord: MemberRecord;
+	timers: TimerService;
+	/** Called for each record that was added or replaced. */
+	onChange: (record: MemberRecord, earlier: MemberRecord | undefined) => void;
+};
+
+/** What this daemon knows of all daemons, itself included. */
+export type MemberTable = {
+	/** Takes a record if it is newer than the known one. */
+	merge(record: MemberRecord): boolean;
+	/** Replaces the own record. */
+	setOwn(record: MemberRecord): void;
+	getOwn(): MemberRecord;
+	findRecord(id: string): MemberRecord | undefined;
+	/** Gets all records of an availability zone, dead daemons included. */
+	getZoneRecords(availabilityZone: string): MemberRecord[];
+	/** Gets the live daemons of an availability zone, in the order of their names. */
+	getLiveIds(availabilityZone: string): readonly string[];
+	getZones(): string[];
+	getDeadIds(availabilityZone: string): string[];
+	getMembers(): readonly Member[];
+	/** Gets a hash of the live daemons of an availability zone, whatever the order in which they were learnt. */
+	getDigest(availabilityZone: string): number;
+	/** Rises with each change of the live daemons. */
+	getVersion(): number;
+	/** Forgets the daemons that are dead for long. */
+	forgetDead(): void;
+};
+
+type ZoneEntry = {
+	records: Map<string, MemberRecord>;
+	liveIds: readonly string[] | undefined;
+	digest: number | undefined;
+};
+
+/**
+ * Creates the table.
+ * @param options - The own record and who is told of changes.
+ */
+export function createMemberTable({ownRecord, timers, onChange}: MemberTableOptions): MemberTable {
+	const zones = new Map<string, ZoneEntry>();
+	const zoneOf = new Map<string, string>();
+	const deadSinceMs = new Map<string, number>();
+	let own = ownRecord;
+	let version = 0;
+	let members: readonly Member[] | undefined;
+
+	function findRecord(id: string): MemberRecord | undefined {
+		const zone = zoneOf.get(id);
+		return zone === undefined ? undefined : zones.get(zone)?.records.get(id);
+	}
+
+	function put(record: MemberRecord): void {
+		const earlier = findRecord(record.id);
+		if (earlier !== undefined && earlier.availabilityZone !== record.availabilityZone) {
+			remove(earlier);
+		}
+
+		const entry = getZoneEntry(record.availabilityZone);
+		entry.records.set(record.id, record);
+		zoneOf.set(record.id, record.availabilityZone);
+		noteDeath(record);
+		entry.digest = undefined;
+		if (earlier === undefined || getMemberKey(earlier) !== getMemberKey(record)) {
+			invalidate(entry);
+		}
+
+		onChange(record, earlier);
+	}
+
+	function getZoneEntry(availabilityZone: string): ZoneEntry {
+		const entry = zones.get(availabilityZone) ?? {records: new Map(), liveIds: undefined, digest: undefined};
+		zones.set(availabilityZone, entry);
+		return entry;
+	}
+
+	function noteDeath(record: MemberRecord): void {
+		if (isLive(record)) {
+			deadSinceMs.delete(record.id);
+		} else {
+			deadSinceMs.set(record.id, timers.getNowMs());
+		}
+	}
+
+	function invalidate(entry: ZoneEntry): void {
+		entry.liveIds = undefined;
+		entry.digest = undefined;
+		members = undefined;
+		version++;
+	}
+
+	function remove(record: MemberRecord): void {
+		const entry = getZoneEntry(record.availabilityZone);
+		entry.records.delete(record.id);
+		zoneOf.delete(record.id);
+		deadSinceMs.delete(record.id);
+		invalidate(entry);
+		if (entry.records.size === 0) {
+			zones.delete(record.availabilityZone);
+		}
+	}
+
+	function getLiveIds(availabilityZone: string): readonly string[] {
+		const entry = zones.get(availabilityZone);
+		if (entry === undefined) {
+			return [];
+		}
+
+		entry.liveIds ??= getLiveRecords(entry).map(record => record.id).toSorted((left, right) => left < right ? -1 : 1);
+		return entry.liveIds;
+	}
+
+	function getDigest(availabilityZone: string): number {
+		const entry = zones.get(availabilityZone);
+		if (entry === undefined) {
+			return 0;
+		}
+
+		entry.digest ??= computeDigest(getLiveRecords(entry));
+		return entry.digest;
+	}
+
+	put(ownRecord);
+	return {
+		merge(record) {
+			const known = findRecord(record.id);
+			if (known !== undefined && !isNewer(record, known)) {
+				return false;
+			}
+
+			put(record);
+			return true;
+		},
+		setOwn(record) {
+			own = record;
+			put(record);
+		},
+		getOwn: () => own,
+		findRecord,
+		getZoneRecords: availabilityZone => [...(zones.get(availabilityZone)?.records.values() ?? [])],
+		getLiveIds,
+		getZones: () => [...zones.keys()],
+		getDeadIds: availabilityZone => [...(zones.get(availabilityZone)?.records.values() ?? [])]
+			.filter(record => record.state === 'dead').map(record => record.id),
+		getMembers() {
+			members ??= [...zones.values()].flatMap(entry => getLiveRecords(entry).map(record => getMember(record)));
+			return members;
+		},
+		getDigest,
+		getVersion: () => version,
+		forgetDead() {
+			for (const [id, sinceMs] of deadSinceMs) {
+				const record = findRecord(id);
+				if (record !== undefined && id !== own.id && timers.getNowMs() - sinceMs > deadRetentionMs) {
+					remove(record);
+				}
+			}
+		},
+	};
+}
+
+function getLiveRecords(entry: ZoneEntry): MemberRecord[] {
+	return [...entry.records.values()].filter(record => isLive(record));
+}
+
+function getMemberKey(record: MemberRecord): string {
+	return isLive(record) ? `${record.id} ${record.incarnation} ${record.host} ${record.peerPort}` : '';
+}
+
+/** Adds up the hashes of the records, in 32 bits. */
+function computeDigest(records: readonly MemberRecord[]): number {
+	let digest = records.length;
+	for (const record of records) {
+		digest += hashText(`${getMemberKey(record)} ${record.counter}`);
+	}
+
+	return digest % 0x1_00_00_00_00;
+}
--- /dev/null
+++ b/packages/membership/test/support/membership-cluster.ts
@@ -0,0 +1,120 @@
+import {createSeededRandomSource, type Member} from '@camphortack/core';
+import {
+	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers, type FakeNetworkOptions,
+} from '@camphortack/testkit';
+import {createMembership, type Membership, type MembershipSeed} from '../../src/index.js';
+import {NodeTimers} from './node-timers.js';
+
+/** One daemon's membership in virtual time. */
+export type ClusterNode = {
+	member: Member;
+	membership: Membership;
+	timers: NodeTimers;
+	/** Every member list that was reported. */
+	reports: Array<readonly Member[]>;
+};
+
+/** The memberships of some availability zones on one fake network. */
+export class MembershipCluster {
+	readonly timers = new VirtualTimers();
+	readonly nodes = new Map<string, ClusterNode>();
+	readonly metrics = new RecordingMetricSink();
+	readonly events = new RecordingEventLog();
+	readonly network: FakeNetwork;
+	readonly #random;
+	readonly #seeds: readonly MembershipSeed[];
+	#starts = 0;
+
+	constructor(seed: number, seedIds: readonly string[], network: Partial<FakeNetworkOptions> = {}) {
+		this.#random = createSeededRandomSource(seed);
+		this.#seeds = seedIds.map(id => ({
+			id, availabilityZone: getZone(id), host: 'host', port: 1,
+		}));
+		this.network = new FakeNetwork({timers: this.timers, random: this.#random, ...network});
+	}
+
+	/** Starts a daemon, or starts it again with a new incarnation. Its zone is what stands before the dash. */
+	start(id: string): ClusterNode {
+		this.kill(id);
+		this.#starts++;
+		const timers = new NodeTimers(this.timers);
+		const reports: Array<readonly Member[]> = [];
+		const peers = this.network.addPeer(id, (fromPeerId, message) => {
+			timers.run(() => {
+				this.nodes.get(id)?.membership.handlePeerMessage(fromPeerId, message);
+			});
+		});
+		const member: Member = {
+			id, incarnation: this.#random.getIdentifier(), availabilityZone: getZone(id), roles: ['entry'], host: 'host', peerPort: 1,
+		};
+		const membership = createMembership({
+			ownMember: member,
+			seeds: this.#seeds,
+			peers,
+			timers,
+			random: createSeededRandomSource(this.#starts + 1000),
+			metrics: this.metrics,
+			events: this.events,
+			onMembersChanged(members) {
+				reports.push(members);
+			},
+			onAddress() {
+				// The fake network knows its peers by their ids.
+			},
+		});
+		const node = {
+			member, membership, timers, reports,
+		};
+		this.nodes.set(id, node);
+		return node;
+	}
+
+	/** Ends a daemon without a farewell. */
+	kill(id: string): void {
+		this.nodes.get(id)?.membership.stop();
+		this.nodes.delete(id);
+		this.network.removePeer(id);
+	}
+
+	/** Stops a daemon with a farewell. */
+	stop(id: string): void {
+		this.nodes.get(id)!.membership.startLeaving(() => {
+			this.kill(id);
+		});
+	}
+
+	/** Gets what each daemon holds for live, as `id/incarnation`. */
+	getViews(): string[][] {
+		return [...this.nodes.values()].map(node => getView(node.membership.getMembers()));
+	}
+
+	/** Whether every daemon knows exactly the running processes. */
+	isConverged(): boolean {
+		const running = getView([...this.nodes.values()].map(node => node.member)).join(' ');
+		return this.getViews().every(view => view.join(' ') === running);
+	}
+
+	/** Advances until everyone agrees; gives the time that it took, or more than the limit. */
+	advanceUntil(isDone: () => boolean, limitMs: number): number {
+		const startMs = this.timers.getNowMs();
+		const stepMs = 20;
+		while (!isDone() && this.timers.getNowMs() - startMs <= limitMs) {
+			this.timers.advance(stepMs);
+		}
+
+		return this.timers.getNowMs() - startMs;
+	}
+}
+
+/** Names the daemons of a zone. */
+export function getIds(zone: string, count: number): string[] {
+	return Array.from({length: count}, (_, index) => `${zone}-${index}`);
+}
+
+function getZone(id: string): string {
+	return id.slice(0, id.indexOf('-'));
+}
+
+function getView(members: readonly Member[]): string[] {
+	return members.map(({id, incarnation}) => `${id}/${incarnation.slice(0, 8)}`).toSorted();
+}
