--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -3,6 +3,7 @@
 	Job, JobOutcome, Member, RefusalCode,
 } from '@camphortack/core';
 import {checkAdmission} from '../admission/check-admission.js';
+import {createDeadlineCheck} from '../admission/deadline-check.js';
 import {createPlacementRules, type PlacementRules} from '../configuration/placement-rules.js';
 import {createPartReceiver} from '../handover/part-receiver.js';
 import {createPartSender, type HandedOverPart} from '../handover/part-sender.js';
@@ -24,11 +25,13 @@
 import type {BackendServerRecord} from '../servers/backend-server-record.js';
 import {createServerDirectory} from '../servers/server-directory.js';
 import {createSlotManagers} from '../servers/slot-managers.js';
+import {createHedger} from '../tasks/hedger.js';
 import {createTaskRunner} from '../tasks/task-runner.js';
 import type {Dispatcher, DispatcherOptions, DispatcherStatus} from './dispatcher.js';
 
 const defaultLeaseDurationMs = 2000;
 const expiryCheckIntervalMs = 500;
+const hedgeCheckIntervalMs = 50;
 /** A daemon that hears no other one uses a backend server this long after it announced itself here. */
 const directAnnouncementMs = 2900;
 const mostLoadsPerMessage = 16;
@@ -89,7 +92,10 @@
 		estimator,
 		getRetryBudget: retryBudgets.getRetryBudget,
 		onReturned: returnTask,
-		onDone: jobs.endTask,
+		onDone(task) {
+			hedger.addDone(task.job.service);
+			jobs.endTask(task);
+		},
 		onFailed(task, failure) {
 			jobs.giveUp(task.job, {failure});
 		},
@@ -142,7 +148,31 @@
 	const balancer = createBalancer({
 		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad,
 	});
+	const meetsDeadlines = createDeadlineCheck({
+		timers,
+		queues,
+		jobs,
+		partners,
+		getOwnLoad: getLoad,
+		getMeanRunTimeMs: service => estimator.getExpectedRunTimeMs(service, rules?.findService(service)?.declaredRunTimeMs ?? 0),
+	});
 	const inbox = createPeerInbox({metrics, onMessage: handleMessage});
+	const hedger = createHedger({
+		timers,
+		metrics,
+		table,
+		queues,
+		runner,
+		estimator,
+		getHedgeBudgetRatio: service => rules?.findService(service)?.hedgeBudgetRatio ?? 0,
+		mayUse,
+		isEjected: ejection.isEjected,
+	});
+	timers.addInterval(hedgeCheckIntervalMs, () => {
+		if (rules?.hasHedging === true) {
+			hedger.check();
+		}
+	});
 	timers.addInterval(expiryCheckIntervalMs, table.removeExpired);
 
 	function send(peerId: string, message: DispatchMessage): void {
@@ -167,14 +197,7 @@
 	}
 
 	function getAllLoads(): PoolLoad[] {
-		const pools = new Set<string>();
-		for (const server of table.getAll()) {
-			for (const pool of server.pools) {
-				pools.add(pool);
-			}
-		}
-
-		return [...pools].slice(0, mostLoadsPerMessage).map(pool => getLoad(pool));
+		return table.getPools().slice(0, mostLoadsPerMessage).map(pool => getLoad(pool));
 	}
 
 	function placeOn(server: BackendServerRecord): void {
@@ -220,14 +243,13 @@
 
 	function setPoolSizes(pools: readonly string[]): void {
 		for (const pool of pools) {
-			const size = [...table.getAll()].filter(server => server.pools.includes(pool)).length;
-			ejection.setPoolSize(pool, size, rules?.findPool(pool)?.largestEjectedShare ?? 0);
+			ejection.setPoolSize(pool, table.getPoolSize(pool), rules?.findPool(pool)?.largestEjectedShare ?? 0);
 		}
 	}
 
 	function submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void {
 		const code = checkAdmission({
-			job, rules, isDraining, table, queues, estimator, hasPartners: members.length > 1,
+			job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
 		});
 		if (code !== undefined) {
 			refuse(job.id, code, onEnd);
@@ -297,7 +319,7 @@
 	/** Takes tasks that another daemon hands over. */
 	function openPart(key: string, job: Job, message: JobMessage, onEnd: (end: JobEnd) => void): RefusalCode | undefined {
 		const code = checkAdmission({
-			job, rules, isDraining, table, queues, estimator, hasPartners: false,
+			job, rules, isDraining, table, estimator, hasPartners: false,
 		});
 		if (code !== undefined) {
 			return code;
@@ -384,16 +406,16 @@
 	function handleMessage(peerId: string, message: DispatchMessage): void {
 		const wasConnected = heartbeats.isConnected();
 		heartbeats.noteHeard(peerId);
+		if (!wasConnected && heartbeats.isConnected()) {
+			managers.renewAll();
+		}
+
 		partners.noteHeard(peerId);
 		if ('loads' in message) {
 			partners.addLoads(peerId, message.loads);
 		}
 
 		handleByKind(peerId, message);
-		if (!wasConnected) {
-			placer.placeAll();
-		}
-
 		if ('loads' in message) {
 			balanceAll();
 		}
@@ -470,6 +492,11 @@
 		balanceAll();
 	}
 
+	function getHeldSlots(server: BackendServerRecord): number {
+		const isManager = server.managerId === ownId && server.managedFromMs <= timers.getNowMs();
+		return isManager && mayUse(server) && !server.isLeaving ? server.announcement.slots : 0;
+	}
+
 	function getStatus(): DispatcherStatus {
 		const {tasks, bytes} = queues.getTotals();
 		return {
@@ -483,7 +510,7 @@
 				availabilityZone: server.announcement.availabilityZone,
 				slots: server.announcement.slots,
 				managerId: server.managerId,
-				heldSlots: server.managerId === ownId && server.managedFromMs <= timers.getNowMs() ? server.announcement.slots : 0,
+				heldSlots: getHeldSlots(server),
 				busySlots: server.busySlots,
 				isEjected: ejection.isEjected(server.id),
 				isLeaving: server.isLeaving,
