Test the membership under loss, cuts, pauses, restarts and partitions

A random schedule showed that a zone whose daemons were all killed, and of which one came back, kept its dead daemons in the lists of other zones: the summary asked for the zone but gave nothing back.

--- a/packages/membership/src/exchange/exchanger.ts
+++ b/packages/membership/src/exchange/exchanger.ts
@@ -22,7 +22,7 @@
 export type Exchanger = {
 	/** Compares everything with a daemon. */
 	start(peerId: string): void;
-	/** Asks a daemon for one availability zone. */
+	/** Compares one availability zone with a daemon, both ways: it may have forgotten daemons that are dead. */
 	requestZone(peerId: string, availabilityZone: string): void;
 	handleExchange(fromPeerId: string, message: MembershipMessageOf<'membership.exchange'>): void;
 	/** Notes that a daemon has answered. */
@@ -110,7 +110,7 @@
 	return {
 		start,
 		requestZone(peerId, availabilityZone) {
-			send(peerId, [availabilityZone], true);
+			send(peerId, [availabilityZone], false);
 		},
 		handleExchange(fromPeerId, {digests, isReply}) {
 			const differing = digests
--- /dev/null
+++ b/packages/membership/test/create-membership.test.ts
@@ -0,0 +1,295 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {getIds, MembershipCluster} from './support/membership-cluster.js';
+
+const detectionMs = 3500;
+const settleMs = 30_000;
+
+function startCluster(ids: readonly string[], seed = 1, lossRatio = 0): MembershipCluster {
+	const cluster = new MembershipCluster(seed, ids.slice(0, 8), {longestDelayMs: 2, lossRatio});
+	for (const id of ids) {
+		cluster.start(id);
+	}
+
+	assert.ok(cluster.advanceUntil(() => cluster.isConverged(), settleMs) <= settleMs, 'the daemons find each other');
+	return cluster;
+}
+
+function hasRunningNeighbour(cluster: MembershipCluster, id: string): boolean {
+	return [...cluster.nodes.keys()].some(other => other.startsWith(id.slice(0, 2)));
+}
+
+function applyStep(cluster: MembershipCluster, action: string, id: string, otherId: string): void {
+	switch (action) {
+		case 'kill': {
+			cluster.kill(id);
+			break;
+		}
+
+		case 'start': {
+			cluster.start(id);
+			break;
+		}
+
+		case 'cut': {
+			cluster.network.cutLink(id, otherId);
+			break;
+		}
+
+		case 'heal': {
+			cluster.network.healLinks();
+			break;
+		}
+
+		default: {
+			if (cluster.nodes.has(id)) {
+				cluster.stop(id);
+			}
+		}
+	}
+}
+
+function countLosses(cluster: MembershipCluster): number {
+	return cluster.events.events.filter(event => event.name === 'member-lost').length;
+}
+
+function isReachable(cluster: MembershipCluster, observerId: string, zone: string): boolean | undefined {
+	return cluster.nodes.get(observerId)!.membership.getStatus().zones.find(entry => entry.availabilityZone === zone)?.isReachable;
+}
+
+describe('createMembership', () => {
+	it('knows itself at once where no seeds are set', () => {
+		const cluster = new MembershipCluster(1, []);
+		const {reports, membership} = cluster.start('a-0');
+		assert.deepEqual(reports.map(members => members.map(member => member.id)), [['a-0']]);
+		cluster.timers.advance(settleMs);
+		assert.equal(cluster.network.totals.sentMessages, 0);
+		let hasEnded = false;
+		membership.startLeaving(() => {
+			hasEnded = true;
+		});
+		assert.ok(hasEnded);
+	});
+
+	for (const size of [2, 3, 8, 32, 130]) {
+		it(`drops a dead daemon of ${size} within 3.5 s and no live one`, () => {
+			const ids = getIds('a', size);
+			const cluster = startCluster(ids);
+			cluster.timers.advance(settleMs);
+			cluster.kill(ids.at(-1)!);
+			assert.ok(cluster.advanceUntil(() => cluster.isConverged(), detectionMs) <= detectionMs);
+			assert.equal(countLosses(cluster), size - 1);
+		});
+	}
+
+	it('drops neighbours of the ring that die together', () => {
+		const ids = getIds('a', 16);
+		const cluster = startCluster(ids);
+		for (const id of ids.slice(2, 6)) {
+			cluster.kill(id);
+		}
+
+		const limitMs = 2 * detectionMs;
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), limitMs) <= limitMs);
+	});
+
+	it('removes nobody while a fifth of all messages is lost', () => {
+		const cluster = startCluster(getIds('a', 8), 3, 0.2);
+		cluster.timers.advance(300_000);
+		assert.equal(countLosses(cluster), 0);
+	});
+
+	const cuts: Array<{name: string; links: Array<[string, string]>}> = [
+		{name: 'a daemon that its watcher does not hear', links: [['a-1', 'a-2']]},
+		{name: 'a daemon that does not hear its watcher', links: [['a-2', 'a-1']]},
+		{name: 'a daemon heard by only one other', links: [['a-1', 'a-0'], ['a-1', 'a-2'], ['a-1', 'a-3']]},
+	];
+	for (const {name, links} of cuts) {
+		it(`keeps ${name}`, () => {
+			const cluster = startCluster(getIds('a', 5));
+			for (const [from, to] of links) {
+				cluster.network.cutLink(from, to);
+			}
+
+			cluster.timers.advance(60_000);
+			assert.ok(cluster.isConverged());
+			assert.equal(countLosses(cluster), 0);
+		});
+	}
+
+	it('asks daemons of other zones where the own zone has no helper', () => {
+		const cluster = startCluster(['a-0', 'a-1', 'b-0', 'b-1']);
+		cluster.network.cutLink('a-0', 'a-1');
+		cluster.timers.advance(60_000);
+		assert.ok(cluster.isConverged());
+		assert.equal(countLosses(cluster), 0);
+	});
+
+	it('takes a paused daemon back that refutes its death, and it drops nobody on waking up', () => {
+		const ids = getIds('a', 6);
+		const cluster = startCluster(ids);
+		const {timers, reports} = cluster.nodes.get('a-3')!;
+		timers.setPaused(true);
+		cluster.timers.advance(20_000);
+		const otherViews = cluster.getViews().filter((_, index) => index !== 3);
+		assert.ok(otherViews.every(view => view.length === 5), 'the others dropped it');
+		const reportCount = reports.length;
+		timers.setPaused(false);
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), detectionMs) <= detectionMs);
+		assert.ok(reports.slice(reportCount).every(members => members.length === 6), 'it kept everybody');
+		assert.ok(cluster.metrics.getCount('membership-refuted') > 0);
+	});
+
+	it('replaces a restarted daemon at once, without waiting for the old process to be found dead', () => {
+		const cluster = startCluster(getIds('a', 8));
+		cluster.timers.advance(settleMs);
+		cluster.start('a-4');
+		const limitMs = 1000;
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), limitMs) <= limitMs);
+		assert.equal(cluster.metrics.getCount('membership-declared-dead'), 0);
+	});
+
+	it('finds itself again after all daemons restart at once', () => {
+		const ids = [...getIds('a', 4), ...getIds('b', 4)];
+		const cluster = startCluster(ids);
+		for (const id of ids) {
+			cluster.kill(id);
+		}
+
+		for (const id of ids) {
+			cluster.start(id);
+		}
+
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), settleMs) <= settleMs);
+	});
+
+	it('forgets a daemon that says farewell without suspecting it', () => {
+		const cluster = startCluster([...getIds('a', 6), ...getIds('b', 2)]);
+		cluster.stop('a-2');
+		const limitMs = 1500;
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), limitMs) <= limitMs);
+		assert.equal(cluster.metrics.getCount('membership-suspected'), 0);
+	});
+
+	it('replaces all daemons one after the other', () => {
+		const cluster = startCluster(getIds('a', 8));
+		for (const id of getIds('a', 8)) {
+			cluster.stop(id);
+			cluster.timers.advance(1000);
+			cluster.start(id);
+			cluster.timers.advance(1000);
+		}
+
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), settleMs) <= settleMs);
+		assert.equal(cluster.metrics.getCount('membership-declared-dead'), 0);
+	});
+
+	it('splits with its zone and merges again, and drops no daemon that it hears on merging', () => {
+		const ids = getIds('a', 10);
+		const cluster = startCluster(ids);
+		cluster.network.cutSides(ids.slice(0, 5), ids.slice(5));
+		cluster.timers.advance(settleMs);
+		assert.deepEqual(cluster.getViews().map(view => view.length), ids.map(() => 5));
+		const losses = countLosses(cluster);
+		cluster.network.healLinks();
+		const limitMs = 10_000;
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), limitMs) <= limitMs);
+		assert.equal(countLosses(cluster), losses);
+	});
+
+	it('marks a zone that is cut off, keeps its daemons, and takes it back', () => {
+		const zones = ['a', 'b', 'c'];
+		const ids = zones.flatMap(zone => getIds(zone, 3));
+		const cluster = startCluster(ids);
+		cluster.timers.advance(settleMs);
+		cluster.network.cutSides(getIds('a', 3), [...getIds('b', 3), ...getIds('c', 3)]);
+		cluster.timers.advance(6500);
+		for (const id of ids) {
+			const cutOff = zones.filter(zone => !isReachable(cluster, id, zone));
+			assert.deepEqual(cutOff, id.startsWith('a') ? ['b', 'c'] : ['a'], id);
+		}
+
+		assert.ok(cluster.isConverged(), 'the daemons of a cut-off zone stay in the list');
+		cluster.kill('a-1');
+		cluster.start('b-1');
+		cluster.timers.advance(settleMs);
+		cluster.network.healLinks();
+		const limitMs = 5000;
+		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), limitMs) <= limitMs);
+		assert.ok(ids.filter(id => id !== 'a-1').every(id => zones.every(zone => isReachable(cluster, id, zone))));
+	});
+
+	it('keeps a zone reachable when one of its gateways dies', () => {
+		const ids = ['a', 'b'].flatMap(zone => getIds(zone, 3));
+		const cluster = startCluster(ids);
+		cluster.timers.advance(settleMs);
+		for (const id of ['a-0', 'a-1', 'a-2']) {
+			cluster.kill(id);
+			cluster.timers.advance(settleMs);
+			cluster.start(id);
+			cluster.timers.advance(settleMs);
+		}
+
+		assert.equal(cluster.events.events.filter(event => event.name === 'zone-unreachable').length, 0);
+	});
+
+	it('counts and drops malformed messages', () => {
+		const cluster = startCluster(getIds('a', 2));
+		const {membership, member} = cluster.nodes.get('a-0')!;
+		const sender = {...member, counter: 0, state: 'alive'};
+		for (const message of [
+			{kind: 'membership.ping'},
+			{kind: 'membership.unknown'},
+			{
+				kind: 'membership.exchange', sender, digests: [], isReply: false,
+			},
+		]) {
+			membership.handlePeerMessage('a-1', message);
+		}
+
+		assert.equal(cluster.metrics.getCount('peer-malformed'), 3);
+	});
+
+	it('is not pinged while it is heard anyway', () => {
+		const cluster = startCluster(getIds('a', 2));
+		cluster.timers.advance(settleMs);
+		const before = cluster.network.totals.sentMessages;
+		for (let round = 0; round < 60; round++) {
+			cluster.timers.advance(500);
+			cluster.nodes.get('a-0')!.membership.noteHeard('a-1');
+			cluster.nodes.get('a-1')!.membership.noteHeard('a-0');
+		}
+
+		assert.ok(cluster.network.totals.sentMessages - before <= 6, 'only the exchanges remain');
+	});
+
+	it('agrees with the list of running processes after any faults', () => {
+		const ids = [...getIds('a', 4), ...getIds('b', 3)];
+		const step = fc.record({
+			action: fc.constantFrom('kill', 'start', 'stop', 'cut', 'heal'),
+			id: fc.constantFrom(...ids),
+			otherId: fc.constantFrom(...ids),
+			pauseMs: fc.integer({min: 0, max: 8000}),
+		});
+		fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.array(step, {maxLength: 12}), (seed, steps) => {
+			const cluster = startCluster(ids, seed);
+			for (const {action, id, otherId, pauseMs} of steps) {
+				applyStep(cluster, action, id, otherId);
+				cluster.timers.advance(pauseMs);
+			}
+
+			cluster.network.healLinks();
+			// The daemons of a zone that is not heard stay in the list, so one of each zone has to run.
+			for (const id of ['a-0', 'b-0'].filter(first => !hasRunningNeighbour(cluster, first))) {
+				cluster.start(id);
+			}
+
+			cluster.timers.advance(detectionMs);
+			const limitMs = 60_000;
+			assert.ok(cluster.advanceUntil(() => cluster.isConverged(), limitMs) <= limitMs);
+			cluster.timers.advance(settleMs);
+			assert.ok(cluster.isConverged());
+		}), {numRuns: 60, seed: 7});
+	});
+});
