Put the membership into the daemon

The daemon took its list of others from the settings and kept dead ones in it. Every part now hears of the live daemons from the membership, messages of every part count as signs of life, addresses are learnt, a planned stop says farewell, and the status shows daemons and availability zones that are not heard. A test runs three daemons in two zones on loopback, one of them stopped and one killed.

--- a/packages/daemon/src/composition/tokens.ts
+++ b/packages/daemon/src/composition/tokens.ts
@@ -2,6 +2,7 @@
 import type {Settings} from '@camphortack/configuration';
 import type {ConfigurationFollower, Keeper} from '@camphortack/consensus';
 import type {Dispatcher} from '@camphortack/dispatch';
+import type {Membership} from '@camphortack/membership';
 import type {LimitBookPart} from '@camphortack/policy';
 import type {RegisterAssignment, RegisterClient, TicketTable} from '@camphortack/register';
 import type {ServiceIdentifier} from 'inversify';
@@ -31,6 +32,7 @@
 	peerRouter: createToken<PeerRouter>('peer-router'),
 	peerNetwork: createToken<TcpPeerNetwork>('peer-network'),
 	peers: createToken<PeerNetwork>('peers'),
+	membership: createToken<Membership>('membership'),
 	taskStarter: createToken<HttpTaskStarter>('task-starter'),
 	limits: createToken<LimitBookPart>('limits'),
 	dispatcher: createToken<Dispatcher>('dispatcher'),
--- a/packages/daemon/src/peers/peer-router.ts
+++ b/packages/daemon/src/peers/peer-router.ts
@@ -6,6 +6,8 @@
 export type PeerRouter = {
 	handleMessage: Handle;
 	addPart(name: string, handle: Handle): void;
+	/** Calls back with the sender of each message, whichever part takes it, before that part does. */
+	addListener(onHeard: (peerId: string) => void): void;
 };
 
 /**
@@ -20,11 +22,19 @@
  */
 export function createPeerRouter(metrics: MetricSink): PeerRouter {
 	const parts = new Map<string, Handle>();
+	const listeners: Array<(peerId: string) => void> = [];
 	return {
 		addPart(name, handle) {
 			parts.set(name, handle);
 		},
+		addListener(onHeard) {
+			listeners.push(onHeard);
+		},
 		handleMessage(fromPeerId, message) {
+			for (const onHeard of listeners) {
+				onHeard(fromPeerId);
+			}
+
 			const [name] = message.kind.split('.', 1);
 			const handle = parts.get(name ?? '');
 			if (handle === undefined) {
--- a/packages/daemon/src/runtime/get-daemon-status.ts
+++ b/packages/daemon/src/runtime/get-daemon-status.ts
@@ -1,4 +1,5 @@
 import process from 'node:process';
+import type {MembershipStatus} from '@camphortack/membership';
 import type {Container} from 'inversify';
 import {tokens} from '../composition/tokens.js';
 import {getLimitStatuses} from './get-limit-statuses.js';
@@ -21,7 +22,7 @@
 			version, isStale, sourceId, keeperAgeMs,
 		},
 		keepers: getKeepers(container),
-		members: [{id, availabilityZone, isAlive: true}],
+		...getMembership(container),
 		dispatcher: container.get(tokens.dispatcher).getStatus(),
 		limits: getLimitStatuses(container.get(tokens.limits)),
 		resources: getResources(),
@@ -29,6 +30,12 @@
 	};
 }
 
+/** Gets the daemons and availability zones. A daemon that said farewell is not missed. */
+function getMembership(container: Container): Pick<MembershipStatus, 'members' | 'zones'> {
+	const {members, zones} = container.get(tokens.membership).getStatus();
+	return {members: members.filter(member => member.state !== 'left'), zones};
+}
+
 function getResources(): {processorTimeMs: number; memoryBytes: number} {
 	const {user, system} = process.cpuUsage();
 	const microsecondsPerMillisecond = 1000;
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -2,6 +2,7 @@
 import type {Member, PeerMessage} from '@camphortack/core';
 import {isKeeperMessage} from '@camphortack/register';
 import type {Container} from 'inversify';
+import {bindMembership} from '../composition/bind-membership.js';
 import {createContainer} from '../composition/create-container.js';
 import {tokens} from '../composition/tokens.js';
 import {isTokenAccepted} from '../access/is-token-accepted.js';
@@ -9,7 +10,6 @@
 import {createCallersServer} from '../http/callers-server.js';
 import {listen, type ListeningServer} from '../http/create-http-server.js';
 import {createOperatorsServer} from '../http/operators-server.js';
-import {getSeedMembers} from '../peers/get-seed-members.js';
 import {getDaemonStatus} from './get-daemon-status.js';
 import {getLimitStatuses} from './get-limit-statuses.js';
 
@@ -116,8 +116,6 @@
 };
 
 function startParts(container: Container, peersPort: number): void {
-	const {daemon, peers, keepers} = container.get(tokens.settings);
-	const network = container.get(tokens.peerNetwork);
 	const router = container.get(tokens.peerRouter);
 	const keeper = container.get(tokens.keeper);
 	const registerClient = container.get(tokens.registerClient);
@@ -129,18 +127,21 @@
 		...(keeper && {consensus: keeper}),
 		register: createRegisterRouter(registerClient, register),
 	};
-	const ownMember: Member = {
-		...container.get(tokens.identity), roles: daemon.roles, host: peers.host, peerPort: peersPort,
-	};
-	const members = [ownMember, ...getSeedMembers(peers.seeds, keepers.ids)];
-	for (const {id, host, peerPort: port} of members) {
-		network.setAddress({id, host, port});
-	}
-
 	for (const [name, part] of Object.entries(parts)) {
 		router.addPart(name, part.handlePeerMessage);
-		part.setMembers(members);
 	}
+
+	bindMembership(container, {
+		peersPort,
+		onMembersChanged(members) {
+			for (const part of Object.values(parts)) {
+				part.setMembers(members);
+			}
+		},
+	});
+	const membership = container.get(tokens.membership);
+	router.addPart('membership', membership.handlePeerMessage);
+	router.addListener(membership.noteHeard);
 }
 
 async function startServers(container: Container, state: {isDraining: boolean}, onDrain: () => void): Promise<Servers> {
@@ -197,6 +198,9 @@
 		});
 	});
 	await storeOutcomes(container);
+	await new Promise<void>(resolve => {
+		container.get(tokens.membership).startLeaving(resolve);
+	});
 }
 
 /** Waits until the keepers have the outcomes of the last jobs, at most as long as a resubmission waits for them. */
@@ -220,6 +224,7 @@
 	container.get(tokens.registerClient).close();
 	container.get(tokens.register)?.close();
 	container.get(tokens.tickets).close();
+	container.get(tokens.membership).stop();
 	container.get(tokens.follower).stop();
 	container.get(tokens.keeper)?.stop();
 	container.get(tokens.limits).stop();
--- /dev/null
+++ b/packages/daemon/test/support/test-daemons.ts
@@ -0,0 +1,79 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {readSettings} from '@camphortack/configuration';
+import {z} from 'zod';
+import {startDaemon, type Daemon, type DaemonAddresses} from '../../src/index.js';
+
+/** A daemon in a process of its own, so that it can be killed. */
+export type ChildDaemon = {
+	addresses: DaemonAddresses;
+	/** Ends the process at once, without a farewell. */
+	kill(): Promise<void>;
+};
+
+/** Starts daemons whose folders are removed at the end. */
+export type TestDaemons = {
+	start(id: string, zone: string, seeds: string): Promise<Daemon>;
+	startChild(id: string, zone: string, seeds: string): Promise<ChildDaemon>;
+	/** Kills the processes that still run and removes the folders. */
+	clean(): Promise<void>;
+};
+
+const lineSchema = z.tuple([z.string()]);
+const addressesSchema = z.object({
+	callersUrl: z.string(), backendServersUrl: z.string(), operatorsUrl: z.string(), peersPort: z.int(),
+});
+const mainPath = new URL('../../src/main.ts', import.meta.url).pathname;
+
+/**
+ * Creates the starter.
+ * @param keeperIds - The first keepers.
+ */
+export async function createTestDaemons(keeperIds: string): Promise<TestDaemons> {
+	const folder = await mkdtemp(join(tmpdir(), 'camphortack-test-'));
+	const getSettings = (id: string, zone: string, seeds: string) => [
+		'[daemon]',
+		`id = ${id}`,
+		`availabilityZone = ${zone}`,
+		`dataFolder = ${join(folder, id)}`,
+		'[keepers]',
+		`ids = ${keeperIds}`,
+		'[peers]',
+		`seeds = ${seeds}`,
+		'',
+	].join('\n');
+
+	const children: ChildDaemon[] = [];
+
+	async function startChild(id: string, zone: string, seeds: string): Promise<ChildDaemon> {
+		const file = join(folder, `${id}.ini`);
+		await writeFile(file, getSettings(id, zone, seeds));
+		const flags = ['--disable-warning=DEP0111', '-C', 'camphortack-source', '--import', 'tsx'];
+		const child = spawn(process.execPath, [...flags, mainPath, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
+		const exited = once(child, 'exit');
+		const [line] = lineSchema.parse(await once(createInterface({input: child.stdout}), 'line'));
+		const daemon = {
+			addresses: addressesSchema.parse(JSON.parse(line)),
+			async kill() {
+				child.kill('SIGKILL');
+				await exited;
+			},
+		};
+		children.push(daemon);
+		return daemon;
+	}
+
+	return {
+		start: async (id, zone, seeds) => startDaemon(readSettings(`${id}.ini`, getSettings(id, zone, seeds))),
+		startChild,
+		async clean() {
+			await Promise.all(children.map(async child => child.kill()));
+			await rm(folder, {recursive: true, force: true});
+		},
+	};
+}
