--- a/packages/bench/src/slopes/consensus-slope.ts
+++ b/packages/bench/src/slopes/consensus-slope.ts
@@ -1,13 +1,7 @@
 import {
 	ConsensusFleet, getFleetObjects, type ConsensusFleetOptions, type Traffic,
 } from './consensus-fleet.js';
-
-/** A figure at several sizes. */
-export type ConsensusSlope = {
-	name: string;
-	unit: string;
-	points: Array<{size: number; value: number}>;
-};
+import type {Slope} from './slope.js';
 
 const sizes: Array<ConsensusFleetOptions & {size: number}> = [
 	{
@@ -33,8 +27,8 @@
 const changeIntervalMs = 2400;
 
 /** Measures agreement and distribution in virtual time, and the processor time of a message in real time. */
-export async function measureConsensusSlopes(): Promise<ConsensusSlope[]> {
-	const slopes = new Map<string, ConsensusSlope>();
+export async function measureConsensusSlopes(): Promise<Slope[]> {
+	const slopes = new Map<string, Slope>();
 	const add = (name: string, unit: string, size: number, value: number) => {
 		const slope = slopes.get(name) ?? {name, unit, points: []};
 		slope.points.push({size, value: Math.round(value * 10) / 10});
--- a/packages/bench/src/slopes/register-slope.ts
+++ b/packages/bench/src/slopes/register-slope.ts
@@ -12,9 +12,8 @@
 	createMemoryDisk, createMemoryRecordLog, decodeRecords, encodeRecord, type RecordLog,
 } from '@camphortack/storage';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
-import {
-	sleep, withDiskLog, type Slope,
-} from './storage-slope.js';
+import type {Slope} from './slope.js';
+import {sleep, withDiskLog} from './storage-slope.js';
 
 const recordSizes = [10_000, 50_000, 100_000];
 const atOnceSizes = [1, 10, 100];
--- /dev/null
+++ b/packages/bench/src/slopes/slope.ts
@@ -0,0 +1,6 @@
+/** A figure measured at several sizes. */
+export type Slope = {
+	name: string;
+	unit: string;
+	points: Array<{size: number; value: number}>;
+};
--- a/packages/bench/src/slopes/storage-slope.ts
+++ b/packages/bench/src/slopes/storage-slope.ts
@@ -5,13 +5,7 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {openDataFolder, openRecordLog, type RecordLog} from '@camphortack/storage';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
-
-/** Values measured at several sizes. */
-export type Slope = {
-	name: string;
-	points: Array<{size: number; value: number}>;
-	unit: string;
-};
+import type {Slope} from './slope.js';
 
 /** A log on the disk of the machine, and its counters. */
 export type DiskLog = {
