Show that learners are fed by the voters

Cause: the leader helps learners too, so no test failed without the feeding. Change: a test cuts the leader off from the learner. Conclusion: a learner that only the leader cannot reach stays up to date.

--- a/packages/consensus/test/keeper/keeper.test.ts
+++ b/packages/consensus/test/keeper/keeper.test.ts
@@ -176,6 +176,16 @@
 		assert.equal(cluster.getLeader().getStatus().keepers.length, 4);
 	});
 
+	it('bring a learner that the leader cannot reach what is agreed, through another voter', () => {
+		const cluster = createCluster();
+		cluster.add('d');
+		cluster.timers.advance(5000);
+		publish(cluster, 'a', getRequest('first', 0));
+		cluster.network.cutSides(['d'], cluster.findLeaders());
+		publish(cluster, 'a', getRequest('second', 1));
+		assert.equal(cluster.keepers.get('d')!.getStatus().version, 2);
+	});
+
 	it('drop and count malformed messages', () => {
 		const cluster = createCluster();
 		cluster.keepers.get('a')!.handlePeerMessage('b', {kind: 'consensus.append', term: 'x'});
