--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -48,6 +48,9 @@
 	'register-malformed': 'Messages of the job register dropped because they were malformed.',
 	'consensus-elections': 'Elections started.',
 	'membership-suspected': 'Daemons suspected to have failed.',
+	'membership-declared-dead': 'Daemons declared dead here.',
+	'membership-refuted': 'False suspicions and deaths of this daemon that it refuted.',
+	'membership-sent': 'Messages sent to find out which daemons live.',
 } as const;
 
 export type MetricName = keyof typeof metricDescriptions | `refused-${RefusalCode}` | `job-failed-${FailureReason}`;
--- a/packages/register/src/client/register-client.ts
+++ b/packages/register/src/client/register-client.ts
@@ -46,7 +46,7 @@
 export type RegisterClient = {
 	/**
 	 * Claims a job.
-	 * @param onDecision - Called with `start`, `outcome` or `refused`, after one or more `attach` if the copy has to wait.
+	 * @param onDecision - Called with `start`, `outcome` or `refused`, after one `attach` if the copy has to wait.
 	 */
 	claimJob(job: Job, contentHash: string, onDecision: (decision: ClaimDecision) => void): void;
 	/** Says how a job ended that was told to start. A refused one started nothing and may be claimed again. */
@@ -54,7 +54,10 @@
 	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
 	setMembers(members: readonly Member[]): void;
 	setAssignment(assignment: RegisterAssignment): void;
-	/** Hands the table of tickets to a neighbour, at a planned stop and once no job runs. */
+	/**
+	 * Hands the tables of tickets to a neighbour, at a planned stop and once no job runs. `onDone` is not called if the
+	 * neighbour falls silent, so bound the wait; the tickets then end with this process.
+	 */
 	handOverTickets(neighbourId: string, onDone: () => void): void;
 	getStatus(): RegisterClientStatus;
 	close(): void;
@@ -109,10 +112,12 @@
 	});
 	const handover = createTableHandover({
 		ownId,
+		incarnation,
 		timers,
 		random,
 		tickets,
 		getKeeperIds,
+		findIncarnation: daemonId => members.get(daemonId)?.incarnation,
 		send,
 	});
 	const chosenIds = createChosenIdClaims({
