Stop tasks that outrun the declared worker-seconds

Cause: a task that ran longer than expected was charged only afterwards, and a lost one with nothing, so the declared worker-seconds could be passed. One assertion counted calls by their exact text; it now counts the same calls, whose text also has the seconds.

--- a/packages/core/src/schemas/outcome-schemas.ts
+++ b/packages/core/src/schemas/outcome-schemas.ts
@@ -2,8 +2,8 @@
 import {refusalCodeNames} from '../refusals/refusal-codes.js';
 import {jsonValueSchema} from './json-value-schema.js';
 
-/** Why a job failed. Each reason has a counter `job-failed-<reason>`. */
-export const failureReasons = ['task-error', 'task-lost', 'deadline', 'cancelled', 'daemon-lost', 'never-fits'] as const;
+/** Why a job failed; `limit`: a task outran the declared worker-seconds and was stopped. Each reason has a counter `job-failed-<reason>`. */
+export const failureReasons = ['task-error', 'task-lost', 'deadline', 'cancelled', 'daemon-lost', 'never-fits', 'limit'] as const;
 
 /**
  * What is known of one task of a failed job. `done`: it ran to its end (with `error` if it ended in one).
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -13,6 +13,7 @@
 import {
 	createOpenJob, type JobEnd, type OpenJob, type OpenTask,
 } from '../jobs/open-job.js';
+import {createOverrunWatch} from '../limits/overrun-watch.js';
 import type {DispatchMessage, JobMessage, PoolLoad} from '../messages/dispatch-messages.js';
 import {createHeartbeats} from '../peers/heartbeats.js';
 import {createPartnerTable} from '../peers/partner-table.js';
@@ -105,6 +106,15 @@
 			placeOn(server);
 		},
 	});
+	createOverrunWatch({
+		timers,
+		limits,
+		getRunning: runner.getRunning,
+		isCharged: jobs.isCharged,
+		onOverrun(job) {
+			jobs.giveUp(job, {failure: 'limit'});
+		},
+	});
 	const heartbeats = createHeartbeats({
 		ownId, availabilityZone, leaseDurationMs, timers, metrics, send, getLoads: getAllLoads,
 	});
--- a/packages/dispatch/src/jobs/job-book.ts
+++ b/packages/dispatch/src/jobs/job-book.ts
@@ -3,6 +3,7 @@
 } from '@camphortack/core';
 import type {LimitBook} from '@camphortack/policy';
 import type {GiveUpReason, OpenJob, OpenTask} from './open-job.js';
+import {getChargedSeconds} from './get-charged-seconds.js';
 import {createCompleteOutcome, createFailedOutcome, createRefusedOutcome} from './job-outcomes.js';
 
 export type JobBookOptions = {
@@ -24,6 +25,8 @@
 	/** Ends a job of which nothing started. */
 	refuse(job: OpenJob, code: RefusalCode): void;
 	getCount(): number;
+	/** Whether the limits of a job are accounted here. */
+	isCharged(job: OpenJob): boolean;
 };
 
 type Entry = {job: OpenJob; isCharged: boolean; deadline: TimerSubscription};
@@ -50,7 +53,7 @@
 		}
 
 		if (entry.isCharged) {
-			limits.addTaskEnd(task.job.id, task.runTimeMs / 1000);
+			limits.addTaskEnd(task.job.id, getChargedSeconds(task, timers.getNowMs()));
 		}
 
 		task.job.remainingTasks--;
@@ -118,7 +121,7 @@
 			if (task.state === 'queued' || task.state === 'given-up') {
 				limits.addTaskNotRun(job.id);
 			} else if (task.state !== 'done') {
-				limits.addTaskEnd(job.id, task.runTimeMs / 1000);
+				limits.addTaskEnd(job.id, getChargedSeconds(task, timers.getNowMs()));
 			}
 		}
 
@@ -132,6 +135,7 @@
 		giveUp,
 		refuse,
 		getCount: () => entries.size,
+		isCharged: job => entries.get(job.key)?.isCharged ?? false,
 	};
 }
 
--- a/packages/dispatch/src/jobs/open-job.ts
+++ b/packages/dispatch/src/jobs/open-job.ts
@@ -27,6 +27,8 @@
 	result: Task['payload'] | undefined;
 	error: string | undefined;
 	runTimeMs: number;
+	/** When its last attempt was started here. */
+	startedAtMs?: number;
 };
 
 /** What a job's end tells besides its outcome. */
--- a/packages/dispatch/src/tasks/task-runner.ts
+++ b/packages/dispatch/src/tasks/task-runner.ts
@@ -74,6 +74,7 @@
 		});
 		task.attempts.add(id);
 		task.state = 'running';
+		task.startedAtMs = timers.getNowMs();
 		task.placements++;
 		server.busySlots++;
 		return {
--- a/packages/dispatch/test/dispatcher/one-daemon.test.ts
+++ b/packages/dispatch/test/dispatcher/one-daemon.test.ts
@@ -12,7 +12,7 @@
 		}]);
 		assert.equal(starter.batches.length, 2);
 		assert.deepEqual([...starter.startsByTask.values()], Array.from({length: 12}, () => 1));
-		assert.equal(limitCalls.filter(call => call === 'end job').length, 12);
+		assert.equal(limitCalls.filter(call => call.startsWith('end job after ')).length, 12);
 	});
 
 	it('keeps tasks waiting at the daemon until a slot is free', () => {
--- a/packages/dispatch/test/support/create-test-dispatcher.ts
+++ b/packages/dispatch/test/support/create-test-dispatcher.ts
@@ -43,7 +43,7 @@
 }
 
 /** Creates a dispatcher of one daemon with two backend servers of 8 slots. */
-export function createTestDispatcher(behave?: FakeBehaviour, service?: Record<string, unknown>): TestDispatcher {
+export function createTestDispatcher(behave?: FakeBehaviour, service?: Record<string, unknown>, mayExtend = () => true): TestDispatcher {
 	const timers = new testkit.VirtualTimers();
 	const random = createSeededRandomSource(1);
 	const metrics = new testkit.RecordingMetricSink();
@@ -60,7 +60,7 @@
 		events: new testkit.RecordingEventLog(),
 		peers: network.addPeer('daemon-1', () => undefined),
 		starter,
-		limits: createRecordingLimitBook(limitCalls),
+		limits: createRecordingLimitBook(limitCalls, mayExtend),
 	});
 	starter.onEvent = dispatcher.handleTaskEvent;
 	dispatcher.setConfiguration(createTestConfiguration(service));
@@ -88,7 +88,7 @@
 	};
 }
 
-function createRecordingLimitBook(calls: string[]): LimitBook {
+function createRecordingLimitBook(calls: string[], mayExtend: () => boolean): LimitBook {
 	return {
 		admitJob({jobId}) {
 			calls.push(`admit ${jobId}`);
@@ -98,9 +98,12 @@
 			calls.push(`admit ${jobId}`);
 			onDecision({isAdmitted: true});
 		},
-		extendTask: () => true,
-		addTaskEnd(jobId) {
-			calls.push(`end ${jobId}`);
+		extendTask(jobId, workerSeconds) {
+			calls.push(`extend ${jobId} by ${workerSeconds}`);
+			return mayExtend();
+		},
+		addTaskEnd(jobId, usedWorkerSeconds) {
+			calls.push(`end ${jobId} after ${usedWorkerSeconds}`);
 		},
 		addTaskNotRun(jobId) {
 			calls.push(`not-run ${jobId}`);
