--- a/packages/bench/src/slopes/membership-slope.ts
+++ b/packages/bench/src/slopes/membership-slope.ts
@@ -6,7 +6,7 @@
 import {
 	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers,
 } from '@camphortack/testkit';
-import type {Slope} from './storage-slope.js';
+import type {Slope} from './slope.js';
 
 type Sample = {
 	messagesPerSecond: number;
