--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -16,6 +16,7 @@
 import type {DispatchMessage, JobMessage, PoolLoad} from '../messages/dispatch-messages.js';
 import {createHeartbeats} from '../peers/heartbeats.js';
 import {createPartnerTable} from '../peers/partner-table.js';
+import {createMessageRouter} from '../peers/message-router.js';
 import {createPeerInbox} from '../peers/peer-inbox.js';
 import {createBalancer} from '../placement/balancer.js';
 import {createTaskRouter} from '../placement/task-router.js';
@@ -158,6 +159,15 @@
 		getOwnLoad: getLoad,
 		getMeanRunTimeMs: service => estimator.getExpectedRunTimeMs(service, rules?.findService(service)?.declaredRunTimeMs ?? 0),
 	});
+	const routeMessage = createMessageRouter({
+		sender,
+		receiver,
+		directory,
+		managers,
+		answerHeartbeat(peerId) {
+			send(peerId, {kind: 'dispatch.heartbeat', needsReply: false, loads: getAllLoads()});
+		},
+	});
 	const inbox = createPeerInbox({metrics, onMessage: handleMessage});
 	const hedger = createHedger({
 		timers,
@@ -417,69 +427,12 @@
 			partners.addLoads(peerId, message.loads);
 		}
 
-		handleByKind(peerId, message);
+		routeMessage(peerId, message);
 		if ('loads' in message) {
 			balanceAll();
 		}
 	}
 
-	function handleByKind(peerId: string, message: DispatchMessage): void {
-		switch (message.kind) {
-			case 'dispatch.job': {
-				receiver.handleJob(peerId, message);
-				break;
-			}
-
-			case 'dispatch.outcome': {
-				sender.handleOutcome(peerId, message);
-				break;
-			}
-
-			case 'dispatch.cancel': {
-				receiver.handleCancel(peerId, message);
-				break;
-			}
-
-			case 'dispatch.query': {
-				receiver.handleQuery(peerId, message);
-				break;
-			}
-
-			case 'dispatch.heartbeat': {
-				if (message.needsReply) {
-					send(peerId, {kind: 'dispatch.heartbeat', needsReply: false, loads: getAllLoads()});
-				}
-
-				break;
-			}
-
-			case 'dispatch.servers': {
-				directory.handleServers(peerId, message.announcements);
-				break;
-			}
-
-			case 'dispatch.server-renewed': {
-				directory.handleRenewal(message.backendServerId, message.incarnation);
-				break;
-			}
-
-			case 'dispatch.server-left': {
-				directory.handleLeft(message.backendServerId, message.incarnation, message.reason);
-				break;
-			}
-
-			case 'dispatch.release': {
-				managers.handleRelease(peerId, message);
-				break;
-			}
-
-			case 'dispatch.draining': {
-				managers.addDraining(peerId, message.senderIncarnation);
-				break;
-			}
-		}
-	}
-
 	function startDraining(): void {
 		if (isDraining) {
 			return;
