Hand the tickets over at a planned stop, and end the jobs of lost daemons

Cause: the register could do both, and the daemon called neither: tickets of a stopped daemon were refused, and a chosen id whose daemon died stayed open. Change: a planned stop hands the ticket table to a daemon of the same zone and waits at most 3 s; a keeper takes a process that is missing for 60 s for gone. start-daemon.ts is divided into starting parts, starting servers and stopping.

--- a/packages/daemon/src/register/register-part.ts
+++ b/packages/daemon/src/register/register-part.ts
@@ -1,6 +1,6 @@
 import type {Keeper} from '@camphortack/consensus';
 import type {
-	EventLog, Member, MetricSink, PeerMessage, PeerNetwork, RandomSource, TimerService,
+	EventLog, Member, MetricSink, PeerMessage, PeerNetwork, RandomSource, TimerService, TimerSubscription,
 } from '@camphortack/core';
 import {
 	createJobRegister, type JobRegister, type JobRegisterStatus, type RegisterAssignment,
@@ -29,6 +29,8 @@
 
 const placeCheckIntervalMs = 20;
 const confirmIntervalMs = 1000;
+/** A daemon that is missing this long is taken for gone; one that was only cut off or paused has long answered its callers. */
+const missingUntilGoneMs = 60_000;
 
 /**
  * Starts the job register once it is known whether this disk was there at the cluster's first start: an empty log of a
@@ -39,6 +41,7 @@
 	const {keeper, timers, assignment} = options;
 	let register: JobRegister | undefined;
 	let members: readonly Member[] = [];
+	const missing = new Map<string, TimerSubscription>();
 
 	const start = () => {
 		const {clusterId, isFounder} = keeper.getStatus();
@@ -52,6 +55,29 @@
 		register.setMembers(members);
 	};
 
+	const markGone = (member: Member) => {
+		missing.delete(getProcessKey(member));
+		register?.markIncarnationGone(member.id, member.incarnation);
+	};
+
+	/** Marks the processes gone that stay missing, so that their running jobs get the outcome failed. */
+	const watchMissing = (nextMembers: readonly Member[]) => {
+		const present = new Set(nextMembers.map(member => getProcessKey(member)));
+		for (const key of present) {
+			missing.get(key)?.cancel();
+			missing.delete(key);
+		}
+
+		for (const member of members) {
+			const key = getProcessKey(member);
+			if (!present.has(key)) {
+				missing.set(key, timers.addTimer(missingUntilGoneMs, () => {
+					markGone(member);
+				}));
+			}
+		}
+	};
+
 	const placeCheck = timers.addInterval(placeCheckIntervalMs, start);
 	// The assignment comes from the settings and never changes while the process runs, so it is always the latest.
 	const confirmation = timers.addInterval(confirmIntervalMs, () => {
@@ -64,6 +90,7 @@
 			register?.handlePeerMessage(fromPeerId, message);
 		},
 		setMembers(nextMembers) {
+			watchMissing(nextMembers);
 			members = nextMembers;
 			register?.setMembers(members);
 		},
@@ -75,3 +102,7 @@
 		},
 	};
 }
+
+function getProcessKey({id, incarnation}: Member): string {
+	return `${id} ${incarnation}`;
+}
--- /dev/null
+++ b/packages/daemon/src/runtime/start-servers.ts
@@ -0,0 +1,66 @@
+import {checkConfigurationObjects, findOwn} from '@camphortack/configuration';
+import type {Container} from 'inversify';
+import {isTokenAccepted} from '../access/is-token-accepted.js';
+import {tokens} from '../composition/tokens.js';
+import {createBackendServersServer} from '../http/backend-servers-server.js';
+import {createCallersServer} from '../http/callers-server.js';
+import {listen, type ListeningServer} from '../http/create-http-server.js';
+import {createOperatorsServer} from '../http/operators-server.js';
+import {getDaemonStatus} from './get-daemon-status.js';
+import {getLimitStatuses} from './get-limit-statuses.js';
+
+/** The HTTP servers of a daemon. */
+export type Servers = {
+	callers: ListeningServer;
+	backendServers: ListeningServer;
+	operators: ListeningServer;
+};
+
+export type ServersOptions = {
+	isDraining: () => boolean;
+	/** Begins a planned stop. */
+	onDrain: () => void;
+};
+
+/**
+ * Starts the HTTP servers.
+ * @param container - The container of the daemon; its parts have started.
+ * @param options - The planned stop.
+ */
+export async function startServers(container: Container, {isDraining, onDrain}: ServersOptions): Promise<Servers> {
+	const settings = container.get(tokens.settings);
+	const dispatcher = container.get(tokens.dispatcher);
+	const configuration = container.get(tokens.configurationDesk);
+	const jobs = container.get(tokens.jobs);
+	const {tokenHashes} = settings.operators;
+	const backendServerHashes = settings['backend-servers'].tokenHashes.length === 0 ? tokenHashes : settings['backend-servers'].tokenHashes;
+	const createCheck = (hashes: readonly string[]) => (authorization: string | undefined) => hashes.length === 0 || isTokenAccepted(authorization, hashes);
+
+	const callers = createCallersServer({
+		jobs,
+		isReady: () => !isDraining() && configuration.findConfiguration() !== undefined,
+		isAuthorized(authorization, customer) {
+			const hashes = findOwn(configuration.findConfiguration()?.objects.customers ?? {}, customer)?.tokenHashes ?? [];
+			return hashes.length === 0 || isTokenAccepted(authorization, hashes);
+		},
+	});
+	const backendServers = createBackendServersServer({
+		isAuthorized: createCheck(backendServerHashes),
+		onAnnouncement: dispatcher.announceBackendServer,
+		onFarewell: dispatcher.removeBackendServer,
+	});
+	const operators = createOperatorsServer({
+		isAuthorized: createCheck(tokenHashes),
+		configuration,
+		checkObjects: objects => checkConfigurationObjects(objects).filter(finding => finding.level === 'error'),
+		getStatus: () => getDaemonStatus(container, isDraining()),
+		getLimits: () => getLimitStatuses(container.get(tokens.limits)),
+		onDrain,
+		onDrainBackendServer: () => false,
+	});
+	return {
+		callers: await listen(callers, settings.callers.host, settings.callers.port),
+		backendServers: await listen(backendServers, settings['backend-servers'].host, settings['backend-servers'].port),
+		operators: await listen(operators, settings.operators.host, settings.operators.port),
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/runtime/stop-parts.ts
@@ -0,0 +1,82 @@
+import type {TimerService} from '@camphortack/core';
+import type {Container} from 'inversify';
+import {tokens} from '../composition/tokens.js';
+import type {Servers} from './start-servers.js';
+
+const checkIntervalMs = 20;
+/** How long a planned stop waits for a neighbour or a keeper that may be silent. */
+const longestHandoverMs = 3000;
+
+/**
+ * Refuses new work and waits until everything in flight has ended; hands over what this daemon owns.
+ * @param container - The container of the daemon.
+ */
+export async function drain(container: Container): Promise<void> {
+	const jobs = container.get(tokens.jobs);
+	const timers = container.get(tokens.timers);
+	jobs.startDraining();
+	container.get(tokens.dispatcher).startDraining();
+	container.get(tokens.limits).startLeaving();
+	container.get(tokens.keeper)?.startLeaving();
+	await waitUntil(timers, () => jobs.getOpenCount() === 0);
+	await handOverTickets(container);
+	await storeOutcomes(container);
+	await new Promise<void>(resolve => {
+		container.get(tokens.membership).startLeaving(resolve);
+	});
+}
+
+/** Waits until the keepers have the outcomes of the last jobs, at most as long as a resubmission waits for them. */
+async function storeOutcomes(container: Container): Promise<void> {
+	const client = container.get(tokens.registerClient);
+	await waitUntil(container.get(tokens.timers), () => client.getStatus().unstoredOutcomes === 0, longestHandoverMs);
+}
+
+/** Hands the tickets of this process to another daemon of the availability zone, so that they stay valid. */
+async function handOverTickets(container: Container): Promise<void> {
+	const {id, availabilityZone} = container.get(tokens.identity);
+	const members = container.get(tokens.membership).getMembers();
+	const neighbour = members.find(member => member.id !== id && member.availabilityZone === availabilityZone);
+	if (neighbour === undefined) {
+		return;
+	}
+
+	let isDone = false;
+	container.get(tokens.registerClient).handOverTickets(neighbour.id, () => {
+		isDone = true;
+	});
+	await waitUntil(container.get(tokens.timers), () => isDone, longestHandoverMs);
+}
+
+async function waitUntil(timers: TimerService, isReached: () => boolean, longestWaitMs = Number.POSITIVE_INFINITY): Promise<void> {
+	const endAtMs = timers.getNowMs() + longestWaitMs;
+	await new Promise<void>(resolve => {
+		const check = timers.addInterval(checkIntervalMs, () => {
+			if (isReached() || timers.getNowMs() >= endAtMs) {
+				check.cancel();
+				resolve();
+			}
+		});
+	});
+}
+
+/**
+ * Closes servers, parts, links and files.
+ * @param container - The container of the daemon.
+ * @param servers - Its HTTP servers.
+ */
+export async function closeAll(container: Container, servers: Servers): Promise<void> {
+	await Promise.all([servers.callers.close(), servers.backendServers.close(), servers.operators.close()]);
+	await container.get(tokens.taskStarter).close();
+	container.get(tokens.registerClient).close();
+	container.get(tokens.register)?.close();
+	container.get(tokens.tickets).close();
+	container.get(tokens.membership).stop();
+	container.get(tokens.follower).stop();
+	container.get(tokens.keeper)?.stop();
+	container.get(tokens.limits).stop();
+	await container.get(tokens.storage)?.close();
+	await container.get(tokens.peerNetwork).close();
+	await container.get(tokens.metrics).close();
+	container.get(tokens.timers).cancelAll();
+}
