--- a/packages/daemon/test/support/test-daemons.ts
+++ b/packages/daemon/test/support/test-daemons.ts
@@ -56,7 +56,12 @@
 		const flags = ['--disable-warning=DEP0111', '-C', 'camphortack-source', '--import', 'tsx'];
 		const child = spawn(process.execPath, [...flags, mainPath, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
 		const exited = once(child, 'exit');
-		const [line] = lineSchema.parse(await once(createInterface({input: child.stdout}), 'line'));
+		const ended = exited.then(([code]) => {
+			throw new Error(`the daemon ${id} ended with ${code} before it listened`);
+		});
+		const lines = createInterface({input: child.stdout});
+		const [line] = lineSchema.parse(await Promise.race([once(lines, 'line'), ended]));
+		ended.catch(() => undefined);
 		const daemon = {
 			addresses: addressesSchema.parse(JSON.parse(line)),
 			async kill() {
