Divide the dispatcher, and let operators drain a backend server

Change: admission and the ends of handed-over parts have files of their own; the dispatcher drains a backend server by its id.

--- a/packages/daemon/src/runtime/start-servers.ts
+++ b/packages/daemon/src/runtime/start-servers.ts
@@ -56,7 +56,7 @@
 		getStatus: () => getDaemonStatus(container, isDraining()),
 		getLimits: () => getLimitStatuses(container.get(tokens.limits)),
 		onDrain,
-		onDrainBackendServer: () => false,
+		onDrainBackendServer: dispatcher.drainBackendServer,
 	});
 	return {
 		callers: await listen(callers, settings.callers.host, settings.callers.port),
--- a/packages/daemon/test/runtime/start-daemon.test.ts
+++ b/packages/daemon/test/runtime/start-daemon.test.ts
@@ -126,6 +126,18 @@
 		assert.equal(countStarts(system.servers), 0);
 	});
 
+	it('gives no new work to a backend server that an operator drains', async () => {
+		const system = await startTestSystem([{}, {}]);
+		const url = `${system.daemon.addresses.operatorsUrl}/v1/drain`;
+		const drained = await sendJson('POST', url, {backendServerId: 'backend-0'});
+		const unknown = await sendJson('POST', url, {backendServerId: 'backend-9'});
+		await system.servers[0]!.announce();
+		const {body} = await system.call('POST', '/v1/jobs', createJobBody(40));
+		await system.stop();
+		assert.deepEqual([drained.status, unknown.status, body.outcome], [202, 404, 'complete']);
+		assert.deepEqual(system.servers.map(server => server.starts.size), [0, 40]);
+	});
+
 	it('shows the other change to the loser of a race between operators', async () => {
 		const daemon = await startDaemon(readSettings('(none)', ''));
 		const url = `${daemon.addresses.operatorsUrl}/v1/configuration`;
--- /dev/null
+++ b/packages/dispatch/src/admission/admission-desk.ts
@@ -0,0 +1,93 @@
+import type {
+	Job, JobOutcome, MetricSink, RefusalCode,
+} from '@camphortack/core';
+import type {LimitBook, LimitRequest} from '@camphortack/policy';
+import {createRefusedOutcome} from '../jobs/job-outcomes.js';
+import type {JobEnd, OpenJob} from '../jobs/open-job.js';
+
+const millisecondsPerSecond = 1000;
+
+export type AdmissionDeskOptions = {
+	metrics: MetricSink;
+	limits: LimitBook;
+	/** Finds out at once whether a job cannot be served. */
+	findRefusal: (job: Job) => RefusalCode | undefined;
+	createJob: (job: Job, onEnd: (end: JobEnd) => void) => OpenJob;
+	/** Takes a job that every limit admits. */
+	onAdmitted: (job: OpenJob) => void;
+};
+
+/** Takes the jobs of this daemon's callers: checks, limits, then the queue. */
+export type AdmissionDesk = {
+	submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void;
+	/** Cancels a job that waits for a share of a limit; false if none of this id does. */
+	cancelJob(jobId: string): boolean;
+};
+
+/**
+ * Creates the admission desk.
+ * @param options - The checks, the limits and where admitted jobs go.
+ */
+export function createAdmissionDesk(options: AdmissionDeskOptions): AdmissionDesk {
+	const {metrics, limits} = options;
+	const waiting = new Map<string, {isCancelled: boolean}>();
+
+	function submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void {
+		const code = options.findRefusal(job);
+		if (code !== undefined) {
+			refuse(job.id, code, onEnd);
+			return;
+		}
+
+		const openJob = options.createJob(job, ({outcome}) => {
+			onEnd(outcome);
+		});
+		const admission = {isCancelled: false};
+		waiting.set(job.id, admission);
+		limits.requestAdmission(getLimitRequest(job, openJob), decision => {
+			waiting.delete(job.id);
+			if (!decision.isAdmitted) {
+				refuse(job.id, decision.code, onEnd, decision.retryAfterMs);
+				return;
+			}
+
+			if (admission.isCancelled) {
+				limits.closeJob(job.id);
+				refuse(job.id, 'cancelled', onEnd);
+				return;
+			}
+
+			options.onAdmitted(openJob);
+		});
+	}
+
+	function refuse(id: string, code: RefusalCode, onEnd: (outcome: JobOutcome) => void, retryAfterMs?: number): void {
+		metrics.increment(`refused-${code}`);
+		onEnd(createRefusedOutcome(id, code, retryAfterMs));
+	}
+
+	return {
+		submitJob,
+		cancelJob(jobId) {
+			const admission = waiting.get(jobId);
+			if (admission === undefined) {
+				return false;
+			}
+
+			admission.isCancelled = true;
+			return true;
+		},
+	};
+}
+
+function getLimitRequest(job: Job, {pool, tasks}: OpenJob): LimitRequest {
+	const expectedWorkMs = tasks.reduce((sum, task) => sum + task.queued.expectedRunTimeMs, 0);
+	return {
+		jobId: job.id,
+		customer: job.customer,
+		service: job.service,
+		pool,
+		taskCount: job.tasks.length,
+		expectedWorkerSeconds: expectedWorkMs / millisecondsPerSecond,
+	};
+}
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -2,9 +2,11 @@
 import type {
 	Job, JobOutcome, Member, RefusalCode,
 } from '@camphortack/core';
+import {createAdmissionDesk} from '../admission/admission-desk.js';
 import {checkAdmission} from '../admission/check-admission.js';
 import {createDeadlineCheck} from '../admission/deadline-check.js';
 import {createPlacementRules, type PlacementRules} from '../configuration/placement-rules.js';
+import {createPartEndings} from '../handover/part-endings.js';
 import {createPartReceiver} from '../handover/part-receiver.js';
 import {createPartSender, type HandedOverPart} from '../handover/part-sender.js';
 import type {PartVerdict} from '../handover/apply-part-outcome.js';
@@ -38,7 +40,6 @@
 /** A daemon that hears no other one uses a backend server this long after it announced itself here. */
 const directAnnouncementMs = 2900;
 const mostLoadsPerMessage = 16;
-const millisecondsPerSecond = 1000;
 
 /**
  * Creates the dispatcher of one daemon.
@@ -60,8 +61,6 @@
 	const leaseDurationMs = options.leaseDurationMs ?? defaultLeaseDurationMs;
 	let rules: PlacementRules | undefined;
 	let members: readonly Member[] = [];
-	/** The jobs that wait for a share of a limit. */
-	const admissions = new Map<string, {isCancelled: boolean}>();
 	let isDraining = false;
 
 	const ejection = createEjectionTracker({
@@ -120,7 +119,9 @@
 		ownId, availabilityZone, leaseDurationMs, timers, metrics, send, getLoads: getAllLoads,
 	});
 	const sender = createPartSender({
-		incarnation, timers, metrics, send, getLoads: pool => [getLoad(pool)], onPartEnd: endPart,
+		incarnation, timers, metrics, send, getLoads: pool => [getLoad(pool)], onPartEnd(part, verdict) {
+			partEndings.endPart(part, verdict);
+		},
 	});
 	const receiver = createPartReceiver({
 		incarnation,
@@ -140,6 +141,9 @@
 	const partners = createPartnerTable({
 		ownId, availabilityZone, timers, getOldestOpenPartMs: sender.findOldestOpenMs,
 	});
+	const partEndings = createPartEndings({
+		metrics, jobs, queues, partners, retryBudgets, getLoad, placePool,
+	});
 	const managers = createSlotManagers({
 		ownId, availabilityZone, leaseDurationMs, timers, table, send, onChange: placeAll,
 	});
@@ -169,6 +173,15 @@
 		getOwnLoad: getLoad,
 		getMeanRunTimeMs: service => estimator.getExpectedRunTimeMs(service, rules?.findService(service)?.declaredRunTimeMs ?? 0),
 	});
+	const admissions = createAdmissionDesk({
+		metrics,
+		limits,
+		findRefusal: job => checkAdmission({
+			job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
+		}),
+		createJob: (job, onEnd) => createJob(job.id, job, onEnd),
+		onAdmitted: acceptJob,
+	});
 	const routeMessage = createMessageRouter({
 		sender,
 		receiver,
@@ -269,37 +282,6 @@
 		}
 	}
 
-	function submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void {
-		const code = checkAdmission({
-			job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
-		});
-		if (code !== undefined) {
-			refuse(job.id, code, onEnd);
-			return;
-		}
-
-		const openJob = createJob(job.id, job, ({outcome}) => {
-			onEnd(outcome);
-		});
-		const admission = {isCancelled: false};
-		admissions.set(job.id, admission);
-		limits.requestAdmission(getLimitRequest(job, openJob), decision => {
-			admissions.delete(job.id);
-			if (!decision.isAdmitted) {
-				refuse(job.id, decision.code, onEnd, decision.retryAfterMs);
-				return;
-			}
-
-			if (admission.isCancelled) {
-				limits.closeJob(job.id);
-				refuse(job.id, 'cancelled', onEnd);
-				return;
-			}
-
-			acceptJob(openJob);
-		});
-	}
-
 	function acceptJob(job: OpenJob): void {
 		jobs.addJob(job, true);
 		if (addToQueue(job)) {
@@ -309,11 +291,6 @@
 		}
 	}
 
-	function refuse(id: string, code: RefusalCode, onEnd: (outcome: JobOutcome) => void, retryAfterMs?: number): void {
-		metrics.increment(`refused-${code}`);
-		onEnd(createRefusedOutcome(id, code, retryAfterMs));
-	}
-
 	function createJob(key: string, job: Job, onEnd: (end: JobEnd) => void, message?: JobMessage): OpenJob {
 		return createOpenJob({
 			key,
@@ -360,71 +337,6 @@
 		return undefined;
 	}
 
-	function endPart(part: HandedOverPart, verdict: PartVerdict): void {
-		switch (verdict.kind) {
-			case 'done': {
-				for (const task of part.tasks) {
-					jobs.endTask(task);
-				}
-
-				break;
-			}
-
-			case 'failed': {
-				jobs.giveUp(part.job, {failure: verdict.reason});
-				break;
-			}
-
-			case 'refused': {
-				placePartAgain(part);
-				break;
-			}
-
-			case 'lost': {
-				endLostPart(part);
-				break;
-			}
-		}
-	}
-
-	/** The other daemon said that it started nothing. */
-	function placePartAgain({job, peerId, tasks}: HandedOverPart): void {
-		partners.addRefusal(peerId, job.pool);
-		for (const task of tasks.toReversed()) {
-			task.state = 'queued';
-			queues.returnTask(task);
-		}
-
-		placePool(job.pool);
-		const load = getLoad(job.pool);
-		if (load.slots === 0 && queues.getTaskCount(job.pool) > 0 && partners.getCapacities(job.pool, load).length === 0) {
-			jobs.giveUp(job, {failure: 'daemon-lost', refusal: 'no-backend-server'});
-		}
-	}
-
-	function endLostPart({job, tasks}: HandedOverPart): void {
-		if (job.hasEnded) {
-			return;
-		}
-
-		const isRetried = job.idempotent && tasks.every(() => retryBudgets.getRetryBudget(job.service).takeRetry());
-		for (const task of tasks) {
-			task.mayHaveRun = true;
-			task.state = isRetried ? 'queued' : 'lost';
-		}
-
-		if (isRetried) {
-			metrics.increment('retry-idempotent', tasks.length);
-			for (const task of tasks.toReversed()) {
-				queues.returnTask(task);
-			}
-
-			placePool(job.pool);
-		} else {
-			jobs.giveUp(job, {failure: 'daemon-lost'});
-		}
-	}
-
 	function handleMessage(peerId: string, message: DispatchMessage): void {
 		const wasConnected = heartbeats.isConnected();
 		heartbeats.noteHeard(peerId);
@@ -501,11 +413,17 @@
 		},
 		announceBackendServer: directory.announce,
 		removeBackendServer: directory.remove,
-		submitJob,
+		drainBackendServer(backendServerId) {
+			const server = table.findServer(backendServerId);
+			if (server !== undefined) {
+				directory.remove(backendServerId, server.announcement.incarnation);
+			}
+
+			return server !== undefined;
+		},
+		submitJob: admissions.submitJob,
 		cancelJob(jobId) {
-			const admission = admissions.get(jobId);
-			if (admission !== undefined) {
-				admission.isCancelled = true;
+			if (admissions.cancelJob(jobId)) {
 				return true;
 			}
 
@@ -522,15 +440,3 @@
 		getStatus,
 	};
 }
-
-function getLimitRequest(job: Job, {pool, tasks}: OpenJob): LimitRequest {
-	const expectedWorkMs = tasks.reduce((sum, task) => sum + task.queued.expectedRunTimeMs, 0);
-	return {
-		jobId: job.id,
-		customer: job.customer,
-		service: job.service,
-		pool,
-		taskCount: job.tasks.length,
-		expectedWorkerSeconds: expectedWorkMs / millisecondsPerSecond,
-	};
-}
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -51,6 +51,8 @@
 	announceBackendServer(announcement: BackendServerAnnouncement): void;
 	/** Ends new work for a backend server that leaves. */
 	removeBackendServer(backendServerId: string, incarnation: string): void;
+	/** Does the same for an operator, whatever its incarnation; false if it is not known here. */
+	drainBackendServer(backendServerId: string): boolean;
 	/** Runs a job. `onEnd` is called exactly once. The id has been checked to be new. */
 	submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void;
 	/** Cancels a job; false if it is not open here. */
