Keep one text hash and one paused clock for all parts

Cause: three packages hashed texts in files of their own, and two tests had a clock that pauses, alike but for the drift. Change: hashText stands in core; ProcessTimers stands in testkit. Conclusion: nothing moved but the code.

--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -1,6 +1,6 @@
 import {createSeededRandomSource, type Member, type PeerMessage} from '@camphortack/core';
 import {
-	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers, type FakeNetworkOptions,
+	FakeNetwork, RecordingEventLog, RecordingMetricSink, ProcessTimers, VirtualTimers, type FakeNetworkOptions,
 } from '@camphortack/testkit';
 import {createMemoryDisk, createMemoryRecordLog, type MemoryRecordLog} from '@camphortack/storage';
 import {
@@ -8,7 +8,6 @@
 } from '../../src/index.js';
 import {addLogFault, type LogFault} from './add-log-fault.js';
 import {CommittedEntries} from './committed-entries.js';
-import {NodeTimers} from './node-timers.js';
 
 export type TestClusterOptions = {
 	seed?: number;
@@ -39,7 +38,7 @@
 	readonly followers = new Map<string, ConfigurationFollower>();
 	/** The versions that came into force at each daemon, with the time, over all its restarts. */
 	readonly versions = new Map<string, Array<{version: number; atMs: number}>>();
-	readonly nodeTimers = new Map<string, NodeTimers>();
+	readonly nodeTimers = new Map<string, ProcessTimers>();
 	readonly committedEntries = new CommittedEntries();
 	readonly random;
 	/** Called when a version has come into force at a daemon. */
@@ -182,9 +181,9 @@
 		return this.keepers.get(this.findLeaders()[0]!)!;
 	}
 
-	#startTimers(id: string): NodeTimers {
+	#startTimers(id: string): ProcessTimers {
 		const driftRatio = this.#options.driftRatio ?? 0;
-		const timers = new NodeTimers(this.timers, 1 + (driftRatio * ((2 * this.random.getFraction()) - 1)));
+		const timers = new ProcessTimers(this.timers, 1 + (driftRatio * ((2 * this.random.getFraction()) - 1)));
 		this.nodeTimers.set(id, timers);
 		return timers;
 	}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,3 +18,4 @@
 export * from './time/timer-service.js';
 export * from './utils/find-nearest-name.js';
 export * from './utils/get-schema-findings.js';
+export * from './utils/hash-text.js';
--- a/packages/dispatch/src/peers/partner-table.ts
+++ b/packages/dispatch/src/peers/partner-table.ts
@@ -1,8 +1,8 @@
-import type {Member, TimerService} from '@camphortack/core';
+import {hashText, type Member, type TimerService} from '@camphortack/core';
 import type {PoolLoad} from '../messages/dispatch-messages.js';
 import type {Capacity} from '../placement/get-shares.js';
 import {groupBy} from '../utils/group-by.js';
-import {hashText, mixHashes} from '../utils/hash-text.js';
+import {mixHashes} from '../utils/mix-hashes.js';
 
 export type PartnerTableOptions = {
 	ownId: string;
--- a/packages/dispatch/src/servers/manager-choice.ts
+++ b/packages/dispatch/src/servers/manager-choice.ts
@@ -1,4 +1,5 @@
-import {hashText, mixHashes} from '../utils/hash-text.js';
+import {hashText} from '@camphortack/core';
+import {mixHashes} from '../utils/mix-hashes.js';
 
 /** Chooses the slot manager of each backend server among some daemons, by rendezvous hashing. */
 export type ManagerChoice = {
--- a/packages/dispatch/src/utils/hash-text.ts
+++ b/packages/dispatch/src/utils/mix-hashes.ts
@@ -1,16 +1,4 @@
 /* eslint-disable no-bitwise -- Hashing is arithmetic on bits. */
-import xxhash from 'xxhash-wasm';
-
-const {h32} = await xxhash();
-
-/**
- * Hashes a text to 32 bits, the same on every VM.
- * @param text - The text.
- */
-export function hashText(text: string): number {
-	return h32(text);
-}
-
 /**
  * Mixes two hashes into one of 32 bits (the finalizer of MurmurHash3).
  * @param left - A hash.
--- a/packages/membership/src/table/member-table.ts
+++ b/packages/membership/src/table/member-table.ts
@@ -1,6 +1,5 @@
-import type {Member, TimerService} from '@camphortack/core';
+import {hashText, type Member, type TimerService} from '@camphortack/core';
 import {deadRetentionMs} from '../membership-timings.js';
-import {hashText} from '../utils/hash-text.js';
 import {
 	getMember, isLive, isNewer, type MemberRecord,
 } from './member-record.js';
--- a/packages/membership/src/zones/get-gateway-ids.ts
+++ b/packages/membership/src/zones/get-gateway-ids.ts
@@ -1,5 +1,5 @@
+import {hashText} from '@camphortack/core';
 import {gatewaysPerZone} from '../membership-timings.js';
-import {hashText} from '../utils/hash-text.js';
 
 /**
  * Gets the daemons of an availability zone that link it to another one, by rendezvous hashing over the pair. Each pair has
--- a/packages/membership/test/create-membership.test.ts
+++ b/packages/membership/test/create-membership.test.ts
@@ -133,12 +133,12 @@
 		const ids = getIds('a', 6);
 		const cluster = startCluster(ids);
 		const {timers, reports} = cluster.nodes.get('a-3')!;
-		timers.setPaused(true);
+		timers.pause();
 		cluster.timers.advance(20_000);
 		const otherViews = cluster.getViews().filter((_, index) => index !== 3);
 		assert.ok(otherViews.every(view => view.length === 5), 'the others dropped it');
 		const reportCount = reports.length;
-		timers.setPaused(false);
+		timers.resume();
 		assert.ok(cluster.advanceUntil(() => cluster.isConverged(), detectionMs) <= detectionMs);
 		assert.ok(reports.slice(reportCount).every(members => members.length === 6), 'it kept everybody');
 		assert.ok(cluster.metrics.getCount('membership-refuted') > 0);
@@ -282,9 +282,9 @@
 			const hasMember = (members: readonly Member[]) => members.some(member => member.id === 'a-1');
 			const wasListed = hasMember(membership.getMembers());
 			const reportCount = reports.length;
-			timers.setPaused(true);
+			timers.pause();
 			cluster.timers.advance(1000);
-			timers.setPaused(false);
+			timers.resume();
 			cluster.timers.advance(1000);
 			const isKept = reports.slice(reportCount).every(members => hasMember(members));
 			assert.ok(isKept || !wasListed, `cut for ${cutMs} ms`);
--- a/packages/membership/test/support/membership-cluster.ts
+++ b/packages/membership/test/support/membership-cluster.ts
@@ -1,15 +1,14 @@
 import {createSeededRandomSource, type Member} from '@camphortack/core';
 import {
-	FakeNetwork, RecordingEventLog, RecordingMetricSink, VirtualTimers, type FakeNetworkOptions,
+	FakeNetwork, RecordingEventLog, RecordingMetricSink, ProcessTimers, VirtualTimers, type FakeNetworkOptions,
 } from '@camphortack/testkit';
 import {createMembership, type Membership, type MembershipSeed} from '../../src/index.js';
-import {NodeTimers} from './node-timers.js';
 
 /** One daemon's membership in virtual time. */
 export type ClusterNode = {
 	member: Member;
 	membership: Membership;
-	timers: NodeTimers;
+	timers: ProcessTimers;
 	/** Every member list that was reported. */
 	reports: Array<readonly Member[]>;
 };
@@ -37,7 +36,7 @@
 	start(id: string): ClusterNode {
 		this.kill(id);
 		this.#starts++;
-		const timers = new NodeTimers(this.timers);
+		const timers = new ProcessTimers(this.timers);
 		const reports: Array<readonly Member[]> = [];
 		const peers = this.network.addPeer(id, (fromPeerId, message) => {
 			timers.run(() => {
--- a/packages/policy/src/utils/get-rendezvous-winner.ts
+++ b/packages/policy/src/utils/get-rendezvous-winner.ts
@@ -1,6 +1,4 @@
-import xxhash from 'xxhash-wasm';
-
-const {h32} = await xxhash();
+import {hashText} from '@camphortack/core';
 
 /**
  * Gets the candidate that is in charge of a key by rendezvous hashing. All who know the same candidates agree,
@@ -18,7 +16,7 @@
 	let winner: string | undefined;
 	let highestScore = -1;
 	for (const candidate of candidates) {
-		const score = h32(`${key} ${candidate}`);
+		const score = hashText(`${key} ${candidate}`);
 		if (score > highestScore || (score === highestScore && candidate < winner!)) {
 			winner = candidate;
 			highestScore = score;
--- a/packages/consensus/test/support/node-timers.ts
+++ b/packages/testkit/src/time/process-timers.ts
@@ -1,7 +1,7 @@
 import {TimerService, type TimerSubscription} from '@camphortack/core';
 
 /** The timers of one process: its clock drifts, and while it is paused nothing runs. */
-export class NodeTimers extends TimerService {
+export class ProcessTimers extends TimerService {
 	#isPaused = false;
 	#waiting: Array<() => void> = [];
 	readonly #timers: TimerService;
@@ -11,7 +11,7 @@
 	 * @param timers - The timers of the test.
 	 * @param rate - How fast the clock runs, 1 being right.
 	 */
-	constructor(timers: TimerService, rate: number) {
+	constructor(timers: TimerService, rate = 1) {
 		super();
 		this.#timers = timers;
 		this.#rate = rate;
