Stop for good when a write fails, and guard jobs by their customer's token

Cause: after a failed write the daemon reported it, but open links kept the process alive; and anybody who knew an id could ask for a job or cancel it. Change: the program ends with code 1 after a failure; asking and cancelling need the customer's token; the start without tokens is logged. Conclusion: a failed sync is never answered past.

--- a/packages/daemon/src/http/callers-server.ts
+++ b/packages/daemon/src/http/callers-server.ts
@@ -56,21 +56,36 @@
 		const query = new URLSearchParams(request.getQuery());
 		const waitMs = waitSchema.catch(0).parse(query.get('waitMs') ?? undefined);
 		const id = getPathParameter(request.params, 'id');
-		await answerLookup(response, options.jobs, id, waitMs);
+		if (isOwnJob(request, response, options, id)) {
+			await answerLookup(response, options.jobs, id, waitMs);
+		}
 	});
 	server.del('/v1/jobs/:id', async (request, response) => {
 		const id = getPathParameter(request.params, 'id');
-		const isCancelled = options.jobs.cancelJob(id);
-		if (!isCancelled) {
-			sendOutcome(response, createRefusal('unknown-job', {id, notRun: 'this-copy'}));
+		if (!isOwnJob(request, response, options, id)) {
 			return;
 		}
 
-		sendJson(response, 202, {id, state: 'cancelling'});
+		if (options.jobs.cancelJob(id)) {
+			sendJson(response, 202, {id, state: 'cancelling'});
+		} else {
+			sendOutcome(response, options.jobs.countRefusal(createRefusal('unknown-job', {id, notRun: 'this-copy'})));
+		}
 	});
 	return server;
 }
 
+/** Whether the token may act for the customer that submitted the job; answers the request if not. */
+function isOwnJob(request: IncomingMessage, response: ServerResponse, {jobs, isAuthorized}: CallersServerOptions, id: string): boolean {
+	const customer = jobs.findCustomer(id);
+	if (customer === undefined || isAuthorized(request.headers.authorization, customer)) {
+		return true;
+	}
+
+	sendOutcome(response, jobs.countRefusal(createRefusal('unauthorized', {id, notRun: 'this-copy'})));
+	return false;
+}
+
 async function handleSubmission(
 	request: IncomingMessage,
 	response: ServerResponse,
--- a/packages/daemon/src/jobs/job-service.ts
+++ b/packages/daemon/src/jobs/job-service.ts
@@ -17,6 +17,8 @@
 	/** Waits for the outcome of a job that came through this daemon, at most as long as asked. */
 	waitForOutcome(id: string, waitMs: number): Promise<JobOutcome | 'running'>;
 	cancelJob(id: string): boolean;
+	/** Finds who submitted a job that came through this daemon. */
+	findCustomer(id: string): string | undefined;
 	createTickets(count: number): string[];
 	/** Counts a refusal made before the submission reached this part. */
 	countRefusal(refusal: RefusedOutcome): RefusedOutcome;
@@ -65,7 +67,7 @@
 	};
 
 	const runJob = (job: Job) => {
-		table.getOpenEntry(job.id);
+		table.getOpenEntry(job.id, job.customer);
 		dispatcher.submitJob(job, outcome => {
 			register.addOutcome(job.id, outcome);
 			table.endEntry(job.id, outcome, timers.getNowMs());
@@ -75,7 +77,7 @@
 	const handleDecision = (job: Job, decision: ClaimDecision, onAnswer: (outcome: JobOutcome) => void) => {
 		switch (decision.kind) {
 			case 'start': {
-				table.getOpenEntry(job.id).waiters.add(onAnswer);
+				table.getOpenEntry(job.id, job.customer).waiters.add(onAnswer);
 				runJob(job);
 				break;
 			}
@@ -137,6 +139,7 @@
 			});
 		},
 		cancelJob: id => dispatcher.cancelJob(id),
+		findCustomer: id => table.findEntry(id)?.customer,
 		createTickets: count => tickets.issueTickets(count),
 		countRefusal,
 		startDraining() {
--- a/packages/daemon/src/jobs/job-table.ts
+++ b/packages/daemon/src/jobs/job-table.ts
@@ -4,6 +4,8 @@
 /** What this daemon remembers of one job. */
 export type JobEntry = {
 	id: string;
+	/** Who submitted it, and alone may ask for it or cancel it. */
+	customer: string;
 	waiters: Set<(outcome: JobOutcome) => void>;
 	outcome?: JobOutcome;
 	endedAtMs?: number;
@@ -20,7 +22,7 @@
 export type JobTable = {
 	findEntry(id: string): JobEntry | undefined;
 	/** Gets the entry of a job, and adds one if there is none that is open. */
-	getOpenEntry(id: string): JobEntry;
+	getOpenEntry(id: string, customer: string): JobEntry;
 	/** Stores the outcome and answers everybody who waits. A refused job is forgotten, since none of it ran. */
 	endEntry(id: string, outcome: JobOutcome, nowMs: number): void;
 	/** Drops the outcomes whose retention has passed. */
@@ -36,7 +38,7 @@
  * @example
  * ```ts
  * const table = createJobTable({retentionMs: 600_000, mostOutcomeBytes: 16_777_216});
- * table.getOpenEntry('job-1').waiters.add(answer);
+ * table.getOpenEntry('job-1', 'workshop-chain').waiters.add(answer);
  * table.endEntry('job-1', outcome, timers.getNowMs());
  * ```
  */
@@ -70,13 +72,13 @@
 
 	return {
 		findEntry: id => openEntries.get(id) ?? endedEntries.get(id),
-		getOpenEntry(id) {
+		getOpenEntry(id, customer) {
 			const known = openEntries.get(id);
 			if (known !== undefined) {
 				return known;
 			}
 
-			const entry: JobEntry = {id, waiters: new Set()};
+			const entry: JobEntry = {id, customer, waiters: new Set()};
 			openEntries.set(id, entry);
 			return entry;
 		},
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -73,4 +73,8 @@
 
 const cli = new Cli({binaryLabel: 'camphortackd', binaryName: 'camphortackd', binaryVersion: version});
 cli.register(RunCommand);
-await cli.runExit(process.argv.slice(2));
+const exitCode = await cli.run(process.argv.slice(2));
+if (exitCode !== 0) {
+	// After a failed sync the state of the files is unknown: nothing more may be answered, so open links do not hold the process.
+	process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- This is the program's entry point.
+}
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -55,6 +55,10 @@
 		},
 	});
 	const events = container.get(tokens.events);
+	if (settings.operators.tokenHashes.length === 0) {
+		events.write('loopback-only');
+	}
+
 	events.write('daemon-started', {id: settings.daemon.id, callers: servers.callers.url});
 
 	async function stop(): Promise<void> {
--- a/packages/daemon/test/runtime/start-daemon.test.ts
+++ b/packages/daemon/test/runtime/start-daemon.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
+import {createHash} from 'node:crypto';
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
-import {readSettings} from '@camphortack/configuration';
+import {configurationObjectsSchema, readSettings} from '@camphortack/configuration';
 import {
 	countStarts, createJobBody, publishObjects, sendJson, startTestSystem, testObjects,
 } from '../support/test-system.js';
@@ -138,6 +139,30 @@
 		assert.deepEqual(system.servers.map(server => server.starts.size), [0, 40]);
 	});
 
+	it('lets only a customer with its token submit, ask for and cancel its jobs', async () => {
+		const hash = createHash('sha256').update('secret').digest('hex');
+		const objects = configurationObjectsSchema.parse({...testObjects, customers: {workshop: {tokenHashes: [hash]}}});
+		const system = await startTestSystem([{}], objects);
+		const send = async (method: string, path: string, token: string, body?: unknown) => {
+			const headers = {'content-type': 'application/json', authorization: `Bearer ${token}`};
+			const response = await fetch(`${system.daemon.addresses.callersUrl}${path}`, {method, headers, body: body === undefined ? undefined : JSON.stringify(body)});
+			await response.text();
+			return response.status;
+		};
+
+		const job = createJobBody(1, {id: 'job-3'});
+		const statuses = [
+			await send('POST', '/v1/jobs', 'wrong', job),
+			await send('POST', '/v1/jobs', 'secret', job),
+			await send('GET', '/v1/jobs/job-3', 'wrong'),
+			await send('DELETE', '/v1/jobs/job-3', 'wrong'),
+			await send('GET', '/v1/jobs/job-3', 'secret'),
+		];
+		await system.stop();
+		assert.deepEqual(statuses, [401, 200, 401, 401, 200]);
+		assert.equal(countStarts(system.servers), 1);
+	});
+
 	it('shows the other change to the loser of a race between operators', async () => {
 		const daemon = await startDaemon(readSettings('(none)', ''));
 		const url = `${daemon.addresses.operatorsUrl}/v1/configuration`;
