Let limits be used at the first start of the system

Cause: a fresh daemon with a data folder refused every limited job for minutes, since tasks of an earlier process might still have run. Change: the limit book asks whether the system starts for the first time: this process created the data folder and its keeper founded the cluster.

--- a/packages/daemon/src/composition/bind-dispatch.ts
+++ b/packages/daemon/src/composition/bind-dispatch.ts
@@ -24,6 +24,8 @@
 			peers: context.get(tokens.peers),
 			fewestZoneMembers: zoneSeeds.length + 1,
 			earlierUse: isEmbedded ? 'none' : 'possible',
+			// A new folder that founded the cluster: no configuration and so no limit was ever in force.
+			isFirstStart: () => container.get(tokens.storage)?.isNew === true && container.get(tokens.keeper)?.getStatus().isFounder === true,
 		});
 	});
 	container.bind(tokens.taskStarter).toDynamicValue(() => new HttpTaskStarter(event => {
--- a/packages/daemon/src/storage/daemon-storage.ts
+++ b/packages/daemon/src/storage/daemon-storage.ts
@@ -11,6 +11,8 @@
 export type DaemonStorage = {
 	configurationLog: RecordLog;
 	registerLog: RecordLog;
+	/** Whether this process created the data folder. */
+	isNew: boolean;
 	close(): Promise<void>;
 };
 
@@ -47,6 +49,7 @@
 	return {
 		configurationLog,
 		registerLog,
+		isNew: dataFolder.isNew,
 		async close() {
 			await configurationLog.close();
 			await registerLog.close();
--- a/packages/policy/src/limits/create-limit-book.ts
+++ b/packages/policy/src/limits/create-limit-book.ts
@@ -83,7 +83,8 @@
 			return knownKeys.has(key) || timers.getNowMs() < returnedAtMs + returnSettlingMs ? 'possible' : 'none';
 		}
 
-		return earlierUse === 'none' && fewestZoneMembers > 1 ? 'concurrent' : earlierUse;
+		const initialUse = options.isFirstStart?.() === true ? 'none' : earlierUse;
+		return initialUse === 'none' && fewestZoneMembers > 1 ? 'concurrent' : initialUse;
 	}
 
 	function send(peerId: string, message: PeerMessage & LimitMessage): void {
--- a/packages/policy/src/limits/limit-book.ts
+++ b/packages/policy/src/limits/limit-book.ts
@@ -77,6 +77,11 @@
 	fewestZoneMembers?: number;
 	/** Whether tasks of an earlier process, of this daemon or of its availability zone, may still run or count. */
 	earlierUse?: 'possible' | 'none';
+	/**
+	 * Whether the whole system is known to start for the first time, so that no limit was ever used.
+	 * Asked when the first configuration and the members are known.
+	 */
+	isFirstStart?: () => boolean;
 	/** The longest time that a started task may go on. */
 	longestHoldMs?: number;
 };
--- /dev/null
+++ b/packages/policy/test/limits/first-start.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {configurationObjectsSchema} from '@camphortack/configuration';
+import {createSeededRandomSource} from '@camphortack/core';
+import {FakeNetwork, VirtualTimers} from '@camphortack/testkit';
+import {createLimitBook, type LimitDecision} from '../../src/index.js';
+
+const objects = configurationObjectsSchema.parse({
+	pools: {walnut: {}},
+	services: {quote: {pool: 'walnut'}},
+	customers: {workshop: {limits: ['bill']}},
+	limits: {bill: {tasksInFlight: 10}},
+});
+
+/** Asks a lone daemon, which has just started, for one task. */
+function askAfter(waitMs: number, isFirstStart: () => boolean): LimitDecision[] {
+	const timers = new VirtualTimers();
+	const random = createSeededRandomSource(1);
+	const network = new FakeNetwork({timers, random});
+	const decisions: LimitDecision[] = [];
+	const own = {
+		id: 'daemon-1', incarnation: 'one', availabilityZone: 'zone-1', roles: ['entry'] as const, host: '127.0.0.1', peerPort: 1,
+	};
+	const book = createLimitBook({
+		ownId: own.id, incarnation: own.incarnation, availabilityZone: own.availabilityZone, timers, random, isFirstStart,
+		peers: network.addPeer(own.id, (fromPeerId, message) => {
+			book.handlePeerMessage(fromPeerId, message);
+		}),
+	});
+	book.setMembers([own]);
+	book.setConfiguration({version: 1, objects});
+	timers.advance(waitMs);
+	book.requestAdmission({
+		jobId: 'job', customer: 'workshop', service: 'quote', pool: 'walnut', taskCount: 1, expectedWorkerSeconds: 1,
+	}, decision => {
+		decisions.push(decision);
+	});
+	timers.advance(1000);
+	return decisions;
+}
+
+describe('limits after the start of a lone daemon', () => {
+	const tenMinutesMs = 600_000;
+	const rows: Array<{name: string; waitMs: number; isFirstStart: boolean; isAdmitted: boolean}> = [
+		{
+			name: 'are free at the first start of the system', waitMs: 0, isFirstStart: true, isAdmitted: true,
+		},
+		{
+			name: 'count as used at once after any other start', waitMs: 0, isFirstStart: false, isAdmitted: false,
+		},
+		{
+			name: 'are free once the longest task of an earlier process has ended', waitMs: tenMinutesMs * 1.1, isFirstStart: false, isAdmitted: true,
+		},
+	];
+	for (const {name, waitMs, isFirstStart, isAdmitted} of rows) {
+		it(name, () => {
+			assert.deepEqual(askAfter(waitMs, () => isFirstStart).map(decision => decision.isAdmitted), [isAdmitted]);
+		});
+	}
+});
