--- a/packages/bench/src/process/measure-daemon.ts
+++ b/packages/bench/src/process/measure-daemon.ts
@@ -24,6 +24,9 @@
 	throughP99Ms: number;
 	addedP50Ms: number;
 	addedP99Ms: number;
+	/** With an id of the caller's choosing, whose record is synced before the start. */
+	addedWithSyncP50Ms: number;
+	addedWithSyncP99Ms: number;
 	jobTasksPerSecond: number;
 	jobProcessorTimePerTaskMs: number;
 	/** What one core of daemon would bear if it did nothing else. */
@@ -84,6 +87,8 @@
 	const before = await readStatus(addresses);
 	const through = await measureLatency(callers, '/v1/requests', createRequest);
 	const afterRequests = await readStatus(addresses);
+	const withSync = await measureLatency(callers, '/v1/requests', createRequestWithId);
+	const beforeJobs = await readStatus(addresses);
 	const jobs = await measureJobs(callers);
 	const afterJobs = await readStatus(addresses);
 	const memoryPerConnectionBytes = await measureConnections(addresses, callers);
@@ -91,7 +96,7 @@
 	await callers.destroy();
 	await backend.destroy();
 	const requestMs = afterRequests.resources.processorTimeMs - before.resources.processorTimeMs;
-	const jobMs = afterJobs.resources.processorTimeMs - afterRequests.resources.processorTimeMs;
+	const jobMs = afterJobs.resources.processorTimeMs - beforeJobs.resources.processorTimeMs;
 	const taskCount = jobCount * jobTaskCount;
 	return {
 		directP50Ms: getQuantile(direct, 0.5),
@@ -100,6 +105,8 @@
 		throughP99Ms: getQuantile(through, 0.99),
 		addedP50Ms: getQuantile(through, 0.5) - getQuantile(direct, 0.5),
 		addedP99Ms: getQuantile(through, 0.99) - getQuantile(direct, 0.99),
+		addedWithSyncP50Ms: getQuantile(withSync, 0.5) - getQuantile(direct, 0.5),
+		addedWithSyncP99Ms: getQuantile(withSync, 0.99) - getQuantile(direct, 0.99),
 		jobTasksPerSecond: taskCount / (jobs.durationMs / millisecondsPerSecond),
 		jobProcessorTimePerTaskMs: jobMs / taskCount,
 		jobTasksPerProcessorSecond: taskCount / (jobMs / millisecondsPerSecond),
@@ -171,7 +178,11 @@
 	return (during.resources.memoryBytes - before.resources.memoryBytes) / connectionCount;
 }
 
-function createRequest(index: number): unknown {
+function createRequestWithId(index: number): Record<string, unknown> {
+	return {...createRequest(index), id: `chosen-${index}`};
+}
+
+function createRequest(index: number): Record<string, unknown> {
 	return {
 		customer: 'workshop', service: 'quote', deadlineMs: 60_000, payload: index,
 	};
--- a/packages/cli/src/api/api-schemas.ts
+++ b/packages/cli/src/api/api-schemas.ts
@@ -54,6 +54,7 @@
 	}),
 	configuration: z.object({version: z.int().optional(), isStale: z.boolean()}),
 	members: z.array(z.object({id: z.string(), availabilityZone: z.string(), isAlive: z.boolean()})),
+	zones: z.array(z.object({availabilityZone: z.string(), isReachable: z.boolean(), liveDaemons: z.int()})).optional(),
 	keepers: z.object({
 		leaderId: z.string().optional(),
 		term: z.int().optional(),
