Share the repeating timer of the test clocks, and drop a placeholder

Cause: two clocks of testkit repeated a timer in the same twelve lines, and packages/proof still exported only its own name. Change: addRepeatingTimer serves both; proof exports its schedules.

--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -1,2 +1,1 @@
-/** The name of this package, as its daemon reports it. */
-export const packageName = '@camphortack/proof';
+export * from './explore/limits/run-limit-schedules.js';
--- a/packages/testkit/src/time/process-timers.ts
+++ b/packages/testkit/src/time/process-timers.ts
@@ -1,4 +1,5 @@
 import {TimerService, type TimerSubscription} from '@camphortack/core';
+import {addRepeatingTimer} from './add-repeating-timer.js';
 
 /** The timers of one process: its clock drifts, and while it is paused nothing runs. */
 export class ProcessTimers extends TimerService {
@@ -39,20 +40,7 @@
 	}
 
 	override addInterval(intervalMs: number, onFire: () => void): TimerSubscription {
-		let current: TimerSubscription;
-		const schedule = () => {
-			current = this.addTimer(intervalMs, () => {
-				schedule();
-				onFire();
-			});
-		};
-
-		schedule();
-		return {
-			cancel() {
-				current.cancel();
-			},
-		};
+		return addRepeatingTimer(this, intervalMs, onFire);
 	}
 
 	/** Runs a step of the process now, or once it is no longer paused. */
--- a/packages/testkit/src/time/virtual-timers.ts
+++ b/packages/testkit/src/time/virtual-timers.ts
@@ -1,5 +1,6 @@
 import {Heap} from 'mnemonist';
 import {TimerService, type TimerSubscription} from '@camphortack/core';
+import {addRepeatingTimer} from './add-repeating-timer.js';
 
 type PendingTimer = {
 	dueAtMs: number;
@@ -34,20 +35,7 @@
 	}
 
 	override addInterval(intervalMs: number, onFire: () => void): TimerSubscription {
-		let current: TimerSubscription;
-		const schedule = () => {
-			current = this.addTimer(intervalMs, () => {
-				schedule();
-				onFire();
-			});
-		};
-
-		schedule();
-		return {
-			cancel() {
-				current.cancel();
-			},
-		};
+		return addRepeatingTimer(this, intervalMs, onFire);
 	}
 
 	/**
