Make the pass over waiting jobs cheap, and judge progress by the server's clock

Each pass built the list of candidates anew for each waiting task. Delayed timers then counted starts as unanswered and sound runs as slow, which added work. Ruled out: load (1.35 times the capacity on paper) and failing backend servers (3 of 33).

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -3,7 +3,7 @@
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
 import {
-	configurationRequestIntervalMs, electionIntervalMs, heartbeatMs, linkSilenceMs, longestElectionGapMs, overtakenPauseMs, termRaise, memberListIntervalMs, memberSilenceMs,
+	configurationRequestIntervalMs, electionIntervalMs, heartbeatMs, keeperHeadStartMs, linkSilenceMs, longestElectionGapMs, overtakenPauseMs, termRaise, memberListIntervalMs, memberSilenceMs,
 	placerHeartbeatMs, placerMinimumUpMs, placerSilenceMs, reportIntervalMs, reportTimeoutMs,
 } from './cluster-timings.js';
 import {createDocumentHolder} from './configuration/document-holder.js';
@@ -34,6 +34,7 @@
 	let view: PlacerView = {term: 0, placerId: ''};
 	let isLeaving = false;
 	let electedAtMs = startedAtMs;
+	let followedAtMs = Number.NEGATIVE_INFINITY;
 	let overtakenSinceMs: number | undefined;
 	let memberListSentAtMs = Number.NEGATIVE_INFINITY;
 	let heartbeatSentAtMs = Number.NEGATIVE_INFINITY;
@@ -62,7 +63,8 @@
 	}
 
 	function hearsPlacer(): boolean {
-		return view.placerId === ownId || members.getSilenceMs(view.placerId) < placerSilenceMs;
+		const silenceMs = Math.min(members.getSilenceMs(view.placerId), timers.getNowMs() - followedAtMs);
+		return view.placerId === ownId || (view.placerId !== '' && silenceMs < placerSilenceMs);
 	}
 
 	// Heartbeats
@@ -122,6 +124,7 @@
 	function handleHeartbeat(fromId: string, heartbeat: ClusterMessageOf<'cluster.heartbeat'>): void {
 		const isNew = members.addHeartbeat(fromId, heartbeat);
 		if (isNew) {
+			memberListSentAtMs = Number.NEGATIVE_INFINITY;
 			events.write('member-joined', {member: fromId, availabilityZone: heartbeat.availabilityZone, upMs: heartbeat.upMs});
 			sendHeartbeat(fromId, members.getAliveMembers().map(member => member.id));
 			send(fromId, {kind: 'cluster.registry-request'});
@@ -168,6 +171,7 @@
 	function follow(next: PlacerView, toldById: string): void {
 		const previous = view;
 		view = next;
+		followedAtMs = timers.getNowMs();
 		events.write('placer-followed', {
 			term: next.term, placer: next.placerId, toldBy: toldById, previousTerm: previous.term, previousPlacer: previous.placerId,
 		});
@@ -183,11 +187,16 @@
 			id: member.id,
 			isKeeper: member.isKeeper,
 			isLeaving: member.isLeaving,
-			isSettled: member.upMs + members.getSilenceMs(member.id) >= placerMinimumUpMs,
+			isSettled: isSettled(member.upMs + members.getSilenceMs(member.id), member.isKeeper),
 			hearsPlacer: member.hearsPlacer && member.placerId === view.placerId,
 		};
 	}
 
+	/** Before the first placer, keepers get the chance to begin; they are preferred. */
+	function isSettled(upMs: number, ofKeeper: boolean): boolean {
+		return upMs >= placerMinimumUpMs + (ofKeeper || view.placerId !== '' ? 0 : keeperHeadStartMs);
+	}
+
 	function elect(): void {
 		const gapMs = timers.getNowMs() - electedAtMs;
 		electedAtMs = timers.getNowMs();
@@ -197,7 +206,7 @@
 		}
 
 		const own: Elector = {
-			id: ownId, isKeeper, isLeaving, isSettled: timers.getNowMs() - startedAtMs >= placerMinimumUpMs, hearsPlacer: hearsPlacer(),
+			id: ownId, isKeeper, isLeaving, isSettled: isSettled(timers.getNowMs() - startedAtMs, isKeeper), hearsPlacer: hearsPlacer(),
 		};
 		const others = members.getAliveMembers().map(member => getElector(member));
 		const reason = findClaimReason({own, others, placerId: view.placerId});
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -11,14 +11,14 @@
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerOrders} from '../ports/backend-server-orders.js';
-import {chooseBackendServer, type Candidate} from '../queue/choose-backend-server.js';
 import {compareWaitingJobs} from '../queue/compare-waiting-jobs.js';
 import {findRefusal} from '../queue/find-refusal.js';
 import type {WaitingJob} from '../queue/waiting-job.js';
 import type {BackendSession} from '../sessions/backend-session.js';
-import type {Run, RunEnd} from '../sessions/run.js';
+import {getReportedRunningMs, type Run, type RunEnd} from '../sessions/run.js';
 import {createJobLedger} from './job-ledger.js';
 import type {Placer} from './placer.js';
+import {createRoomTable, type RoomTable} from './room-table.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
 
 export type PlacerOptions = {
@@ -34,6 +34,8 @@
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
 
+/** Passes closer together than this are made as one. */
+const shortestPassIntervalMs = 2;
 const slownessCheckIntervalMs = 40;
 /** How often one task is begun again because its run was slow. */
 const mostSlowRuns = 2;
@@ -47,6 +49,11 @@
 const shortestRetryAfterMs = 1000;
 const retryAfterSpreadMs = 2000;
 
+type Waiting = {
+	job: PlacedJob;
+	outlook: WaitingJob;
+};
+
 /**
  * Creates the placer of a term. It claims each backend server before it uses it, so that it knows exactly what runs
  * there whatever an earlier placer did.
@@ -58,6 +65,7 @@
 	const runTimes = createRunTimeBook();
 	const workBook = createWorkBook();
 	let isPassPlanned = false;
+	let passedAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
 	const pool = createServerPool({
 		...options,
@@ -74,34 +82,48 @@
 	});
 	const slownessCheck = timers.addInterval(slownessCheckIntervalMs, checkSlowRuns);
 
+	/** Plans a pass over the waiting jobs: at once, or soon if one has just been made, so that many ends share one. */
 	function planPass(): void {
 		if (isPassPlanned || isStopped) {
 			return;
 		}
 
 		isPassPlanned = true;
-		queueMicrotask(() => {
-			isPassPlanned = false;
-			if (!isStopped) {
-				runPass();
-			}
-		});
+		if (timers.getNowMs() - passedAtMs < shortestPassIntervalMs) {
+			timers.addTimer(shortestPassIntervalMs, runPlannedPass);
+		} else {
+			queueMicrotask(runPlannedPass);
+		}
+	}
+
+	function runPlannedPass(): void {
+		isPassPlanned = false;
+		if (!isStopped) {
+			passedAtMs = timers.getNowMs();
+			runPass();
+		}
 	}
 
 	function runPass(): void {
 		recoverJobs();
 		const nowMs = timers.getNowMs();
 		const waiting = getWaitingJobs(nowMs);
-		refuseHopeless(waiting, nowMs);
+		const tables = createTables(waiting);
+		refuseHopeless(waiting, tables, nowMs);
 		for (const {job} of waiting) {
 			if (!job.isEnded) {
-				placeJob(job);
+				placeJob(job, tables.get(job.request.service)!);
 			}
 		}
 	}
 
-	function getWaitingJobs(nowMs: number): Array<{job: PlacedJob; outlook: WaitingJob}> {
-		const waiting: Array<{job: PlacedJob; outlook: WaitingJob}> = [];
+	function createTables(waiting: readonly Waiting[]): Map<string, RoomTable> {
+		const services = new Set(waiting.map(({job}) => job.request.service));
+		return new Map([...services].map(service => [service, createRoomTable(getUsableServers(service))]));
+	}
+
+	function getWaitingJobs(nowMs: number): Waiting[] {
+		const waiting: Waiting[] = [];
 		for (const job of ledger.getJobs()) {
 			if (job.recoverUntilMs === undefined && job.tasks.some(task => task.state === 'waiting')) {
 				waiting.push({job, outlook: getOutlook(job)});
@@ -124,15 +146,15 @@
 		};
 	}
 
-	function refuseHopeless(waiting: ReadonlyArray<{job: PlacedJob; outlook: WaitingJob}>, nowMs: number): void {
+	function refuseHopeless(waiting: readonly Waiting[], tables: ReadonlyMap<string, RoomTable>, nowMs: number): void {
 		const workAhead = new Map<string, number>();
 		for (const {job, outlook} of waiting) {
 			const {service} = job.request;
-			const aheadWork = workAhead.get(service) ?? 0;
-			const waitAheadMs = getWaitMs(service, aheadWork + outlook.waitingWork);
+			const work = (workAhead.get(service) ?? 0) + outlook.waitingWork;
+			const waitAheadMs = getWaitMs(tables.get(service)!, work);
 			const reason = findRefusal(outlook, {nowMs, waitAheadMs});
 			if (reason === undefined) {
-				workAhead.set(service, aheadWork + outlook.waitingWork);
+				workAhead.set(service, work);
 			} else {
 				refuse(job, reason, waitAheadMs);
 			}
@@ -140,23 +162,14 @@
 	}
 
 	/** Gets how long work takes at the capacity of a service, beyond what is free now. */
-	function getWaitMs(service: string, work: number): number {
-		const usableCores = pool.getUsableMillicores(service) * fillableShare / millicoresPerCore;
+	function getWaitMs(table: RoomTable, work: number): number {
+		const usableCores = table.getUsableMillicores() * fillableShare / millicoresPerCore;
 		if (usableCores <= 0) {
 			return 0;
 		}
 
-		const freeCores = getFreeMillicores(service) / millicoresPerCore;
-		return Math.max(0, work / usableCores * (1 - Math.min(1, freeCores / usableCores)));
-	}
-
-	function getFreeMillicores(service: string): number {
-		let sum = 0;
-		for (const {session} of getUsableServers(service)) {
-			sum += session.getFreeRoom().cpuMillicores;
-		}
-
-		return sum;
+		const freeCores = table.getFreeMillicores() / millicoresPerCore;
+		return work / usableCores * (1 - Math.min(1, freeCores / usableCores));
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
@@ -165,10 +178,10 @@
 		ledger.forgetResult(job.request.jobId);
 	}
 
-	function placeJob(job: PlacedJob): void {
+	function placeJob(job: PlacedJob, table: RoomTable): void {
 		for (const task of getStartableTasks(job)) {
 			// A run of an earlier submission of the same job may still be on its way out.
-			const server = pool.findRun(task.name) === undefined ? chooseServer(job, task) : undefined;
+			const server = pool.findRun(task.name) === undefined ? table.takeRoom(job, task) : undefined;
 			if (server !== undefined) {
 				startTask(job, task, server);
 			}
@@ -182,31 +195,6 @@
 		});
 	}
 
-	function chooseServer(job: PlacedJob, task: PlacedTask): PooledServer | undefined {
-		const {requiredLabel, dataRack, mostPerServer} = job.request.steps[task.step]!;
-		const candidates = getUsableServers(job.request.service)
-			.filter(({session}) => !task.avoidedServerIds.has(session.getDescription().id))
-			.map(server => getCandidate(server, job, task));
-		return chooseBackendServer(candidates, {
-			needs: task.needs, requiredLabel, dataRack, mostPerServer,
-		})?.server;
-	}
-
-	function getCandidate(server: PooledServer, job: PlacedJob, task: PlacedTask): Candidate & {server: PooledServer} {
-		const {session, health} = server;
-		return {
-			server,
-			freeRoom: session.getFreeRoom(),
-			grade: health.getGrade(session.getRuns().size),
-			labels: session.getDescription().labels,
-			sameStepCount: job.request.steps[task.step]!.mostPerServer === undefined ? 0 : countSameStep(session, job, task),
-		};
-	}
-
-	function countSameStep(session: BackendSession, job: PlacedJob, task: PlacedTask): number {
-		return job.tasks.filter(other => other.step === task.step && session.findRun(other.name) !== undefined).length;
-	}
-
 	function startTask(job: PlacedJob, task: PlacedTask, {session}: PooledServer): void {
 		task.state = 'running';
 		task.session = session;
@@ -378,7 +366,7 @@
 			return;
 		}
 
-		const runningMs = run.reportedAtMs - task.startedAtMs;
+		const runningMs = getReportedRunningMs(run);
 		const {percent} = run;
 		const slowness = findSlowness({
 			runningMs, percent, expectedMs: job.longestMs, siblingMs: getSiblingTimes(job, task),
@@ -419,7 +407,7 @@
 
 		const run = task.session?.findRun(task.name);
 		const isProjectable = run !== undefined && !task.isAdopted && run.percent >= projectablePercent;
-		return isProjectable ? (run.reportedAtMs - task.startedAtMs) * 100 / run.percent : undefined;
+		return isProjectable ? getReportedRunningMs(run) * 100 / run.percent : undefined;
 	}
 
 	function addJob(entryId: string, {request, generation, mayHaveStarted}: PlacementMessageOf<'placement.submit'>): void {
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -20,8 +20,6 @@
 	isFullyKnown(): boolean;
 	/** Finds the run of a task on any backend server. */
 	findRun(taskName: string): {server: PooledServer; run: Run} | undefined;
-	/** Gets the cores of the backend servers that take tasks. */
-	getUsableMillicores(service: string): number;
 	close(): void;
 };
 
@@ -103,15 +101,6 @@
 
 			return undefined;
 		},
-		getUsableMillicores(service) {
-			let sum = 0;
-			for (const {session} of servers.values()) {
-				const {state, cpuMillicores, service: ownService} = session.getDescription();
-				sum += session.getState() === 'held' && state === 'ready' && ownService === service ? cpuMillicores : 0;
-			}
-
-			return sum;
-		},
 		close() {
 			for (const {session} of servers.values()) {
 				session.close();
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -8,7 +8,7 @@
 import {createLeaseClock} from './lease-clock.js';
 import type {Run, RunEnd} from './run.js';
 import {
-	claimsUntilSilent, claimTimeoutMs, leaseMs, longestClaimPauseMs, orderTimeoutMs, renewWaitMs, shortestClaimPauseMs,
+	claimsUntilSilent, claimTimeoutMs, leaseMs, longestClaimPauseMs, orderTimeoutMs, renewWaitMs, shortestClaimPauseMs, takeoverMarginMs,
 	unclaimedRunGraceMs,
 } from './session-timings.js';
 import {getFreeRoom} from './get-free-room.js';
@@ -121,9 +121,12 @@
 		});
 	}
 
-	/** Runs on a backend server that does not answer are over once every lease sent to it is over. */
+	/**
+	 * Runs on a backend server that does not answer are over once every lease sent to it is over, and one that another
+	 * placer may have given in the meantime.
+	 */
 	function endRunsAfterLease(): void {
-		if (runs.size > 0 && timers.getNowMs() > clock.getLeasesOverAtMs()) {
+		if (runs.size > 0 && timers.getNowMs() > clock.getLeasesOverAtMs() + takeoverMarginMs) {
 			for (const run of runs.values()) {
 				endRun(run, 'lost');
 			}
@@ -158,7 +161,7 @@
 		unansweredClaims = 0;
 		clock.addReading(answer.clockMs, timers.getNowMs());
 		handleEnds(answer.endedRuns);
-		reconcile(answer.activeRuns);
+		reconcile(answer.activeRuns, answer.clockMs);
 		setState('held', 'claim answered');
 		listener.onHeld(session);
 		stopUnknownRunsLater();
@@ -166,12 +169,12 @@
 	}
 
 	/** Brings the runs known here into line with what the backend server listed under the new token. */
-	function reconcile(activeRuns: readonly ActiveRun[]): void {
+	function reconcile(activeRuns: readonly ActiveRun[], clockMs: number): void {
 		const active = new Map(activeRuns.map(activeRun => [activeRun.taskName, activeRun]));
 		for (const run of runs.values()) {
 			const found = active.get(run.taskName);
 			if (found?.runNumber === run.runNumber) {
-				setProgress(run, found.percent);
+				setProgress(run, found.percent, clockMs);
 				run.state = run.state === 'starting' ? 'running' : run.state;
 			} else {
 				endRun(run, run.state === 'starting' ? 'not-started' : 'lost');
@@ -181,7 +184,7 @@
 		for (const {taskName, runNumber, percent} of activeRuns) {
 			if (!runs.has(taskName)) {
 				runs.set(taskName, {
-					taskName, runNumber, needs: undefined, state: 'running', startedAtMs: timers.getNowMs(), percent, reportedAtMs: timers.getNowMs(),
+					taskName, runNumber, needs: undefined, state: 'running', startedAtMs: timers.getNowMs(), percent, serverStartMs: undefined, serverReportMs: undefined,
 				});
 			}
 		}
@@ -243,14 +246,14 @@
 		for (const {taskName, percent} of answer.activeRuns) {
 			const run = runs.get(taskName);
 			if (run !== undefined) {
-				setProgress(run, percent);
+				setProgress(run, percent, answer.clockMs);
 			}
 		}
 	}
 
-	function setProgress(run: Run, percent: number): void {
+	function setProgress(run: Run, percent: number, clockMs: number): void {
 		run.percent = percent;
-		run.reportedAtMs = timers.getNowMs();
+		run.serverReportMs = clockMs;
 	}
 
 	function handleEnds(endedRuns: readonly EndedRun[]): void {
@@ -292,6 +295,7 @@
 	function handleStartAnswer(run: Run, answer: OrderAnswer, sentClaim: number): void {
 		if (answer.outcome === 'accepted') {
 			run.state = run.state === 'starting' ? 'running' : run.state;
+			run.serverStartMs = answer.clockMs;
 			return;
 		}
 
@@ -358,7 +362,7 @@
 		getFreeRoom: () => getFreeRoom(description, runs.values()),
 		start({taskName, runNumber, payload, needs}) {
 			const run: Run = {
-				taskName, runNumber, needs, state: 'starting', startedAtMs: timers.getNowMs(), percent: 0, reportedAtMs: timers.getNowMs(),
+				taskName, runNumber, needs, state: 'starting', startedAtMs: timers.getNowMs(), percent: 0, serverStartMs: undefined, serverReportMs: undefined,
 			};
 			runs.set(taskName, run);
 			void sendStart(run, payload);
--- a/packages/placement/src/sessions/session-timings.ts
+++ b/packages/placement/src/sessions/session-timings.ts
@@ -13,3 +13,8 @@
 export const claimsUntilSilent = 2;
 /** How long a run of an earlier placer may wait for its job to be submitted again. */
 export const unclaimedRunGraceMs = 300;
+/**
+ * How long runs may go on after the last lease of this placer: another one that claims the backend server gives a lease
+ * of its own until it has found out that nobody waits for them, and has stopped them.
+ */
+export const takeoverMarginMs = 500;
