--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -55,7 +55,7 @@
 		},
 	});
 	const desk = createEntryDesk({
-		timers, events, metrics, getPlacerView: () => view, sendToPlacer,
+		timers, random, events, metrics, getPlacerView: () => view, sendToPlacer,
 	});
 
 	function sendToPlacer(message: PlacementMessage): boolean {
--- a/packages/cluster/src/entry/entry-desk.ts
+++ b/packages/cluster/src/entry/entry-desk.ts
@@ -1,5 +1,5 @@
 import type {
-	EventLog, MetricSink, TimerService, TimerSubscription,
+	EventLog, MetricSink, RandomSource, TimerService, TimerSubscription,
 } from '@camphortack/core';
 import type {JobOutcome, JobRequest, PlacementMessage} from '@camphortack/placement';
 import {openJobsIntervalMs, placerWaitMs} from '../cluster-timings.js';
@@ -33,6 +33,7 @@
 
 export type EntryDeskOptions = {
 	timers: TimerService;
+	random: RandomSource;
 	events: EventLog;
 	metrics: MetricSink;
 	getPlacerView: () => PlacerView;
@@ -42,6 +43,7 @@
 
 type OpenJob = {
 	readonly job: EntryJob;
+	readonly submissionId: string;
 	readonly arrivedAtMs: number;
 	readonly callers: Set<(result: JobOutcome) => void>;
 	/** The placers that were given the job. */
@@ -64,7 +66,7 @@
  * @param options - The ports and the way to the placer.
  */
 export function createEntryDesk(options: EntryDeskOptions): EntryDesk {
-	const {timers, events, metrics, getPlacerView, sendToPlacer} = options;
+	const {timers, random, events, metrics, getPlacerView, sendToPlacer} = options;
 	const openJobs = new Map<string, OpenJob>();
 	const cancellations = new Map<string, Cancellation>();
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
@@ -86,11 +88,11 @@
 
 	function sendJob(open: OpenJob): void {
 		const view = getPlacerView();
-		const isOtherPlacer = open.submittedTo !== undefined && !isSame(open.submittedTo, view);
-		const generation = open.generation + (isOtherPlacer ? 1 : 0);
+		const generation = open.generation + (open.submittedTo === undefined ? 0 : 1);
 		const isSent = view.placerId !== '' && sendToPlacer({
 			kind: 'placement.submit',
 			request: {...open.job, ageMs: timers.getNowMs() - open.arrivedAtMs},
+			submissionId: open.submissionId,
 			generation,
 			mayHaveStarted: generation > 0,
 		});
@@ -104,6 +106,7 @@
 	function addJob(job: EntryJob): OpenJob {
 		const open: OpenJob = {
 			job,
+			submissionId: random.getIdentifier(),
 			arrivedAtMs: timers.getNowMs(),
 			callers: new Set(),
 			submittedTo: undefined,
@@ -148,7 +151,10 @@
 		}
 	}
 
-	/** A placer that took over can refuse a job that an earlier one began; then nobody may say that it has not run. */
+	/**
+	 * A job that was handed in again can be refused though tasks of it ran: an earlier placer began it, or this one had
+	 * given it up while this daemon was not heard. Then nobody may say that it has not run.
+	 */
 	function getTrueResult(open: OpenJob, result: JobOutcome): JobOutcome {
 		return result.outcome === 'refused' && open.generation > 0 ? {outcome: 'unknown'} : result;
 	}
--- a/packages/cluster/src/placing/placing-part.ts
+++ b/packages/cluster/src/placing/placing-part.ts
@@ -13,6 +13,7 @@
 	/** Gives the term up. */
 	stop(reason: string): void;
 	setServers(descriptions: readonly BackendServerDescription[], hiddenCount: number): void;
+	/** Whether a backend server answers, or tasks may still run there. */
 	isServerInUse(serverId: string): boolean;
 	handleMessage(fromId: string, message: PeerMessage): void;
 	/** Whether another placer has claimed most backend servers. */
@@ -106,7 +107,7 @@
 		setServers(descriptions, hiddenCount) {
 			placer?.setServers(descriptions, hiddenCount);
 		},
-		isServerInUse: serverId => placer?.getServerStatuses().some(status => status.id === serverId && status.state !== 'silent') ?? false,
+		isServerInUse: serverId => placer?.getServerStatuses().some(status => status.id === serverId && (status.state !== 'silent' || status.runCount > 0)) ?? false,
 		handleMessage(fromId, message) {
 			const parsed = placementMessageSchema.safeParse(message);
 			if (!parsed.success) {
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -26,6 +26,7 @@
 /** A job in the hands of the placer. */
 export type PlacedJob = {
 	readonly request: JobRequest;
+	readonly submissionId: string;
 	/** The daemon that waits for the result. */
 	entryId: string;
 	readonly arrivedAtMs: number;
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -19,6 +19,8 @@
 	z.object({
 		kind: z.literal('placement.submit'),
 		request: jobRequestSchema,
+		/** The same for all copies that one daemon sends of one hand-in; a caller that comes again makes a new one. */
+		submissionId: z.string(),
 		/** How often the job was handed to a placer before. */
 		generation: z.int().min(0),
 		/** An earlier placer may have started tasks. */
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -5,7 +5,6 @@
 import {createRunTimeBook} from '../estimates/run-time-book.js';
 import {createWorkBook} from '../estimates/work-book.js';
 import {getJobOutline} from '../jobs/get-job-outline.js';
-import type {JobRequest} from '../jobs/job-request.js';
 import {
 	createPlacedTasks, getStartableTasks, runsPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
@@ -175,7 +174,6 @@
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
 		const retryAfterMs = Math.round(Math.max(shortestRetryAfterMs, waitMs) + (random.getFraction() * retryAfterSpreadMs));
 		endJob(job, {outcome: 'refused', reason, retryAfterMs});
-		ledger.forgetResult(job.request.jobId);
 	}
 
 	function placeJob(job: PlacedJob, table: RoomTable): void {
@@ -328,7 +326,6 @@
 		});
 		if (!isKnown) {
 			endJob(job, {outcome: 'unknown'});
-			ledger.forgetResult(job.request.jobId);
 		}
 	}
 
@@ -410,17 +407,18 @@
 		return isProjectable ? getReportedRunningMs(run) * 100 / run.percent : undefined;
 	}
 
-	function addJob(entryId: string, {request, generation, mayHaveStarted}: PlacementMessageOf<'placement.submit'>): void {
-		const job = createJob(entryId, request, generation, mayHaveStarted);
+	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
+		const job = createJob(entryId, message);
 		ledger.addJob(job);
-		workBook.addJob(request.queueName, job.work);
+		workBook.addJob(job.request.queueName, job.work);
 		planPass();
 	}
 
-	function createJob(entryId: string, request: JobRequest, generation: number, mayHaveStarted: boolean): PlacedJob {
+	function createJob(entryId: string, {request, submissionId, generation, mayHaveStarted}: PlacementMessageOf<'placement.submit'>): PlacedJob {
 		const {longestMs, work} = getJobOutline(request, step => runTimes.getExpectedMs(request.queueName, step.estimateMs));
 		return {
 			request,
+			submissionId,
 			entryId,
 			arrivedAtMs: timers.getNowMs() - request.ageMs,
 			tasks: createPlacedTasks(request, generation),
@@ -442,7 +440,7 @@
 		submit(entryId, message) {
 			const {jobId} = message.request;
 			const known = ledger.findJob(jobId);
-			const result = ledger.findResult(jobId);
+			const result = ledger.findResult(jobId, message.submissionId);
 			if (known !== undefined) {
 				known.entryId = entryId;
 			} else if (result === undefined) {
@@ -461,8 +459,7 @@
 		dropEntry(entryId) {
 			for (const job of ledger.getJobs()) {
 				if (job.entryId === entryId) {
-					endJob(job, {outcome: 'failed', reason: 'cancelled'});
-					ledger.forgetResult(job.request.jobId);
+					endJob(job, {outcome: 'unknown'});
 				}
 			}
 		},
--- a/packages/placement/src/placer/job-ledger.ts
+++ b/packages/placement/src/placer/job-ledger.ts
@@ -10,8 +10,14 @@
 	getJobs(): Iterable<PlacedJob>;
 	/** Moves a job from the open ones to the ended ones. */
 	endJob(job: PlacedJob, result: JobOutcome): void;
-	findResult(jobId: string): JobOutcome | undefined;
-	forgetResult(jobId: string): void;
+	/** Finds the result of a job; that of a refused one only for copies of the submission that was refused. */
+	findResult(jobId: string, submissionId?: string): JobOutcome | undefined;
+};
+
+type EndedJob = {
+	result: JobOutcome;
+	submissionId: string;
+	endedAtMs: number;
 };
 
 /** How long a result stays for a caller that lost the answer and asks again. */
@@ -24,7 +30,7 @@
 export function createJobLedger(timers: TimerService): JobLedger {
 	const jobs = new Map<string, PlacedJob>();
 	const tasks = new Map<string, {job: PlacedJob; task: PlacedTask}>();
-	const results = new Map<string, {result: JobOutcome; endedAtMs: number}>();
+	const results = new Map<string, EndedJob>();
 
 	/** Results are in the order of their ends, so the oldest come first. */
 	function forgetOldResults(): void {
@@ -56,12 +62,17 @@
 				tasks.delete(task.name);
 			}
 
-			results.set(job.request.jobId, {result, endedAtMs: timers.getNowMs()});
+			results.set(job.request.jobId, {result, submissionId: job.submissionId, endedAtMs: timers.getNowMs()});
 			forgetOldResults();
 		},
-		findResult: jobId => results.get(jobId)?.result,
-		forgetResult(jobId) {
-			results.delete(jobId);
+		findResult(jobId, submissionId) {
+			const ended = results.get(jobId);
+			return ended !== undefined && (isLasting(ended.result) || ended.submissionId === submissionId) ? ended.result : undefined;
 		},
 	};
 }
+
+/** A caller may come again after a refusal, an unknown end or a stop, and then begins anew. */
+function isLasting(result: JobOutcome): boolean {
+	return result.outcome === 'completed' || (result.outcome === 'failed' && result.reason === 'attempts-used');
+}
--- a/packages/process/src/peers/tcp-peer-network.ts
+++ b/packages/process/src/peers/tcp-peer-network.ts
@@ -94,7 +94,7 @@
 		const known = this.#addresses.get(address.id);
 		this.#addresses.set(address.id, address);
 		if (known !== undefined && (known.host !== address.host || known.port !== address.port)) {
-			this.#links.get(address.id)?.socket.destroy();
+			this.#links.get(address.id)?.socket.resetAndDestroy();
 			this.#notBeforeMs.delete(address.id);
 		}
 	}
@@ -119,7 +119,7 @@
 
 	/** Drops the link to a peer with everything that waits in it; the next message opens a new one. */
 	resetLink(peerId: string): void {
-		this.#links.get(peerId)?.socket.destroy();
+		this.#links.get(peerId)?.socket.resetAndDestroy();
 	}
 
 	/** Closes every link and stops listening. */
