--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -4,7 +4,7 @@
 import type {ClusterOptions} from './cluster-options.js';
 import {
 	configurationRequestIntervalMs, electionIntervalMs, heartbeatMs, keeperHeadStartMs, linkSilenceMs, longestElectionGapMs, overtakenPauseMs, termRaise, memberListIntervalMs, memberSilenceMs,
-	placerHeartbeatMs, placerMinimumUpMs, placerSilenceMs, reportIntervalMs, reportTimeoutMs,
+	placerHeartbeatMs, placerMinimumUpMs, placerSilenceMs, reportIntervalMs, reportTimeoutMs, startToleranceMs,
 } from './cluster-timings.js';
 import {createDocumentHolder} from './configuration/document-holder.js';
 import {findClaimReason, type Elector} from './election/find-claim-reason.js';
@@ -187,7 +187,7 @@
 			id: member.id,
 			isKeeper: member.isKeeper,
 			isLeaving: member.isLeaving,
-			isSettled: isSettled(member.upMs + members.getSilenceMs(member.id), member.isKeeper),
+			isSettled: isSettled(member.upMs + members.getSilenceMs(member.id) + startToleranceMs, member.isKeeper),
 			hearsPlacer: member.hearsPlacer && member.placerId === view.placerId,
 		};
 	}
--- /dev/null
+++ b/packages/cluster/test/election/find-claim-reason.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {findClaimReason, type Elector} from '../../src/election/find-claim-reason.js';
+import {getClaimableZones} from '../../src/election/get-claimable-zones.js';
+
+const getElector = (id: string, rest: Partial<Elector> = {}): Elector => ({
+	id, isKeeper: false, isLeaving: false, isSettled: true, hearsPlacer: false, ...rest,
+});
+
+describe('findClaimReason', () => {
+	const rows: Array<{title: string; own: Elector; others: Elector[]; placerId: string; expected: string | undefined}> = [
+		{
+			title: 'first start, smallest id', own: getElector('a'), others: [getElector('b')], placerId: '', expected: 'no-placer',
+		},
+		{
+			title: 'first start, not the smallest id', own: getElector('b'), others: [getElector('a')], placerId: '', expected: undefined,
+		},
+		{
+			title: 'first start beside a keeper', own: getElector('a'), others: [getElector('b', {isKeeper: true})], placerId: '', expected: undefined,
+		},
+		{
+			title: 'first start beside a keeper that is new', own: getElector('a'), others: [getElector('b', {isKeeper: true, isSettled: false})], placerId: '', expected: 'no-placer',
+		},
+		{
+			title: 'too new itself', own: getElector('a', {isSettled: false}), others: [getElector('b')], placerId: '', expected: undefined,
+		},
+		{
+			title: 'the placer is heard', own: getElector('a', {hearsPlacer: true}), others: [getElector('p')], placerId: 'p', expected: undefined,
+		},
+		{
+			title: 'nobody hears the placer', own: getElector('a'), others: [getElector('b'), getElector('c')], placerId: 'p', expected: 'placer-silent',
+		},
+		{
+			title: 'cut off alone: the others hear it', own: getElector('a'), others: [getElector('b', {hearsPlacer: true}), getElector('c', {hearsPlacer: true})], placerId: 'p', expected: undefined,
+		},
+		{
+			title: 'the placer says that it leaves', own: getElector('a', {hearsPlacer: true}), others: [getElector('p', {isLeaving: true})], placerId: 'p', expected: 'placer-leaving',
+		},
+		{
+			title: 'it is the placer itself', own: getElector('p'), others: [getElector('a')], placerId: 'p', expected: undefined,
+		},
+	];
+	for (const {title, own, others, placerId, expected} of rows) {
+		it(`${title} → ${expected ?? 'waits'}`, () => {
+			assert.equal(findClaimReason({own, others, placerId}), expected);
+		});
+	}
+});
+
+describe('getClaimableZones', () => {
+	const getVoters = (text: string) => text.split(' ').map(word => ({availabilityZone: word[0]!, isAlive: word[1] === '+'}));
+	const rows = [
+		{title: 'all alive', voters: 'a+ a+ b+ c+', expected: ['a', 'b', 'c']},
+		{title: 'one zone lost, a majority left', voters: 'a+ a+ b+ c-', expected: ['a', 'b', 'c']},
+		{title: 'cut off with its zone', voters: 'a+ a+ b- b- c- c-', expected: ['a']},
+		{title: 'cut off alone', voters: 'a+ a- a- b- b-', expected: []},
+		{title: 'the other of two lost', voters: 'a+ a- b- b-', expected: []},
+	];
+	for (const {title, voters, expected} of rows) {
+		it(`${title}: ${voters} → ${expected.join(' ') || 'none'}`, () => {
+			assert.deepEqual([...getClaimableZones(getVoters(voters))], expected);
+		});
+	}
+});
--- /dev/null
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -0,0 +1,182 @@
+import {createSeededRandomSource, type EventFields, type EventName} from '@camphortack/core';
+import type {JobOutcome} from '@camphortack/placement';
+import {
+	FakeNetwork, ProcessTimers, RecordingEventLog, RecordingMetricSink, VirtualTimers,
+} from '@camphortack/testkit';
+import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from '../../../placement/test/support/fake-fleet.js';
+import {createCluster, type Cluster, type EntryJob} from '../../src/index.js';
+
+export type TestDaemon = {
+	id: string;
+	availabilityZone: string;
+	cluster: Cluster;
+	timers: ProcessTimers;
+	isUp: boolean;
+};
+
+export type TestCluster = {
+	timers: VirtualTimers;
+	network: FakeNetwork;
+	fleet: FakeFleet;
+	daemons: TestDaemon[];
+	results: Array<{jobId: string; result: JobOutcome; atMs: number; daemonId: string}>;
+	events: Array<{daemonId: string; name: EventName; fields: EventFields}>;
+	find(id: string): TestDaemon;
+	/** Gets the daemon that most others follow. */
+	getPlacer(): TestDaemon;
+	submit(daemonId: string, jobId: string, rest?: Partial<EntryJob>): void;
+	kill(id: string): void;
+	restart(id: string): void;
+	/** Tells every live keeper of every backend server. */
+	reportServers(): void;
+	/** Cuts an availability zone off, backend servers included. */
+	cutZone(zone: string): void;
+	heal(): void;
+};
+
+const zones = ['a', 'b', 'c'];
+
+/**
+ * Creates daemons of three availability zones, one keeper and two entry daemons in each, over one fake fleet.
+ * @param options - The fleet.
+ */
+export function createTestCluster(options: Partial<FakeFleetOptions> = {}): TestCluster {
+	const timers = new VirtualTimers();
+	const network = new FakeNetwork({timers, random: createSeededRandomSource(1)});
+	const fleet = createFakeFleet({
+		timers, serverCount: 9, availabilityZones: zones, ...options,
+	});
+	const results: TestCluster['results'] = [];
+	const events: TestCluster['events'] = [];
+	const daemons: TestDaemon[] = [];
+	let starts = 0;
+	let sequence = 1;
+
+	function startDaemon(id: string, availabilityZone: string): TestDaemon {
+		starts++;
+		const processTimers = new ProcessTimers(timers);
+		const log = new class extends RecordingEventLog {
+			override write(name: EventName, fields: EventFields = {}): void {
+				events.push({daemonId: id, name, fields});
+			}
+		}();
+		const peers = network.addPeer(id, (fromId, message) => {
+			processTimers.run(() => {
+				daemon.cluster.handlePeerMessage(fromId, message);
+			});
+		});
+		const daemon: TestDaemon = {
+			id,
+			availabilityZone,
+			timers: processTimers,
+			isUp: true,
+			cluster: createCluster({
+				ownId: id,
+				daemonNumber: starts,
+				availabilityZone,
+				isKeeper: id.startsWith('keeper'),
+				contactIds: zones.map(zone => `keeper-${zone}`),
+				peers,
+				resetLink() {
+					// Fake links hold nothing back.
+				},
+				orders: fleet.getOrders(id),
+				timers: processTimers,
+				random: createSeededRandomSource(starts),
+				events: log,
+				metrics: new RecordingMetricSink(),
+				onConfiguration() {
+					// Jobs come with everything that they need.
+				},
+				onContacts() {
+					// Fake links need no addresses.
+				},
+			}),
+		};
+		return daemon;
+	}
+
+	for (const zone of zones) {
+		for (const name of [`keeper-${zone}`, `entry-${zone}1`, `entry-${zone}2`]) {
+			daemons.push(startDaemon(name, zone));
+		}
+	}
+
+	function find(id: string): TestDaemon {
+		return daemons.find(daemon => daemon.id === id)!;
+	}
+
+	function isCut(daemonZone: string, serverZone: string): boolean {
+		return cutZone !== undefined && (daemonZone === cutZone) !== (serverZone === cutZone);
+	}
+
+	let cutZone: string | undefined;
+	for (const server of fleet.servers) {
+		server.trouble = {isCutFor: daemonId => isCut(find(daemonId).availabilityZone, server.description.availabilityZone) || !find(daemonId).isUp};
+	}
+
+	function reportServers(): void {
+		sequence++;
+		for (const description of fleet.getDescriptions()) {
+			const keeper = daemons.find(daemon => daemon.isUp && daemon.id.startsWith('keeper') && !isCut(daemon.availabilityZone, description.availabilityZone));
+			keeper?.cluster.reportServer({...description, sequence}, () => {
+				// Whether it was noted shows in what is placed.
+			});
+		}
+	}
+
+	return {
+		timers,
+		network,
+		fleet,
+		daemons,
+		results,
+		events,
+		find,
+		getPlacer() {
+			const votes = daemons.filter(daemon => daemon.isUp).map(daemon => daemon.cluster.getStatus().placerId);
+			const count = (id: string) => votes.filter(vote => vote === id).length;
+			return find(votes.toSorted((left, right) => count(right) - count(left))[0]!);
+		},
+		submit(daemonId, jobId, rest = {}) {
+			find(daemonId).cluster.submit({
+				jobId,
+				queueName: 'estimates',
+				service: 'quotes',
+				payload: 'text',
+				steps: [{
+					taskCount: 2, cpuMillicores: 27_000, memoryMb: 64, gpuCount: 0, estimateMs: 100, dependsOn: [],
+				}],
+				mostAttempts: 3,
+				stretch: 1.6,
+				slackMs: 60,
+				callerTimeoutMs: 1500,
+				...rest,
+			}, result => {
+				results.push({
+					jobId, result, atMs: timers.getNowMs(), daemonId,
+				});
+			});
+		},
+		kill(id) {
+			const daemon = find(id);
+			daemon.isUp = false;
+			daemon.timers.pause();
+			network.removePeer(id);
+		},
+		restart(id) {
+			const {availabilityZone} = find(id);
+			daemons[daemons.indexOf(find(id))] = startDaemon(id, availabilityZone);
+		},
+		reportServers,
+		cutZone(zone) {
+			cutZone = zone;
+			const ids = (isInside: boolean) => daemons.filter(daemon => (daemon.availabilityZone === zone) === isInside).map(daemon => daemon.id);
+			network.cutSides(ids(true), ids(false));
+		},
+		heal() {
+			cutZone = undefined;
+			network.healLinks();
+		},
+	};
+}
--- a/packages/placement/src/health/server-health.ts
+++ b/packages/placement/src/health/server-health.ts
@@ -14,6 +14,8 @@
 	addFailure(jobId: string): void;
 	/** Notes that a task there stood still or was far slower than elsewhere. */
 	addSlowness(jobId: string): void;
+	/** Notes that an order for a job got no answer. */
+	addSilence(jobId: string): void;
 	getGrade(runCount: number): ServerGrade;
 };
 
@@ -58,6 +60,7 @@
 		},
 		addFailure: addBadSign,
 		addSlowness: addBadSign,
+		addSilence: addBadSign,
 		getGrade(runCount) {
 			const nowMs = timers.getNowMs();
 			if (nowMs < ejectedUntilMs || (isOnTrial && runCount > 0)) {
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -10,6 +10,7 @@
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerOrders} from '../ports/backend-server-orders.js';
+import {createWaitBook, type ServiceLoad} from '../queue/create-wait-book.js';
 import {compareWaitingJobs} from '../queue/compare-waiting-jobs.js';
 import {findRefusal} from '../queue/find-refusal.js';
 import type {WaitingJob} from '../queue/waiting-job.js';
@@ -42,7 +43,6 @@
 const projectablePercent = 10;
 /** How long runs of an earlier placer are looked for on backend servers that do not answer yet. */
 const recoveryMs = 400;
-const millicoresPerCore = 1000;
 /** Share of the cores that tasks of usual size can fill, given the holes they leave. */
 const fillableShare = 0.85;
 const shortestRetryAfterMs = 1000;
@@ -133,42 +133,47 @@
 	}
 
 	function getOutlook(job: PlacedJob): WaitingJob {
-		const waitingCount = job.tasks.filter(task => task.state === 'waiting').length;
 		return {
 			arrivedAtMs: job.arrivedAtMs,
 			longestMs: job.longestMs,
 			objectiveMs: job.objectiveMs,
 			callerLeavesAtMs: job.arrivedAtMs + job.request.callerTimeoutMs,
-			waitingWork: job.work * waitingCount / job.tasks.length,
+			waitingMillicores: getMillicores(job, 'waiting'),
 			relativeWork: job.relativeWork,
 			hasStarted: job.hasStarted,
 		};
 	}
 
 	function refuseHopeless(waiting: readonly Waiting[], tables: ReadonlyMap<string, RoomTable>, nowMs: number): void {
-		const workAhead = new Map<string, number>();
+		const queues = new Map([...tables].map(([service, table]) => [service, createWaitBook(getServiceLoad(service, table))]));
 		for (const {job, outlook} of waiting) {
-			const {service} = job.request;
-			const work = (workAhead.get(service) ?? 0) + outlook.waitingWork;
-			const waitAheadMs = getWaitMs(tables.get(service)!, work);
+			const queue = queues.get(job.request.service)!;
+			const waitAheadMs = queue.getWaitMs(outlook);
 			const reason = findRefusal(outlook, {nowMs, waitAheadMs});
 			if (reason === undefined) {
-				workAhead.set(service, work);
+				queue.addJob(outlook);
 			} else {
 				refuse(job, reason, waitAheadMs);
 			}
 		}
 	}
 
-	/** Gets how long work takes at the capacity of a service, beyond what is free now. */
-	function getWaitMs(table: RoomTable, work: number): number {
-		const usableCores = table.getUsableMillicores() * fillableShare / millicoresPerCore;
-		if (usableCores <= 0) {
-			return 0;
+	function getServiceLoad(service: string, table: RoomTable): ServiceLoad {
+		let runningMillicores = 0;
+		let runningWork = 0;
+		for (const job of ledger.getJobs()) {
+			if (job.request.service === service) {
+				const millicores = getMillicores(job, 'running');
+				runningMillicores += millicores;
+				runningWork += millicores * job.longestMs;
+			}
 		}
 
-		const freeCores = table.getFreeMillicores() / millicoresPerCore;
-		return work / usableCores * (1 - Math.min(1, freeCores / usableCores));
+		return {
+			usableMillicores: table.getUsableMillicores() * fillableShare,
+			freeMillicores: table.getFreeMillicores(),
+			meanRunMs: runningMillicores === 0 ? 0 : runningWork / runningMillicores,
+		};
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
@@ -236,6 +241,15 @@
 				break;
 			}
 
+			case 'unanswered': {
+				task.avoidedServerIds.add(session!.getDescription().id);
+				pool.findServer(session!.getDescription().id)?.health.addSilence(job.request.jobId);
+				events.write('task-repeated', {
+					task: task.name, run: task.runNumber, server: session!.getDescription().id, reason: how,
+				});
+				break;
+			}
+
 			case 'old-run':
 			case 'stopped':
 			case 'lapsed':
@@ -485,3 +499,12 @@
 		},
 	};
 }
+
+function getMillicores(job: PlacedJob, state: PlacedTask['state']): number {
+	let sum = 0;
+	for (const task of job.tasks) {
+		sum += task.state === state ? task.needs.cpuMillicores : 0;
+	}
+
+	return sum;
+}
--- a/packages/placement/src/queue/waiting-job.ts
+++ b/packages/placement/src/queue/waiting-job.ts
@@ -7,8 +7,8 @@
 	objectiveMs: number;
 	/** When the caller stops waiting. */
 	callerLeavesAtMs: number;
-	/** Work that has not started, in core-milliseconds. */
-	waitingWork: number;
+	/** What its waiting tasks take together, in thousandths of a core. */
+	waitingMillicores: number;
 	/** Work against the mean of its queue. */
 	relativeWork: number;
 	/** Whether a task has been offered to a backend server. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -93,8 +93,9 @@
 		void sendClaim(claim, reason);
 	}
 
+	/** A claim gives no lease: while claims go unanswered, the end of the earlier leases must come nearer. */
 	async function sendClaim(ownClaim: number, reason: string): Promise<void> {
-		const answer = await orders.renew(getTarget(), {fencingToken: getToken(), acknowledgedEnd, leaseEndMs: getLeaseEndMs()}, claimTimeoutMs);
+		const answer = await orders.renew(getTarget(), {fencingToken: getToken(), acknowledgedEnd}, claimTimeoutMs);
 		if (isClosed || ownClaim !== claim) {
 			return;
 		}
@@ -177,7 +178,7 @@
 				setProgress(run, found.percent, clockMs);
 				run.state = run.state === 'starting' ? 'running' : run.state;
 			} else {
-				endRun(run, run.state === 'starting' ? 'not-started' : 'lost');
+				endRun(run, run.state === 'starting' ? 'unanswered' : 'lost');
 			}
 		}
 
--- a/packages/placement/src/sessions/run.ts
+++ b/packages/placement/src/sessions/run.ts
@@ -29,4 +29,4 @@
 }
 
 /** How a run came to its end, as the placer sees it. */
-export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'not-started' | 'no-room' | 'unhealthy' | 'old-run' | 'lost';
+export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'not-started' | 'unanswered' | 'no-room' | 'unhealthy' | 'old-run' | 'lost';
--- /dev/null
+++ b/packages/placement/test/sessions/fencing-token.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {getFencingToken} from '../../src/sessions/fencing-token.js';
+
+const parts = fc.record({
+	term: fc.integer({min: 0, max: 1_000_000}),
+	claim: fc.integer({min: 0, max: 255}),
+	daemonNumber: fc.integer({min: 0, max: (2 ** 24) - 1}),
+});
+
+describe('getFencingToken', () => {
+	it('orders by term, then claim, and never gives two daemons one token', () => {
+		fc.assert(fc.property(parts, parts, (left, right) => {
+			const difference = getFencingToken(left) - getFencingToken(right);
+			const expected = left.term - right.term || left.claim - right.claim || left.daemonNumber - right.daemonNumber;
+			assert.equal(Math.sign(difference), Math.sign(expected));
+		}));
+	});
+
+	it('stays an exact number', () => {
+		fc.assert(fc.property(parts, value => Number.isSafeInteger(getFencingToken(value))));
+	});
+});
--- /dev/null
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -0,0 +1,79 @@
+import {createSeededRandomSource} from '@camphortack/core';
+import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
+import {
+	createPlacer, type JobOutcome, type JobRequest, type Placer,
+} from '../../src/index.js';
+import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from './fake-fleet.js';
+
+export type TestPlacer = {
+	timers: VirtualTimers;
+	fleet: FakeFleet;
+	placer: Placer;
+	events: RecordingEventLog;
+	results: Map<string, JobOutcome>;
+	/** When each result came. */
+	endedAtMs: Map<string, number>;
+	submit(request: Partial<JobRequest> & {jobId: string}, options?: {generation?: number; submissionId?: string}): void;
+	/** Creates another placer over the same backend servers. */
+	createNext(term: number, daemonId: string): Placer;
+};
+
+export const defaultRequest: Omit<JobRequest, 'jobId'> = {
+	queueName: 'estimates',
+	service: 'quotes',
+	payload: 'text',
+	steps: [{
+		taskCount: 2, cpuMillicores: 27_000, memoryMb: 64, gpuCount: 0, estimateMs: 100, dependsOn: [],
+	}],
+	mostAttempts: 3,
+	stretch: 1.6,
+	slackMs: 60,
+	ageMs: 0,
+	callerTimeoutMs: 1500,
+};
+
+/**
+ * Creates a placer over a fake fleet.
+ * @param options - The fleet.
+ */
+export function createTestPlacer(options: Partial<FakeFleetOptions> = {}): TestPlacer {
+	const timers = new VirtualTimers();
+	const fleet = createFakeFleet({timers, serverCount: 4, ...options});
+	const events = new RecordingEventLog();
+	const metrics = new RecordingMetricSink();
+	const results = new Map<string, JobOutcome>();
+	const endedAtMs = new Map<string, number>();
+
+	function createNext(term: number, daemonId: string): Placer {
+		return createPlacer({
+			term,
+			daemonNumber: term,
+			orders: fleet.getOrders(daemonId),
+			timers,
+			random: createSeededRandomSource(term),
+			events,
+			metrics,
+			onResult(_entryId, jobId, result) {
+				results.set(jobId, result);
+				endedAtMs.set(jobId, timers.getNowMs());
+			},
+		});
+	}
+
+	const placer = createNext(1, 'first');
+	placer.setServers(fleet.getDescriptions(), 0);
+	return {
+		timers,
+		fleet,
+		placer,
+		events,
+		results,
+		endedAtMs,
+		createNext,
+		submit(request, {generation = 0, submissionId = 'one'} = {}) {
+			placer.submit('entry', {
+				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0,
+			});
+		},
+	};
+}
