--- /dev/null
+++ b/packages/cli/src/commands/explain-command.ts
@@ -0,0 +1,40 @@
+import {Option, type Usage} from 'clipanion';
+import {CommandError} from '../errors/command-error.js';
+import {exitCodes, type ExitCode} from '../exit-codes.js';
+import {findStory} from '../explaining/find-story.js';
+import {formatStory} from '../explaining/format-story.js';
+import {parseLogRecords} from '../explaining/log-record.js';
+import {readInputOrThrow} from '../files/read-files.js';
+import {BaseCommand} from './base-command.js';
+import {createStringOption} from './options.js';
+
+export class ExplainCommand extends BaseCommand {
+	static override paths = [['explain']];
+
+	static override usage: Usage = {
+		category: 'Operation',
+		description: 'Tell from the logs what happened to a job or a backend server.',
+		details: 'Prints, in their order, the lines of one job or backend server and what befell those that had to do with it. Exit code 1 if no line names the id.',
+		examples: [['A job, from the logs of all daemons', '$0 explain 5c0e7a21d94b36f8 logs/*.log'], ['From a collector', 'cat all.log | $0 explain 5c0e7a21d94b36f8 -']],
+	};
+
+	id = createStringOption({name: 'id'});
+	logs = Option.Rest({name: 'logs', required: 1});
+
+	protected override async run(): Promise<ExitCode> {
+		const texts = await Promise.all(this.logs.map(async location => readInputOrThrow(location, this.context.stdin)));
+		const parsed = texts.map(text => parseLogRecords(text));
+		const unreadableCount = parsed.reduce((sum, log) => sum + log.unreadableCount, 0);
+		const story = findStory(parsed.flatMap(log => log.records), this.id);
+		if (unreadableCount > 0) {
+			this.printProgress(`${unreadableCount} lines could not be read and are left out`);
+		}
+
+		if (story.length === 0) {
+			throw new CommandError('not-found', `no line of these logs names "${this.id}"`, exitCodes.failed);
+		}
+
+		this.print({story, unreadableCount}, formatStory(story));
+		return exitCodes.ok;
+	}
+}
--- /dev/null
+++ b/packages/cli/src/explaining/log-record.ts
@@ -0,0 +1,44 @@
+import {z} from 'zod';
+
+/** A line of a daemon's log. Each event has fields of its own. */
+export const logRecordSchema = z.looseObject({
+	time: z.number(),
+	daemon: z.string(),
+	event: z.string(),
+	number: z.int(),
+});
+
+export type LogRecord = z.infer<typeof logRecordSchema>;
+
+/**
+ * Parses the lines of a log. What stands before the first brace, as a prefix of a log collector, is passed over.
+ * @param text - The log.
+ */
+export function parseLogRecords(text: string): {records: LogRecord[]; unreadableCount: number} {
+	const records: LogRecord[] = [];
+	let unreadableCount = 0;
+	for (const line of text.split('\n')) {
+		const start = line.indexOf('{');
+		if (start === -1) {
+			continue;
+		}
+
+		const record = findRecord(line.slice(start));
+		if (record === undefined) {
+			unreadableCount++;
+		} else {
+			records.push(record);
+		}
+	}
+
+	return {records, unreadableCount};
+}
+
+function findRecord(text: string): LogRecord | undefined {
+	try {
+		return logRecordSchema.safeParse(JSON.parse(text)).data;
+	} catch {
+		// The caller counts and reports lines that are cut off.
+		return undefined;
+	}
+}
--- a/packages/cli/src/run-camphortack.ts
+++ b/packages/cli/src/run-camphortack.ts
@@ -4,6 +4,7 @@
 import {CheckCommand} from './commands/check-command.js';
 import {DiffCommand} from './commands/diff-command.js';
 import {DrainCommand} from './commands/drain-command.js';
+import {ExplainCommand} from './commands/explain-command.js';
 import {HistoryCommand} from './commands/history-command.js';
 import {JobCommand} from './commands/job-command.js';
 import {LimitsCommand} from './commands/limits-command.js';
@@ -23,6 +24,7 @@
 	CheckCommand,
 	DiffCommand,
 	DrainCommand,
+	ExplainCommand,
 	HistoryCommand,
 	JobCommand,
 	LimitsCommand,
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -73,6 +73,9 @@
 	'task-slow': {
 		number: 1204, level: 'info', happened: 'A run was stopped because another backend server would end the task sooner.', action: 'Look at the backend server if it shows often.',
 	},
+	'job-taken': {
+		number: 1209, level: 'info', happened: 'The placer has a job in hand.', action: 'None.',
+	},
 	'job-ended': {
 		number: 1210, level: 'info', happened: 'The placer has ended a job.', action: 'Read the outcome, the age and the objective.',
 	},
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -38,6 +38,8 @@
 	/** Whether a start was sent, here or by an earlier placer. */
 	hasStarted: boolean;
 	isEnded: boolean;
+	/** The backend servers of all starts, in their order. */
+	readonly serverIds: string[];
 	/** Until when runs of an earlier placer are looked for; undefined once that is over. */
 	recoverUntilMs: number | undefined;
 };
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -205,6 +205,7 @@
 		task.isAdopted = false;
 		task.startedAtMs = timers.getNowMs();
 		job.hasStarted = true;
+		job.serverIds.push(session.getDescription().id);
 		metrics.increment('task-started');
 		session.start({
 			taskName: task.name, runNumber: task.runNumber, payload: job.request.payload, needs: task.needs,
@@ -306,6 +307,7 @@
 			tasks: job.tasks.length,
 			runs: job.tasks.reduce((sum, task) => sum + (task.runNumber % runsPerGeneration), 0),
 			entry: job.entryId,
+			servers: job.serverIds.join(' '),
 		});
 		metrics.addTiming('placed-job-time', ageMs);
 		onResult(job.entryId, job.request.jobId, result);
@@ -425,6 +427,16 @@
 		const job = createJob(entryId, message);
 		ledger.addJob(job);
 		workBook.addJob(job.request.queueName, job.work);
+		events.write('job-taken', {
+			job: job.request.jobId,
+			queue: job.request.queueName,
+			entry: entryId,
+			generation: message.generation,
+			ageMs: Math.round(message.request.ageMs),
+			expectedMs: Math.round(job.longestMs),
+			objectiveMs: Math.round(job.objectiveMs),
+			relativeWork: Number(job.relativeWork.toFixed(2)),
+		});
 		planPass();
 	}
 
@@ -442,6 +454,7 @@
 			relativeWork: workBook.getRelativeWork(request.queueName, work),
 			hasStarted: mayHaveStarted,
 			isEnded: false,
+			serverIds: [],
 			recoverUntilMs: mayHaveStarted ? timers.getNowMs() + recoveryMs : undefined,
 		};
 	}
