--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -29,7 +29,7 @@
 /** How long a report of a leaving backend server may wait for the placer. */
 export const reportTimeoutMs = 700;
 /** How often an unchanged backend server is reported to the other daemons. */
-export const reportIntervalMs = 4000;
+export const reportIntervalMs = 10_000;
 /** How long a backend server without a heartbeat stays in the registry. */
 export const registryRetentionMs = 30_000;
 /** How often a missing configuration is asked for again. */
@@ -40,3 +40,5 @@
 export const overtakenPauseMs = 200;
 /** By how much the term is raised then. */
 export const termRaise = 64;
+/** How often the placer looks which backend servers it may claim. */
+export const serverRenewalIntervalMs = 250;
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -1,21 +1,20 @@
 import type {PeerMessage} from '@camphortack/core';
-import {placementMessageSchema, type BackendServerDescription, type PlacementMessage} from '@camphortack/placement';
+import {placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
 import {
-	configurationRequestIntervalMs, electionIntervalMs, heartbeatMs, keeperHeadStartMs, linkSilenceMs, longestElectionGapMs, overtakenPauseMs, termRaise, memberListIntervalMs, memberSilenceMs,
-	placerHeartbeatMs, placerMinimumUpMs, placerSilenceMs, reportIntervalMs, reportTimeoutMs, startToleranceMs,
+	configurationRequestIntervalMs, electionIntervalMs, reportIntervalMs, serverRenewalIntervalMs,
 } from './cluster-timings.js';
 import {createDocumentHolder} from './configuration/document-holder.js';
-import {findClaimReason, type Elector} from './election/find-claim-reason.js';
-import {getClaimableZones} from './election/get-claimable-zones.js';
-import {isNewerView, type PlacerView} from './election/placer-view.js';
+import {createPlacerElection} from './election/placer-election.js';
 import {createEntryDesk} from './entry/entry-desk.js';
-import {createMemberBook, type ClusterMember} from './members/member-book.js';
+import {createHeartbeats} from './members/heartbeats.js';
+import {createMemberBook} from './members/member-book.js';
 import {clusterMessageSchema, type ClusterMessage, type ClusterMessageOf} from './messages/cluster-messages.js';
 import {createPlacingPart} from './placing/placing-part.js';
 import {createRelay} from './relay/relay.js';
 import {createServerRegistry} from './registry/server-registry.js';
+import {createServerReports} from './registry/server-reports.js';
 
 /**
  * Creates this daemon's part in the deployment: it finds the other daemons, follows or becomes the placer, keeps the
@@ -23,30 +22,19 @@
  * @param options - The daemon's identity and ports.
  */
 export function createCluster(options: ClusterOptions): Cluster {
-	const {ownId, availabilityZone, isKeeper, peers, timers, random, events, metrics} = options;
-	const startedAtMs = timers.getNowMs();
-	const incarnation = random.getIdentifier();
+	const {ownId, peers, timers, random, events, metrics} = options;
 	const members = createMemberBook(ownId, options.contactIds, timers);
 	const registry = createServerRegistry(timers);
-	const reportedAtMs = new Map<string, number>();
-	const linkResetAtMs = new Map<string, number>();
-	const notedCallbacks = new Map<string, (isNoted: boolean) => void>();
-	let view: PlacerView = {term: 0, placerId: ''};
-	let isLeaving = false;
-	let electedAtMs = startedAtMs;
-	let followedAtMs = Number.NEGATIVE_INFINITY;
-	let overtakenSinceMs: number | undefined;
-	let memberListSentAtMs = Number.NEGATIVE_INFINITY;
-	let heartbeatSentAtMs = Number.NEGATIVE_INFINITY;
+	let configurationRequestedAtMs = Number.NEGATIVE_INFINITY;
 
 	const documents = createDocumentHolder(document => {
 		metrics.setGauge('configuration-version', document.number);
 		events.write('configuration-in-force', {version: document.number, bytes: document.content.length});
 		options.onConfiguration(document);
-		sendHeartbeats();
+		heartbeats.sendAll();
 	});
 	const relay = createRelay({
-		ownId, peers, members, getPlacerId: () => view.placerId,
+		ownId, peers, members, getPlacerId: () => election.getView().placerId,
 	});
 	const placing = createPlacingPart({
 		...options,
@@ -54,67 +42,48 @@
 			relay.sendTo(toId, message);
 		},
 	});
+	const election = createPlacerElection({
+		...options,
+		members,
+		placing,
+		onFollow() {
+			desk.handlePlacerChange();
+			heartbeats.sendAll();
+		},
+		onPlacing: renewServers,
+	});
 	const desk = createEntryDesk({
-		timers, random, events, metrics, getPlacerView: () => view, sendToPlacer,
+		timers,
+		random,
+		events,
+		metrics,
+		getPlacerView: election.getView,
+		sendToPlacer: (message: PlacementMessage) => relay.sendTo(election.getView().placerId, message),
+	});
+	const heartbeats = createHeartbeats({
+		...options,
+		members,
+		incarnation: random.getIdentifier(),
+		isPlacing: placing.isPlacing,
+		getContent: () => ({
+			view: election.getView(), hearsPlacer: election.hearsPlacer(), isLeaving: election.isLeaving(), configurationNumber: documents.getNumber(),
+		}),
+	});
+	const reports = createServerReports({
+		...options, registry, members, getPlacerId: () => election.getView().placerId, onChange: renewServers,
 	});
 
-	function sendToPlacer(message: PlacementMessage): boolean {
-		return relay.sendTo(view.placerId, message);
-	}
-
-	function hearsPlacer(): boolean {
-		const silenceMs = Math.min(members.getSilenceMs(view.placerId), timers.getNowMs() - followedAtMs);
-		return view.placerId === ownId || (view.placerId !== '' && silenceMs < placerSilenceMs);
-	}
-
-	// Heartbeats
-
-	function sendHeartbeatsIfDue(): void {
-		const intervalMs = placing.isPlacing() ? placerHeartbeatMs : heartbeatMs;
-		if (timers.getNowMs() - heartbeatSentAtMs >= intervalMs) {
-			sendHeartbeats();
-		}
-	}
-
-	function sendHeartbeats(): void {
-		const nowMs = timers.getNowMs();
-		heartbeatSentAtMs = nowMs;
-		const isListDue = nowMs - memberListSentAtMs >= memberListIntervalMs;
-		memberListSentAtMs = isListDue ? nowMs : memberListSentAtMs;
-		const contactIds = members.getContactIds();
-		options.onContacts(contactIds, members.getAliveMembers().filter(member => member.isKeeper).map(member => member.id));
-		const memberIds = isListDue ? members.getAliveMembers().map(member => member.id) : undefined;
-		for (const contactId of contactIds) {
-			resetSilentLink(contactId);
-			sendHeartbeat(contactId, memberIds);
-		}
-	}
-
-	/** What waits in a link to a daemon that does not answer would arrive late and out of date. */
-	function resetSilentLink(memberId: string): void {
-		const nowMs = timers.getNowMs();
-		const quietSinceMs = Math.max(nowMs - members.getSilenceMs(memberId), linkResetAtMs.get(memberId) ?? startedAtMs);
-		if (nowMs - quietSinceMs > linkSilenceMs) {
-			linkResetAtMs.set(memberId, nowMs);
-			options.resetLink(memberId);
+	/** Tells the placer, if it runs here, which backend servers it may claim. */
+	function renewServers(): void {
+		if (!placing.isPlacing()) {
+			return;
 		}
-	}
 
-	function sendHeartbeat(toId: string, memberIds: string[] | undefined): void {
-		const silenceMs = members.getSilenceMs(toId);
-		send(toId, {
-			kind: 'cluster.heartbeat',
-			availabilityZone,
-			isKeeper,
-			incarnation,
-			upMs: Math.round(timers.getNowMs() - startedAtMs),
-			...view,
-			hearsPlacer: hearsPlacer(),
-			isLeaving,
-			configurationNumber: documents.getNumber(),
-			silenceMs: Number.isFinite(silenceMs) ? Math.round(silenceMs) : undefined,
-			memberIds,
-		});
+		const zones = election.getZones();
+		const descriptions = registry.getDescriptions();
+		const idsInUse = placing.getServerIdsInUse();
+		const usable = descriptions.filter(({id, availabilityZone}) => zones.has(availabilityZone) || idsInUse.has(id));
+		placing.setServers(usable, descriptions.length - usable.length);
 	}
 
 	function send(toId: string, message: ClusterMessage): void {
@@ -124,9 +93,8 @@
 	function handleHeartbeat(fromId: string, heartbeat: ClusterMessageOf<'cluster.heartbeat'>): void {
 		const isNew = members.addHeartbeat(fromId, heartbeat);
 		if (isNew) {
-			memberListSentAtMs = Number.NEGATIVE_INFINITY;
 			events.write('member-joined', {member: fromId, availabilityZone: heartbeat.availabilityZone, upMs: heartbeat.upMs});
-			sendHeartbeat(fromId, members.getAliveMembers().map(member => member.id));
+			heartbeats.greet(fromId);
 			send(fromId, {kind: 'cluster.registry-request'});
 		}
 
@@ -134,30 +102,14 @@
 			members.addContact(memberId);
 		}
 
-		if (heartbeat.silenceMs !== undefined && heartbeat.silenceMs > linkSilenceMs) {
-			resetDeafLink(fromId);
-		}
-
+		heartbeats.noteSilence(fromId, heartbeat.silenceMs);
 		if (heartbeat.configurationNumber > documents.getNumber()) {
 			requestConfiguration(fromId);
 		}
 
-		if (isNewerView(heartbeat, view)) {
-			follow({term: heartbeat.term, placerId: heartbeat.placerId}, fromId);
-		}
+		election.noteView({term: heartbeat.term, placerId: heartbeat.placerId}, fromId);
 	}
 
-	/** The other daemon is heard but does not hear this one: the way there is broken. */
-	function resetDeafLink(memberId: string): void {
-		const nowMs = timers.getNowMs();
-		if (nowMs - (linkResetAtMs.get(memberId) ?? startedAtMs) > linkSilenceMs) {
-			linkResetAtMs.set(memberId, nowMs);
-			options.resetLink(memberId);
-		}
-	}
-
-	let configurationRequestedAtMs = Number.NEGATIVE_INFINITY;
-
 	function requestConfiguration(fromId: string): void {
 		const nowMs = timers.getNowMs();
 		if (nowMs - configurationRequestedAtMs >= configurationRequestIntervalMs) {
@@ -166,182 +118,13 @@
 		}
 	}
 
-	// Election
-
-	function follow(next: PlacerView, toldById: string): void {
-		const previous = view;
-		view = next;
-		followedAtMs = timers.getNowMs();
-		events.write('placer-followed', {
-			term: next.term, placer: next.placerId, toldBy: toldById, previousTerm: previous.term, previousPlacer: previous.placerId,
-		});
-		if (previous.placerId === ownId && next.placerId !== ownId) {
-			placing.stop(`daemon ${next.placerId} places in term ${next.term}`);
-		}
-
-		desk.handlePlacerChange();
-	}
-
-	function getElector(member: ClusterMember): Elector {
-		return {
-			id: member.id,
-			isKeeper: member.isKeeper,
-			isLeaving: member.isLeaving,
-			isSettled: isSettled(member.upMs + members.getSilenceMs(member.id) + startToleranceMs, member.isKeeper),
-			hearsPlacer: member.hearsPlacer && member.placerId === view.placerId,
-		};
-	}
-
-	/** Before the first placer, keepers get the chance to begin; they are preferred. */
-	function isSettled(upMs: number, ofKeeper: boolean): boolean {
-		return upMs >= placerMinimumUpMs + (ofKeeper || view.placerId !== '' ? 0 : keeperHeadStartMs);
-	}
-
-	function elect(): void {
-		const gapMs = timers.getNowMs() - electedAtMs;
-		electedAtMs = timers.getNowMs();
-		if (gapMs > longestElectionGapMs) {
-			// This process stood still; what the others sent meanwhile is read first.
-			return;
-		}
-
-		const own: Elector = {
-			id: ownId, isKeeper, isLeaving, isSettled: isSettled(timers.getNowMs() - startedAtMs, isKeeper), hearsPlacer: hearsPlacer(),
-		};
-		const others = members.getAliveMembers().map(member => getElector(member));
-		const reason = findClaimReason({own, others, placerId: view.placerId});
-		if (reason !== undefined && getZones().size > 0) {
-			becomePlacer(reason, others.length);
-		}
-
-		if (placing.isPlacing()) {
-			renewServers();
-			raiseTermIfOvertaken();
-		}
-	}
-
-	/**
-	 * After a power loss of every VM nobody knows how high the terms were. Backend servers still do: they reject the low
-	 * tokens, so the term is raised until they no longer do.
-	 */
-	function raiseTermIfOvertaken(): void {
-		const nowMs = timers.getNowMs();
-		if (!placing.isOvertaken()) {
-			overtakenSinceMs = undefined;
-			return;
-		}
-
-		overtakenSinceMs ??= nowMs;
-		if (nowMs - overtakenSinceMs >= overtakenPauseMs) {
-			overtakenSinceMs = undefined;
-			becomePlacer('tokens-too-low', members.getAliveMembers().length, termRaise);
+	function answerConfigurationRequest(fromId: string, knownNumber: number): void {
+		const document = documents.getDocument();
+		if (document !== undefined && document.number > knownNumber) {
+			send(fromId, {kind: 'cluster.configuration', ...document});
 		}
 	}
 
-	function becomePlacer(reason: string, aliveCount: number, raise = 1): void {
-		const term = view.term + raise;
-		metrics.increment('placer-elected');
-		events.write('placer-elected', {
-			term, reason, alive: aliveCount, previousPlacer: view.placerId, silenceMs: Math.round(Math.min(members.getSilenceMs(view.placerId), 1e9)),
-		});
-		placing.stop('a new term begins');
-		placing.start(term);
-		renewServers();
-		follow({term, placerId: ownId}, ownId);
-		sendHeartbeats();
-	}
-
-	function getZones(): Set<string> {
-		const others = members.getCountedMembers().map(member => ({
-			availabilityZone: member.availabilityZone, isAlive: members.getSilenceMs(member.id) < memberSilenceMs,
-		}));
-		return getClaimableZones([{availabilityZone, isAlive: true}, ...others]);
-	}
-
-	function renewServers(): void {
-		const zones = getZones();
-		const descriptions = registry.getDescriptions();
-		const usable = descriptions.filter(({id, availabilityZone: zone}) => zones.has(zone) || placing.isServerInUse(id));
-		placing.setServers(usable, descriptions.length - usable.length);
-	}
-
-	// Registry
-
-	function addDescription(description: BackendServerDescription): 'new' | 'changed' | 'same' | 'stale' {
-		const change = registry.addDescription(description);
-		if (change === 'new') {
-			events.write('backend-server-announced', {
-				server: description.id, born: description.bornMs, availabilityZone: description.availabilityZone, state: description.state,
-			});
-		} else if (change === 'changed') {
-			events.write('backend-server-changed', {server: description.id, state: description.state, sequence: description.sequence});
-		}
-
-		if (change === 'new' || change === 'changed') {
-			renewServers();
-		}
-
-		return change;
-	}
-
-	function spread(description: BackendServerDescription, reportId: string | undefined): void {
-		reportedAtMs.set(description.id, timers.getNowMs());
-		for (const member of members.getAliveMembers()) {
-			send(member.id, {kind: 'cluster.server-report', description, reportId: member.id === view.placerId ? reportId : undefined});
-		}
-	}
-
-	function spreadAndWait(description: BackendServerDescription, onEnd: (isNoted: boolean) => void): void {
-		if (view.placerId === ownId || view.placerId === '') {
-			spread(description, undefined);
-			onEnd(true);
-			return;
-		}
-
-		const reportId = random.getIdentifier();
-		const timer = timers.addTimer(reportTimeoutMs, () => {
-			end(false);
-		});
-		const end = (isNoted: boolean) => {
-			timer.cancel();
-			if (notedCallbacks.delete(reportId)) {
-				onEnd(isNoted);
-			}
-		};
-
-		notedCallbacks.set(reportId, end);
-		spread(description, reportId);
-	}
-
-	function reportServer(description: BackendServerDescription, onEnd: (isNoted: boolean) => void): void {
-		const change = addDescription(description);
-		if (change === 'stale') {
-			onEnd(true);
-			return;
-		}
-
-		if (description.state === 'draining') {
-			spreadAndWait(description, onEnd);
-			return;
-		}
-
-		const isDue = timers.getNowMs() - (reportedAtMs.get(description.id) ?? Number.NEGATIVE_INFINITY) >= reportIntervalMs;
-		if (change !== 'same' || isDue) {
-			spread(description, undefined);
-		}
-
-		onEnd(true);
-	}
-
-	function removeServer(serverId: string, bornMs: number): void {
-		registry.removeServer(serverId, bornMs);
-		reportedAtMs.delete(serverId);
-		events.write('backend-server-left', {server: serverId, born: bornMs});
-		renewServers();
-	}
-
-	// Messages
-
 	function handleClusterMessage(fromId: string, message: ClusterMessage): void {
 		switch (message.kind) {
 			case 'cluster.heartbeat': {
@@ -350,21 +133,17 @@
 			}
 
 			case 'cluster.server-report': {
-				addDescription(message.description);
-				if (message.reportId !== undefined) {
-					send(fromId, {kind: 'cluster.server-report-noted', reportId: message.reportId});
-				}
-
+				reports.handleReport(fromId, message);
 				break;
 			}
 
 			case 'cluster.server-report-noted': {
-				notedCallbacks.get(message.reportId)?.(true);
+				reports.handleNoted(message.reportId);
 				break;
 			}
 
 			case 'cluster.server-left': {
-				removeServer(message.serverId, message.bornMs);
+				reports.handleLeft(message.serverId, message.bornMs);
 				break;
 			}
 
@@ -374,19 +153,12 @@
 			}
 
 			case 'cluster.registry': {
-				for (const description of message.descriptions) {
-					addDescription(description);
-				}
-
+				reports.addDescriptions(message.descriptions);
 				break;
 			}
 
 			case 'cluster.configuration-request': {
-				const document = documents.getDocument();
-				if (document !== undefined && document.number > message.knownNumber) {
-					send(fromId, {kind: 'cluster.configuration', ...document});
-				}
-
+				answerConfigurationRequest(fromId, message.knownNumber);
 				break;
 			}
 
@@ -408,34 +180,27 @@
 		}
 	}
 
-	function handlePlacementMessage(fromId: string, message: PeerMessage): void {
-		const parsed = placementMessageSchema.safeParse(message);
-		if (!parsed.success) {
-			metrics.increment('peer-malformed');
-			return;
-		}
-
-		const {data} = parsed;
-		switch (data.kind) {
+	function handlePlacementMessage(fromId: string, message: PlacementMessage): void {
+		switch (message.kind) {
 			case 'placement.result': {
-				desk.handleResult(data.jobId, data.result);
+				desk.handleResult(message.jobId, message.result);
 				break;
 			}
 
 			case 'placement.cancelled': {
-				desk.handleCancelled(data.jobId);
+				desk.handleCancelled(message.jobId);
 				break;
 			}
 
 			case 'placement.unknown-jobs': {
-				desk.handleUnknownJobs(data.jobIds);
+				desk.handleUnknownJobs(message.jobIds);
 				break;
 			}
 
 			case 'placement.submit':
 			case 'placement.cancel':
 			case 'placement.open-jobs': {
-				placing.handleMessage(fromId, data);
+				placing.handleMessage(fromId, message);
 				break;
 			}
 		}
@@ -443,8 +208,11 @@
 
 	function handlePeerMessage(fromId: string, message: PeerMessage): void {
 		if (message.kind.startsWith('placement.')) {
-			handlePlacementMessage(fromId, message);
-			return;
+			const parsed = placementMessageSchema.safeParse(message);
+			if (parsed.success) {
+				handlePlacementMessage(fromId, parsed.data);
+				return;
+			}
 		}
 
 		const parsed = clusterMessageSchema.safeParse(message);
@@ -456,31 +224,23 @@
 	}
 
 	const subscriptions = [
-		timers.addInterval(electionIntervalMs, elect),
-		timers.addInterval(electionIntervalMs, sendHeartbeatsIfDue),
+		timers.addInterval(electionIntervalMs, election.elect),
+		timers.addInterval(electionIntervalMs, heartbeats.sendIfDue),
+		timers.addInterval(serverRenewalIntervalMs, renewServers),
 		timers.addInterval(reportIntervalMs, () => {
-			registry.forgetSilent(placing.isServerInUse);
+			const idsInUse = placing.getServerIdsInUse();
+			registry.forgetSilent(id => idsInUse.has(id));
 		}),
 	];
-	sendHeartbeats();
+	heartbeats.sendAll();
 
 	return {
 		handlePeerMessage,
 		submit: desk.submit,
 		cancel: desk.cancel,
 		getPendingCount: queueName => (placing.isPlacing() ? placing.getPendingCount(queueName) : desk.getOpenCountOf(queueName)),
-		reportServer,
-		removeServer(serverId) {
-			const description = registry.findDescription(serverId);
-			if (description === undefined) {
-				return;
-			}
-
-			removeServer(serverId, description.bornMs);
-			for (const member of members.getAliveMembers()) {
-				send(member.id, {kind: 'cluster.server-left', serverId, bornMs: description.bornMs});
-			}
-		},
+		reportServer: reports.report,
+		removeServer: reports.removeServer,
 		addContacts(contactIds) {
 			for (const contactId of contactIds) {
 				members.addContact(contactId);
@@ -489,15 +249,15 @@
 		setConfiguration: documents.setDocument,
 		getConfiguration: documents.getDocument,
 		getStatus: () => ({
-			...view,
-			hearsPlacer: hearsPlacer(),
+			...election.getView(),
+			hearsPlacer: election.hearsPlacer(),
 			aliveMemberIds: members.getAliveMembers().map(member => member.id),
 			serverCount: registry.getDescriptions().length,
 			openJobCount: desk.getOpenCount(),
 		}),
 		startLeaving() {
-			isLeaving = true;
-			sendHeartbeats();
+			election.startLeaving();
+			heartbeats.sendAll();
 		},
 		stop() {
 			for (const subscription of subscriptions) {
--- /dev/null
+++ b/packages/cluster/src/election/placer-election.ts
@@ -0,0 +1,162 @@
+import {
+	keeperHeadStartMs, longestElectionGapMs, memberSilenceMs, overtakenPauseMs, placerMinimumUpMs, placerSilenceMs, startToleranceMs, termRaise,
+} from '../cluster-timings.js';
+import type {ClusterOptions} from '../cluster-options.js';
+import type {ClusterMember, MemberBook} from '../members/member-book.js';
+import type {PlacingPart} from '../placing/placing-part.js';
+import {findClaimReason, type Elector} from './find-claim-reason.js';
+import {getClaimableZones} from './get-claimable-zones.js';
+import {isNewerView, type PlacerView} from './placer-view.js';
+
+/** Follows the placer with the highest term, and becomes the placer where one is missing. */
+export type PlacerElection = {
+	getView(): PlacerView;
+	hearsPlacer(): boolean;
+	/** Takes a view of another daemon if it is newer. */
+	noteView(view: PlacerView, toldById: string): void;
+	/** Gets the availability zones whose backend servers this daemon may claim. */
+	getZones(): Set<string>;
+	/** Looks at the members, and takes over if this daemon should. */
+	elect(): void;
+	startLeaving(): void;
+	isLeaving(): boolean;
+};
+
+export type PlacerElectionOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'timers' | 'events' | 'metrics'> & {
+	members: MemberBook;
+	placing: PlacingPart;
+	/** Called after another placer is followed, this daemon included. */
+	onFollow: () => void;
+	/** Called after this daemon has begun a term, before anybody is told. */
+	onPlacing: () => void;
+};
+
+/**
+ * Creates the election.
+ * @param options - The daemon and what it knows of the others.
+ */
+export function createPlacerElection(options: PlacerElectionOptions): PlacerElection {
+	const {ownId, availabilityZone, isKeeper, timers, events, metrics, members, placing} = options;
+	const startedAtMs = timers.getNowMs();
+	let view: PlacerView = {term: 0, placerId: ''};
+	let isLeaving = false;
+	let electedAtMs = startedAtMs;
+	let followedAtMs = Number.NEGATIVE_INFINITY;
+	let overtakenSinceMs: number | undefined;
+
+	/** A placer that has just been heard of counts as heard for a while, until its own heartbeats come. */
+	function hearsPlacer(): boolean {
+		const silenceMs = Math.min(members.getSilenceMs(view.placerId), timers.getNowMs() - followedAtMs);
+		return view.placerId === ownId || (view.placerId !== '' && silenceMs < placerSilenceMs);
+	}
+
+	function follow(next: PlacerView, toldById: string): void {
+		const previous = view;
+		view = next;
+		followedAtMs = timers.getNowMs();
+		events.write('placer-followed', {
+			term: next.term, placer: next.placerId, toldBy: toldById, previousTerm: previous.term, previousPlacer: previous.placerId,
+		});
+		if (previous.placerId === ownId && next.placerId !== ownId) {
+			placing.stop(`daemon ${next.placerId} places in term ${next.term}`);
+		}
+
+		options.onFollow();
+	}
+
+	/** Before the first placer, keepers get the chance to begin; they are preferred. */
+	function isSettled(upMs: number, ofKeeper: boolean): boolean {
+		return upMs >= placerMinimumUpMs + (ofKeeper || view.placerId !== '' ? 0 : keeperHeadStartMs);
+	}
+
+	function getElector(member: ClusterMember): Elector {
+		return {
+			id: member.id,
+			isKeeper: member.isKeeper,
+			isLeaving: member.isLeaving,
+			isSettled: isSettled(member.upMs + members.getSilenceMs(member.id) + startToleranceMs, member.isKeeper),
+			hearsPlacer: member.hearsPlacer && member.placerId === view.placerId,
+		};
+	}
+
+	function getZones(): Set<string> {
+		const others = members.getCountedMembers().map(member => ({
+			availabilityZone: member.availabilityZone, isAlive: members.getSilenceMs(member.id) < memberSilenceMs,
+		}));
+		return getClaimableZones([{availabilityZone, isAlive: true}, ...others]);
+	}
+
+	function claimIfVacant(): void {
+		const own: Elector = {
+			id: ownId, isKeeper, isLeaving, isSettled: isSettled(timers.getNowMs() - startedAtMs, isKeeper), hearsPlacer: hearsPlacer(),
+		};
+		const others = members.getAliveMembers().map(member => getElector(member));
+		const reason = findClaimReason({own, others, placerId: view.placerId});
+		if (reason !== undefined && getZones().size > 0) {
+			becomePlacer(reason, 1);
+		}
+	}
+
+	function becomePlacer(reason: string, raise: number): void {
+		const term = view.term + raise;
+		metrics.increment('placer-elected');
+		events.write('placer-elected', {
+			term, reason, alive: members.getAliveMembers().length, previousPlacer: view.placerId, silenceMs: getSilenceMs(view.placerId),
+		});
+		placing.stop('a new term begins');
+		placing.start(term);
+		options.onPlacing();
+		follow({term, placerId: ownId}, ownId);
+	}
+
+	function getSilenceMs(memberId: string): number | undefined {
+		const silenceMs = members.getSilenceMs(memberId);
+		return Number.isFinite(silenceMs) ? Math.round(silenceMs) : undefined;
+	}
+
+	/**
+	 * After a power loss of every VM nobody knows how high the terms were. Backend servers still do: they reject the low
+	 * tokens, so the term is raised until they no longer do.
+	 */
+	function raiseTermIfOvertaken(): void {
+		const nowMs = timers.getNowMs();
+		if (!placing.isOvertaken()) {
+			overtakenSinceMs = undefined;
+			return;
+		}
+
+		overtakenSinceMs ??= nowMs;
+		if (nowMs - overtakenSinceMs >= overtakenPauseMs) {
+			overtakenSinceMs = undefined;
+			becomePlacer('tokens-too-low', termRaise);
+		}
+	}
+
+	return {
+		getView: () => view,
+		hearsPlacer,
+		noteView(next, toldById) {
+			if (isNewerView(next, view)) {
+				follow(next, toldById);
+			}
+		},
+		getZones,
+		elect() {
+			const gapMs = timers.getNowMs() - electedAtMs;
+			electedAtMs = timers.getNowMs();
+			if (gapMs > longestElectionGapMs) {
+				// This process stood still; what the others sent meanwhile is read first.
+				return;
+			}
+
+			claimIfVacant();
+			if (placing.isPlacing()) {
+				raiseTermIfOvertaken();
+			}
+		},
+		startLeaving() {
+			isLeaving = true;
+		},
+		isLeaving: () => isLeaving,
+	};
+}
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -19,7 +19,7 @@
 		hearsPlacer: z.boolean(),
 		isLeaving: z.boolean(),
 		configurationNumber: z.int(),
-		/** Time since the sender last heard the receiver; undefined if never. */
+		/** Time since the sender last heard the receiver, if that is long. */
 		silenceMs: z.number().optional(),
 		/** Daemons that the sender hears, from time to time. */
 		memberIds: z.array(z.string()).optional(),
--- a/packages/cluster/src/placing/placing-part.ts
+++ b/packages/cluster/src/placing/placing-part.ts
@@ -1,6 +1,6 @@
-import type {PeerMessage, TimerService} from '@camphortack/core';
+import type {TimerService} from '@camphortack/core';
 import {
-	createPlacer, placementMessageSchema, type BackendServerDescription, type Placer, type PlacementMessage,
+	createPlacer, type BackendServerDescription, type Placer, type PlacementMessage,
 } from '@camphortack/placement';
 import type {ClusterOptions} from '../cluster-options.js';
 import {entrySilenceMs} from '../cluster-timings.js';
@@ -13,9 +13,9 @@
 	/** Gives the term up. */
 	stop(reason: string): void;
 	setServers(descriptions: readonly BackendServerDescription[], hiddenCount: number): void;
-	/** Whether a backend server answers, or tasks may still run there. */
-	isServerInUse(serverId: string): boolean;
-	handleMessage(fromId: string, message: PeerMessage): void;
+	/** Gets the backend servers that answer, or on which tasks may still run. */
+	getServerIdsInUse(): Set<string>;
+	handleMessage(fromId: string, message: PlacementMessage): void;
 	/** Whether another placer has claimed most backend servers. */
 	isOvertaken(): boolean;
 	getPendingCount(queueName: string): number;
@@ -31,7 +31,7 @@
  * @param options - The ports.
  */
 export function createPlacingPart(options: PlacingPartOptions): PlacingPart {
-	const {timers, events, metrics, send} = options;
+	const {timers, events, send} = options;
 	const entries = createEntryWatch(timers);
 	let placer: Placer | undefined;
 	timers.addInterval(entrySilenceMs / 2, dropSilentEntries);
@@ -107,16 +107,13 @@
 		setServers(descriptions, hiddenCount) {
 			placer?.setServers(descriptions, hiddenCount);
 		},
-		isServerInUse: serverId => placer?.getServerStatuses().some(status => status.id === serverId && (status.state !== 'silent' || status.runCount > 0)) ?? false,
+		getServerIdsInUse() {
+			const statuses = placer?.getServerStatuses() ?? [];
+			return new Set(statuses.filter(status => status.state !== 'silent' || status.runCount > 0).map(status => status.id));
+		},
 		handleMessage(fromId, message) {
-			const parsed = placementMessageSchema.safeParse(message);
-			if (!parsed.success) {
-				metrics.increment('peer-malformed');
-				return;
-			}
-
 			if (placer !== undefined) {
-				handle(fromId, parsed.data, placer);
+				handle(fromId, message, placer);
 			}
 		},
 		isOvertaken: () => placer?.isOvertaken() ?? false,
--- /dev/null
+++ b/packages/cluster/src/registry/server-reports.ts
@@ -0,0 +1,136 @@
+import type {BackendServerDescription} from '@camphortack/placement';
+import {reportIntervalMs, reportTimeoutMs} from '../cluster-timings.js';
+import type {ClusterOptions} from '../cluster-options.js';
+import type {MemberBook} from '../members/member-book.js';
+import type {ClusterMessageOf} from '../messages/cluster-messages.js';
+import type {ServerRegistry} from './server-registry.js';
+
+/** Spreads what backend servers say of themselves to all daemons. */
+export type ServerReports = {
+	/** Takes a heartbeat of a backend server; calls back with whether everybody who must know of it does. */
+	report(description: BackendServerDescription, onEnd: (isNoted: boolean) => void): void;
+	/** Takes what another daemon was told. */
+	handleReport(fromId: string, message: ClusterMessageOf<'cluster.server-report'>): void;
+	handleNoted(reportId: string): void;
+	addDescriptions(descriptions: readonly BackendServerDescription[]): void;
+	/** Takes the farewell of a backend server and spreads it. */
+	removeServer(serverId: string): void;
+	handleLeft(serverId: string, bornMs: number): void;
+};
+
+export type ServerReportsOptions = Pick<ClusterOptions, 'ownId' | 'peers' | 'timers' | 'random' | 'events'> & {
+	registry: ServerRegistry;
+	members: MemberBook;
+	getPlacerId: () => string;
+	/** Called after the registry has changed. */
+	onChange: () => void;
+};
+
+/**
+ * Creates the part.
+ * @param options - The registry and the links.
+ */
+export function createServerReports(options: ServerReportsOptions): ServerReports {
+	const {ownId, peers, timers, random, events, registry, members, getPlacerId, onChange} = options;
+	const reportedAtMs = new Map<string, number>();
+	const waiting = new Map<string, (isNoted: boolean) => void>();
+
+	function addDescription(description: BackendServerDescription): 'new' | 'changed' | 'same' | 'stale' {
+		const change = registry.addDescription(description);
+		if (change === 'new') {
+			events.write('backend-server-announced', {
+				server: description.id, born: description.bornMs, availabilityZone: description.availabilityZone, state: description.state,
+			});
+		} else if (change === 'changed') {
+			events.write('backend-server-changed', {server: description.id, state: description.state, sequence: description.sequence});
+		}
+
+		if (change === 'new' || change === 'changed') {
+			onChange();
+		}
+
+		return change;
+	}
+
+	function spread(description: BackendServerDescription, reportId?: string): void {
+		reportedAtMs.set(description.id, timers.getNowMs());
+		const placerId = getPlacerId();
+		const otherIds = members.getAliveMembers().map(member => member.id).filter(id => reportId === undefined || id !== placerId);
+		peers.sendToAll(otherIds, {kind: 'cluster.server-report', description});
+		if (reportId !== undefined) {
+			peers.send(placerId, {kind: 'cluster.server-report', description, reportId});
+		}
+	}
+
+	/** Spreads a description and waits until the placer has it. */
+	function spreadAndWait(description: BackendServerDescription, onEnd: (isNoted: boolean) => void): void {
+		const placerId = getPlacerId();
+		if (placerId === ownId || placerId === '') {
+			spread(description);
+			onEnd(true);
+			return;
+		}
+
+		const reportId = random.getIdentifier();
+		const timer = timers.addTimer(reportTimeoutMs, () => {
+			end(false);
+		});
+		const end = (isNoted: boolean) => {
+			timer.cancel();
+			if (waiting.delete(reportId)) {
+				onEnd(isNoted);
+			}
+		};
+
+		waiting.set(reportId, end);
+		spread(description, reportId);
+	}
+
+	function handleLeft(serverId: string, bornMs: number): void {
+		registry.removeServer(serverId, bornMs);
+		reportedAtMs.delete(serverId);
+		events.write('backend-server-left', {server: serverId, born: bornMs});
+		onChange();
+	}
+
+	return {
+		report(description, onEnd) {
+			const change = addDescription(description);
+			if (change !== 'stale' && description.state === 'draining') {
+				spreadAndWait(description, onEnd);
+				return;
+			}
+
+			const isDue = timers.getNowMs() - (reportedAtMs.get(description.id) ?? Number.NEGATIVE_INFINITY) >= reportIntervalMs;
+			if (change === 'new' || change === 'changed' || (change === 'same' && isDue)) {
+				spread(description);
+			}
+
+			onEnd(true);
+		},
+		handleReport(fromId, {description, reportId}) {
+			addDescription(description);
+			if (reportId !== undefined) {
+				peers.send(fromId, {kind: 'cluster.server-report-noted', reportId});
+			}
+		},
+		handleNoted(reportId) {
+			waiting.get(reportId)?.(true);
+		},
+		addDescriptions(descriptions) {
+			for (const description of descriptions) {
+				addDescription(description);
+			}
+		},
+		removeServer(serverId) {
+			const description = registry.findDescription(serverId);
+			if (description === undefined) {
+				return;
+			}
+
+			handleLeft(serverId, description.bornMs);
+			peers.sendToAll(members.getAliveMembers().map(member => member.id), {kind: 'cluster.server-left', serverId, bornMs: description.bornMs});
+		},
+		handleLeft,
+	};
+}
--- a/packages/placement/src/health/find-slowness.ts
+++ b/packages/placement/src/health/find-slowness.ts
@@ -16,7 +16,8 @@
  */
 export type Slowness = 'stuck' | 'slow';
 
-const shortestJudgedMs = 100;
+/** A run younger than this is not judged. */
+export const shortestJudgedMs = 100;
 /** Progress below one percent shows as 0; a task longer than this may rightly show 0 for a while. */
 const longestStuckMs = 500;
 const slowAgainstSiblings = 2.2;
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -1,7 +1,6 @@
 import type {
 	EventLog, MetricSink, RandomSource, TimerService,
 } from '@camphortack/core';
-import {findSlowness} from '../health/find-slowness.js';
 import {createRunTimeBook} from '../estimates/run-time-book.js';
 import {createWorkBook} from '../estimates/work-book.js';
 import {getJobOutline} from '../jobs/get-job-outline.js';
@@ -10,16 +9,15 @@
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerOrders} from '../ports/backend-server-orders.js';
-import {createWaitBook, type ServiceLoad} from '../queue/create-wait-book.js';
-import {compareWaitingJobs} from '../queue/compare-waiting-jobs.js';
-import {findRefusal} from '../queue/find-refusal.js';
-import type {WaitingJob} from '../queue/waiting-job.js';
 import type {BackendSession} from '../sessions/backend-session.js';
-import {getReportedRunningMs, type Run, type RunEnd} from '../sessions/run.js';
+import type {Run, RunEnd} from '../sessions/run.js';
 import {createJobLedger} from './job-ledger.js';
+import {createJobRecovery, recoveryMs} from './job-recovery.js';
 import type {Placer} from './placer.js';
 import {createRoomTable, type RoomTable} from './room-table.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
+import {createSlowRunCheck} from './slow-run-check.js';
+import {findRefusals, getWaitingJobs, type Waiting} from './waiting-jobs.js';
 
 export type PlacerOptions = {
 	term: number;
@@ -36,23 +34,10 @@
 
 /** Passes closer together than this are made as one. */
 const shortestPassIntervalMs = 2;
-const slownessCheckIntervalMs = 40;
-/** How often one task is begun again because its run was slow. */
-const mostSlowRuns = 2;
-/** Progress from which the run time of a task can be projected. */
-const projectablePercent = 10;
-/** How long runs of an earlier placer are looked for on backend servers that do not answer yet. */
-const recoveryMs = 400;
-/** Share of the cores that tasks of usual size can fill, given the holes they leave. */
-const fillableShare = 0.85;
+const longestPassIntervalMs = 50;
 const shortestRetryAfterMs = 1000;
 const retryAfterSpreadMs = 2000;
 
-type Waiting = {
-	job: PlacedJob;
-	outlook: WaitingJob;
-};
-
 /**
  * Creates the placer of a term. It claims each backend server before it uses it, so that it knows exactly what runs
  * there whatever an earlier placer did.
@@ -79,7 +64,20 @@
 			}
 		},
 	});
-	const slownessCheck = timers.addInterval(slownessCheckIntervalMs, checkSlowRuns);
+	const recovery = createJobRecovery({
+		timers,
+		events,
+		ledger,
+		pool,
+		onUnknown(job) {
+			endJob(job, {outcome: 'unknown'});
+		},
+	});
+	const slowRunCheck = createSlowRunCheck({
+		timers, events, metrics, ledger, pool,
+	});
+	/** Grades of backend servers change with time alone, and jobs become too late. */
+	const passInterval = timers.addInterval(longestPassIntervalMs, planPass);
 
 	/** Plans a pass over the waiting jobs: at once, or soon if one has just been made, so that many ends share one. */
 	function planPass(): void {
@@ -104,11 +102,14 @@
 	}
 
 	function runPass(): void {
-		recoverJobs();
+		recovery.recoverJobs();
 		const nowMs = timers.getNowMs();
-		const waiting = getWaitingJobs(nowMs);
+		const waiting = getWaitingJobs(ledger.getJobs(), nowMs);
 		const tables = createTables(waiting);
-		refuseHopeless(waiting, tables, nowMs);
+		for (const {job, reason, waitMs} of findRefusals(ledger.getJobs(), waiting, tables, nowMs)) {
+			refuse(job, reason, waitMs);
+		}
+
 		for (const {job} of waiting) {
 			if (!job.isEnded) {
 				placeJob(job, tables.get(job.request.service)!);
@@ -121,61 +122,6 @@
 		return new Map([...services].map(service => [service, createRoomTable(getUsableServers(service))]));
 	}
 
-	function getWaitingJobs(nowMs: number): Waiting[] {
-		const waiting: Waiting[] = [];
-		for (const job of ledger.getJobs()) {
-			if (job.recoverUntilMs === undefined && job.tasks.some(task => task.state === 'waiting')) {
-				waiting.push({job, outlook: getOutlook(job)});
-			}
-		}
-
-		return waiting.toSorted((left, right) => compareWaitingJobs(left.outlook, right.outlook, nowMs));
-	}
-
-	function getOutlook(job: PlacedJob): WaitingJob {
-		return {
-			arrivedAtMs: job.arrivedAtMs,
-			longestMs: job.longestMs,
-			objectiveMs: job.objectiveMs,
-			callerLeavesAtMs: job.arrivedAtMs + job.request.callerTimeoutMs,
-			waitingMillicores: getMillicores(job, 'waiting'),
-			relativeWork: job.relativeWork,
-			hasStarted: job.hasStarted,
-		};
-	}
-
-	function refuseHopeless(waiting: readonly Waiting[], tables: ReadonlyMap<string, RoomTable>, nowMs: number): void {
-		const queues = new Map([...tables].map(([service, table]) => [service, createWaitBook(getServiceLoad(service, table))]));
-		for (const {job, outlook} of waiting) {
-			const queue = queues.get(job.request.service)!;
-			const waitAheadMs = queue.getWaitMs(outlook);
-			const reason = findRefusal(outlook, {nowMs, waitAheadMs});
-			if (reason === undefined) {
-				queue.addJob(outlook);
-			} else {
-				refuse(job, reason, waitAheadMs);
-			}
-		}
-	}
-
-	function getServiceLoad(service: string, table: RoomTable): ServiceLoad {
-		let runningMillicores = 0;
-		let runningWork = 0;
-		for (const job of ledger.getJobs()) {
-			if (job.request.service === service) {
-				const millicores = getMillicores(job, 'running');
-				runningMillicores += millicores;
-				runningWork += millicores * job.longestMs;
-			}
-		}
-
-		return {
-			usableMillicores: table.getUsableMillicores() * fillableShare,
-			freeMillicores: table.getFreeMillicores(),
-			meanRunMs: runningMillicores === 0 ? 0 : runningWork / runningMillicores,
-		};
-	}
-
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
 		const retryAfterMs = Math.round(Math.max(shortestRetryAfterMs, waitMs) + (random.getFraction() * retryAfterSpreadMs));
 		endJob(job, {outcome: 'refused', reason, retryAfterMs});
@@ -319,110 +265,6 @@
 		}
 	}
 
-	/** Gives jobs of an earlier placer their runs back, once every backend server was asked or the time for it is over. */
-	function recoverJobs(): void {
-		const nowMs = timers.getNowMs();
-		for (const job of ledger.getJobs()) {
-			if (job.recoverUntilMs !== undefined && (pool.isFullyKnown() || nowMs >= job.recoverUntilMs)) {
-				recoverJob(job);
-			}
-		}
-	}
-
-	function recoverJob(job: PlacedJob): void {
-		let missingCount = 0;
-		for (const task of job.tasks) {
-			missingCount += adoptRun(task) ? 0 : 1;
-		}
-
-		job.recoverUntilMs = undefined;
-		const isKnown = missingCount === 0 || pool.isFullyKnown();
-		events.write('job-recovered', {
-			job: job.request.jobId, tasks: job.tasks.length, missing: missingCount, known: isKnown,
-		});
-		if (!isKnown) {
-			endJob(job, {outcome: 'unknown'});
-		}
-	}
-
-	function adoptRun(task: PlacedTask): boolean {
-		const found = pool.findRun(task.name);
-		if (found === undefined) {
-			return false;
-		}
-
-		found.run.needs = task.needs;
-		task.state = 'running';
-		task.session = found.server.session;
-		task.runNumber = found.run.runNumber;
-		task.startedAtMs = found.run.startedAtMs;
-		task.isAdopted = true;
-		return true;
-	}
-
-	/** Stops runs that are so slow that another backend server would be faster. */
-	function checkSlowRuns(): void {
-		for (const job of ledger.getJobs()) {
-			for (const task of job.tasks) {
-				if (task.state === 'running' && !task.isAdopted) {
-					checkSlowRun(job, task);
-				}
-			}
-		}
-
-		planPass();
-	}
-
-	function checkSlowRun(job: PlacedJob, task: PlacedTask): void {
-		const run = task.session?.findRun(task.name);
-		if (run?.state !== 'running' || task.session?.getState() !== 'held' || task.slownessCount >= mostSlowRuns) {
-			return;
-		}
-
-		const runningMs = getReportedRunningMs(run);
-		const {percent} = run;
-		const slowness = findSlowness({
-			runningMs, percent, expectedMs: job.longestMs, siblingMs: getSiblingTimes(job, task),
-		});
-		if (slowness === undefined) {
-			return;
-		}
-
-		const serverId = task.session.getDescription().id;
-		task.slownessCount++;
-		task.avoidedServerIds.add(serverId);
-		pool.findServer(serverId)?.health.addSlowness(job.request.jobId);
-		metrics.increment('task-slow');
-		events.write('task-slow', {
-			task: task.name, run: task.runNumber, server: serverId, slowness, runningMs: Math.round(runningMs), expectedMs: Math.round(job.longestMs), percent,
-		});
-		task.session.stop(task.name);
-	}
-
-	/** Gets the run times of tasks of the same step elsewhere: those that ended, and those far enough to project. */
-	function getSiblingTimes(job: PlacedJob, task: PlacedTask): number[] {
-		const times: number[] = [];
-		for (const other of job.tasks) {
-			const isElsewhere = other !== task && other.step === task.step && other.session !== task.session;
-			const timeMs = isElsewhere ? findRunTimeMs(other) : undefined;
-			if (timeMs !== undefined) {
-				times.push(timeMs);
-			}
-		}
-
-		return times;
-	}
-
-	function findRunTimeMs(task: PlacedTask): number | undefined {
-		if (task.state !== 'running') {
-			return task.durationMs;
-		}
-
-		const run = task.session?.findRun(task.name);
-		const isProjectable = run !== undefined && !task.isAdopted && run.percent >= projectablePercent;
-		return isProjectable ? getReportedRunningMs(run) * 100 / run.percent : undefined;
-	}
-
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		const job = createJob(entryId, message);
 		ledger.addJob(job);
@@ -507,17 +349,9 @@
 		},
 		stop() {
 			isStopped = true;
-			slownessCheck.cancel();
+			slowRunCheck.stop();
+			passInterval.cancel();
 			pool.close();
 		},
 	};
 }
-
-function getMillicores(job: PlacedJob, state: PlacedTask['state']): number {
-	let sum = 0;
-	for (const task of job.tasks) {
-		sum += task.state === state ? task.needs.cpuMillicores : 0;
-	}
-
-	return sum;
-}
--- a/packages/process/src/peers/tcp-peer-network.ts
+++ b/packages/process/src/peers/tcp-peer-network.ts
@@ -27,6 +27,8 @@
 	ownId: string;
 	host: string;
 	port: number;
+	/** The address from which links are opened; the system's choice, if left out. */
+	localHost?: string;
 	tls?: PeerTlsFiles;
 	timers: TimerService;
 	metrics: MetricSink;
@@ -107,14 +109,18 @@
 			return;
 		}
 
-		const link = this.#links.get(peerId) ?? this.#openLink(peerId);
-		if (link === undefined || link.socket.writableLength > mostBufferedBytes) {
-			this.#options.metrics.increment('peer-dropped');
-			return;
-		}
+		this.#sendFrame(peerId, encodeFrame(message));
+	}
 
-		link.socket.write(encodeFrame(message));
-		this.#options.metrics.increment('peer-sent');
+	override sendToAll(peerIds: readonly string[], message: PeerMessage): void {
+		const frame = encodeFrame(message);
+		for (const peerId of peerIds) {
+			if (peerId === this.#options.ownId) {
+				this.send(peerId, message);
+			} else {
+				this.#sendFrame(peerId, frame);
+			}
+		}
 	}
 
 	/** Drops the link to a peer with everything that waits in it; the next message opens a new one. */
@@ -140,6 +146,17 @@
 		});
 	}
 
+	#sendFrame(peerId: string, frame: Uint8Array): void {
+		const link = this.#links.get(peerId) ?? this.#openLink(peerId);
+		if (link === undefined || link.socket.writableLength > mostBufferedBytes) {
+			this.#options.metrics.increment('peer-dropped');
+			return;
+		}
+
+		link.socket.write(frame);
+		this.#options.metrics.increment('peer-sent');
+	}
+
 	#openLink(peerId: string): Link | undefined {
 		const address = this.#addresses.get(peerId);
 		const nowMs = this.#options.timers.getNowMs();
@@ -168,7 +185,7 @@
 
 	#connect({host, port}: PeerAddress): net.Socket {
 		if (this.#tlsOptions === undefined) {
-			return net.connect({host, port});
+			return net.connect({host, port, localAddress: this.#options.localHost});
 		}
 
 		return tls.connect({...this.#tlsOptions, host, port});
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -18,6 +18,7 @@
 	target: 'node20',
 	format: 'esm',
 	conditions: ['camphortack-source'],
+	alias: {undici: './scripts/undici-pool.cjs'},
 	minifySyntax: true,
 	legalComments: 'none',
 	// CommonJS libraries in the bundle call require.
