Give each availability zone a placer of its own where backend servers are many

Tests: 105 backend servers in virtual time; a killed placer of a shard; a burst in one zone served by all.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -7,6 +7,7 @@
 } from './cluster-timings.js';
 import {createDocumentHolder} from './configuration/document-holder.js';
 import {createPlacerElection} from './election/placer-election.js';
+import type {PlacerView} from './election/placer-view.js';
 import {createEntryDesk} from './entry/entry-desk.js';
 import {createHeartbeats} from './members/heartbeats.js';
 import {createMemberBook} from './members/member-book.js';
@@ -15,6 +16,7 @@
 import {createRelay} from './relay/relay.js';
 import {createServerRegistry} from './registry/server-registry.js';
 import {createServerReports} from './registry/server-reports.js';
+import {createShardMap, jointShard} from './shards/shard-map.js';
 
 /**
  * Creates this daemon's part in the deployment: it finds the other daemons, follows or becomes the placer, keeps the
@@ -33,9 +35,8 @@
 		options.onConfiguration(document);
 		heartbeats.sendAll();
 	});
-	const relay = createRelay({
-		ownId, peers, members, getPlacerId: () => election.getView().placerId,
-	});
+	const shards = createShardMap(options.availabilityZone);
+	const relay = createRelay({ownId, peers, members});
 	const placing = createPlacingPart({
 		...options,
 		send(toId, message) {
@@ -45,6 +46,7 @@
 	const election = createPlacerElection({
 		...options,
 		members,
+		shards,
 		placing,
 		onFollow() {
 			desk.handlePlacerChange();
@@ -57,8 +59,9 @@
 		random,
 		events,
 		metrics,
-		getPlacerView: election.getView,
-		sendToPlacer: (message: PlacementMessage) => relay.sendTo(election.getView().placerId, message),
+		shards,
+		getPlacerView,
+		sendToPlacer: (shard: string, message: PlacementMessage) => relay.sendTo(getPlacerView(shard).placerId, message),
 	});
 	const heartbeats = createHeartbeats({
 		...options,
@@ -66,13 +69,39 @@
 		incarnation: random.getIdentifier(),
 		isPlacing: placing.isPlacing,
 		getContent: () => ({
-			view: election.getView(), hearsPlacer: election.hearsPlacer(), isLeaving: election.isLeaving(), configurationNumber: documents.getNumber(),
+			shard: shards.getOwnShard(),
+			loadMs: placing.findLoadMs(),
+			view: election.getView(),
+			hearsPlacer: election.hearsPlacer(),
+			isLeaving: election.isLeaving(),
+			configurationNumber: documents.getNumber(),
 		}),
 	});
 	const reports = createServerReports({
-		...options, registry, members, getPlacerId: () => election.getView().placerId, onChange: renewServers,
+		...options,
+		registry,
+		members,
+		getPlacerId: zone => getPlacerView(shards.isDivided() ? zone : jointShard).placerId,
+		isConcerned: (member, zone) => !shards.isDivided() || member.isKeeper || member.availabilityZone === zone,
+		onChange() {
+			divideIfDue(false);
+			renewServers();
+		},
 	});
 
+	function getPlacerView(shard: string): PlacerView {
+		return shard === shards.getOwnShard() ? election.getView() : shards.findOtherView(shard) ?? {term: 0, placerId: ''};
+	}
+
+	function divideIfDue(isOtherDivided: boolean): void {
+		if (shards.divideIfDue(registry.getDescriptions().length, isOtherDivided)) {
+			events.write('deployment-divided', {shard: shards.getOwnShard(), servers: registry.getDescriptions().length, toldByOther: isOtherDivided});
+			election.divide();
+			desk.handleDivision();
+			heartbeats.sendAll();
+		}
+	}
+
 	/** Tells the placer, if it runs here, which backend servers it may claim. */
 	function renewServers(): void {
 		if (!placing.isPlacing()) {
@@ -80,7 +109,7 @@
 		}
 
 		const zones = election.getZones();
-		const descriptions = registry.getDescriptions();
+		const descriptions = registry.getDescriptions().filter(({availabilityZone}) => !shards.isDivided() || availabilityZone === options.availabilityZone);
 		const idsInUse = placing.getServerIdsInUse();
 		const usable = descriptions.filter(({id, availabilityZone}) => zones.has(availabilityZone) || idsInUse.has(id));
 		placing.setServers(usable, descriptions.length - usable.length);
@@ -107,7 +136,16 @@
 			requestConfiguration(fromId);
 		}
 
-		election.noteView({term: heartbeat.term, placerId: heartbeat.placerId}, fromId);
+		divideIfDue(heartbeat.shard !== jointShard);
+		notePlacer(fromId, heartbeat);
+	}
+
+	function notePlacer(fromId: string, {shard, term, placerId, loadMs}: ClusterMessageOf<'cluster.heartbeat'>): void {
+		if (shard === shards.getOwnShard()) {
+			election.noteView({term, placerId}, fromId);
+		} else if (shard !== jointShard) {
+			shards.noteOther(shard, {term, placerId}, loadMs);
+		}
 	}
 
 	function requestConfiguration(fromId: string): void {
--- a/packages/cluster/src/election/placer-election.ts
+++ b/packages/cluster/src/election/placer-election.ts
@@ -4,6 +4,7 @@
 import type {ClusterOptions} from '../cluster-options.js';
 import type {ClusterMember, MemberBook} from '../members/member-book.js';
 import type {PlacingPart} from '../placing/placing-part.js';
+import type {ShardMap} from '../shards/shard-map.js';
 import {findClaimReason, type Elector} from './find-claim-reason.js';
 import {getClaimableZones} from './get-claimable-zones.js';
 import {isNewerView, type PlacerView} from './placer-view.js';
@@ -18,12 +19,15 @@
 	getZones(): Set<string>;
 	/** Looks at the members, and takes over if this daemon should. */
 	elect(): void;
+	/** Begins without a placer in a shard of its own. */
+	divide(): void;
 	startLeaving(): void;
 	isLeaving(): boolean;
 };
 
 export type PlacerElectionOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'timers' | 'events' | 'metrics'> & {
 	members: MemberBook;
+	shards: ShardMap;
 	placing: PlacingPart;
 	/** Called after another placer is followed, this daemon included. */
 	onFollow: () => void;
@@ -36,7 +40,7 @@
  * @param options - The daemon and what it knows of the others.
  */
 export function createPlacerElection(options: PlacerElectionOptions): PlacerElection {
-	const {ownId, availabilityZone, isKeeper, timers, events, metrics, members, placing} = options;
+	const {ownId, availabilityZone, isKeeper, timers, events, metrics, members, shards, placing} = options;
 	const startedAtMs = timers.getNowMs();
 	let view: PlacerView = {term: 0, placerId: ''};
 	let isLeaving = false;
@@ -80,7 +84,8 @@
 	}
 
 	function getZones(): Set<string> {
-		const others = members.getCountedMembers().map(member => ({
+		const counted = members.getCountedMembers().filter(member => !shards.isDivided() || member.availabilityZone === availabilityZone);
+		const others = counted.map(member => ({
 			availabilityZone: member.availabilityZone, isAlive: members.getSilenceMs(member.id) < memberSilenceMs,
 		}));
 		return getClaimableZones([{availabilityZone, isAlive: true}, ...others]);
@@ -90,7 +95,7 @@
 		const own: Elector = {
 			id: ownId, isKeeper, isLeaving, isSettled: isSettled(timers.getNowMs() - startedAtMs, isKeeper), hearsPlacer: hearsPlacer(),
 		};
-		const others = members.getAliveMembers().map(member => getElector(member));
+		const others = members.getAliveMembers().filter(member => member.shard === shards.getOwnShard()).map(member => getElector(member));
 		const reason = findClaimReason({own, others, placerId: view.placerId});
 		if (reason !== undefined && getZones().size > 0) {
 			becomePlacer(reason, 1);
@@ -154,6 +159,11 @@
 				raiseTermIfOvertaken();
 			}
 		},
+		divide() {
+			placing.stop('the deployment is divided');
+			view = {term: view.term, placerId: ''};
+			followedAtMs = Number.NEGATIVE_INFINITY;
+		},
 		startLeaving() {
 			isLeaving = true;
 		},
--- a/packages/cluster/src/entry/entry-desk.ts
+++ b/packages/cluster/src/entry/entry-desk.ts
@@ -4,6 +4,7 @@
 import type {JobOutcome, JobRequest, PlacementMessage} from '@camphortack/placement';
 import {openJobsIntervalMs, placerWaitMs} from '../cluster-timings.js';
 import type {PlacerView} from '../election/placer-view.js';
+import type {ShardMap} from '../shards/shard-map.js';
 
 /** A job as the callers' side hands it in. */
 export type EntryJob = Omit<JobRequest, 'ageMs'>;
@@ -23,8 +24,10 @@
 	handleCancelled(jobId: string): void;
 	/** Hands jobs in again that the placer does not know. */
 	handleUnknownJobs(jobIds: readonly string[]): void;
-	/** Hands every open job to the placer now followed. */
+	/** Hands every open job of a shard to the placer now followed there. */
 	handlePlacerChange(): void;
+	/** Ends jobs that a placer of the undivided deployment may have begun anywhere. */
+	handleDivision(): void;
 	getOpenCount(): number;
 	/** Gets the jobs of a queue for which no result has come. */
 	getOpenCountOf(queueName: string): number;
@@ -36,14 +39,20 @@
 	random: RandomSource;
 	events: EventLog;
 	metrics: MetricSink;
-	getPlacerView: () => PlacerView;
-	/** Sends a message to the placer, through another daemon if need be. False if there is no way. */
-	sendToPlacer: (message: PlacementMessage) => boolean;
+	shards: ShardMap;
+	/** Gets the placer of a shard. */
+	getPlacerView: (shard: string) => PlacerView;
+	/** Sends a message to the placer of a shard, through another daemon if need be. False if there is no way. */
+	sendToPlacer: (shard: string, message: PlacementMessage) => boolean;
 };
 
 type OpenJob = {
 	readonly job: EntryJob;
-	readonly submissionId: string;
+	submissionId: string;
+	/** The shard whose placer has the job, or is to have it. */
+	shard: string;
+	/** Whether the placer of the own shard refused it and another one was asked. */
+	wasForwarded: boolean;
 	readonly arrivedAtMs: number;
 	readonly callers: Set<(result: JobOutcome) => void>;
 	/** The placers that were given the job. */
@@ -66,20 +75,25 @@
  * @param options - The ports and the way to the placer.
  */
 export function createEntryDesk(options: EntryDeskOptions): EntryDesk {
-	const {timers, random, events, metrics, getPlacerView, sendToPlacer} = options;
+	const {timers, random, events, metrics, shards, getPlacerView, sendToPlacer} = options;
 	const openJobs = new Map<string, OpenJob>();
 	const cancellations = new Map<string, Cancellation>();
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
 
+	/** Tells the placers which jobs are waited for, so that lost messages are noticed. */
 	function sendOpenJobs(): void {
-		const view = getPlacerView();
-		const jobIds = [...openJobs.values()].filter(open => isSame(open.submittedTo, view)).map(open => open.job.jobId);
-		sendToPlacer({kind: 'placement.open-jobs', jobIds});
+		const jobIds = new Map<string, string[]>([[shards.getOwnShard(), []]]);
 		for (const open of openJobs.values()) {
-			if (!isSame(open.submittedTo, view)) {
+			if (isSame(open.submittedTo, getPlacerView(open.shard))) {
+				jobIds.set(open.shard, [...(jobIds.get(open.shard) ?? []), open.job.jobId]);
+			} else {
 				sendJob(open);
 			}
 		}
+
+		for (const [shard, ids] of jobIds) {
+			sendToPlacer(shard, {kind: 'placement.open-jobs', jobIds: ids});
+		}
 	}
 
 	function isSame(left: PlacerView | undefined, right: PlacerView): boolean {
@@ -87,9 +101,9 @@
 	}
 
 	function sendJob(open: OpenJob): void {
-		const view = getPlacerView();
+		const view = getPlacerView(open.shard);
 		const generation = open.generation + (open.submittedTo === undefined ? 0 : 1);
-		const isSent = view.placerId !== '' && sendToPlacer({
+		const isSent = view.placerId !== '' && sendToPlacer(open.shard, {
 			kind: 'placement.submit',
 			request: {...open.job, ageMs: timers.getNowMs() - open.arrivedAtMs},
 			submissionId: open.submissionId,
@@ -107,6 +121,8 @@
 		const open: OpenJob = {
 			job,
 			submissionId: random.getIdentifier(),
+			shard: shards.getOwnShard(),
+			wasForwarded: false,
 			arrivedAtMs: timers.getNowMs(),
 			callers: new Set(),
 			submittedTo: undefined,
@@ -151,6 +167,23 @@
 		}
 	}
 
+	/** A job that the own placer has no room for goes to an idle one, once, if it surely has not begun. */
+	function findShardToAsk(open: OpenJob, result: JobOutcome): string | undefined {
+		const isOverload = result.outcome === 'refused' && result.reason === 'overload';
+		return isOverload && !open.wasForwarded && open.generation === 0 ? shards.findIdleShard() : undefined;
+	}
+
+	function forward(open: OpenJob, shard: string): void {
+		events.write('job-forwarded', {
+			job: open.job.jobId, queue: open.job.queueName, shard, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
+		});
+		open.shard = shard;
+		open.wasForwarded = true;
+		open.submittedTo = undefined;
+		open.submissionId = random.getIdentifier();
+		sendJob(open);
+	}
+
 	/**
 	 * A job that was handed in again can be refused though tasks of it ran: an earlier placer began it, or this one had
 	 * given it up while this daemon was not heard. Then nobody may say that it has not run.
@@ -170,7 +203,7 @@
 		open.waitTimer?.cancel();
 		metrics.increment('job-abandoned');
 		events.write('job-abandoned', {job: jobId, queue: queueName, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs)});
-		sendToPlacer({kind: 'placement.cancel', jobId});
+		sendToPlacer(open.shard, {kind: 'placement.cancel', jobId});
 	}
 
 	function endCancellation(jobId: string, isConfirmed: boolean): void {
@@ -198,21 +231,30 @@
 			};
 		},
 		cancel(jobId, onEnd) {
+			const shard = openJobs.get(jobId)?.shard ?? shards.getOwnShard();
 			endCancellation(jobId, false);
 			cancellations.set(jobId, {
 				onEnd,
 				subscriptions: [
 					timers.addInterval(cancelResendMs, () => {
-						sendToPlacer({kind: 'placement.cancel', jobId});
+						sendToPlacer(shard, {kind: 'placement.cancel', jobId});
 					}),
 					timers.addTimer(cancelTimeoutMs, () => {
 						endCancellation(jobId, false);
 					}),
 				],
 			});
-			sendToPlacer({kind: 'placement.cancel', jobId});
+			sendToPlacer(shard, {kind: 'placement.cancel', jobId});
+		},
+		handleResult(jobId, result) {
+			const open = openJobs.get(jobId);
+			const idleShard = open === undefined ? undefined : findShardToAsk(open, result);
+			if (open === undefined || idleShard === undefined) {
+				endJob(jobId, result);
+			} else {
+				forward(open, idleShard);
+			}
 		},
-		handleResult: endJob,
 		handleCancelled(jobId) {
 			endCancellation(jobId, true);
 		},
@@ -226,7 +268,17 @@
 		},
 		handlePlacerChange() {
 			for (const open of openJobs.values()) {
-				sendJob(open);
+				if (!isSame(open.submittedTo, getPlacerView(open.shard))) {
+					sendJob(open);
+				}
+			}
+		},
+		handleDivision() {
+			for (const [jobId, open] of openJobs) {
+				open.shard = shards.getOwnShard();
+				if (open.submittedTo !== undefined) {
+					endJob(jobId, {outcome: 'unknown'});
+				}
 			}
 		},
 		getOpenCount: () => openJobs.size,
--- a/packages/cluster/src/members/heartbeats.ts
+++ b/packages/cluster/src/members/heartbeats.ts
@@ -8,6 +8,8 @@
 
 /** What a heartbeat says besides who sends it. */
 export type HeartbeatContent = {
+	shard: string;
+	loadMs: number | undefined;
 	view: PlacerView;
 	hearsPlacer: boolean;
 	isLeaving: boolean;
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -12,6 +12,10 @@
 		/** A random number of the sender's start. */
 		incarnation: z.string(),
 		upMs: z.number(),
+		/** The backend servers that the sender's placer is for: empty for all, or those of its availability zone. */
+		shard: z.string(),
+		/** How long a job would wait, if the sender is the placer. */
+		loadMs: z.number().optional(),
 		/** The placer that the sender follows. */
 		term: z.int(),
 		placerId: z.string(),
--- a/packages/cluster/src/placing/placing-part.ts
+++ b/packages/cluster/src/placing/placing-part.ts
@@ -19,6 +19,8 @@
 	/** Whether another placer has claimed most backend servers. */
 	isOvertaken(): boolean;
 	getPendingCount(queueName: string): number;
+	/** Gets how long a job would wait; undefined if this daemon does not place. */
+	findLoadMs(): number | undefined;
 };
 
 export type PlacingPartOptions = Pick<ClusterOptions, 'daemonNumber' | 'orders' | 'timers' | 'random' | 'events' | 'metrics'> & {
@@ -118,6 +120,7 @@
 		},
 		isOvertaken: () => placer?.isOvertaken() ?? false,
 		getPendingCount: queueName => placer?.getPendingCount(queueName) ?? 0,
+		findLoadMs: () => placer?.getLoadMs(),
 	};
 }
 
--- a/packages/cluster/src/registry/server-reports.ts
+++ b/packages/cluster/src/registry/server-reports.ts
@@ -1,7 +1,7 @@
 import type {BackendServerDescription} from '@camphortack/placement';
 import {reportIntervalMs, reportTimeoutMs} from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
-import type {MemberBook} from '../members/member-book.js';
+import type {ClusterMember, MemberBook} from '../members/member-book.js';
 import type {ClusterMessageOf} from '../messages/cluster-messages.js';
 import type {ServerRegistry} from './server-registry.js';
 
@@ -21,7 +21,10 @@
 export type ServerReportsOptions = Pick<ClusterOptions, 'ownId' | 'peers' | 'timers' | 'random' | 'events'> & {
 	registry: ServerRegistry;
 	members: MemberBook;
-	getPlacerId: () => string;
+	/** Gets the placer for the backend servers of an availability zone. */
+	getPlacerId: (availabilityZone: string) => string;
+	/** Whether a daemon needs to know the backend servers of an availability zone. */
+	isConcerned: (member: ClusterMember, availabilityZone: string) => boolean;
 	/** Called after the registry has changed. */
 	onChange: () => void;
 };
@@ -31,7 +34,7 @@
  * @param options - The registry and the links.
  */
 export function createServerReports(options: ServerReportsOptions): ServerReports {
-	const {ownId, peers, timers, random, events, registry, members, getPlacerId, onChange} = options;
+	const {ownId, peers, timers, random, events, registry, members, getPlacerId, isConcerned, onChange} = options;
 	const reportedAtMs = new Map<string, number>();
 	const waiting = new Map<string, (isNoted: boolean) => void>();
 
@@ -52,10 +55,14 @@
 		return change;
 	}
 
+	function getConcernedIds(availabilityZone: string): string[] {
+		return members.getAliveMembers().filter(member => isConcerned(member, availabilityZone)).map(member => member.id);
+	}
+
 	function spread(description: BackendServerDescription, reportId?: string): void {
 		reportedAtMs.set(description.id, timers.getNowMs());
-		const placerId = getPlacerId();
-		const otherIds = members.getAliveMembers().map(member => member.id).filter(id => reportId === undefined || id !== placerId);
+		const placerId = getPlacerId(description.availabilityZone);
+		const otherIds = getConcernedIds(description.availabilityZone).filter(id => reportId === undefined || id !== placerId);
 		peers.sendToAll(otherIds, {kind: 'cluster.server-report', description});
 		if (reportId !== undefined) {
 			peers.send(placerId, {kind: 'cluster.server-report', description, reportId});
@@ -64,7 +71,7 @@
 
 	/** Spreads a description and waits until the placer has it. */
 	function spreadAndWait(description: BackendServerDescription, onEnd: (isNoted: boolean) => void): void {
-		const placerId = getPlacerId();
+		const placerId = getPlacerId(description.availabilityZone);
 		if (placerId === ownId || placerId === '') {
 			spread(description);
 			onEnd(true);
@@ -129,7 +136,7 @@
 			}
 
 			handleLeft(serverId, description.bornMs);
-			peers.sendToAll(members.getAliveMembers().map(member => member.id), {kind: 'cluster.server-left', serverId, bornMs: description.bornMs});
+			peers.sendToAll(getConcernedIds(description.availabilityZone), {kind: 'cluster.server-left', serverId, bornMs: description.bornMs});
 		},
 		handleLeft,
 	};
--- a/packages/cluster/src/relay/relay.ts
+++ b/packages/cluster/src/relay/relay.ts
@@ -17,14 +17,13 @@
 	ownId: string;
 	peers: PeerNetwork;
 	members: MemberBook;
-	getPlacerId: () => string;
 };
 
 /**
  * Creates the relay. Answers VMs that are cut off from some daemons only: their jobs still reach the placer.
  * @param options - The links and what is known of the other daemons.
  */
-export function createRelay({ownId, peers, members, getPlacerId}: RelayOptions): Relay {
+export function createRelay({ownId, peers, members}: RelayOptions): Relay {
 	const ways = new Map<string, string>();
 
 	function isHeard(memberId: string): boolean {
@@ -37,7 +36,7 @@
 			return knownWay;
 		}
 
-		return toId === getPlacerId() ? members.getAliveMembers().find(member => member.hearsPlacer && member.placerId === toId)?.id : undefined;
+		return members.getAliveMembers().find(member => member.hearsPlacer && member.placerId === toId)?.id;
 	}
 
 	function send(toId: string, message: ClusterMessage): void {
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -174,4 +174,40 @@
 		await runFor(test.timers, 700);
 		assert.deepEqual([...new Set(test.daemons.map(daemon => daemon.cluster.getConfiguration()?.number))], [7]);
 	});
+
+	it('gives each availability zone a placer of its own where there are many backend servers', async () => {
+		const test = createTestCluster({serverCount: 105});
+		await startServing(test);
+		await runFor(test.timers, 2500);
+		const placers = new Set(test.daemons.map(daemon => daemon.cluster.getStatus().placerId));
+		assert.deepEqual([...placers].toSorted((left, right) => left.localeCompare(right)), ['keeper-a', 'keeper-b', 'keeper-c']);
+		await submitFor(test, 600, 20, 'calm');
+		await runFor(test.timers, 300);
+		assert.deepEqual(countOutcomes(test, 'calm'), {completed: 30});
+		test.kill('keeper-b');
+		await runFor(test.timers, 1500);
+		await submitFor(test, 600, 20, 'after');
+		await runFor(test.timers, 300);
+		assert.deepEqual(countOutcomes(test, 'after'), {completed: 30});
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+	});
+
+	it('hands what a zone has no room for to an idle one', async () => {
+		const test = createTestCluster({serverCount: 105, getDurationMs: () => 400});
+		await startServing(test);
+		await runFor(test.timers, 2500);
+		for (let number = 0; number < 70; number++) {
+			test.submit('entry-a1', `burst-${number}`, {
+				steps: [{
+					taskCount: 2, cpuMillicores: 27_000, memoryMb: 64, gpuCount: 0, estimateMs: 400, dependsOn: [],
+				}],
+			});
+		}
+
+		await runFor(test.timers, 1500);
+		assert.deepEqual(countOutcomes(test, 'burst'), {completed: 70});
+		const zones = new Set(test.fleet.records.map(({serverId}) => test.fleet.servers.find(server => server.description.id === serverId)!.description.availabilityZone));
+		assert.ok(zones.size > 1, [...zones].join(' '));
+		assert.ok(test.events.some(({name}) => name === 'job-forwarded'));
+	});
 });
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -88,6 +88,12 @@
 	'job-abandoned': {
 		number: 1213, level: 'info', happened: 'The caller closed the connection before the answer; the job was stopped.', action: 'None.',
 	},
+	'job-forwarded': {
+		number: 1214, level: 'info', happened: 'The placer of the zone had no room for a job, so it was handed to one of another zone.', action: 'None.',
+	},
+	'deployment-divided': {
+		number: 1219, level: 'info', happened: 'There are many backend servers, so each availability zone has a placer of its own from now on.', action: 'None.',
+	},
 	'placer-elected': {
 		number: 1220, level: 'info', happened: 'This daemon places tasks from now on.', action: 'None.',
 	},
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -51,6 +51,7 @@
 	let isPassPlanned = false;
 	let passedAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
+	let loadMs = 0;
 	const pool = createServerPool({
 		...options,
 		listener: {
@@ -106,7 +107,9 @@
 		const nowMs = timers.getNowMs();
 		const waiting = getWaitingJobs(ledger.getJobs(), nowMs);
 		const tables = createTables(waiting);
-		for (const {job, reason, waitMs} of findRefusals(ledger.getJobs(), waiting, tables, nowMs)) {
+		const {refusals, loadMs: nextLoadMs} = findRefusals(ledger.getJobs(), waiting, tables, nowMs);
+		loadMs = nextLoadMs;
+		for (const {job, reason, waitMs} of refusals) {
 			refuse(job, reason, waitMs);
 		}
 
@@ -340,6 +343,7 @@
 
 			return count;
 		},
+		getLoadMs: () => loadMs,
 		getServerStatuses: () => [...pool.getServers()].map(({session}) => ({
 			id: session.getDescription().id, state: session.getState(), runCount: session.getRuns().size,
 		})),
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -27,6 +27,8 @@
 	dropEntry(entryId: string): void;
 	/** Gets the accepted jobs of a queue of which nothing has started. */
 	getPendingCount(queueName: string): number;
+	/** Gets how long a job of usual size would wait now. */
+	getLoadMs(): number;
 	getServerStatuses(): PlacerServerStatus[];
 	/** Whether most backend servers have been claimed by another placer. */
 	isOvertaken(): boolean;
--- a/packages/placement/src/placer/waiting-jobs.ts
+++ b/packages/placement/src/placer/waiting-jobs.ts
@@ -20,6 +20,8 @@
 	waitMs: number;
 };
 
+/** What the load is told by. */
+const usualJob: Pick<WaitingJob, 'waitingMillicores' | 'longestMs'> = {waitingMillicores: 100_000, longestMs: 200};
 /** Share of the cores that tasks of usual size can fill, given the holes they leave. */
 const fillableShare = 0.85;
 
@@ -52,13 +54,13 @@
 }
 
 /**
- * Finds the jobs that are to be refused now.
+ * Finds the jobs that are to be refused now, and how long a further job of usual size would wait behind the others.
  * @param jobs - The jobs in hand.
  * @param waiting - Those that wait, in their order.
  * @param tables - The free room of each service.
  * @param nowMs - The time.
  */
-export function findRefusals(jobs: Iterable<PlacedJob>, waiting: readonly Waiting[], tables: ReadonlyMap<string, RoomTable>, nowMs: number): Refusal[] {
+export function findRefusals(jobs: Iterable<PlacedJob>, waiting: readonly Waiting[], tables: ReadonlyMap<string, RoomTable>, nowMs: number): {refusals: Refusal[]; loadMs: number} {
 	const refusals: Refusal[] = [];
 	const inHand = [...jobs];
 	const queues = new Map([...tables].map(([service, table]) => [service, createWaitBook(getServiceLoad(inHand, service, table))]));
@@ -73,7 +75,8 @@
 		}
 	}
 
-	return refusals;
+	const loadMs = Math.max(0, ...[...queues.values()].map(queue => queue.getWaitMs(usualJob)));
+	return {refusals, loadMs: Math.round(loadMs)};
 }
 
 function getServiceLoad(jobs: readonly PlacedJob[], service: string, table: RoomTable): ServiceLoad {
--- a/packages/placement/src/queue/create-wait-book.ts
+++ b/packages/placement/src/queue/create-wait-book.ts
@@ -12,7 +12,7 @@
 /** Foresees how long jobs wait behind those that go first. */
 export type WaitBook = {
 	/** Gets how long a job waits until all its tasks have begun. */
-	getWaitMs(job: WaitingJob): number;
+	getWaitMs(job: Pick<WaitingJob, 'waitingMillicores' | 'longestMs'>): number;
 	/** Puts a job ahead of those asked for later. */
 	addJob(job: WaitingJob): void;
 };
@@ -32,7 +32,7 @@
 	let aheadMillicores = 0;
 	let aheadWork = 0;
 
-	function getWaitMs(job: WaitingJob): number {
+	function getWaitMs(job: Pick<WaitingJob, 'waitingMillicores' | 'longestMs'>): number {
 		const demand = aheadMillicores + job.waitingMillicores;
 		const excess = demand - freeMillicores;
 		if (excess <= 0 || usableMillicores <= 0) {
