--- a/packages/cluster/src/placing/placing-part.ts
+++ b/packages/cluster/src/placing/placing-part.ts
@@ -40,8 +40,10 @@
 
 	function dropSilentEntries(): void {
 		for (const entryId of entries.takeSilentIds()) {
-			events.write('entry-silent', {entry: entryId, silenceMs: entrySilenceMs});
-			placer?.dropEntry(entryId);
+			const jobCount = placer?.dropEntry(entryId) ?? 0;
+			if (jobCount > 0) {
+				events.write('entry-silent', {entry: entryId, silenceMs: entrySilenceMs, jobs: jobCount});
+			}
 		}
 	}
 
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -329,11 +329,12 @@
 		},
 		findResult: jobId => (ledger.findJob(jobId) === undefined ? ledger.findResult(jobId) : 'open'),
 		dropEntry(entryId) {
-			for (const job of ledger.getJobs()) {
-				if (job.entryId === entryId) {
-					endJob(job, {outcome: 'unknown'});
-				}
+			const dropped = [...ledger.getJobs()].filter(job => job.entryId === entryId);
+			for (const job of dropped) {
+				endJob(job, {outcome: 'unknown'});
 			}
+
+			return dropped.length;
 		},
 		getPendingCount(queueName) {
 			let count = 0;
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -23,8 +23,8 @@
 	cancel(jobId: string): void;
 	/** Gets the result of a job that has ended; `open` if it is in hand, undefined if it is not known. */
 	findResult(jobId: string): JobOutcome | 'open' | undefined;
-	/** Stops the jobs of a daemon that is no longer heard, since its callers are told to come back. */
-	dropEntry(entryId: string): void;
+	/** Stops the jobs of a daemon that is no longer heard, since its callers are told to come back. Returns how many. */
+	dropEntry(entryId: string): number;
 	/** Gets the accepted jobs of a queue of which nothing has started. */
 	getPendingCount(queueName: string): number;
 	/** Gets how long a job of usual size would wait now. */
--- a/packages/placement/src/ports/backend-server-orders.ts
+++ b/packages/placement/src/ports/backend-server-orders.ts
@@ -12,17 +12,18 @@
 	payload: string;
 	/** End of the lease, on the backend server's clock. */
 	leaseEndMs: number;
-	fencingToken: number;
+	/** The fencing token: an order with a lower one than the backend server has seen does nothing. */
+	token: number;
 };
 
 export type StopOrder = {
 	taskName: string;
 	runNumber: number;
-	fencingToken: number;
+	token: number;
 };
 
 export type RenewOrder = {
-	fencingToken: number;
+	token: number;
 	/** Ends up to this number have been taken note of. */
 	acknowledgedEnd: number;
 	/** End of the lease, on the backend server's clock; left out, the lease stays as it is. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -95,7 +95,7 @@
 
 	/** A claim gives no lease: while claims go unanswered, the end of the earlier leases must come nearer. */
 	async function sendClaim(ownClaim: number, reason: string): Promise<void> {
-		const answer = await orders.renew(getTarget(), {fencingToken: getToken(), acknowledgedEnd}, claimTimeoutMs);
+		const answer = await orders.renew(getTarget(), {token: getToken(), acknowledgedEnd}, claimTimeoutMs);
 		if (isClosed || ownClaim !== claim) {
 			return;
 		}
@@ -218,7 +218,7 @@
 	/** Each renewal acknowledges the ends of the one before and asks for the next ones. */
 	async function renewOnce(ownClaim: number): Promise<void> {
 		const answer = await orders.renew(getTarget(), {
-			fencingToken: getToken(), acknowledgedEnd, leaseEndMs: getLeaseEndMs(), waitMs: renewWaitMs,
+			token: getToken(), acknowledgedEnd, leaseEndMs: getLeaseEndMs(), waitMs: renewWaitMs,
 		}, renewWaitMs + orderTimeoutMs);
 		if (isClosed || ownClaim !== claim) {
 			return;
@@ -284,7 +284,7 @@
 			runNumber: run.runNumber,
 			payload,
 			leaseEndMs: getLeaseEndMs()!,
-			fencingToken: getToken(),
+			token: getToken(),
 		}, orderTimeoutMs);
 		if (isClosed || runs.get(run.taskName) !== run) {
 			return;
@@ -328,7 +328,7 @@
 
 	async function sendStop(run: Run): Promise<void> {
 		const sentClaim = claim;
-		const answer = await orders.stop(getTarget(), {taskName: run.taskName, runNumber: run.runNumber, fencingToken: getToken()}, orderTimeoutMs);
+		const answer = await orders.stop(getTarget(), {taskName: run.taskName, runNumber: run.runNumber, token: getToken()}, orderTimeoutMs);
 		if (isClosed || runs.get(run.taskName) !== run || sentClaim !== claim) {
 			return;
 		}
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -144,11 +144,11 @@
 
 	function start(server: FakeServer, order: StartOrder, daemonId: string): OrderAnswer {
 		const clockMs = timers.getNowMs();
-		if (order.fencingToken < server.highestToken) {
+		if (order.token < server.highestToken) {
 			return {outcome: 'rejected', reason: 'fenced', clockMs};
 		}
 
-		server.highestToken = order.fencingToken;
+		server.highestToken = order.token;
 		if (order.leaseEndMs <= clockMs) {
 			return {outcome: 'rejected', reason: 'lease-over', clockMs};
 		}
@@ -193,13 +193,13 @@
 		highestUse = Math.max(highestUse, use / server.description.cpuMillicores);
 	}
 
-	function stop(server: FakeServer, {taskName, runNumber, fencingToken}: StopOrder): OrderAnswer {
+	function stop(server: FakeServer, {taskName, runNumber, token}: StopOrder): OrderAnswer {
 		const clockMs = timers.getNowMs();
-		if (fencingToken < server.highestToken) {
+		if (token < server.highestToken) {
 			return {outcome: 'rejected', reason: 'fenced', clockMs};
 		}
 
-		server.highestToken = fencingToken;
+		server.highestToken = token;
 		server.highestRuns.set(taskName, Math.max(runNumber, server.highestRuns.get(taskName) ?? 0));
 		timers.addTimer(stopMs, () => {
 			if (server.runs.get(taskName)?.record.runNumber === runNumber) {
@@ -210,12 +210,12 @@
 	}
 
 	function renew(server: FakeServer, order: RenewOrder, answer: (value: RenewAnswer) => void): void {
-		if (order.fencingToken < server.highestToken) {
+		if (order.token < server.highestToken) {
 			answer({outcome: 'rejected', reason: 'fenced'});
 			return;
 		}
 
-		server.highestToken = order.fencingToken;
+		server.highestToken = order.token;
 		server.ends = server.ends.filter(end => end.endNumber > order.acknowledgedEnd);
 		if (order.leaseEndMs !== undefined) {
 			extendLease(server, order.leaseEndMs);
