--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -88,6 +88,17 @@
 		const test = createTestCluster();
 		await startServing(test);
 		await submitFor(test, 200, 20, 'before');
+		// Later terms than the first one that the restarted daemons begin with.
+		for (let count = 0; count < 2; count++) {
+			const placer = test.getPlacer();
+			test.kill(placer.id);
+			// eslint-disable-next-line no-await-in-loop -- One placer after the other.
+			await runFor(test.timers, 1500);
+			test.restart(placer.id);
+			// eslint-disable-next-line no-await-in-loop -- One placer after the other.
+			await runFor(test.timers, 1500);
+		}
+
 		for (const {id} of test.daemons) {
 			test.kill(id);
 		}
--- /dev/null
+++ b/packages/cluster/test/entry/entry-desk.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createSeededRandomSource} from '@camphortack/core';
+import type {JobOutcome, PlacementMessage} from '@camphortack/placement';
+import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
+import type {PlacerView} from '../../src/election/placer-view.js';
+import {createEntryDesk, type EntryDesk} from '../../src/entry/entry-desk.js';
+import {createShardMap} from '../../src/shards/shard-map.js';
+
+type TestDesk = {
+	timers: VirtualTimers;
+	desk: EntryDesk;
+	sent: PlacementMessage[];
+	results: JobOutcome[];
+	setView: (next: PlacerView) => void;
+};
+
+const refusal: JobOutcome = {outcome: 'refused', reason: 'overload', retryAfterMs: 1000};
+
+function createTestDesk(): TestDesk {
+	const timers = new VirtualTimers();
+	const sent: PlacementMessage[] = [];
+	const results: JobOutcome[] = [];
+	let view: PlacerView = {term: 1, placerId: 'first'};
+	const desk = createEntryDesk({
+		timers,
+		random: createSeededRandomSource(1),
+		events: new RecordingEventLog(),
+		metrics: new RecordingMetricSink(),
+		shards: createShardMap('north'),
+		getPlacerView: () => view,
+		sendToPlacer(_shard, message) {
+			sent.push(message);
+			return view.placerId !== '';
+		},
+	});
+	return {
+		timers,
+		desk,
+		sent,
+		results,
+		setView(next) {
+			view = next;
+		},
+	};
+}
+
+function submit({desk, results}: TestDesk): void {
+	desk.submit({
+		jobId: 'job', queueName: 'estimates', service: 'quotes', payload: 'text', steps: [], mostAttempts: 3, stretch: 1.6, slackMs: 60, callerTimeoutMs: 1500,
+	}, result => {
+		results.push(result);
+	});
+}
+
+describe('createEntryDesk', () => {
+	it('passes the refusal of a job on that was handed in once', () => {
+		const test = createTestDesk();
+		submit(test);
+		test.desk.handleResult('job', refusal);
+		assert.deepEqual(test.results, [refusal]);
+	});
+
+	it('does not pass a refusal on after a second placer has the job', () => {
+		const test = createTestDesk();
+		submit(test);
+		test.setView({term: 2, placerId: 'second'});
+		test.desk.handlePlacerChange();
+		test.desk.handleResult('job', refusal);
+		assert.deepEqual(test.results, [{outcome: 'unknown'}]);
+		const generations = test.sent.flatMap(message => (message.kind === 'placement.submit' ? [[message.generation, message.mayHaveStarted]] : []));
+		assert.deepEqual(generations, [[0, false], [1, true]]);
+	});
+
+	it('refuses a job as not run if no placer is known in time', () => {
+		const test = createTestDesk();
+		test.setView({term: 0, placerId: ''});
+		submit(test);
+		test.timers.advance(300);
+		assert.deepEqual(test.results.map(result => result.outcome), ['refused']);
+	});
+
+	it('hands a job in again that the placer does not know', () => {
+		const test = createTestDesk();
+		submit(test);
+		test.desk.handleUnknownJobs(['job', 'other']);
+		assert.equal(test.sent.filter(message => message.kind === 'placement.submit').length, 2);
+	});
+
+	it('ends a cancelling that nobody confirms', () => {
+		const test = createTestDesk();
+		const ends: boolean[] = [];
+		test.desk.cancel('job', isConfirmed => {
+			ends.push(isConfirmed);
+		});
+		test.timers.advance(3000);
+		assert.deepEqual(ends, [false]);
+	});
+});
--- /dev/null
+++ b/packages/cluster/test/placing/placing-part.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import {it} from 'node:test';
+import {createSeededRandomSource} from '@camphortack/core';
+import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
+import {createFakeFleet} from '../../../placement/test/support/fake-fleet.js';
+import {defaultRequest} from '../../../placement/test/support/create-test-placer.js';
+import {runFor} from '../../../placement/test/support/run-for.js';
+import {createPlacingPart} from '../../src/placing/placing-part.js';
+
+it('keeps a silent backend server in use as long as tasks may run there', async () => {
+	const timers = new VirtualTimers();
+	const fleet = createFakeFleet({timers, serverCount: 1, getDurationMs: () => 5000});
+	const placing = createPlacingPart({
+		daemonNumber: 1,
+		orders: fleet.getOrders('own'),
+		timers,
+		random: createSeededRandomSource(1),
+		events: new RecordingEventLog(),
+		metrics: new RecordingMetricSink(),
+		send() {
+			// Nobody waits for results here.
+		},
+	});
+	placing.start(1);
+	placing.setServers(fleet.getDescriptions(), 0);
+	placing.handleMessage('entry', {
+		kind: 'placement.submit', request: {...defaultRequest, jobId: 'job', callerTimeoutMs: 9000}, submissionId: 'one', generation: 0, mayHaveStarted: false,
+	});
+	await runFor(timers, 100);
+	fleet.servers[0]!.trouble = {isCutFor: () => true};
+	const inUse: boolean[] = [];
+	for (let count = 0; count < 3; count++) {
+		// eslint-disable-next-line no-await-in-loop -- Time passes.
+		await runFor(timers, 1000);
+		placing.handleMessage('entry', {kind: 'placement.open-jobs', jobIds: ['job']});
+		inUse.push(placing.getServerIdsInUse().has('server-0'));
+	}
+
+	assert.deepEqual(inUse, [true, false, false]);
+});
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -58,7 +58,7 @@
 			const outcomes = [...results.values()].map(({outcome}) => outcome);
 			assert.deepEqual(outcomes, Array.from({length: 10}, () => 'completed'));
 			assert.deepEqual(fleet.findOverlaps(), []);
-			const lateCount = [...endedAtMs].filter(([jobId, atMs]) => atMs - (10 + (Number(jobId.slice(4)) * 60)) > 1000).length;
+			const lateCount = [...endedAtMs].filter(([jobId, atMs]) => atMs - (10 + (Number(jobId.slice(4)) * 60)) > 700).length;
 			assert.equal(lateCount, 0);
 		});
 	}
@@ -157,18 +157,19 @@
 });
 
 describe('a backend server that cannot be reached', () => {
-	it('has its tasks begun elsewhere only when no lease can last, another placer\'s included', async () => {
-		const {timers, fleet, submit, results, createNext} = createTestPlacer({serverCount: 2, getDurationMs: () => 900});
-		await runFor(timers, 10);
+	it('has its tasks begun elsewhere only when no lease can last, one of another placer included', async () => {
+		const {timers, fleet, submit, events, results} = createTestPlacer({serverCount: 2, getDurationMs: () => 900});
+		const isRepeated = () => events.events.some(({name, fields}) => name === 'task-repeated' && fields.reason === 'lost');
+		await runFor(timers, 400);
 		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}], callerTimeoutMs: 6000});
-		await runFor(timers, 50);
-		const [first] = fleet.records;
-		const server = fleet.servers.find(({description}) => description.id === first!.serverId)!;
-		server.trouble = {isCutFor: daemonId => daemonId === 'first'};
-		await runFor(timers, 450);
-		createNext(2, 'second').setServers([server.description], 3);
+		await runFor(timers, 100);
+		// The lease of the last renewal ends at 1302 ms; another placer may give one until then, and needs a while to stop runs.
+		fleet.servers.find(({description}) => description.id === fleet.records[0]!.serverId)!.trouble = {isCutFor: () => true};
+		await runFor(timers, 1200);
+		assert.equal(isRepeated(), false);
 		await runFor(timers, 3000);
-		assert.deepEqual(fleet.findOverlaps(), []);
+		assert.equal(isRepeated(), true);
 		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.findOverlaps(), []);
 	});
 });
