--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -18,6 +18,7 @@
 	network?: Partial<FakeNetworkOptions>;
 	syncMs?: number;
 	mostVoters?: number;
+	voterReplacementMs?: number;
 	fault?: ClusterFault;
 	/** How far clocks may run wrong, as a share. */
 	driftRatio?: number;
@@ -56,7 +57,7 @@
 	}
 
 	start(id: string): Keeper {
-		const {initialKeeperIds, keeperIds, syncMs, mostVoters, fault} = this.#options;
+		const {initialKeeperIds, keeperIds, syncMs, mostVoters, voterReplacementMs, fault} = this.#options;
 		const timers = this.#startTimers(id);
 		const log = createMemoryRecordLog({timers, disk: this.disks.get(id)!, syncDurationMs: syncMs});
 		this.logs.set(id, log);
@@ -73,6 +74,7 @@
 			metrics: this.metrics,
 			initialKeeperIds: initialKeeperIds ?? keeperIds ?? ['a', 'b', 'c'],
 			mostVoters,
+			voterReplacementMs,
 		});
 		this.keepers.set(id, keeper);
 		return keeper;
