Undo two import circles, join doubled timers

Cause: keeper-store, log-entry and store-records imported each other, since getBatch took a store in the file of the entry's schema; customer-queue and fair-queue did, over the type QueuedTask. The bench's MachineTimers repeated SystemTimers, the limits' NodeTimers repeated ProcessTimers but for its stop. Ruled out: type-only imports as an excuse; a newcomer still reads in a circle.

--- a/packages/bench/src/slopes/register-slope.ts
+++ b/packages/bench/src/slopes/register-slope.ts
@@ -3,8 +3,9 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {
-	createSeededRandomSource, PeerNetwork, TimerService, type Job, type PeerMessage, type TimerSubscription,
+	createSeededRandomSource, PeerNetwork, type Job, type PeerMessage, type TimerService,
 } from '@camphortack/core';
+import {SystemTimers} from '@camphortack/process';
 import {
 	createAssignment, createJobRegister, createRegisterClient, createTicketTable, getContentHash, type RegisterClient,
 } from '@camphortack/register';
@@ -20,31 +21,6 @@
 const warmUpMs = 300;
 const measuredMs = 1500;
 
-/** The timers of the machine. */
-class MachineTimers extends TimerService {
-	override getNowMs(): number {
-		return performance.now();
-	}
-
-	override addTimer(delayMs: number, onFire: () => void): TimerSubscription {
-		const timer = setTimeout(onFire, delayMs);
-		return {
-			cancel() {
-				clearTimeout(timer);
-			},
-		};
-	}
-
-	override addInterval(intervalMs: number, onFire: () => void): TimerSubscription {
-		const timer = setInterval(onFire, intervalMs);
-		return {
-			cancel() {
-				clearInterval(timer);
-			},
-		};
-	}
-}
-
 /** Measures the bytes of memory that the keeper's part keeps for each claimed job. */
 export async function measureRegisterSlope(): Promise<Slope> {
 	const points = recordSizes.map(size => ({size, value: measureBytesPerRecord(size)}));
@@ -221,7 +197,7 @@
 async function measureClaimsAtOnce(jobsAtOnce: number): Promise<ClaimFigures> {
 	return withDiskLog(async ({log, metrics}) => {
 		const peers = new LoopbackNetwork();
-		const {register, client} = createParts(new MachineTimers(), log, peers);
+		const {register, client} = createParts(new SystemTimers(), log, peers);
 		peers.onMessage = message => {
 			register.handlePeerMessage('entry-1', message);
 			client.handlePeerMessage('entry-1', message);
--- /dev/null
+++ b/packages/consensus/src/keeper/get-entry-batch.ts
@@ -0,0 +1,24 @@
+import type {KeeperStore} from './keeper-store.js';
+import {mostBytesPerMessage, mostEntriesPerMessage} from './keeper-timings.js';
+import {getEntrySizeBytes, type LogEntry} from './log-entry.js';
+
+/**
+ * Gets as many entries as fit one message, at least one if there is one.
+ * @param store - Where the entries are.
+ * @param fromIndex - The first entry.
+ * @param toIndex - The last entry that may be sent.
+ */
+export function getEntryBatch(store: KeeperStore, fromIndex: number, toIndex: number): LogEntry[] {
+	const batch: LogEntry[] = [];
+	let sizeBytes = 0;
+	for (const entry of store.getEntries(fromIndex, Math.min(mostEntriesPerMessage, Math.max(0, toIndex - fromIndex + 1)))) {
+		sizeBytes += getEntrySizeBytes(entry);
+		if (batch.length > 0 && sizeBytes > mostBytesPerMessage) {
+			break;
+		}
+
+		batch.push(entry);
+	}
+
+	return batch;
+}
--- a/packages/consensus/src/keeper/learner-feeder.ts
+++ b/packages/consensus/src/keeper/learner-feeder.ts
@@ -3,7 +3,7 @@
 import type {KeeperMessageOf} from './keeper-messages.js';
 import type {KeeperRecord} from './keeper-set.js';
 import {learnerBatchMs} from './keeper-timings.js';
-import {getBatch} from './log-entry.js';
+import {getEntryBatch} from './get-entry-batch.js';
 
 /** A voter's work for the leader: passes committed entries on to its part of the learners. */
 export type LearnerFeeder = {
@@ -30,7 +30,7 @@
 
 	function feed(previousIndex: number): void {
 		const previousTerm = store.findTermAt(previousIndex);
-		const entries = getBatch(store, previousIndex + 1, store.getCommitIndex());
+		const entries = getEntryBatch(store, previousIndex + 1, store.getCommitIndex());
 		if (previousTerm === undefined || entries.length === 0) {
 			return;
 		}
--- a/packages/consensus/src/keeper/log-entry.ts
+++ b/packages/consensus/src/keeper/log-entry.ts
@@ -2,8 +2,6 @@
 import {numberedDocumentSchema} from '../publish/document-schemas.js';
 import {publishProposalSchema} from '../publish/publish-schemas.js';
 import {keeperRecordSchema} from './keeper-set.js';
-import type {KeeperStore} from './keeper-store.js';
-import {mostBytesPerMessage, mostEntriesPerMessage} from './keeper-timings.js';
 
 /** What an entry of the agreed log asks for. */
 export const commandSchema = z.discriminatedUnion('type', [
@@ -33,24 +31,3 @@
 export function getEntrySizeBytes(entry: LogEntry): number {
 	return entryOverheadBytes + (entry.command.type === 'no-operation' ? 0 : JSON.stringify(entry.command).length);
 }
-
-/**
- * Gets as many entries as fit one message, at least one if there is one.
- * @param store - Where the entries are.
- * @param fromIndex - The first entry.
- * @param toIndex - The last entry that may be sent.
- */
-export function getBatch(store: KeeperStore, fromIndex: number, toIndex: number): LogEntry[] {
-	const batch: LogEntry[] = [];
-	let sizeBytes = 0;
-	for (const entry of store.getEntries(fromIndex, Math.min(mostEntriesPerMessage, Math.max(0, toIndex - fromIndex + 1)))) {
-		sizeBytes += getEntrySizeBytes(entry);
-		if (batch.length > 0 && sizeBytes > mostBytesPerMessage) {
-			break;
-		}
-
-		batch.push(entry);
-	}
-
-	return batch;
-}
--- a/packages/consensus/src/keeper/replication.ts
+++ b/packages/consensus/src/keeper/replication.ts
@@ -6,7 +6,8 @@
 import {
 	feedTimeoutMs, learnerBatchMs, learnerHeartbeatMs, resendMs, snapshotPieceBytes,
 } from './keeper-timings.js';
-import {getBatch, type Command, type LogEntry} from './log-entry.js';
+import {getEntryBatch} from './get-entry-batch.js';
+import type {Command, LogEntry} from './log-entry.js';
 import {createProgress, type Progress} from './progress.js';
 import {encodeState, type EncodedState} from './snapshot-transfer.js';
 
@@ -106,7 +107,7 @@
 
 	function sendEntries(progress: Progress): void {
 		const {record, nextIndex} = progress;
-		const entries = getBatch(store, nextIndex, record.role === 'learner' ? store.getCommitIndex() : store.getLastIndex());
+		const entries = getEntryBatch(store, nextIndex, record.role === 'learner' ? store.getCommitIndex() : store.getLastIndex());
 		progress.nextIndex += entries.length;
 		core.send(record.keeperId, {
 			kind: 'consensus.append',
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,4 +3,5 @@
 export * from './limits/create-limit-book.js';
 export type * from './limits/limit-book.js';
 export * from './queue/fair-queue.js';
+export type * from './queue/queued-task.js';
 export * from './retries/retry-budget.js';
--- a/packages/policy/src/queue/customer-queue.ts
+++ b/packages/policy/src/queue/customer-queue.ts
@@ -1,5 +1,5 @@
 import {createLinkedList, type LinkedList, type LinkedNode} from '../utils/linked-list.js';
-import type {QueuedTask} from './fair-queue.js';
+import type {QueuedTask} from './queued-task.js';
 
 /** The waiting tasks of one job that ask for the same service and needs. */
 type JobPart = {
--- a/packages/policy/src/queue/fair-queue.ts
+++ b/packages/policy/src/queue/fair-queue.ts
@@ -1,20 +1,6 @@
-import type {TaskNeeds} from '@camphortack/core';
 import {createLazyHeap} from '../utils/lazy-heap.js';
 import {createCustomerQueue, type CustomerQueue, type QueuedJob} from './customer-queue.js';
-
-/** A task that waits for a slot. */
-export type QueuedTask = {
-	jobId: string;
-	index: number;
-	customer: string;
-	service: string;
-	pool: string;
-	sizeBytes: number;
-	needs?: TaskNeeds;
-	expectedRunTimeMs: number;
-	enqueuedAtMs: number;
-	deadlineAtMs: number;
-};
+import type {QueuedTask} from './queued-task.js';
 
 /** The tasks of one pool that wait at one daemon. Deficit round robin over customers; inside one, by job. */
 export type FairQueue = {
--- a/packages/testkit/src/time/process-timers.ts
+++ b/packages/testkit/src/time/process-timers.ts
@@ -18,6 +18,10 @@
 		this.#rate = rate;
 	}
 
+	get isPaused(): boolean {
+		return this.#isPaused;
+	}
+
 	override getNowMs(): number {
 		return this.#timers.getNowMs() * this.#rate;
 	}
