Never wait for the reader of the log, at the end neither; test TLS between peers

Cause: lines that a full buffer dropped were not counted, and a process whose standard output nobody reads did not end: a write that blocks in the thread pool keeps process.exit from returning (the new test hung there). Ruled out: the flush of pino alone; without it the blocked thread still holds the end up. Now: a pipe is written in non-blocking mode, the lines of a turn together, bounded by 1 MiB; drops are counted.

--- a/packages/process/src/logs/json-event-log.ts
+++ b/packages/process/src/logs/json-event-log.ts
@@ -1,7 +1,9 @@
+import {fstatSync} from 'node:fs';
 import {pino, type DestinationStream} from 'pino';
 import {
 	EventLog, getEventDescription, type EventFields, type EventName, type MetricSink, type TimerService,
 } from '@camphortack/core';
+import {createPipeDestination} from './create-pipe-destination.js';
 
 export type JsonEventLogOptions = {
 	daemonId: string;
@@ -15,6 +17,7 @@
 
 const defaultMostLinesPerSecond = 400;
 const windowMs = 1000;
+const standardOutputFd = 1;
 /** Lines that wait for a reader that does not read; beyond this they are dropped. */
 const mostBufferedBytes = 1_048_576;
 
@@ -31,8 +34,7 @@
 	constructor(options: JsonEventLogOptions) {
 		super();
 		this.#options = options;
-		const destination = options.destination ?? pino.destination({fd: 1, sync: false, maxLength: mostBufferedBytes});
-		this.#logger = pino({base: {daemon: options.daemonId}, messageKey: 'event'}, destination);
+		this.#logger = pino({base: {daemon: options.daemonId}, messageKey: 'event'}, options.destination ?? createStandardOutput(options.metrics));
 	}
 
 	override write(name: EventName, fields: EventFields = {}): void {
@@ -74,3 +76,19 @@
 		}
 	}
 }
+
+/** Standard output, without waiting for its reader. */
+function createStandardOutput(metrics: MetricSink): DestinationStream {
+	const status = fstatSync(standardOutputFd);
+	if (!status.isFIFO() && !status.isSocket()) {
+		return pino.destination({fd: standardOutputFd, sync: false});
+	}
+
+	return createPipeDestination({
+		fd: standardOutputFd,
+		mostBufferedBytes,
+		onLineDropped() {
+			metrics.increment('log-lines-left-out');
+		},
+	});
+}
--- /dev/null
+++ b/packages/process/test/peers/tcp-peer-network.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+	after, afterEach, before, describe, it,
+} from 'node:test';
+import {setImmediate as waitForTurn} from 'node:timers/promises';
+import type {PeerMessage} from '@camphortack/core';
+import {RecordingEventLog, RecordingMetricSink} from '@camphortack/testkit';
+import {SystemTimers, TcpPeerNetwork, type PeerTlsFiles} from '../../src/index.js';
+import {createAuthority} from '../support/create-authority.js';
+
+const host = '127.0.0.1';
+const message: PeerMessage = {kind: 'test.message'};
+
+describe('TcpPeerNetwork with certificates', () => {
+	const folder = mkdtempSync(join(tmpdir(), 'camphortack-peers-'));
+	const networks: TcpPeerNetwork[] = [];
+	const timers = new SystemTimers();
+	const files = new Map<string, PeerTlsFiles>();
+
+	before(async () => {
+		for (const name of ['own', 'foreign']) {
+			// eslint-disable-next-line no-await-in-loop
+			const authority = await createAuthority(name);
+			// eslint-disable-next-line no-await-in-loop
+			files.set(name, await authority.writeFiles(folder, host));
+		}
+	});
+
+	afterEach(async () => {
+		await Promise.all(networks.splice(0).map(async network => network.close()));
+		timers.cancelAll();
+	});
+
+	after(() => {
+		rmSync(folder, {recursive: true});
+	});
+
+	function createNetwork(ownId: string, tls: PeerTlsFiles | undefined, onMessage?: (fromPeerId: string) => void) {
+		const metrics = new RecordingMetricSink();
+		const network = new TcpPeerNetwork({
+			ownId, host, port: 0, tls, timers, metrics, events: new RecordingEventLog(), onMessage,
+		});
+		networks.push(network);
+		return {network, metrics};
+	}
+
+	/** Sends until the condition holds; a message that finds the link down is dropped and counted. */
+	async function sendUntil(network: TcpPeerNetwork, isReached: () => boolean): Promise<void> {
+		while (!isReached()) {
+			network.send('receiver', message);
+			// eslint-disable-next-line no-await-in-loop
+			await waitForTurn();
+		}
+	}
+
+	const cases: Array<{name: string; authority: string; isAccepted: boolean}> = [
+		{name: 'a certificate of the own authority', authority: 'own', isAccepted: true},
+		{name: 'a certificate of another authority', authority: 'foreign', isAccepted: false},
+		{name: 'no certificate', authority: 'none', isAccepted: false},
+	];
+	for (const {name, authority, isAccepted} of cases) {
+		it(`${name} → messages are ${isAccepted ? 'taken' : 'not taken'}`, async () => {
+			const receivedFrom = new Set<string>();
+			const receiver = createNetwork('receiver', files.get('own'), fromPeerId => {
+				receivedFrom.add(fromPeerId);
+			});
+			const port = await receiver.network.listen();
+			const sender = createNetwork('sender', files.get(authority));
+			sender.network.setAddress({id: 'receiver', host, port});
+			await sendUntil(sender.network, () => receivedFrom.size > 0 || sender.metrics.getCount('peer-dropped') > 0);
+			assert.deepEqual([...receivedFrom], isAccepted ? ['sender'] : []);
+
+			// A daemon that was turned away changes nothing for the others.
+			const other = createNetwork('other', files.get('own'));
+			other.network.setAddress({id: 'receiver', host, port});
+			await sendUntil(other.network, () => receivedFrom.has('other'));
+			assert.equal(receivedFrom.has('sender'), isAccepted);
+		});
+	}
+});
--- /dev/null
+++ b/packages/process/test/support/create-authority.ts
@@ -0,0 +1,64 @@
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {webcrypto} from 'node:crypto';
+import 'reflect-metadata';
+import * as x509 from '@peculiar/x509';
+import type {PeerTlsFiles} from '../../src/index.js';
+
+x509.cryptoProvider.set(webcrypto);
+
+const algorithm = {name: 'ECDSA', namedCurve: 'P-256', hash: 'SHA-256'};
+const notBefore = new Date('2020-01-01T00:00:00Z');
+const notAfter = new Date('2099-01-01T00:00:00Z');
+
+/** An authority that signs the certificates of daemons. */
+export type Authority = {
+	/** Writes the three files of a daemon into a folder. */
+	writeFiles(folder: string, host: string): Promise<PeerTlsFiles>;
+};
+
+/**
+ * Creates an authority with a key of its own.
+ * @param name - Its name, which its files carry too.
+ */
+export async function createAuthority(name: string): Promise<Authority> {
+	const keys = await createKeys();
+	const certificate = await x509.X509CertificateGenerator.createSelfSigned({
+		name: `CN=${name}`,
+		notBefore,
+		notAfter,
+		keys,
+		signingAlgorithm: algorithm,
+		extensions: [new x509.BasicConstraintsExtension(true, undefined, true)],
+	});
+
+	return {
+		async writeFiles(folder, host) {
+			const ownKeys = await createKeys();
+			const own = await x509.X509CertificateGenerator.create({
+				subject: `CN=${host}`,
+				issuer: certificate.subject,
+				notBefore,
+				notAfter,
+				publicKey: ownKeys.publicKey,
+				signingKey: keys.privateKey,
+				signingAlgorithm: algorithm,
+				extensions: [new x509.SubjectAlternativeNameExtension([{type: 'ip', value: host}])],
+			});
+			const key = await webcrypto.subtle.exportKey('pkcs8', ownKeys.privateKey);
+			const files = {
+				certificateFile: join(folder, `${name}-certificate.pem`),
+				keyFile: join(folder, `${name}-key.pem`),
+				authorityFile: join(folder, `${name}-authority.pem`),
+			};
+			writeFileSync(files.certificateFile, own.toString('pem'));
+			writeFileSync(files.keyFile, x509.PemConverter.encode(key, 'PRIVATE KEY'));
+			writeFileSync(files.authorityFile, certificate.toString('pem'));
+			return files;
+		},
+	};
+}
+
+async function createKeys(): Promise<webcrypto.CryptoKeyPair> {
+	return webcrypto.subtle.generateKey(algorithm, true, ['sign', 'verify']);
+}
