Exchange heartbeats between zones only where they are needed

Cause: in a divided deployment every daemon sent heartbeats to all 35 others, asked each new one for the whole registry (245 descriptions each, over links of 17.5 Mbit/s) and opened a link to each. The median job had nothing to do with it: the placers' load was even. Ruled out: the placer itself (0.12 cores in the mean, unchanged by this); fewer heartbeats inside a zone (memberSilenceMs would have to grow, and takeovers with it). Now: needsHeartbeats decides, as a pure part: all inside a zone, keepers with keepers, placers with everybody, a daemon that hears no near keeper with far ones; out-of-date senders are answered once a second. The registry is asked of keepers only, and answered for the zones that the asker may place on.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -2,6 +2,8 @@
 export const placerHeartbeatMs = 100;
 /** How often every other daemon sends one. */
 export const heartbeatMs = 250;
+/** How often a daemon is answered that sends heartbeats though none are exchanged with it. */
+export const answerIntervalMs = 1000;
 /** How often a heartbeat carries the list of members. */
 export const memberListIntervalMs = 1000;
 /** How long a placer may be silent before a daemon no longer hears it. */
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -10,7 +10,7 @@
 import type {PlacerView} from './election/placer-view.js';
 import {createEntryDesk} from './entry/entry-desk.js';
 import {createHeartbeats} from './members/heartbeats.js';
-import {createMemberBook} from './members/member-book.js';
+import {createMemberBook, type ClusterMember} from './members/member-book.js';
 import {clusterMessageSchema, type ClusterMessage, type ClusterMessageOf} from './messages/cluster-messages.js';
 import {createPlacingPart} from './placing/placing-part.js';
 import {createRelay} from './relay/relay.js';
@@ -68,6 +68,7 @@
 		members,
 		incarnation: random.getIdentifier(),
 		isPlacing: placing.isPlacing,
+		isDivided: shards.isDivided,
 		getContent: () => ({
 			shard: shards.getOwnShard(),
 			loadMs: placing.findLoadMs(),
@@ -82,7 +83,7 @@
 		registry,
 		members,
 		getPlacerId: zone => getPlacerView(shards.isDivided() ? zone : jointShard).placerId,
-		isConcerned: (member, zone) => !shards.isDivided() || member.isKeeper || member.availabilityZone === zone,
+		isConcerned,
 		onChange() {
 			divideIfDue(false);
 			renewServers();
@@ -93,6 +94,11 @@
 		return shard === shards.getOwnShard() ? election.getView() : shards.findOtherView(shard) ?? {term: 0, placerId: ''};
 	}
 
+	/** Whether a daemon may have to place on the backend servers of an availability zone. */
+	function isConcerned(member: ClusterMember, availabilityZone: string): boolean {
+		return !shards.isDivided() || member.isKeeper || member.availabilityZone === availabilityZone;
+	}
+
 	function divideIfDue(isOtherDivided: boolean): void {
 		if (shards.divideIfDue(registry.getDescriptions().length, isOtherDivided)) {
 			events.write('deployment-divided', {shard: shards.getOwnShard(), servers: registry.getDescriptions().length, toldByOther: isOtherDivided});
@@ -124,7 +130,9 @@
 		if (isNew) {
 			events.write('member-joined', {member: fromId, availabilityZone: heartbeat.availabilityZone, upMs: heartbeat.upMs});
 			heartbeats.greet(fromId);
-			send(fromId, {kind: 'cluster.registry-request'});
+			requestRegistry(fromId, heartbeat);
+		} else {
+			heartbeats.answerIfDue(fromId);
 		}
 
 		for (const memberId of heartbeat.memberIds ?? []) {
@@ -140,6 +148,22 @@
 		notePlacer(fromId, heartbeat);
 	}
 
+	/** Any daemon may become the placer and then needs the registry; keepers have all of it, so the others are not asked. */
+	function requestRegistry(fromId: string, {isKeeper, availabilityZone}: ClusterMessageOf<'cluster.heartbeat'>): void {
+		const isFar = shards.isDivided() && availabilityZone !== options.availabilityZone;
+		const hearsKeeper = members.getAliveMembers().some(member => member.isKeeper);
+		if (isKeeper ? options.isKeeper || !isFar : !hearsKeeper) {
+			send(fromId, {kind: 'cluster.registry-request'});
+		}
+	}
+
+	/** Tells a daemon of the backend servers that it may have to place on. */
+	function answerRegistryRequest(fromId: string): void {
+		const member = members.findMember(fromId);
+		const descriptions = registry.getDescriptions().filter(({availabilityZone}) => member === undefined || isConcerned(member, availabilityZone));
+		send(fromId, {kind: 'cluster.registry', descriptions});
+	}
+
 	function notePlacer(fromId: string, {shard, term, placerId, loadMs}: ClusterMessageOf<'cluster.heartbeat'>): void {
 		if (shard === shards.getOwnShard()) {
 			election.noteView({term, placerId}, fromId);
@@ -186,7 +210,7 @@
 			}
 
 			case 'cluster.registry-request': {
-				send(fromId, {kind: 'cluster.registry', descriptions: registry.getDescriptions()});
+				answerRegistryRequest(fromId);
 				break;
 			}
 
--- a/packages/cluster/src/members/heartbeats.ts
+++ b/packages/cluster/src/members/heartbeats.ts
@@ -1,10 +1,11 @@
 import {
-	heartbeatMs, linkSilenceMs, memberListIntervalMs, placerHeartbeatMs,
+	answerIntervalMs, heartbeatMs, linkSilenceMs, memberListIntervalMs, placerHeartbeatMs,
 } from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
 import type {PlacerView} from '../election/placer-view.js';
 import type {ClusterMessageOf} from '../messages/cluster-messages.js';
-import type {MemberBook} from './member-book.js';
+import type {ClusterMember, MemberBook} from './member-book.js';
+import {needsHeartbeats, type HeartbeatPeer} from './needs-heartbeats.js';
 
 /** What a heartbeat says besides who sends it. */
 export type HeartbeatContent = {
@@ -18,12 +19,14 @@
 
 /** Sends the signs of life of this daemon, and takes care of links that fail silently. */
 export type Heartbeats = {
-	/** Sends to every contact now. */
+	/** Sends now to every daemon that this one exchanges heartbeats with. */
 	sendAll(): void;
 	/** Sends if it is time to. */
 	sendIfDue(): void;
 	/** Answers a daemon that is new. */
 	greet(memberId: string): void;
+	/** Answers, now and then, a daemon that sends though none are exchanged with it: what it knows is out of date. */
+	answerIfDue(memberId: string): void;
 	/** Looks at what a heartbeat says of the way back. */
 	noteSilence(memberId: string, silenceMs: number | undefined): void;
 };
@@ -33,6 +36,8 @@
 	incarnation: string;
 	getContent: () => HeartbeatContent;
 	isPlacing: () => boolean;
+	/** Whether each availability zone has a placer of its own. */
+	isDivided: () => boolean;
 };
 
 /**
@@ -40,11 +45,13 @@
  * @param options - The links and what there is to say.
  */
 export function createHeartbeats(options: HeartbeatsOptions): Heartbeats {
-	const {availabilityZone, isKeeper, peers, timers, members, incarnation, getContent, isPlacing} = options;
+	const {availabilityZone, isKeeper, peers, timers, members, incarnation, getContent, isPlacing, isDivided} = options;
 	const startedAtMs = timers.getNowMs();
 	const linkResetAtMs = new Map<string, number>();
 	let listSentAtMs = Number.NEGATIVE_INFINITY;
 	let sentAtMs = Number.NEGATIVE_INFINITY;
+	let sentFarAtMs = Number.NEGATIVE_INFINITY;
+	const answeredAtMs = new Map<string, number>();
 
 	function getAliveIds(): string[] {
 		return members.getAliveMembers().map(member => member.id);
@@ -65,9 +72,9 @@
 		};
 	}
 
-	function takeListIfDue(): string[] | undefined {
+	function takeListIfDue(includesFar: boolean): string[] | undefined {
 		const nowMs = timers.getNowMs();
-		if (nowMs - listSentAtMs < memberListIntervalMs) {
+		if (!includesFar || nowMs - listSentAtMs < memberListIntervalMs) {
 			return undefined;
 		}
 
@@ -75,14 +82,39 @@
 		return getAliveIds();
 	}
 
+	function isNearKeeper(member: ClusterMember): boolean {
+		return member.isKeeper && member.availabilityZone === availabilityZone;
+	}
+
+	/** Gets those to send to; daemons that were never heard are among them, so that they learn of this one. */
+	function getReceiverIds(contactIds: readonly string[], includesFar: boolean): string[] {
+		const own = {availabilityZone, isKeeper, isPlacing: isPlacing()};
+		const reach = {isDivided: isDivided(), hearsNearKeeper: isKeeper || members.getAliveMembers().some(member => isNearKeeper(member))};
+		return contactIds.filter(id => {
+			const member = members.findMember(id);
+			if (member === undefined) {
+				return true;
+			}
+
+			const isNear = !reach.isDivided || member.availabilityZone === availabilityZone;
+			return (isNear || includesFar) && needsHeartbeats(own, getPeer(member), reach);
+		});
+	}
+
 	function sendAll(): void {
+		send(true);
+	}
+
+	function send(includesFar: boolean): void {
 		sentAtMs = timers.getNowMs();
+		sentFarAtMs = includesFar ? sentAtMs : sentFarAtMs;
 		const contactIds = members.getContactIds();
 		options.onContacts(contactIds, members.getAliveMembers().filter(member => member.isKeeper).map(member => member.id));
-		const memberIds = takeListIfDue();
+		const receiverIds = getReceiverIds(contactIds, includesFar);
+		const memberIds = takeListIfDue(includesFar);
 		const isSilent = (id: string) => members.getSilenceMs(id) > heartbeatMs * 2;
-		peers.sendToAll(contactIds.filter(id => !isSilent(id)), getHeartbeat(undefined, memberIds));
-		for (const silentId of contactIds.filter(id => isSilent(id))) {
+		peers.sendToAll(receiverIds.filter(id => !isSilent(id)), getHeartbeat(undefined, memberIds));
+		for (const silentId of receiverIds.filter(id => isSilent(id))) {
 			resetSilentLink(silentId);
 			peers.send(silentId, getHeartbeat(members.getSilenceMs(silentId), memberIds));
 		}
@@ -106,8 +138,9 @@
 	return {
 		sendAll,
 		sendIfDue() {
-			if (timers.getNowMs() - sentAtMs >= (isPlacing() ? placerHeartbeatMs : heartbeatMs)) {
-				sendAll();
+			const nowMs = timers.getNowMs();
+			if (nowMs - sentAtMs >= (isPlacing() ? placerHeartbeatMs : heartbeatMs)) {
+				send(nowMs - sentFarAtMs >= heartbeatMs);
 			}
 		},
 		greet(memberId) {
@@ -115,6 +148,14 @@
 			listSentAtMs = Number.NEGATIVE_INFINITY;
 			peers.send(memberId, getHeartbeat(undefined, getAliveIds()));
 		},
+		answerIfDue(memberId) {
+			const nowMs = timers.getNowMs();
+			const isReceiver = getReceiverIds([memberId], true).length > 0;
+			if (!isReceiver && nowMs - (answeredAtMs.get(memberId) ?? Number.NEGATIVE_INFINITY) >= answerIntervalMs) {
+				answeredAtMs.set(memberId, nowMs);
+				peers.send(memberId, getHeartbeat(undefined, undefined));
+			}
+		},
 		noteSilence(memberId, silenceMs) {
 			if (silenceMs !== undefined && silenceMs > linkSilenceMs) {
 				// That daemon is heard but does not hear this one: the way there is broken.
@@ -123,3 +164,7 @@
 		},
 	};
 }
+
+function getPeer({id, availabilityZone, isKeeper, placerId}: ClusterMember): HeartbeatPeer {
+	return {availabilityZone, isKeeper, isPlacing: placerId === id};
+}
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -203,6 +203,29 @@
 		assert.deepEqual(test.fleet.findOverlaps(), []);
 	});
 
+	it('spreads a configuration in a divided deployment, into a zone without a keeper too', async () => {
+		const test = createTestCluster({serverCount: 105});
+		await startServing(test);
+		await runFor(test.timers, 2500);
+		test.kill('keeper-a');
+		await runFor(test.timers, 1500);
+		test.find('keeper-b').cluster.setConfiguration({number: 7, content: 'seven'});
+		await runFor(test.timers, 2000);
+		const numbers = test.daemons.filter(daemon => daemon.isUp).map(daemon => daemon.cluster.getConfiguration()?.number);
+		assert.deepEqual([...new Set(numbers)], [7]);
+	});
+
+	it('sends few messages between the zones of a divided deployment', async () => {
+		const test = createTestCluster({serverCount: 105});
+		await startServing(test);
+		await runFor(test.timers, 2500);
+		const sentBefore = test.network.totals.sentMessages;
+		await runFor(test.timers, 2000);
+		const sentPerSecond = (test.network.totals.sentMessages - sentBefore) / 2;
+		// 6 entry daemons to 2 near daemons and 2 far placers, 3 placers to 2 near and 6 far daemons, open jobs.
+		assert.ok(sentPerSecond < 300, `${sentPerSecond} messages a second`);
+	});
+
 	it('hands what a zone has no room for to an idle one', async () => {
 		const test = createTestCluster({serverCount: 105, getDurationMs: () => 400});
 		await startServing(test);
