--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -1,5 +1,7 @@
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
-import type {Run, RunEnd, TaskNeeds} from './run.js';
+import type {
+	Run, RunEnd, RunStart, TaskNeeds,
+} from './run.js';
 
 /**
  * - `claiming`: a renewal with a new token is under way; nothing is started.
@@ -30,7 +32,7 @@
 	/** Gets what is free; nothing while the needs of a run are not known. */
 	getFreeRoom(): TaskNeeds;
 	/** Starts a task. The listener is told when it ends or turns out not to have begun. */
-	start(options: {taskName: string; runNumber: number; payload: string; needs: TaskNeeds}): void;
+	start(options: RunStart & {payload: string}): void;
 	/** Stops a run, if it is there; the listener is told when it is over. */
 	stop(taskName: string): void;
 	/** Ends all calls. Runs are left to their lease. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -1,12 +1,14 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import type {
-	ActiveRun, BackendServerOrders, EndedRun, OrderAnswer, OrderTarget, RenewAnswer,
+	BackendServerOrders, OrderAnswer, OrderTarget, RenewAnswer,
 } from '../ports/backend-server-orders.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {BackendSession, SessionListener, SessionState} from './backend-session.js';
 import {getFencingToken, mostClaimsPerTerm} from './fencing-token.js';
 import {createLeaseClock} from './lease-clock.js';
-import type {Run, RunEnd} from './run.js';
+import {getRejectedEnd} from './get-run-end.js';
+import type {Run} from './run.js';
+import {createRunBook} from './run-book.js';
 import {
 	claimsUntilSilent, claimTimeoutMs, leaseMs, longestClaimPauseMs, orderTimeoutMs, renewWaitMs, shortestClaimPauseMs, takeoverMarginMs,
 	unclaimedRunGraceMs,
@@ -33,12 +35,13 @@
  */
 export function createBackendSession(options: BackendSessionOptions): BackendSession {
 	const {term, daemonNumber, orders, timers, events, metrics, listener} = options;
-	const runs = new Map<string, Run>();
+	const book = createRunBook(() => timers.getNowMs(), (run, how) => {
+		listener.onRunEnd(session, run, how);
+	});
 	const clock = createLeaseClock(leaseMs);
 	let {description} = options;
 	let state: SessionState = 'claiming';
 	let claim = -1;
-	let acknowledgedEnd = 0;
 	let unansweredClaims = 0;
 	let isClosed = false;
 
@@ -58,7 +61,7 @@
 		const previous = state;
 		state = next;
 		events.write('backend-session-changed', {
-			server: description.id, previous, state: next, reason, term, claim, runs: runs.size,
+			server: description.id, previous, state: next, reason, term, claim, runs: book.getRuns().size,
 		});
 		listener.onStateChange(session);
 	}
@@ -95,7 +98,7 @@
 
 	/** A claim gives no lease: while claims go unanswered, the end of the earlier leases must come nearer. */
 	async function sendClaim(ownClaim: number, reason: string): Promise<void> {
-		const answer = await orders.renew(getTarget(), {token: getToken(), acknowledgedEnd}, claimTimeoutMs);
+		const answer = await orders.renew(getTarget(), {token: getToken(), acknowledgedEnd: book.getAcknowledgedEnd()}, claimTimeoutMs);
 		if (isClosed || ownClaim !== claim) {
 			return;
 		}
@@ -127,10 +130,8 @@
 	 * placer may have given in the meantime.
 	 */
 	function endRunsAfterLease(): void {
-		if (runs.size > 0 && timers.getNowMs() > clock.getLeasesOverAtMs() + takeoverMarginMs) {
-			for (const run of runs.values()) {
-				endRun(run, 'lost');
-			}
+		if (timers.getNowMs() > clock.getLeasesOverAtMs() + takeoverMarginMs) {
+			book.endAllRuns('lost');
 		}
 	}
 
@@ -146,10 +147,7 @@
 
 	/** Nothing survives the incarnation that it ran on. */
 	function endIncarnation(): void {
-		for (const run of runs.values()) {
-			endRun(run, 'lost');
-		}
-
+		book.endAllRuns('lost');
 		setState('closed', 'another incarnation answered');
 	}
 
@@ -161,56 +159,29 @@
 
 		unansweredClaims = 0;
 		clock.addReading(answer.clockMs, timers.getNowMs());
-		handleEnds(answer.endedRuns);
-		reconcile(answer.activeRuns, answer.clockMs);
+		book.addEnds(answer.endedRuns);
+		book.reconcile(answer.activeRuns, answer.clockMs);
+		stopAgain();
 		setState('held', 'claim answered');
 		listener.onHeld(session);
 		stopUnknownRunsLater();
 		void renewOnce(claim);
 	}
 
-	/** Brings the runs known here into line with what the backend server listed under the new token. */
-	function reconcile(activeRuns: readonly ActiveRun[], clockMs: number): void {
-		const active = new Map(activeRuns.map(activeRun => [activeRun.taskName, activeRun]));
-		for (const run of runs.values()) {
-			const found = active.get(run.taskName);
-			if (found?.runNumber === run.runNumber) {
-				setProgress(run, found.percent, clockMs);
-				run.state = run.state === 'starting' ? 'running' : run.state;
-			} else {
-				endRun(run, run.state === 'starting' ? 'unanswered' : 'lost');
-			}
-		}
-
-		for (const {taskName, runNumber, percent} of activeRuns) {
-			if (!runs.has(taskName)) {
-				runs.set(taskName, {
-					taskName, runNumber, needs: undefined, state: 'running', startedAtMs: timers.getNowMs(), percent, serverStartMs: undefined, serverReportMs: undefined,
-				});
-			}
-		}
-
-		stopAgain();
-	}
-
 	function stopAgain(): void {
-		for (const run of runs.values()) {
-			if (run.state === 'stopping') {
-				void sendStop(run);
-			}
+		for (const run of book.getStoppingRuns()) {
+			void sendStop(run);
 		}
 	}
 
 	function stopUnknownRunsLater(): void {
-		if ([...runs.values()].every(run => run.needs !== undefined)) {
+		if (book.getUnknownRuns().length === 0) {
 			return;
 		}
 
 		timers.addTimer(unclaimedRunGraceMs, () => {
-			for (const run of runs.values()) {
-				if (run.needs === undefined) {
-					stop(run.taskName);
-				}
+			for (const run of book.getUnknownRuns()) {
+				stop(run.taskName);
 			}
 		});
 	}
@@ -218,7 +189,7 @@
 	/** Each renewal acknowledges the ends of the one before and asks for the next ones. */
 	async function renewOnce(ownClaim: number): Promise<void> {
 		const answer = await orders.renew(getTarget(), {
-			token: getToken(), acknowledgedEnd, leaseEndMs: getLeaseEndMs(), waitMs: renewWaitMs,
+			token: getToken(), acknowledgedEnd: book.getAcknowledgedEnd(), leaseEndMs: getLeaseEndMs(), waitMs: renewWaitMs,
 		}, renewWaitMs + orderTimeoutMs);
 		if (isClosed || ownClaim !== claim) {
 			return;
@@ -243,38 +214,8 @@
 		}
 
 		clock.addReading(answer.clockMs, timers.getNowMs());
-		handleEnds(answer.endedRuns);
-		for (const {taskName, percent} of answer.activeRuns) {
-			const run = runs.get(taskName);
-			if (run !== undefined) {
-				setProgress(run, percent, answer.clockMs);
-			}
-		}
-	}
-
-	function setProgress(run: Run, percent: number, clockMs: number): void {
-		run.percent = percent;
-		run.serverReportMs = clockMs;
-	}
-
-	function handleEnds(endedRuns: readonly EndedRun[]): void {
-		for (const ended of endedRuns) {
-			if (ended.endNumber <= acknowledgedEnd) {
-				continue;
-			}
-
-			acknowledgedEnd = ended.endNumber;
-			const run = runs.get(ended.taskName);
-			if (run?.runNumber === ended.runNumber) {
-				endRun(run, getRunEnd(ended.how));
-			}
-		}
-	}
-
-	function endRun(run: Run, how: RunEnd): void {
-		if (runs.delete(run.taskName)) {
-			listener.onRunEnd(session, run, how);
-		}
+		book.addEnds(answer.endedRuns);
+		book.setProgress(answer.activeRuns, answer.clockMs);
 	}
 
 	async function sendStart(run: Run, payload: string): Promise<void> {
@@ -286,7 +227,7 @@
 			leaseEndMs: getLeaseEndMs()!,
 			token: getToken(),
 		}, orderTimeoutMs);
-		if (isClosed || runs.get(run.taskName) !== run) {
+		if (isClosed || !book.hasRun(run)) {
 			return;
 		}
 
@@ -316,7 +257,7 @@
 		events.write('start-rejected', {
 			task: run.taskName, run: run.runNumber, server: description.id, reason, claim: sentClaim,
 		});
-		endRun(run, getRejectedEnd(reason));
+		book.endRun(run, getRejectedEnd(reason));
 		if (reason === 'fenced' && sentClaim === claim) {
 			setState('fenced', 'another placer holds a higher token');
 		} else if (reason === 'other-incarnation') {
@@ -329,7 +270,7 @@
 	async function sendStop(run: Run): Promise<void> {
 		const sentClaim = claim;
 		const answer = await orders.stop(getTarget(), {taskName: run.taskName, runNumber: run.runNumber, token: getToken()}, orderTimeoutMs);
-		if (isClosed || runs.get(run.taskName) !== run || sentClaim !== claim) {
+		if (isClosed || !book.hasRun(run) || sentClaim !== claim) {
 			return;
 		}
 
@@ -341,7 +282,7 @@
 	}
 
 	function stop(taskName: string): void {
-		const run = runs.get(taskName);
+		const run = book.getRuns().get(taskName);
 		if (run === undefined || run.state === 'stopping') {
 			return;
 		}
@@ -358,15 +299,11 @@
 			description = next;
 		},
 		getState: () => state,
-		getRuns: () => runs,
-		findRun: taskName => runs.get(taskName),
-		getFreeRoom: () => getFreeRoom(description, runs.values()),
-		start({taskName, runNumber, payload, needs}) {
-			const run: Run = {
-				taskName, runNumber, needs, state: 'starting', startedAtMs: timers.getNowMs(), percent: 0, serverStartMs: undefined, serverReportMs: undefined,
-			};
-			runs.set(taskName, run);
-			void sendStart(run, payload);
+		getRuns: book.getRuns,
+		findRun: taskName => book.getRuns().get(taskName),
+		getFreeRoom: () => getFreeRoom(description, book.getRuns().values()),
+		start({payload, ...start}) {
+			void sendStart(book.addRun(start), payload);
 		},
 		stop,
 		close() {
@@ -377,36 +314,3 @@
 	startClaim('first contact');
 	return session;
 }
-
-function getRunEnd(how: EndedRun['how']): RunEnd {
-	switch (how) {
-		case 'done':
-		case 'failed':
-		case 'stopped':
-		case 'lapsed': {
-			return how;
-		}
-
-		case 'broken':
-		case 'alone': {
-			return 'stopped';
-		}
-	}
-}
-
-function getRejectedEnd(reason: Extract<OrderAnswer, {outcome: 'rejected'}>['reason']): RunEnd {
-	switch (reason) {
-		case 'no-room':
-		case 'unhealthy':
-		case 'old-run': {
-			return reason;
-		}
-
-		case 'fenced':
-		case 'lease-over':
-		case 'malformed':
-		case 'other-incarnation': {
-			return 'not-started';
-		}
-	}
-}
--- a/packages/placement/src/sessions/run.ts
+++ b/packages/placement/src/sessions/run.ts
@@ -5,6 +5,13 @@
 	gpuCount: number;
 };
 
+/** The start of a task that is to be ordered. */
+export type RunStart = {
+	taskName: string;
+	runNumber: number;
+	needs: TaskNeeds;
+};
+
 /** One start of a task on a backend server. */
 export type Run = {
 	readonly taskName: string;
