Take job intake and status out of the dispatcher

Ruled out: dividing the wiring itself; its parts refer to each other, and a reader follows them in one place. No behaviour changes.

--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -1,7 +1,5 @@
 import {createEjectionTracker, createRunTimeEstimator, type LimitRequest} from '@camphortack/policy';
-import type {
-	Job, JobOutcome, Member, RefusalCode,
-} from '@camphortack/core';
+import type {Member} from '@camphortack/core';
 import {createAdmissionDesk} from '../admission/admission-desk.js';
 import {checkAdmission} from '../admission/check-admission.js';
 import {createDeadlineCheck} from '../admission/deadline-check.js';
@@ -11,12 +9,9 @@
 import {createPartSender, type HandedOverPart} from '../handover/part-sender.js';
 import type {PartVerdict} from '../handover/apply-part-outcome.js';
 import {createJobBook} from '../jobs/job-book.js';
-import {createRefusedOutcome} from '../jobs/job-outcomes.js';
-import {
-	createOpenJob, type JobEnd, type OpenJob, type OpenTask,
-} from '../jobs/open-job.js';
+import type {OpenJob, OpenTask} from '../jobs/open-job.js';
 import {createOverrunWatch} from '../limits/overrun-watch.js';
-import type {DispatchMessage, JobMessage, PoolLoad} from '../messages/dispatch-messages.js';
+import type {DispatchMessage, PoolLoad} from '../messages/dispatch-messages.js';
 import {createHeartbeats} from '../peers/heartbeats.js';
 import {createPartnerTable} from '../peers/partner-table.js';
 import {createMessageRouter} from '../peers/message-router.js';
@@ -32,7 +27,9 @@
 import {createSlotManagers} from '../servers/slot-managers.js';
 import {createHedger} from '../tasks/hedger.js';
 import {createTaskRunner} from '../tasks/task-runner.js';
-import type {Dispatcher, DispatcherOptions, DispatcherStatus} from './dispatcher.js';
+import type {Dispatcher, DispatcherOptions} from './dispatcher.js';
+import {getDispatcherStatus} from './get-dispatcher-status.js';
+import {createJobIntake} from './job-intake.js';
 
 const defaultLeaseDurationMs = 2000;
 const expiryCheckIntervalMs = 500;
@@ -130,7 +127,7 @@
 		send,
 		getLoads: pool => pool === '' ? [] : [getLoad(pool)],
 		getPool: (service, customer) => rules?.getPoolName(service, customer) ?? '',
-		openPart,
+		openPart: (...part) => intake.openPart(...part),
 		cancelPart(key) {
 			const job = jobs.findJob(key);
 			if (job !== undefined) {
@@ -165,6 +162,19 @@
 	const balancer = createBalancer({
 		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad, fitsInZone: router.fitsInZone,
 	});
+	const intake = createJobIntake({
+		timers,
+		metrics,
+		estimator,
+		jobs,
+		queues,
+		table,
+		router,
+		findRules: () => rules,
+		isDraining: () => isDraining,
+		getSlotCount: pool => getLoad(pool).slots,
+		placePool,
+	});
 	const meetsDeadlines = createDeadlineCheck({
 		timers,
 		queues,
@@ -179,8 +189,10 @@
 		findRefusal: job => checkAdmission({
 			job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
 		}),
-		createJob: (job, onEnd) => createJob(job.id, job, onEnd),
-		onAdmitted: acceptJob,
+		createJob: (job, onEnd) => intake.createJob(job.id, job, onEnd),
+		onAdmitted(job) {
+			intake.acceptJob(job);
+		},
 	});
 	const routeMessage = createMessageRouter({
 		sender,
@@ -282,61 +294,6 @@
 		}
 	}
 
-	function acceptJob(job: OpenJob): void {
-		jobs.addJob(job, true);
-		if (addToQueue(job)) {
-			metrics.increment('job-accepted');
-		} else {
-			jobs.refuse(job, 'queue-full');
-		}
-	}
-
-	function createJob(key: string, job: Job, onEnd: (end: JobEnd) => void, message?: JobMessage): OpenJob {
-		return createOpenJob({
-			key,
-			job,
-			indexes: message?.indexes,
-			handovers: message?.handovers,
-			pool: rules!.getPoolName(job.service, job.customer),
-			declaredRunTimeMs: rules!.findService(job.service)!.declaredRunTimeMs,
-			getExpectedRunTimeMs: declaredRunTimeMs => estimator.getExpectedRunTimeMs(job.service, declaredRunTimeMs),
-			nowMs: timers.getNowMs(),
-			onEnd,
-		});
-	}
-
-	function addToQueue(job: OpenJob): boolean {
-		const isAdded = queues.addTasks(router.route(job), rules!.findService(job.service)!) === 'added';
-		if (isAdded) {
-			placePool(job.pool);
-			metrics.setGauge('task-queued', queues.getTotals().tasks);
-		}
-
-		return isAdded;
-	}
-
-	/** Takes tasks that another daemon hands over. */
-	function openPart(key: string, job: Job, message: JobMessage, onEnd: (end: JobEnd) => void): RefusalCode | undefined {
-		const code = checkAdmission({
-			job, rules, isDraining, table, estimator, hasPartners: false,
-		});
-		if (code !== undefined) {
-			return code;
-		}
-
-		const openJob = createJob(key, job, onEnd, message);
-		if (getLoad(openJob.pool).slots === 0) {
-			return 'no-backend-server';
-		}
-
-		jobs.addJob(openJob, false);
-		if (!addToQueue(openJob)) {
-			jobs.refuse(openJob, 'queue-full');
-		}
-
-		return undefined;
-	}
-
 	function handleMessage(peerId: string, message: DispatchMessage): void {
 		const wasConnected = heartbeats.isConnected();
 		heartbeats.noteHeard(peerId);
@@ -369,30 +326,8 @@
 		balanceAll();
 	}
 
-	function getHeldSlots(server: BackendServerRecord): number {
-		const isManager = server.managerId === ownId && server.managedFromMs <= timers.getNowMs();
-		return isManager && mayUse(server) && !server.isLeaving ? server.announcement.slots : 0;
-	}
-
-	function getStatus(): DispatcherStatus {
-		const {tasks, bytes} = queues.getTotals();
-		return {
-			queuedTasks: tasks,
-			queuedBytes: bytes,
-			runningTasks: runner.getRunningCount(),
-			openJobs: jobs.getCount(),
-			isDraining,
-			backendServers: [...table.getAll()].map(server => ({
-				id: server.id,
-				availabilityZone: server.announcement.availabilityZone,
-				slots: server.announcement.slots,
-				managerId: server.managerId,
-				heldSlots: getHeldSlots(server),
-				busySlots: server.busySlots,
-				isEjected: ejection.isEjected(server.id),
-				isLeaving: server.isLeaving,
-			})),
-		};
+	function holdsSlots(server: BackendServerRecord): boolean {
+		return server.managerId === ownId && server.managedFromMs <= timers.getNowMs() && mayUse(server);
 	}
 
 	return {
@@ -437,6 +372,8 @@
 		handleTaskEvent: runner.handleTaskEvent,
 		handlePeerMessage: inbox.handlePeerMessage,
 		startDraining,
-		getStatus,
+		getStatus: () => getDispatcherStatus({
+			queues, runner, jobs, table, ejection, isDraining, holdsSlots,
+		}),
 	};
 }
