End a link at once that is still being opened; raise no term against the rest of a deployment

Cause, from the logs: links between the zones came up only at 11.9 s, and were lost in the same millisecond. resetLink calls resetAndDestroy, which waits for the connection where a socket is still connecting; so the attempts begun during the cut stayed, with the kernel's growing pauses between their packets, and were reset once they were through. Over TLS the call throws. Second, in the same log: in these 2.9 s the placer that had been cut off found its tokens too low and raised its term by 64 against the other side's placer, which it did not hear yet; so all jobs changed hands once more. Ruled out: the configuration's agreement (version 6 was in force in both other zones at 5.03 s); the entry VM's load. Tests: a link reset while it is being opened (plain: the message went through late; TLS: 'This handle type cannot be sent'); no term raised where backend servers are reached before the daemons. Each fails without its part.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -42,6 +42,8 @@
 export const longestElectionGapMs = 200;
 /** How long most backend servers may reject the tokens of a placer before it raises its term. */
 export const overtakenPauseMs = 200;
+/** The same for a placer that hears few daemons: the others have a placer, and will be heard again once links are up. */
+export const overtakenAloneMs = 2500;
 /** By how much the term is raised then. */
 export const termRaise = 64;
 /** How often the placer looks which backend servers it may claim. */
--- a/packages/cluster/src/election/get-claimable-zones.ts
+++ b/packages/cluster/src/election/get-claimable-zones.ts
@@ -24,6 +24,10 @@
 	return new Set([...zones].filter(zone => isMostlyAlive(voters.filter(voter => voter.availabilityZone === zone))));
 }
 
-function isMostlyAlive(voters: readonly ZoneVoter[]): boolean {
+/**
+ * Whether most of the daemons that count are heard.
+ * @param voters - Every daemon that counts, the own one included.
+ */
+export function isMostlyAlive(voters: readonly ZoneVoter[]): boolean {
 	return voters.filter(voter => voter.isAlive).length * 2 > voters.length;
 }
--- a/packages/cluster/src/election/placer-election.ts
+++ b/packages/cluster/src/election/placer-election.ts
@@ -1,12 +1,12 @@
 import {
-	keeperHeadStartMs, longestElectionGapMs, memberSilenceMs, overtakenPauseMs, placerMinimumUpAmongAllMs, placerMinimumUpMs, placerSilenceMs, startToleranceMs, termRaise,
+	keeperHeadStartMs, longestElectionGapMs, memberSilenceMs, overtakenAloneMs, overtakenPauseMs, placerMinimumUpAmongAllMs, placerMinimumUpMs, placerSilenceMs, startToleranceMs, termRaise,
 } from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
 import type {ClusterMember, MemberBook} from '../members/member-book.js';
 import type {PlacingPart} from '../placing/placing-part.js';
 import type {ShardMap} from '../shards/shard-map.js';
 import {findClaimReason, type Elector} from './find-claim-reason.js';
-import {getClaimableZones} from './get-claimable-zones.js';
+import {getClaimableZones, isMostlyAlive, type ZoneVoter} from './get-claimable-zones.js';
 import {isNewerView, type PlacerView} from './placer-view.js';
 
 /** Follows the placer with the highest term, and becomes the placer where one is missing. */
@@ -100,12 +100,16 @@
 		};
 	}
 
-	function getZones(): Set<string> {
+	function getVoters(): ZoneVoter[] {
 		const counted = members.getCountedMembers().filter(member => !shards.isDivided() || member.availabilityZone === availabilityZone);
 		const others = counted.map(member => ({
 			availabilityZone: member.availabilityZone, isAlive: members.getSilenceMs(member.id) < memberSilenceMs,
 		}));
-		return getClaimableZones([{availabilityZone, isAlive: true}, ...others]);
+		return [{availabilityZone, isAlive: true}, ...others];
+	}
+
+	function getZones(): Set<string> {
+		return getClaimableZones(getVoters());
 	}
 
 	function claimIfVacant(): void {
@@ -148,7 +152,8 @@
 		}
 
 		overtakenSinceMs ??= nowMs;
-		if (nowMs - overtakenSinceMs >= overtakenPauseMs) {
+		const pauseMs = isMostlyAlive(getVoters()) ? overtakenPauseMs : overtakenAloneMs;
+		if (nowMs - overtakenSinceMs >= pauseMs) {
 			overtakenSinceMs = undefined;
 			becomePlacer('tokens-too-low', termRaise);
 		}
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -112,6 +112,23 @@
 		assert.ok(test.fleet.getHighestUse() <= 1);
 	});
 
+	it('raises no term where backend servers are reached again before the other daemons', async () => {
+		const test = createTestCluster({getDurationMs: () => 150});
+		await startServing(test);
+		const {availabilityZone} = test.getPlacer();
+		test.cutZone(availabilityZone);
+		await submitFor(test, 2000, 50, 'cut');
+		test.healServers();
+		await submitFor(test, 1000, 50, 'between');
+		test.heal();
+		await submitFor(test, 1000, 50, 'healed');
+		await submitFor(test, 400, 20, 'after');
+		await runFor(test.timers, 400);
+		assert.deepEqual(test.events.filter(({fields}) => fields.reason === 'tokens-too-low'), []);
+		assert.deepEqual(countOutcomes(test, 'after'), {completed: 20});
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+	});
+
 	it('serves again after all daemons lost their memory, with tokens that count', async () => {
 		const test = createTestCluster();
 		await startServing(test);
--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -33,6 +33,8 @@
 	reportServers(): void;
 	/** Cuts an availability zone off, backend servers included. */
 	cutZone(zone: string): void;
+	/** Lets backend servers be reached again; links between daemons stay cut. */
+	healServers(): void;
 	heal(): void;
 };
 
@@ -196,6 +198,9 @@
 			const ids = (isInside: boolean) => daemons.filter(daemon => (daemon.availabilityZone === zone) === isInside).map(daemon => daemon.id);
 			network.cutSides(ids(true), ids(false));
 		},
+		healServers() {
+			cutZone = undefined;
+		},
 		heal() {
 			cutZone = undefined;
 			network.healLinks();
--- a/packages/process/src/peers/tcp-peer-network.ts
+++ b/packages/process/src/peers/tcp-peer-network.ts
@@ -96,7 +96,7 @@
 		const known = this.#addresses.get(address.id);
 		this.#addresses.set(address.id, address);
 		if (known !== undefined && (known.host !== address.host || known.port !== address.port)) {
-			this.#links.get(address.id)?.socket.resetAndDestroy();
+			this.resetLink(address.id);
 			this.#notBeforeMs.delete(address.id);
 		}
 	}
@@ -125,7 +125,17 @@
 
 	/** Drops the link to a peer with everything that waits in it; the next message opens a new one. */
 	resetLink(peerId: string): void {
-		this.#links.get(peerId)?.socket.resetAndDestroy();
+		const socket = this.#links.get(peerId)?.socket;
+		if (socket === undefined) {
+			return;
+		}
+
+		// A reset waits for the connection if there is none yet, and a TLS socket knows none.
+		if (socket.connecting || socket instanceof tls.TLSSocket) {
+			socket.destroy();
+		} else {
+			socket.resetAndDestroy();
+		}
 	}
 
 	/** Closes every link and stops listening. */
--- a/packages/process/test/peers/tcp-peer-network.test.ts
+++ b/packages/process/test/peers/tcp-peer-network.test.ts
@@ -14,7 +14,7 @@
 const host = '127.0.0.1';
 const message: PeerMessage = {kind: 'test.message'};
 
-describe('TcpPeerNetwork with certificates', () => {
+describe('TcpPeerNetwork', () => {
 	const folder = mkdtempSync(join(tmpdir(), 'camphortack-peers-'));
 	const networks: TcpPeerNetwork[] = [];
 	const timers = new SystemTimers();
@@ -38,13 +38,14 @@
 		rmSync(folder, {recursive: true});
 	});
 
-	function createNetwork(ownId: string, tls: PeerTlsFiles | undefined, onMessage?: (fromPeerId: string) => void) {
+	function createNetwork(ownId: string, tls: PeerTlsFiles | undefined, onMessage?: (fromPeerId: string, message: PeerMessage) => void) {
 		const metrics = new RecordingMetricSink();
+		const events = new RecordingEventLog();
 		const network = new TcpPeerNetwork({
-			ownId, host, port: 0, tls, timers, metrics, events: new RecordingEventLog(), onMessage,
+			ownId, host, port: 0, tls, timers, metrics, events, onMessage,
 		});
 		networks.push(network);
-		return {network, metrics};
+		return {network, metrics, events};
 	}
 
 	/** Sends until the condition holds; a message that finds the link down is dropped and counted. */
@@ -56,6 +57,28 @@
 		}
 	}
 
+	for (const authority of ['none', 'own']) {
+		it(`a link that is reset while it is being opened, certificates: ${authority} → ends at once and is opened again`, async () => {
+			const kinds: string[] = [];
+			const receiver = createNetwork('receiver', files.get(authority), (_fromPeerId, {kind}) => {
+				kinds.push(kind);
+			});
+			const port = await receiver.network.listen();
+			const sender = createNetwork('sender', files.get(authority));
+			sender.network.setAddress({id: 'receiver', host, port});
+			sender.network.send('receiver', {kind: 'test.before'});
+			sender.network.resetLink('receiver');
+			await sendUntil(sender.network, () => kinds.length > 0);
+			assert.deepEqual([...new Set(kinds)], [message.kind]);
+			assert.equal(sender.events.events.filter(({name}) => name === 'peer-connected').length, 1);
+
+			// An open link is reset too.
+			sender.network.resetLink('receiver');
+			kinds.length = 0;
+			await sendUntil(sender.network, () => kinds.length > 0);
+		});
+	}
+
 	const cases: Array<{name: string; authority: string; isAccepted: boolean}> = [
 		{name: 'a certificate of the own authority', authority: 'own', isAccepted: true},
 		{name: 'a certificate of another authority', authority: 'foreign', isAccepted: false},
