--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -14,6 +14,8 @@
 export const memberRetentionMs = 20_000;
 /** How long a daemon must be up before it can become the placer, so that it knows the others first. */
 export const placerMinimumUpMs = 1200;
+/** How long it must be up if it hears every seed: nobody is left who could know of a placer that it does not know. */
+export const placerMinimumUpAmongAllMs = 350;
 /** Daemons that started within this time of each other count as equally settled. */
 export const startToleranceMs = 400;
 /** How much longer a daemon without a disk waits before it becomes the first placer. */
@@ -40,6 +42,8 @@
 export const longestElectionGapMs = 200;
 /** How long most backend servers may reject the tokens of a placer before it raises its term. */
 export const overtakenPauseMs = 200;
+/** The same for a placer that hears few daemons: the others have a placer, and will be heard again once links are up. */
+export const overtakenAloneMs = 2500;
 /** By how much the term is raised then. */
 export const termRaise = 64;
 /** How often the placer looks which backend servers it may claim. */
