--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -9,7 +9,7 @@
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerOrders} from '../ports/backend-server-orders.js';
-import type {BackendSession, SessionState} from '../sessions/backend-session.js';
+import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createJobLedger} from './job-ledger.js';
 import {createJobRecovery, recoveryMs} from './job-recovery.js';
@@ -122,7 +122,7 @@
 
 	function createTables(waiting: readonly Waiting[]): Map<string, RoomTable> {
 		const services = new Set(waiting.map(({job}) => job.request.service));
-		return new Map([...services].map(service => [service, createRoomTable(getServers(service, 'held'), getServers(service, 'claiming'))]));
+		return new Map([...services].map(service => [service, createRoomTable(getUsableServers(service))]));
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
@@ -140,10 +140,10 @@
 		}
 	}
 
-	function getServers(service: string, state: SessionState): PooledServer[] {
+	function getUsableServers(service: string): PooledServer[] {
 		return [...pool.getServers()].filter(({session}) => {
 			const description = session.getDescription();
-			return session.getState() === state && description.state === 'ready' && description.service === service;
+			return session.getState() === 'held' && description.state === 'ready' && description.service === service;
 		});
 	}
 
--- a/packages/placement/src/placer/room-table.ts
+++ b/packages/placement/src/placer/room-table.ts
@@ -6,9 +6,8 @@
 export type RoomTable = {
 	/** Chooses the backend server for a task and takes the room there; undefined if none has room. */
 	takeRoom(job: PlacedJob, task: PlacedTask): PooledServer | undefined;
-	/** Gets the cores of these backend servers, and of those that will be held again in a moment. */
 	getUsableMillicores(): number;
-	/** Gets the free cores of the same as they were when the table was made. */
+	/** Gets the free cores as they were when the table was made. */
 	getFreeMillicores(): number;
 };
 
@@ -20,12 +19,10 @@
 /**
  * Creates the table.
  * @param servers - The backend servers that are held, ready and of the service.
- * @param returning - Those that are being claimed because an order went unanswered. They take no tasks yet, but the load
- *   is judged as if they did: most are held again after one more call.
  */
-export function createRoomTable(servers: readonly PooledServer[], returning: readonly PooledServer[] = []): RoomTable {
+export function createRoomTable(servers: readonly PooledServer[]): RoomTable {
 	const rows = servers.map(server => createRow(server));
-	const freeMillicores = [...servers, ...returning].reduce((sum, {session}) => sum + session.getFreeRoom().cpuMillicores, 0);
+	const freeMillicores = rows.reduce((sum, row) => sum + row.freeRoom.cpuMillicores, 0);
 	let largestFreeMillicores = getLargestFree();
 
 	function getLargestFree(): number {
@@ -72,7 +69,7 @@
 			largestFreeMillicores = getLargestFree();
 			return row.server;
 		},
-		getUsableMillicores: () => [...servers, ...returning].reduce((sum, {session}) => sum + session.getDescription().cpuMillicores, 0),
+		getUsableMillicores: () => servers.reduce((sum, {session}) => sum + session.getDescription().cpuMillicores, 0),
 		getFreeMillicores: () => freeMillicores,
 	};
 }
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -38,22 +38,6 @@
 		assert.ok(fleet.getHighestUse() > 0.8 && fleet.getHighestUse() <= 1, `highest use ${fleet.getHighestUse()}`);
 	});
 
-	it('refuses no job because a backend server is being claimed for a moment', async () => {
-		const {timers, fleet, submit, results} = createTestPlacer({serverCount: 2, getDurationMs: () => 200});
-		const steps = [{...defaultRequest.steps[0]!, estimateMs: 200}];
-		await runFor(timers, 10);
-		submit({jobId: 'first', steps});
-		await runFor(timers, 10);
-		fleet.servers[1]!.trouble = {isOrderLate: () => true};
-		submit({jobId: 'second', steps});
-		await runFor(timers, 100);
-		submit({jobId: 'third', steps});
-		await runFor(timers, 10);
-		fleet.servers[1]!.trouble = {};
-		await runFor(timers, 600);
-		assert.deepEqual([...results.values()].map(({outcome}) => outcome), ['completed', 'completed', 'completed']);
-	});
-
 	it('says when a backend server can no longer be claimed in the term', async () => {
 		const {timers, fleet, placer} = createTestPlacer({serverCount: 2});
 		const random = createSeededRandomSource(1);
