Test who gets heartbeats and who is answered

Cause: the answers to out-of-date senders had no test of their own. Ruled out: reaching them through whole clusters; there every keeper places, so all are receivers anyway.

--- /dev/null
+++ b/packages/cluster/test/members/heartbeats.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {PeerNetwork, type PeerMessage} from '@camphortack/core';
+import {VirtualTimers} from '@camphortack/testkit';
+import {createHeartbeats, type Heartbeats} from '../../src/members/heartbeats.js';
+import {createMemberBook} from '../../src/members/member-book.js';
+import type {ClusterMessageOf} from '../../src/messages/cluster-messages.js';
+
+class RecordingPeers extends PeerNetwork {
+	readonly receiverIds: string[] = [];
+
+	override send(peerId: string, _message: PeerMessage): void {
+		this.receiverIds.push(peerId);
+	}
+}
+
+function getHeartbeat(availabilityZone: string, isKeeper: boolean, placerId: string): ClusterMessageOf<'cluster.heartbeat'> {
+	return {
+		kind: 'cluster.heartbeat',
+		availabilityZone,
+		isKeeper,
+		incarnation: 'one',
+		upMs: 5000,
+		shard: availabilityZone,
+		term: 1,
+		placerId,
+		hearsPlacer: true,
+		isLeaving: false,
+		configurationNumber: 1,
+	};
+}
+
+/** An entry daemon of zone a that has heard its keeper, one entry daemon of its zone, and three daemons of zone b. */
+function createEntry(): {heartbeats: Heartbeats; peers: RecordingPeers; timers: VirtualTimers} {
+	const timers = new VirtualTimers();
+	const peers = new RecordingPeers();
+	const members = createMemberBook('entry-a1', ['keeper-a'], timers);
+	members.addHeartbeat('keeper-a', getHeartbeat('a', true, 'keeper-a'));
+	members.addHeartbeat('entry-a2', getHeartbeat('a', false, 'keeper-a'));
+	members.addHeartbeat('keeper-b', getHeartbeat('b', true, 'placer-b'));
+	members.addHeartbeat('placer-b', getHeartbeat('b', true, 'placer-b'));
+	members.addHeartbeat('entry-b1', getHeartbeat('b', false, 'placer-b'));
+	const heartbeats = createHeartbeats({
+		availabilityZone: 'a',
+		isKeeper: false,
+		peers,
+		timers,
+		members,
+		incarnation: 'one',
+		resetLink() {
+			// Fake links hold nothing back.
+		},
+		onContacts() {
+			// Fake links need no addresses.
+		},
+		isPlacing: () => false,
+		isDivided: () => true,
+		getContent: () => ({
+			shard: 'a', loadMs: undefined, view: {term: 1, placerId: 'keeper-a'}, hearsPlacer: true, isLeaving: false, configurationNumber: 1,
+		}),
+	});
+	return {heartbeats, peers, timers};
+}
+
+describe('createHeartbeats', () => {
+	it('sendAll in a divided deployment → the own zone and far placers', () => {
+		const {heartbeats, peers} = createEntry();
+		heartbeats.sendAll();
+		assert.deepEqual(peers.receiverIds.toSorted(), ['entry-a2', 'keeper-a', 'placer-b']);
+	});
+
+	const answers: Array<{name: string; memberId: string; passedMs: number[]; count: number}> = [
+		{
+			name: 'a daemon that gets heartbeats anyway', memberId: 'entry-a2', passedMs: [0, 250, 250], count: 0,
+		},
+		{
+			name: 'a far daemon, once', memberId: 'entry-b1', passedMs: [0], count: 1,
+		},
+		{
+			name: 'a far daemon, four times in a second', memberId: 'entry-b1', passedMs: [0, 250, 250, 250], count: 1,
+		},
+		{
+			name: 'a far daemon, again after a second', memberId: 'entry-b1', passedMs: [0, 1000], count: 2,
+		},
+	];
+	for (const {name, memberId, passedMs, count} of answers) {
+		it(`answerIfDue: ${name} → ${count} answers`, () => {
+			const {heartbeats, peers, timers} = createEntry();
+			for (const durationMs of passedMs) {
+				timers.advance(durationMs);
+				heartbeats.answerIfDue(memberId);
+			}
+
+			assert.deepEqual(peers.receiverIds, Array.from({length: count}, () => memberId));
+		});
+	}
+});
