--- a/packages/storage/test/hints/open-hint-file.test.ts
+++ b/packages/storage/test/hints/open-hint-file.test.ts
@@ -44,7 +44,7 @@
 	for (const {name, values, prepare, found, failures} of cases) {
 		it(`${name} → ${JSON.stringify(found)}`, async () => {
 			const fileSystem = new FaultyFileSystem();
-			await fileSystem.createFolder('/data');
+			await fileSystem.createFolder();
 			prepare?.(fileSystem);
 			assert.deepEqual(await writeAndReopen(fileSystem, values), {found, failures});
 		});
