Let the test of a divided restart fail without the division hint

Cause: read once more, the test passed with the hint taken away; only the first term and the wait made it fail. Ruled out: a hint that does nothing: without it keepers divide again after their start, which the test now looks for.

--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -175,6 +175,7 @@
 				test.restart(id);
 			}
 
+			const eventCount = test.events.length;
 			test.reportServers();
 			await runFor(test.timers, longestMs);
 			const submittedAtMs = test.timers.getNowMs();
@@ -183,6 +184,8 @@
 			assert.deepEqual(countOutcomes(test, 'after'), {completed: 20});
 			const first = test.results.find(({jobId}) => jobId.startsWith('after'))!;
 			assert.ok(first.atMs - submittedAtMs < 150, `the first job took ${first.atMs - submittedAtMs} ms`);
+			const divisions = test.events.slice(eventCount).filter(({name, daemonId}) => name === 'deployment-divided' && daemonId.startsWith('keeper'));
+			assert.deepEqual(divisions, [], 'keepers remember that the deployment was divided');
 			assert.deepEqual(test.fleet.findOverlaps(), []);
 		});
 	}
