Log what a placer leaves open and how much its successor knows

Cause: the hypotheses of the incident can't be told apart from logs. The start of a run leaves no line, so nothing shows where the tasks of a placer ran that stopped before they ended; and E1211 says that every backend server was known without saying of how many. Change: E1215 job-left-open, one line for each open job with started tasks when its placer stops, with the backend servers; E1211 also has servers, heldServers and unclaimableServers. No logic changes. Measured: packages/placement/test/placer/create-placer.test.ts and packages/core/test/docs pass, with a test of both lines.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -91,6 +91,12 @@
 	'job-forwarded': {
 		number: 1214, level: 'info', summary: 'The placer of the zone had no capacity for a job, so the job was forwarded to the placer of another zone.', action: 'None.',
 	},
+	'job-left-open': {
+		number: 1215,
+		level: 'info',
+		summary: 'The placer stopped before a job of which it had started tasks ended.',
+		action: 'Look up the job in the log of the next placer; `servers` says where its tasks ran.',
+	},
 	'deployment-divided': {
 		number: 1219, level: 'info', summary: 'There are many backend servers, so each availability zone now has its own placer.', action: 'None.',
 	},
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -271,6 +271,17 @@
 		}
 	}
 
+	/** Logs the open jobs that this placer has started, since their tasks may run on until another placer finds them. */
+	function logOpenJobs(): void {
+		for (const job of jobTable.getJobs()) {
+			if (job.serverIds.length > 0) {
+				events.write('job-left-open', {
+					job: job.request.jobId, entry: job.entryId, ageMs: Math.round(timers.getNowMs() - job.arrivedAtMs), servers: job.serverIds.join(' '),
+				});
+			}
+		}
+	}
+
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		const job = createJob(entryId, message);
 		jobTable.addJob(job);
@@ -360,6 +371,7 @@
 			isStopped = true;
 			slowRunDetector.stop();
 			passInterval.cancel();
+			logOpenJobs();
 			pool.close();
 		},
 	};
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -44,7 +44,7 @@
 		job.recoveryDeadlineMs = undefined;
 		const isKnown = missingCount === 0 || pool.isFullyKnown();
 		events.write('job-recovered', {
-			job: job.request.jobId, tasks: job.tasks.length, missing: missingCount, known: isKnown,
+			job: job.request.jobId, tasks: job.tasks.length, missing: missingCount, known: isKnown, ...pool.getKnowledge(),
 		});
 		if (!isKnown) {
 			onUnknown(job);
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -12,6 +12,16 @@
 	health: ServerHealth;
 };
 
+/** On how many backend servers the placer knows every run. */
+export type ServerKnowledge = {
+	/** The backend servers of the pool. */
+	servers: number;
+	/** Those of them that are claimed. */
+	heldServers: number;
+	/** Other backend servers, which the placer must not claim. */
+	unclaimableServers: number;
+};
+
 /** The backend servers of one placer. */
 export type ServerPool = {
 	setServers(descriptions: readonly BackendServerDescription[], unclaimableCount: number): void;
@@ -19,6 +29,8 @@
 	getServers(): Iterable<PooledServer>;
 	/** Whether all runs on all backend servers, including those that must not be claimed, are known. */
 	isFullyKnown(): boolean;
+	/** Gets how much the pool knows, for logs. */
+	getKnowledge(): ServerKnowledge;
 	/** Finds the run of a task on any backend server. */
 	findRun(taskName: string): {server: PooledServer; run: Run} | undefined;
 	close(): void;
@@ -93,6 +105,11 @@
 		findServer: serverId => servers.get(serverId),
 		getServers: () => servers.values(),
 		isFullyKnown: () => unclaimableCount === 0 && [...servers.values()].every(({session}) => session.getState() === 'held' || session.getState() === 'closed'),
+		getKnowledge: () => ({
+			servers: servers.size,
+			heldServers: [...servers.values()].filter(({session}) => session.getState() === 'held').length,
+			unclaimableServers: unclaimableCount,
+		}),
 		findRun(taskName) {
 			for (const server of servers.values()) {
 				const run = server.session.findRun(taskName);
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -173,6 +173,29 @@
 		assert.ok(placer.isSuperseded());
 	});
 
+	it('logs what its predecessor left open, and how much it knows when it looks for the runs', async () => {
+		const {timers, fleet, submit, placer, events, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
+		await runFor(timers, 10);
+		submit({jobId: 'started'});
+		await runFor(timers, 20);
+		submit({jobId: 'too-wide', steps: [{...defaultRequest.steps[0]!, cpuMillicores: 99_000}]});
+		placer.stop();
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions().slice(0, 3), 1);
+		successor.submit('entry', {
+			kind: 'placement.submit', request: {...defaultRequest, jobId: 'other', ageMs: 100}, generation: 1, submissionId: 'one', mayHaveStarted: true,
+		});
+		await runFor(timers, 600);
+		const servers = fleet.records.map(({serverId}) => serverId).join(' ');
+		const getFields = (name: string) => events.events.filter(event => event.name === name).map(({fields}) => fields);
+		assert.deepEqual(getFields('job-left-open'), [{
+			job: 'started', entry: 'entry', ageMs: 20, servers,
+		}]);
+		assert.deepEqual(getFields('job-recovered'), [{
+			job: 'other', tasks: 2, missing: 2, known: false, servers: 3, heldServers: 3, unclaimableServers: 1,
+		}]);
+	});
+
 	it('does not restart a job while a backend server that may run it must not be claimed', async () => {
 		const {timers, fleet, results, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
 		const successor = createSuccessor(2, 'second');
