Let the test of a missed report fail for the fault that it names

Cause: the test reported a backend server that the fake fleet does not have, so it failed when the placer claimed that one, and not because of the missing report. Change: the fleet's own first backend server is reported late; the check is as strict as before.

--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -34,6 +34,10 @@
 	}
 }
 
+function ignoreAcknowledgement(): void {
+	// The test checks the registries instead.
+}
+
 function countOutcomes(test: TestCluster, prefix: string): Record<string, number> {
 	const counts: Record<string, number> = {};
 	for (const {jobId, result} of test.results) {
@@ -228,18 +232,20 @@
 	// Guards against a registry that misses a report for ten seconds because its daemon was silent when the report was sent.
 	it('announces a backend server to a daemon that was silent meanwhile as soon as it is heard again', {todo: 'KNOWN-RED.txt'}, async () => {
 		const test = createTestCluster();
-		await startAndWaitUntilServing(test);
+		const [late, ...others] = test.fleet.getDescriptions();
+		for (const description of others) {
+			test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
+		}
+
+		await runFor(test.timers, 2000);
 		test.network.cutLink('keeper-b', 'keeper-a');
 		await runFor(test.timers, 800);
-		const [first] = test.fleet.getDescriptions();
-		test.find('keeper-a').cluster.reportServer({...first!, id: 'late', sequence: 1}, () => {
-			// The test checks the registries instead.
-		});
+		test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
 		await runFor(test.timers, 100);
 		test.network.healLinks();
 		await runFor(test.timers, 500);
 		const counts = test.daemons.filter(daemon => daemon.id.startsWith('keeper')).map(daemon => daemon.cluster.getStatus().serverCount);
-		assert.deepEqual(counts, [10, 10, 10]);
+		assert.deepEqual(counts, [9, 9, 9]);
 	});
 
 	it('elects another placer when the placer leaves, and loses no job', async () => {
