Restart a task after a takeover only if all servers of the earlier placers are known

Cause: a new placer that is handed a job which an earlier one may have started looks for its runs on the backend servers that it knows. It took "every known one is claimed" for "every run is known". After a restart of everything its registry is still being filled, so a run on a backend server of which only the earlier placer had heard looked like a run that does not exist. Evidence: the record has run 1 by core-bayern-rgb-1 and run 33, the first of generation 1, by core-bayern-rgb-2 250 ms later. The test failed with the same runs, 1 and 33. Change: a submission names the earlier placers of its job. The new placer treats a missing run as absent only if it has the registry of each of them, from the same start, and heard it within 2 s, or placed itself in that term; otherwise it asks that daemon for its registry, and after 400 ms the job ends as unknown, as it did for backend servers that must not be claimed. A submission of an older build names none and is treated as not known. Why this works: a placer starts tasks only on backend servers of its registry, so whoever has that registry and receives the later reports knows every place to look at. Ruled out: waiting 5 s after the start before a registry counts as complete.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -36,6 +36,10 @@
 export const reportIntervalMs = 10_000;
 /** Time without a heartbeat after which a backend server is removed from the registry. */
 export const registryRetentionMs = 30_000;
+/** Time since the last heartbeat of a placer until which this daemon counts as knowing all backend servers that it used. */
+export const maxSourceSilenceMs = 2000;
+/** Minimum interval between requests for the registry of the same daemon. */
+export const registryRequestIntervalMs = 100;
 /** Minimum interval between requests for a newer configuration. */
 export const configurationRequestIntervalMs = 300;
 /** A longer gap between two election checks means that this process was suspended. */
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -14,6 +14,7 @@
 import {clusterMessageSchema, type ClusterMessage, type ClusterMessageOf} from './messages/cluster-messages.js';
 import {createLocalPlacer} from './placing/local-placer.js';
 import {createRelay} from './relay/relay.js';
+import {createRegistrySources} from './registry/registry-sources.js';
 import {createServerRegistry} from './registry/server-registry.js';
 import {createRegistryReplicator} from './registry/registry-replicator.js';
 import {createShardMap, globalShard} from './shards/shard-map.js';
@@ -40,10 +41,19 @@
 	const relay = createRelay({ownId, peers, members});
 	const localPlacer = createLocalPlacer({
 		...options,
+		knowsServersOf: placer => registrySources.knowsServersOf(placer),
 		send(toId, message) {
 			relay.sendTo(toId, message);
 		},
 	});
+	const registrySources = createRegistrySources({
+		...options,
+		members,
+		hasPlacedIn: localPlacer.hasPlacedIn,
+		sendRequest(memberId) {
+			send(memberId, {kind: 'cluster.registry-request'});
+		},
+	});
 	const election = createPlacerElection({
 		...options,
 		members,
@@ -230,6 +240,7 @@
 
 			case 'cluster.registry': {
 				registryReplicator.addDescriptions(message.descriptions);
+				registrySources.addSource(fromId);
 				break;
 			}
 
@@ -273,7 +284,12 @@
 				break;
 			}
 
-			case 'placement.submit':
+			case 'placement.submit': {
+				registrySources.requestMissing(message.earlierPlacers);
+				localPlacer.handleMessage(fromId, message);
+				break;
+			}
+
 			case 'placement.cancel':
 			case 'placement.open-jobs': {
 				localPlacer.handleMessage(fromId, message);
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -57,6 +57,8 @@
 	readonly callers: Set<(result: JobOutcome) => void>;
 	/** The placer to which the job was last submitted. */
 	submittedTo: PlacerView | undefined;
+	/** The placers to which the job was submitted before that one. */
+	earlierPlacers: readonly PlacerView[];
 	generation: number;
 	waitTimer: TimerSubscription | undefined;
 };
@@ -100,17 +102,25 @@
 		return left?.term === right.term && left.placerId === right.placerId;
 	}
 
+	function getEarlierPlacers({submittedTo, earlierPlacers}: OpenJob): readonly PlacerView[] {
+		const isListed = submittedTo === undefined || earlierPlacers.some(placer => isSameView(placer, submittedTo));
+		return isListed ? earlierPlacers : [...earlierPlacers, submittedTo];
+	}
+
 	function sendJob(open: OpenJob): void {
 		const view = getPlacerView(open.shard);
 		const generation = open.generation + (open.submittedTo === undefined ? 0 : 1);
+		const earlierPlacers = getEarlierPlacers(open);
 		const isSent = view.placerId !== '' && sendToPlacer(open.shard, {
 			kind: 'placement.submit',
 			request: {...open.job, ageMs: timers.getNowMs() - open.arrivedAtMs},
 			submissionId: open.submissionId,
 			generation,
 			mayHaveStarted: generation > 0,
+			earlierPlacers: [...earlierPlacers],
 		});
 		if (isSent) {
+			open.earlierPlacers = earlierPlacers;
 			open.generation = generation;
 			open.submittedTo = view;
 			open.waitTimer?.cancel();
@@ -126,6 +136,7 @@
 			arrivedAtMs: timers.getNowMs(),
 			callers: new Set(),
 			submittedTo: undefined,
+			earlierPlacers: [],
 			generation: 0,
 			waitTimer: undefined,
 		};
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -212,7 +212,7 @@
 	});
 
 	// Guards against a placer that takes a run on a backend server that it has not heard of for a run that does not exist.
-	it('does not start a task again that runs on a backend server which only the previous placer knows', {todo: 'KNOWN-RED.txt'}, async () => {
+	it('does not start a task again that runs on a backend server which only the previous placer knows', async () => {
 		const test = createTestCluster({getDurationMs: () => 900});
 		test.isolateZone('a');
 		test.reportServers();
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -72,6 +72,25 @@
 		assert.deepEqual(generations, [[0, false], [1, true]]);
 	});
 
+	it('names each placer to which a job was submitted before, once', () => {
+		const test = createTestSubmitter();
+		submit(test);
+		for (const view of [{term: 1, placerId: 'second'}, {term: 2, placerId: 'first'}]) {
+			test.setView(view);
+			test.submitter.handlePlacerChange();
+			test.submitter.handleUnknownJobs(['job']);
+		}
+
+		const earlierPlacers = test.sent.flatMap(message => (message.kind === 'placement.submit' ? [message.earlierPlacers.map(({term, placerId}) => `${term} ${placerId}`)] : []));
+		assert.deepEqual(earlierPlacers, [
+			[],
+			['1 first'],
+			['1 first', '1 second'],
+			['1 first', '1 second'],
+			['1 first', '1 second', '2 first'],
+		]);
+	});
+
 	it('refuses a job if no placer becomes known in time', () => {
 		const test = createTestSubmitter();
 		test.setView({term: 0, placerId: ''});
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -7,7 +7,9 @@
 import {
 	createPlacedTasks, getStartableTasks, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
-import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
+import type {
+	JobOutcome, PlacementMessageOf, PlacerTerm, RefusalReason,
+} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
@@ -28,6 +30,8 @@
 	random: RandomSource;
 	events: EventLog;
 	metrics: MetricSink;
+	/** Whether this daemon knows every backend server on which a placer may have started tasks. */
+	knowsServersOf: (placer: PlacerTerm) => boolean;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -70,6 +74,7 @@
 		events,
 		jobTable,
 		pool,
+		knowsServersOf: options.knowsServersOf,
 		onUnknown(job) {
 			endJob(job, {outcome: 'unknown'});
 		},
@@ -299,7 +304,8 @@
 		schedulePass();
 	}
 
-	function createJob(entryId: string, {request, submissionId, generation, mayHaveStarted}: PlacementMessageOf<'placement.submit'>): PlacedJob {
+	function createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob {
+		const {request, submissionId, generation, mayHaveStarted, earlierPlacers} = message;
 		const {criticalPathMs, work} = getJobEstimate(request, step => runTimeEstimator.getExpectedMs(request.queueName, step.estimateMs));
 		return {
 			request,
@@ -314,6 +320,7 @@
 			hasStarted: mayHaveStarted,
 			isEnded: false,
 			serverIds: [],
+			earlierPlacers,
 			recoveryDeadlineMs: mayHaveStarted ? timers.getNowMs() + recoveryMs : undefined,
 		};
 	}
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -1,5 +1,6 @@
 import type {EventLog, TimerService} from '@camphortack/core';
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
+import type {PlacerTerm} from '../messages/placement-messages.js';
 import type {JobTable} from './job-table.js';
 import type {ServerPool} from './server-pool.js';
 
@@ -14,6 +15,8 @@
 	events: EventLog;
 	jobTable: JobTable;
 	pool: ServerPool;
+	/** Whether every backend server is known on which a placer may have started tasks. */
+	knowsServersOf: (placer: PlacerTerm) => boolean;
 	/** Called with each job for which it cannot be determined which tasks run. */
 	onUnknown: (job: PlacedJob) => void;
 };
@@ -25,16 +28,21 @@
  * Creates the recovery.
  * @param options - The jobs and the backend servers.
  */
-export function createJobRecovery({timers, events, jobTable, pool, onUnknown}: JobRecoveryOptions): JobRecovery {
+export function createJobRecovery({timers, events, jobTable, pool, knowsServersOf, onUnknown}: JobRecoveryOptions): JobRecovery {
 	function recoverJobs(): void {
 		const nowMs = timers.getNowMs();
 		for (const job of jobTable.getJobs()) {
-			if (job.recoveryDeadlineMs !== undefined && (pool.isFullyKnown() || nowMs >= job.recoveryDeadlineMs)) {
+			if (job.recoveryDeadlineMs !== undefined && (areRunsKnown(job) || nowMs >= job.recoveryDeadlineMs)) {
 				recoverJob(job);
 			}
 		}
 	}
 
+	/** Whether a task of the job of which no run is found certainly does not run. */
+	function areRunsKnown(job: PlacedJob): boolean {
+		return pool.isFullyKnown() && job.earlierPlacers.length > 0 && job.earlierPlacers.every(placer => knowsServersOf(placer));
+	}
+
 	function recoverJob(job: PlacedJob): void {
 		let missingCount = 0;
 		for (const task of job.tasks) {
@@ -42,9 +50,14 @@
 		}
 
 		job.recoveryDeadlineMs = undefined;
-		const isKnown = missingCount === 0 || pool.isFullyKnown();
+		const isKnown = missingCount === 0 || areRunsKnown(job);
 		events.write('job-recovered', {
-			job: job.request.jobId, tasks: job.tasks.length, missing: missingCount, known: isKnown, ...pool.getKnowledge(),
+			job: job.request.jobId,
+			tasks: job.tasks.length,
+			missing: missingCount,
+			known: isKnown,
+			...pool.getKnowledge(),
+			unknownPlacers: job.earlierPlacers.filter(placer => !knowsServersOf(placer)).map(({placerId}) => placerId).join(' '),
 		});
 		if (!isKnown) {
 			onUnknown(job);
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createSeededRandomSource} from '@camphortack/core';
-import {createTestPlacer, defaultRequest} from '../support/create-test-placer.js';
+import {createTestPlacer, defaultRequest, unknownPlacerId} from '../support/create-test-placer.js';
 import {runFor} from '../support/run-for.js';
 
 describe('createPlacer', () => {
@@ -163,7 +163,12 @@
 		const successor = createSuccessor(2, 'second');
 		successor.setServers(fleet.getDescriptions(), 0);
 		successor.submit('entry', {
-			kind: 'placement.submit', request: {...defaultRequest, jobId: 'job', ageMs: 100}, generation: 1, submissionId: 'one', mayHaveStarted: true,
+			kind: 'placement.submit',
+			request: {...defaultRequest, jobId: 'job', ageMs: 100},
+			generation: 1,
+			submissionId: 'one',
+			mayHaveStarted: true,
+			earlierPlacers: [{term: 1, placerId: 'first'}],
 		});
 		await runFor(timers, 20);
 		submit({jobId: 'late'});
@@ -183,7 +188,12 @@
 		const successor = createSuccessor(2, 'second');
 		successor.setServers(fleet.getDescriptions().slice(0, 3), 1);
 		successor.submit('entry', {
-			kind: 'placement.submit', request: {...defaultRequest, jobId: 'other', ageMs: 100}, generation: 1, submissionId: 'one', mayHaveStarted: true,
+			kind: 'placement.submit',
+			request: {...defaultRequest, jobId: 'other', ageMs: 100},
+			generation: 1,
+			submissionId: 'one',
+			mayHaveStarted: true,
+			earlierPlacers: [{term: 1, placerId: 'first'}],
 		});
 		await runFor(timers, 600);
 		const servers = fleet.records.map(({serverId}) => serverId).join(' ');
@@ -192,7 +202,7 @@
 			job: 'started', entry: 'entry', ageMs: 20, servers,
 		}]);
 		assert.deepEqual(getFields('job-recovered'), [{
-			job: 'other', tasks: 2, missing: 2, known: false, servers: 3, heldServers: 3, unclaimableServers: 1,
+			job: 'other', tasks: 2, missing: 2, known: false, servers: 3, heldServers: 3, unclaimableServers: 1, unknownPlacers: '',
 		}]);
 	});
 
@@ -201,13 +211,43 @@
 		const successor = createSuccessor(2, 'second');
 		successor.setServers(fleet.getDescriptions().slice(0, 3), 1);
 		successor.submit('entry', {
-			kind: 'placement.submit', request: {...defaultRequest, jobId: 'job', ageMs: 100}, generation: 1, submissionId: 'one', mayHaveStarted: true,
+			kind: 'placement.submit',
+			request: {...defaultRequest, jobId: 'job', ageMs: 100},
+			generation: 1,
+			submissionId: 'one',
+			mayHaveStarted: true,
+			earlierPlacers: [{term: 1, placerId: 'first'}],
 		});
 		await runFor(timers, 600);
 		assert.deepEqual(results.get('job'), {outcome: 'unknown'});
 		assert.equal(fleet.records.length, 0);
 	});
 
+	const earlierPlacers = [
+		{title: 'is not known', placerIds: ['first', unknownPlacerId]},
+		{title: 'is not named', placerIds: []},
+	];
+	for (const {title, placerIds} of earlierPlacers) {
+		it(`does not restart a job if an earlier placer ${title}, since tasks may run on backend servers that it does not know`, async () => {
+			const {timers, fleet, results, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
+			const successor = createSuccessor(2, 'second');
+			successor.setServers(fleet.getDescriptions(), 0);
+			successor.submit('entry', {
+				kind: 'placement.submit',
+				request: {...defaultRequest, jobId: 'job', ageMs: 100},
+				generation: 1,
+				submissionId: 'one',
+				mayHaveStarted: true,
+				earlierPlacers: placerIds.map(placerId => ({term: 1, placerId})),
+			});
+			await runFor(timers, 300);
+			assert.equal(results.get('job'), undefined, 'it waits for the registry of the earlier placer');
+			await runFor(timers, 300);
+			assert.deepEqual(results.get('job'), {outcome: 'unknown'});
+			assert.equal(fleet.records.length, 0);
+		});
+	}
+
 	// Guards against two placers of one term of which the replaced one fences the other, which then does not know what runs.
 	it('stays in control of a backend server that its predecessor of the same term claims again', {todo: 'KNOWN-RED.txt'}, async () => {
 		const {timers, fleet, submit, createSuccessor} = createTestPlacer({serverCount: 2, getDurationMs: () => 600});
@@ -230,7 +270,7 @@
 			},
 			generation: 1,
 			submissionId: 'two',
-			mayHaveStarted: true,
+			mayHaveStarted: true, earlierPlacers: [{term: 1, placerId: 'first'}],
 		});
 		await runFor(timers, 1000);
 		assert.deepEqual(fleet.findOverlaps(), []);
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -32,6 +32,9 @@
 	callerTimeoutMs: 1500,
 };
 
+/** The id of an earlier placer of which the placers do not know all backend servers. */
+export const unknownPlacerId = 'unknown';
+
 /**
  * Creates a placer for a fake fleet.
  * @param options - Options of the fleet.
@@ -53,6 +56,7 @@
 			random: createSeededRandomSource(term),
 			events,
 			metrics,
+			knowsServersOf: ({placerId}) => placerId !== unknownPlacerId,
 			onResult(_entryId, jobId, result) {
 				results.set(jobId, result);
 				endedAtMs.set(jobId, timers.getNowMs());
@@ -72,7 +76,7 @@
 		createSuccessor,
 		submit(request, {generation = 0, submissionId = 'one'} = {}) {
 			placer.submit('entry', {
-				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0,
+				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0, earlierPlacers: [],
 			});
 		},
 	};
