Reproduce a report that does not reach the entry daemons of its zone

In a divided deployment a keeper sends reports to the daemons that it exchanges heartbeats with. A keeper that is no placer exchanges none with the entry daemons of other zones, so these never learn of a backend server that reports to it; when the keepers of their zone are lost, one of them becomes the placer.

--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -248,6 +248,21 @@
 		assert.deepEqual(counts, [9, 9, 9]);
 	});
 
+	// Guards against entry daemons that do not know all backend servers of their zone when its keepers are lost.
+	it('announces a backend server to all daemons of its zone, whichever keeper it reports to', {todo: 'KNOWN-RED.txt'}, async () => {
+		const test = createTestCluster({serverCount: 105, hasSecondKeepers: true});
+		const [late, ...others] = test.fleet.getDescriptions();
+		for (const description of others) {
+			test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
+		}
+
+		await runFor(test.timers, 3000);
+		test.find('keeper-b2').cluster.reportServer(late!, ignoreAcknowledgement);
+		await runFor(test.timers, 500);
+		const counts = test.daemons.filter(daemon => daemon.availabilityZone === 'a').map(daemon => [daemon.id, daemon.cluster.getStatus().serverCount]);
+		assert.deepEqual(counts, [['keeper-a', 105], ['keeper-a2', 105], ['entry-a1', 35], ['entry-a2', 35]]);
+	});
+
 	it('elects another placer when the placer leaves, and loses no job', async () => {
 		const test = createTestCluster({getDurationMs: () => 150});
 		await startAndWaitUntilServing(test);
--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -42,6 +42,8 @@
 export type TestClusterOptions = Partial<FakeFleetOptions> & {
 	/** Whether the hints of keepers survive a restart; true by default. */
 	keepsHints?: boolean;
+	/** Whether each availability zone has a second keeper, which is not a seed. */
+	hasSecondKeepers?: boolean;
 };
 
 const zones = ['a', 'b', 'c'];
@@ -122,7 +124,8 @@
 	}
 
 	for (const zone of zones) {
-		for (const name of [`keeper-${zone}`, `entry-${zone}1`, `entry-${zone}2`]) {
+		const secondKeepers = options.hasSecondKeepers === true ? [`keeper-${zone}2`] : [];
+		for (const name of [`keeper-${zone}`, ...secondKeepers, `entry-${zone}1`, `entry-${zone}2`]) {
 			daemons.push(startDaemon(name, zone));
 		}
 	}
