Order fencing tokens of one term by daemon, as views are ordered

Callers could see a task run twice at the same time after two daemons became placer in the same term. Cause: other daemons follow the larger id of two placers of one term, but tokens ranked by claim number before daemon number. A single unanswered request let the placer that is left claim a backend server again and fence the one that is followed, which believed until its next renewal, up to 300 ms later, that it held the backend server and knew every run there. Why this works: once the followed placer has claimed a backend server, no token of the other one in that term is accepted there. Mixed builds: the term stays the highest part of the token, so a later term wins between builds; in one term a placer of each build may fence the other until one raises its term, as before.

--- a/packages/cluster/src/cluster-options.ts
+++ b/packages/cluster/src/cluster-options.ts
@@ -8,7 +8,7 @@
 export type ClusterOptions = {
 	/** The address at which other daemons reach this one; it is also its id. */
 	ownId: string;
-	/** A number that is unique among the daemons of the deployment. */
+	/** A number that is unique among the daemons of the deployment, and sorts them as `compareDaemonIds` sorts their ids. */
 	daemonNumber: number;
 	availabilityZone: string;
 	/** Whether this daemon has a disk and takes part in the consensus on the configuration. */
--- a/packages/placement/src/sessions/fencing-token.ts
+++ b/packages/placement/src/sessions/fencing-token.ts
@@ -5,24 +5,27 @@
 export type FencingTokenParts = {
 	/** The term of the placer. */
 	term: number;
-	/** Number of earlier claims of this backend server by the placer in its term. */
-	claim: number;
 	/** A number that no other daemon has, so that two daemons never use the same token. */
 	daemonNumber: number;
+	/** Number of earlier claims of this backend server by the placer in its term. */
+	claim: number;
 };
 
 /** The highest claim number of a term. */
 export const maxClaimNumber = claimsPerTerm - 1;
 
 /**
- * Gets the fencing token of a claim. A later term has a higher token, whatever the claim numbers.
+ * Gets the fencing token of a claim. A later term has a higher token. If two daemons place in the same term, all tokens of
+ * the one with the larger number are higher, whatever the claim numbers: it is the one that the other daemons follow, and the
+ * other one must not take a backend server back from it.
  * @param parts - The parts of the token.
  *
  * @example
  * ```ts
- * getFencingToken({term: 2, claim: 0, daemonNumber: 7}) > getFencingToken({term: 1, claim: 255, daemonNumber: 9}); // true
+ * getFencingToken({term: 2, daemonNumber: 7, claim: 0}) > getFencingToken({term: 1, daemonNumber: 9, claim: 255}); // true
+ * getFencingToken({term: 2, daemonNumber: 9, claim: 0}) > getFencingToken({term: 2, daemonNumber: 7, claim: 255}); // true
  * ```
  */
-export function getFencingToken({term, claim, daemonNumber}: FencingTokenParts): number {
-	return (((term * claimsPerTerm) + claim) * daemonNumberRange) + (daemonNumber % daemonNumberRange);
+export function getFencingToken({term, daemonNumber, claim}: FencingTokenParts): number {
+	return (((term * daemonNumberRange) + (daemonNumber % daemonNumberRange)) * claimsPerTerm) + claim;
 }
