Pass reports of backend servers on to the entry daemons of their zone

Cause: in a divided deployment a keeper that is no placer exchanges no heartbeats with the entry daemons of other zones, so it did not send them the reports that it received for their zone, and nobody else did. Evidence: the test showed 34 of 35 backend servers on the entry daemons of a zone after one had reported to a keeper elsewhere. Change: the keepers of a zone pass on to its entry daemons what such a keeper sends them. Why this works: every keeper receives every report, and the keepers of a zone exchange heartbeats with its entry daemons. Ruled out: heartbeats between all keepers and all entry daemons, which needs-heartbeats.ts exists to avoid.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -97,6 +97,7 @@
 		members,
 		getPlacerId: zone => getPlacerView(shards.isDivided() ? zone : globalShard).placerId,
 		needsServersOf,
+		isDivided: shards.isDivided,
 		onChange() {
 			divideIfDue(false);
 			updatePlacerServers();
--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -21,13 +21,15 @@
 	handleServerLeft(serverId: string, bornMs: number): void;
 };
 
-export type RegistryReplicatorOptions = Pick<ClusterOptions, 'ownId' | 'peers' | 'timers' | 'random' | 'events'> & {
+export type RegistryReplicatorOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'peers' | 'timers' | 'random' | 'events'> & {
 	registry: ServerRegistry;
 	members: MemberTable;
 	/** Gets the id of the placer for the backend servers of an availability zone. */
 	getPlacerId: (availabilityZone: string) => string;
 	/** Whether a daemon needs the descriptions of the backend servers of an availability zone. */
 	needsServersOf: (member: ClusterMember, availabilityZone: string) => boolean;
+	/** Whether each availability zone has a placer of its own. */
+	isDivided: () => boolean;
 	/** Called after the registry has changed. */
 	onChange: () => void;
 };
@@ -37,7 +39,7 @@
  * @param options - The registry, the member table and the links.
  */
 export function createRegistryReplicator(options: RegistryReplicatorOptions): RegistryReplicator {
-	const {ownId, peers, timers, random, events, registry, members, getPlacerId, needsServersOf, onChange} = options;
+	const {ownId, availabilityZone: ownZone, peers, timers, random, events, registry, members, getPlacerId, needsServersOf, onChange} = options;
 	const reportedAtMs = new Map<string, number>();
 	const pendingReports = new Map<string, (isAcknowledged: boolean) => void>();
 
@@ -96,6 +98,21 @@
 		broadcast(description, reportId);
 	}
 
+	/**
+	 * Passes a report of a backend server of the own zone on to the entry daemons of the zone. A keeper of another zone hears
+	 * them only while it is a placer, and cannot send it to them itself otherwise.
+	 */
+	function forwardWithinZone(fromId: string, description: BackendServerDescription): void {
+		const sender = members.findMember(fromId);
+		const reachesEntries = sender === undefined || sender.availabilityZone === ownZone || sender.placerId === fromId;
+		if (!options.isKeeper || !options.isDivided() || description.availabilityZone !== ownZone || reachesEntries) {
+			return;
+		}
+
+		const entries = members.getAliveMembers().filter(member => !member.isKeeper && member.availabilityZone === ownZone);
+		peers.sendToAll(entries.map(({id}) => id), {kind: 'cluster.server-report', description});
+	}
+
 	function handleServerLeft(serverId: string, bornMs: number): void {
 		registry.removeServer(serverId, bornMs);
 		reportedAtMs.delete(serverId);
@@ -120,6 +137,7 @@
 		},
 		handleReport(fromId, {description, reportId}) {
 			addDescription(description);
+			forwardWithinZone(fromId, description);
 			if (reportId !== undefined) {
 				peers.send(fromId, {kind: 'cluster.server-report-noted', reportId});
 			}
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -249,7 +249,7 @@
 	});
 
 	// Guards against entry daemons that do not know all backend servers of their zone when its keepers are lost.
-	it('announces a backend server to all daemons of its zone, whichever keeper it reports to', {todo: 'KNOWN-RED.txt'}, async () => {
+	it('announces a backend server to all daemons of its zone, whichever keeper it reports to', async () => {
 		const test = createTestCluster({serverCount: 105, hasSecondKeepers: true});
 		const [late, ...others] = test.fleet.getDescriptions();
 		for (const description of others) {
