--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -248,6 +248,35 @@
 		});
 	}
 
+	// Guards against a placer that has the old description of a backend server and takes its new incarnation for an idle one.
+	it('does not restart a job that may run on a newer incarnation of a backend server', {todo: 'KNOWN-RED.txt'}, async () => {
+		const {timers, fleet, placer, submit, createSuccessor} = createTestPlacer({serverCount: 2, getDurationMs: () => 900});
+		const descriptions = fleet.getDescriptions();
+		for (const server of fleet.servers) {
+			server.description = {...server.description, bornMs: 2};
+		}
+
+		placer.setServers(fleet.getDescriptions(), 0);
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}]});
+		await runFor(timers, 100);
+		const {serverId} = fleet.records[0]!;
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions().map(description => description.id === serverId ? descriptions.find(({id}) => id === serverId)! : description), 0);
+		successor.submit('entry', {
+			kind: 'placement.submit',
+			request: {
+				...defaultRequest, jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}], ageMs: 100,
+			},
+			generation: 1,
+			submissionId: 'two',
+			mayHaveStarted: true,
+			earlierPlacers: [{term: 1, placerId: 'first'}],
+		});
+		await runFor(timers, 1500);
+		assert.deepEqual(fleet.findOverlaps(), []);
+	});
+
 	// Guards against two placers of one term of which the replaced one fences the other, which then does not know what runs.
 	it('stays in control of a backend server that its predecessor of the same term claims again', async () => {
 		const {timers, fleet, submit, createSuccessor} = createTestPlacer({serverCount: 2, getDurationMs: () => 600});
