Let only the daemon that sent a report send it again

Review of: every daemon that knew of a changed backend server sent it to a daemon that was heard again. Cause: the reports to repeat were chosen from the registry, which every daemon has, and not from the reports that this daemon sent. Change: a daemon repeats what it sent itself since the other one fell silent. Reports older than the known one are not passed on within a zone. Why this works: each report is sent by the one daemon that received it from the backend server, so only that one can have left the silent daemon out. The number of reports was not counted again.

--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -12,7 +12,7 @@
 	/** Handles a report forwarded by another daemon. */
 	handleReport(fromId: string, message: ClusterMessageOf<'cluster.server-report'>): void;
 	handleAcknowledgement(reportId: string): void;
-	/** Sends a daemon that was silent the reports that it missed because it did not count as alive. */
+	/** Sends a daemon that was silent the reports of this daemon that it missed because it did not count as alive. */
 	sendMissedReports(member: ClusterMember, silentSinceMs: number): void;
 	/** Adds the descriptions of another daemon's registry. */
 	addDescriptions(descriptions: readonly BackendServerDescription[]): void;
@@ -136,15 +136,18 @@
 			onEnd(true);
 		},
 		handleReport(fromId, {description, reportId}) {
-			addDescription(description);
-			forwardWithinZone(fromId, description);
+			if (addDescription(description) !== 'stale') {
+				forwardWithinZone(fromId, description);
+			}
+
 			if (reportId !== undefined) {
 				peers.send(fromId, {kind: 'cluster.server-report-noted', reportId});
 			}
 		},
 		sendMissedReports(member, silentSinceMs) {
-			for (const description of registry.getChangedDescriptions(silentSinceMs)) {
-				if (needsServersOf(member, description.availabilityZone)) {
+			for (const [serverId, atMs] of reportedAtMs) {
+				const description = atMs >= silentSinceMs ? registry.findDescription(serverId) : undefined;
+				if (description !== undefined && needsServersOf(member, description.availabilityZone)) {
 					peers.send(member.id, {kind: 'cluster.server-report', description});
 				}
 			}
--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -14,8 +14,6 @@
 	removeServer(serverId: string, bornMs: number): void;
 	findDescription(serverId: string): BackendServerDescription | undefined;
 	getDescriptions(): BackendServerDescription[];
-	/** Gets the descriptions that were new or differed when they were added, at or after a time. */
-	getChangedDescriptions(sinceMs: number): BackendServerDescription[];
 	/** Removes backend servers without a recent heartbeat, except those still in use, and expired records of ended incarnations. */
 	removeExpired(isInUse: (serverId: string) => boolean): void;
 };
@@ -23,8 +21,6 @@
 type RegistryEntry = {
 	description: BackendServerDescription;
 	receivedAtMs: number;
-	/** When the description last differed from the one before. */
-	changedAtMs: number;
 };
 
 /**
@@ -41,16 +37,17 @@
 
 	return {
 		addDescription(description) {
-			const entry = entries.get(description.id);
-			const known = entry?.description;
+			const known = entries.get(description.id)?.description;
 			if (hasEnded(description) || (known !== undefined && !isNewerDescription(description, known))) {
 				return 'stale';
 			}
 
-			const nowMs = timers.getNowMs();
-			const change = getChange(known, description);
-			entries.set(description.id, {description, receivedAtMs: nowMs, changedAtMs: change === 'same' ? entry!.changedAtMs : nowMs});
-			return change;
+			entries.set(description.id, {description, receivedAtMs: timers.getNowMs()});
+			if (known?.bornMs !== description.bornMs) {
+				return 'new';
+			}
+
+			return isSameExceptSequence(known, description) ? 'same' : 'changed';
 		},
 		removeServer(serverId, bornMs) {
 			endedAtMs.set(getIncarnationKey(serverId, bornMs), timers.getNowMs());
@@ -60,7 +57,6 @@
 		},
 		findDescription: serverId => entries.get(serverId)?.description,
 		getDescriptions: () => [...entries.values()].map(({description}) => description),
-		getChangedDescriptions: sinceMs => [...entries.values()].filter(({changedAtMs}) => changedAtMs >= sinceMs).map(({description}) => description),
 		removeExpired(isInUse) {
 			const oldestMs = timers.getNowMs() - registryRetentionMs;
 			for (const [id, {receivedAtMs}] of entries) {
@@ -82,14 +78,6 @@
 	return `${serverId} ${bornMs}`;
 }
 
-function getChange(known: BackendServerDescription | undefined, description: BackendServerDescription): 'new' | 'changed' | 'same' {
-	if (known?.bornMs !== description.bornMs) {
-		return 'new';
-	}
-
-	return isSameExceptSequence(known, description) ? 'same' : 'changed';
-}
-
 function isSameExceptSequence(left: BackendServerDescription, right: BackendServerDescription): boolean {
 	return JSON.stringify({...left, sequence: 0}) === JSON.stringify({...right, sequence: 0});
 }
