Adopt the runs of a job as they are found

What callers saw: after a takeover, 504 for a job that was running. Cause: the search for runs looked only once, at its end. When an earlier placer was not known, the end came after 400 ms, and the placer had stopped those very runs after 300 ms as runs whose job nobody submits. Change: each pass adopts what it finds, and a job with nothing missing ends its search at once. Evidence: the new test ended as unknown before the change, and completes with it.

--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -6,7 +6,7 @@
 
 /** Reattaches the jobs that an earlier placer started to their runs. */
 export type JobRecovery = {
-	/** Recovers the jobs whose runs are all known or whose recovery deadline has passed. */
+	/** Adopts the runs that are found, and ends the search for those whose runs are all known or whose deadline has passed. */
 	recoverJobs(): void;
 };
 
@@ -30,27 +30,23 @@
  */
 export function createJobRecovery({timers, events, jobTable, pool, knowsServersOf, onUnknown}: JobRecoveryOptions): JobRecovery {
 	function recoverJobs(): void {
-		const nowMs = timers.getNowMs();
 		for (const job of jobTable.getJobs()) {
-			if (job.recoveryDeadlineMs !== undefined && (areRunsKnown(job) || nowMs >= job.recoveryDeadlineMs)) {
-				recoverJob(job);
+			if (job.recoveryDeadlineMs !== undefined) {
+				recoverJob(job, job.recoveryDeadlineMs);
 			}
 		}
 	}
 
-	/** Whether a task of the job of which no run is found certainly does not run. */
-	function areRunsKnown(job: PlacedJob): boolean {
-		return pool.isFullyKnown() && job.earlierPlacers.length > 0 && job.earlierPlacers.every(placer => knowsServersOf(placer));
-	}
-
-	function recoverJob(job: PlacedJob): void {
-		let missingCount = 0;
-		for (const task of job.tasks) {
-			missingCount += adoptRun(task) ? 0 : 1;
+	function recoverJob(job: PlacedJob, deadlineMs: number): void {
+		const missingCount = job.tasks.filter(task => task.state === 'waiting' && !adoptRun(task)).length;
+		const isKnown = missingCount === 0 || areRunsKnown(job);
+		if (isKnown || timers.getNowMs() >= deadlineMs) {
+			endRecovery(job, missingCount, isKnown);
 		}
+	}
 
+	function endRecovery(job: PlacedJob, missingCount: number, isKnown: boolean): void {
 		job.recoveryDeadlineMs = undefined;
-		const isKnown = missingCount === 0 || areRunsKnown(job);
 		events.write('job-recovered', {
 			job: job.request.jobId,
 			tasks: job.tasks.length,
@@ -64,6 +60,11 @@
 		}
 	}
 
+	/** Whether a task of the job of which no run is found certainly does not run. */
+	function areRunsKnown(job: PlacedJob): boolean {
+		return pool.isFullyKnown() && job.earlierPlacers.length > 0 && job.earlierPlacers.every(placer => knowsServersOf(placer));
+	}
+
 	function adoptRun(task: PlacedTask): boolean {
 		const found = pool.findRun(task.name);
 		if (found === undefined) {
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -277,6 +277,27 @@
 		assert.deepEqual(fleet.findOverlaps(), []);
 	});
 
+	// Guards against runs that are stopped because their job waits for registries although all of its runs are found.
+	it('completes a job whose runs are all found, even if an earlier placer is not covered', async () => {
+		const {timers, fleet, submit, results, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 900}]});
+		await runFor(timers, 100);
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions(), 0);
+		successor.submit('entry', {
+			kind: 'placement.submit',
+			request: {...defaultRequest, jobId: 'job', ageMs: 100},
+			generation: 1,
+			submissionId: 'one',
+			mayHaveStarted: true,
+			earlierPlacers: [{term: 1, placerId: unknownPlacerId}],
+		});
+		await runFor(timers, 1000);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.records.map(({runNumber, outcome}) => [runNumber, outcome]), [[1, 'done'], [1, 'done']]);
+	});
+
 	// Guards against two placers of one term of which the replaced one fences the other, which then does not know what runs.
 	it('stays in control of a backend server that its predecessor of the same term claims again', async () => {
 		const {timers, fleet, submit, createSuccessor} = createTestPlacer({serverCount: 2, getDurationMs: () => 600});
