Look for runs with the registries of the entry daemon and of the placer's own start

Cause: counted a placer as known once its registry had arrived, whichever start of that daemon had sent it. A restarted daemon sends an empty one. It also presumed that whoever has the registry of a placer receives every later report: a report that a third daemon sends reaches each receiver or not by itself. Change: a submission that hands a job over names the incarnations of its earlier placers, as the entry daemon heard them, and a digest of the entry daemon's registry. The new placer treats a missing run as absent only if it has the registry of those incarnations and one with the entry daemon's digest. The search itself asks for what is missing until it ends. Why this works: the entry daemon stays in touch with a placer until it leaves it and receives the reports of its zone from whoever sends them, so its registry names the backend servers that the new placer lacks. With equal digests, the usual case, no registry is sent.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -36,7 +36,7 @@
 export const reportIntervalMs = 10_000;
 /** Time without a heartbeat after which a backend server is removed from the registry. */
 export const registryRetentionMs = 30_000;
-/** Time since the last heartbeat of a placer until which this daemon counts as knowing all backend servers that it used. */
+/** Time since the last heartbeat of a placer until which a registry that it sent before counts as current. */
 export const maxSourceSilenceMs = 2000;
 /** Minimum interval between requests for the registry of the same daemon. */
 export const registryRequestIntervalMs = 100;
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -26,6 +26,7 @@
  */
 export function createCluster(options: ClusterOptions): Cluster {
 	const {ownId, peers, timers, random, events, metrics} = options;
+	const ownIncarnation = random.getIdentifier();
 	const members = createMemberTable(ownId, options.seedIds, timers);
 	const registry = createServerRegistry(timers);
 	let configurationRequestedAtMs = Number.NEGATIVE_INFINITY;
@@ -41,15 +42,22 @@
 	const relay = createRelay({ownId, peers, members});
 	const localPlacer = createLocalPlacer({
 		...options,
-		knowsServersOf: placer => registrySources.knowsServersOf(placer),
+		serverSources: {
+			isCoveredBy: source => registrySources.isCoveredBy(source),
+			requestMissing(source) {
+				registrySources.requestMissing(source);
+			},
+		},
 		send(toId, message) {
 			relay.sendTo(toId, message);
 		},
 	});
 	const registrySources = createRegistrySources({
 		...options,
+		ownIncarnation,
 		members,
-		hasPlacedIn: localPlacer.hasPlacedIn,
+		getDigest: getRegistryDigest,
+		isInShard: entryId => entryId === ownId || !shards.isDivided() || members.findMember(entryId)?.availabilityZone === options.availabilityZone,
 		sendRequest(memberId) {
 			send(memberId, {kind: 'cluster.registry-request'});
 		},
@@ -74,12 +82,14 @@
 		metrics,
 		shards,
 		getPlacerView,
+		getIncarnation: daemonId => daemonId === ownId ? ownIncarnation : members.findMember(daemonId)?.incarnation ?? '',
+		getRegistryDigest,
 		sendToPlacer: (shard: string, message: PlacementMessage) => relay.sendTo(getPlacerView(shard).placerId, message),
 	});
 	const heartbeatSender = createHeartbeatSender({
 		...options,
 		members,
-		incarnation: random.getIdentifier(),
+		incarnation: ownIncarnation,
 		isPlacing: localPlacer.isRunning,
 		isDivided: shards.isDivided,
 		getContent: () => ({
@@ -108,6 +118,11 @@
 		return shard === shards.getOwnShard() ? election.getView() : shards.findOtherView(shard) ?? {term: 0, placerId: ''};
 	}
 
+	/** Gets the digest of the backend servers that the placer of this daemon's shard may use. */
+	function getRegistryDigest(): string {
+		return registry.getDigest(shards.getOwnShard());
+	}
+
 	function saveHints(): void {
 		options.hintStore?.setHints({term: election.getView().term, isDivided: shards.isDivided()});
 	}
@@ -194,7 +209,7 @@
 	function answerRegistryRequest(fromId: string): void {
 		const member = members.findMember(fromId);
 		const descriptions = registry.getDescriptions().filter(({availabilityZone}) => member === undefined || needsServersOf(member, availabilityZone));
-		send(fromId, {kind: 'cluster.registry', descriptions});
+		send(fromId, {kind: 'cluster.registry', descriptions, digest: getRegistryDigest()});
 	}
 
 	function updatePlacerView(fromId: string, {shard, term, placerId, loadMs}: ClusterMessageOf<'cluster.heartbeat'>): void {
@@ -249,7 +264,7 @@
 
 			case 'cluster.registry': {
 				registryReplicator.addDescriptions(message.descriptions);
-				registrySources.addSource(fromId);
+				registrySources.addSource(fromId, message.digest);
 				break;
 			}
 
@@ -293,12 +308,7 @@
 				break;
 			}
 
-			case 'placement.submit': {
-				registrySources.requestMissing(message.earlierPlacers);
-				localPlacer.handleMessage(fromId, message);
-				break;
-			}
-
+			case 'placement.submit':
 			case 'placement.cancel':
 			case 'placement.open-jobs': {
 				localPlacer.handleMessage(fromId, message);
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -1,7 +1,9 @@
 import type {
 	EventLog, MetricSink, RandomSource, TimerService, TimerSubscription,
 } from '@camphortack/core';
-import type {JobOutcome, JobRequest, PlacementMessage} from '@camphortack/placement';
+import type {
+	JobHandover, JobOutcome, JobRequest, PlacementMessage,
+} from '@camphortack/placement';
 import {openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
 import type {PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
@@ -42,6 +44,10 @@
 	shards: ShardMap;
 	/** Gets the placer of a shard. */
 	getPlacerView: (shard: string) => PlacerView;
+	/** Gets the incarnation of a daemon that this one hears; empty if it was never heard. */
+	getIncarnation: (daemonId: string) => string;
+	/** Gets the digest of the own registry of backend servers. */
+	getRegistryDigest: () => string;
 	/** Sends a message to the placer of a shard, relayed if necessary. Returns false if there is no route. */
 	sendToPlacer: (shard: string, message: PlacementMessage) => boolean;
 };
@@ -57,12 +63,16 @@
 	readonly callers: Set<(result: JobOutcome) => void>;
 	/** The placer to which the job was last submitted. */
 	submittedTo: PlacerView | undefined;
-	/** The placers to which the job was submitted before that one. */
-	earlierPlacers: readonly PlacerView[];
+	/** The placers to which the job was submitted, without the last submission. */
+	earlierPlacers: readonly PlacerIncarnation[];
+	/** The placer of the last submission. */
+	lastPlacer: PlacerIncarnation | undefined;
 	generation: number;
 	waitTimer: TimerSubscription | undefined;
 };
 
+type PlacerIncarnation = JobHandover['placers'][number];
+
 type Cancellation = {
 	onEnd: (isConfirmed: boolean) => void;
 	subscriptions: TimerSubscription[];
@@ -102,9 +112,13 @@
 		return left?.term === right.term && left.placerId === right.placerId;
 	}
 
-	function getEarlierPlacers({submittedTo, earlierPlacers}: OpenJob): readonly PlacerView[] {
-		const isListed = submittedTo === undefined || earlierPlacers.some(placer => isSameView(placer, submittedTo));
-		return isListed ? earlierPlacers : [...earlierPlacers, submittedTo];
+	function isSamePlacer(left: PlacerIncarnation, right: PlacerIncarnation): boolean {
+		return left.placerId === right.placerId && left.incarnation === right.incarnation;
+	}
+
+	function getEarlierPlacers({lastPlacer, earlierPlacers}: OpenJob): readonly PlacerIncarnation[] {
+		const isListed = lastPlacer === undefined || earlierPlacers.some(placer => isSamePlacer(placer, lastPlacer));
+		return isListed ? earlierPlacers : [...earlierPlacers, lastPlacer];
 	}
 
 	function sendJob(open: OpenJob): void {
@@ -117,10 +131,11 @@
 			submissionId: open.submissionId,
 			generation,
 			mayHaveStarted: generation > 0,
-			earlierPlacers: [...earlierPlacers],
+			handover: generation === 0 ? undefined : {placers: [...earlierPlacers], registryDigest: options.getRegistryDigest()},
 		});
 		if (isSent) {
 			open.earlierPlacers = earlierPlacers;
+			open.lastPlacer = {placerId: view.placerId, incarnation: options.getIncarnation(view.placerId)};
 			open.generation = generation;
 			open.submittedTo = view;
 			open.waitTimer?.cancel();
@@ -137,6 +152,7 @@
 			callers: new Set(),
 			submittedTo: undefined,
 			earlierPlacers: [],
+			lastPlacer: undefined,
 			generation: 0,
 			waitTimer: undefined,
 		};
@@ -191,6 +207,7 @@
 		open.shard = shard;
 		open.wasForwarded = true;
 		open.submittedTo = undefined;
+		open.lastPlacer = undefined;
 		open.submissionId = random.getIdentifier();
 		sendJob(open);
 	}
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -37,7 +37,12 @@
 	z.object({kind: z.literal('cluster.server-report-noted'), reportId: z.string()}),
 	z.object({kind: z.literal('cluster.server-left'), serverId: z.string(), bornMs: z.number()}),
 	z.object({kind: z.literal('cluster.registry-request')}),
-	z.object({kind: z.literal('cluster.registry'), descriptions: z.array(backendServerDescriptionSchema)}),
+	z.object({
+		kind: z.literal('cluster.registry'),
+		descriptions: z.array(backendServerDescriptionSchema),
+		/** The digest of the sender's registry; the receiver may need only a part of that. */
+		digest: z.string().optional(),
+	}),
 	z.object({kind: z.literal('cluster.configuration-request'), knownNumber: z.int()}),
 	z.object({kind: z.literal('cluster.configuration'), number: z.int(), content: z.string()}),
 	/** Asks the receiver to forward a message to a daemon that the sender does not hear. */
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@camphortack/core';
 import {
-	createPlacer, type BackendServerDescription, type Placer, type PlacementMessage, type PlacerTerm,
+	createPlacer, type BackendServerDescription, type Placer, type PlacementMessage, type ServerSources,
 } from '@camphortack/placement';
 import type {ClusterOptions} from '../cluster-options.js';
 import {entryTimeoutMs} from '../cluster-timings.js';
@@ -8,8 +8,6 @@
 /** Runs the placer on this daemon during its terms. */
 export type LocalPlacer = {
 	isRunning(): boolean;
-	/** Whether a placer has run here in a term since the daemon started. */
-	hasPlacedIn(term: number): boolean;
 	/** Starts a placer for a term. */
 	start(term: number): void;
 	/** Stops the placer, which ends its term. */
@@ -29,8 +27,7 @@
 };
 
 export type LocalPlacerOptions = Pick<ClusterOptions, 'daemonNumber' | 'backendServerClient' | 'timers' | 'random' | 'events' | 'metrics'> & {
-	/** Whether this daemon knows every backend server on which a placer may have started tasks. */
-	knowsServersOf: (placer: PlacerTerm) => boolean;
+	serverSources: ServerSources;
 	/** Sends a message to a daemon, relayed if necessary. */
 	send: (toId: string, message: PlacementMessage) => void;
 };
@@ -42,7 +39,6 @@
 export function createLocalPlacer(options: LocalPlacerOptions): LocalPlacer {
 	const {timers, events, send} = options;
 	const entryActivity = createEntryActivityTracker(timers);
-	const terms = new Set<number>();
 	let placer: Placer | undefined;
 	timers.addInterval(entryTimeoutMs / 2, endJobsOfSilentEntries);
 
@@ -100,9 +96,7 @@
 
 	return {
 		isRunning: () => placer !== undefined,
-		hasPlacedIn: term => terms.has(term),
 		start(term) {
-			terms.add(term);
 			placer = createPlacer({
 				...options,
 				term,
--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {TimerService} from '@camphortack/core';
 import {isNewerDescription, type BackendServerDescription} from '@camphortack/placement';
 import {registryRetentionMs} from '../cluster-timings.js';
@@ -14,10 +15,14 @@
 	removeServer(serverId: string, bornMs: number): void;
 	findDescription(serverId: string): BackendServerDescription | undefined;
 	getDescriptions(): BackendServerDescription[];
+	/** Gets a digest of the known incarnations of an availability zone, or of all zones. Equal incarnations give equal digests. */
+	getDigest(availabilityZone?: string): string;
 	/** Removes backend servers without a recent heartbeat, except those still in use, and expired records of ended incarnations. */
 	removeExpired(isInUse: (serverId: string) => boolean): void;
 };
 
+const digestLength = 16;
+
 type RegistryEntry = {
 	description: BackendServerDescription;
 	receivedAtMs: number;
@@ -30,6 +35,18 @@
 export function createServerRegistry(timers: TimerService): ServerRegistry {
 	const entries = new Map<string, RegistryEntry>();
 	const endedAtMs = new Map<string, number>();
+	const digests = new Map<string, string>();
+
+	function deleteEntry(serverId: string): void {
+		entries.delete(serverId);
+		digests.clear();
+	}
+
+	function computeDigest(availabilityZone: string): string {
+		const descriptions = [...entries.values()].map(({description}) => description).filter(description => availabilityZone === '' || description.availabilityZone === availabilityZone);
+		const keys = descriptions.map(({id, bornMs}) => getIncarnationKey(id, bornMs)).toSorted();
+		return createHash('sha256').update(keys.join('\n')).digest('hex').slice(0, digestLength);
+	}
 
 	function hasEnded({id, bornMs}: BackendServerDescription): boolean {
 		return endedAtMs.has(getIncarnationKey(id, bornMs));
@@ -44,6 +61,7 @@
 
 			entries.set(description.id, {description, receivedAtMs: timers.getNowMs()});
 			if (known?.bornMs !== description.bornMs) {
+				digests.clear();
 				return 'new';
 			}
 
@@ -52,16 +70,21 @@
 		removeServer(serverId, bornMs) {
 			endedAtMs.set(getIncarnationKey(serverId, bornMs), timers.getNowMs());
 			if (entries.get(serverId)?.description.bornMs === bornMs) {
-				entries.delete(serverId);
+				deleteEntry(serverId);
 			}
 		},
 		findDescription: serverId => entries.get(serverId)?.description,
 		getDescriptions: () => [...entries.values()].map(({description}) => description),
+		getDigest(availabilityZone = '') {
+			const digest = digests.get(availabilityZone) ?? computeDigest(availabilityZone);
+			digests.set(availabilityZone, digest);
+			return digest;
+		},
 		removeExpired(isInUse) {
 			const oldestMs = timers.getNowMs() - registryRetentionMs;
 			for (const [id, {receivedAtMs}] of entries) {
 				if (receivedAtMs < oldestMs && !isInUse(id)) {
-					entries.delete(id);
+					deleteEntry(id);
 				}
 			}
 
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -227,6 +227,38 @@
 		await runFor(test.timers, 2500);
 		assert.equal(test.find('entry-a1').cluster.getStatus().placerId, 'keeper-b');
 		assert.deepEqual(test.fleet.findOverlaps(), []);
+		assert.deepEqual(test.results.map(({result}) => result), [{outcome: 'completed'}], 'the registry of the entry daemon names the backend server');
+	});
+
+	// Guards against a new placer that misses a report which another daemon sent to the previous placer only.
+	it('does not start a task again that runs on a backend server whose report did not reach the new placer', async () => {
+		const test = createTestCluster({getDurationMs: () => 1000});
+		const [late, ...others] = test.fleet.getDescriptions();
+		for (const description of others) {
+			test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
+		}
+
+		await runFor(test.timers, 2000);
+		test.network.cutLink('keeper-c', 'keeper-b');
+		for (const server of test.fleet.servers.slice(1)) {
+			server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
+		}
+
+		await runFor(test.timers, 600);
+		test.find('keeper-c').cluster.reportServer(late!, ignoreAcknowledgement);
+		await runFor(test.timers, 50);
+		test.submit('entry-b1', 'job');
+		await runFor(test.timers, 50);
+		assert.deepEqual(test.fleet.records.map(({serverId, daemonId}) => [serverId, daemonId]), [[late!.id, 'keeper-a'], [late!.id, 'keeper-a']]);
+		for (const server of test.fleet.servers) {
+			server.fault = {};
+		}
+
+		test.kill('keeper-a');
+		await runFor(test.timers, 2500);
+		assert.equal(test.find('entry-b1').cluster.getStatus().placerId, 'keeper-b');
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+		assert.deepEqual(test.results.map(({result}) => result), [{outcome: 'completed'}]);
 	});
 
 	// Guards against a registry that misses a report for ten seconds because its daemon was silent when the report was sent.
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -13,6 +13,7 @@
 	sent: PlacementMessage[];
 	results: JobOutcome[];
 	setView: (next: PlacerView) => void;
+	setIncarnation: (next: string) => void;
 };
 
 const refusal: JobOutcome = {outcome: 'refused', reason: 'overload', retryAfterMs: 1000};
@@ -22,6 +23,7 @@
 	const sent: PlacementMessage[] = [];
 	const results: JobOutcome[] = [];
 	let view: PlacerView = {term: 1, placerId: 'first'};
+	let incarnation = 'one';
 	const submitter = createJobSubmitter({
 		timers,
 		random: createSeededRandomSource(1),
@@ -29,6 +31,8 @@
 		metrics: new RecordingMetricSink(),
 		shards: createShardMap('north', false),
 		getPlacerView: () => view,
+		getIncarnation: daemonId => `${daemonId} ${incarnation}`,
+		getRegistryDigest: () => 'digest',
 		sendToPlacer(_shard, message) {
 			sent.push(message);
 			return view.placerId !== '';
@@ -42,6 +46,9 @@
 		setView(next) {
 			view = next;
 		},
+		setIncarnation(next) {
+			incarnation = next;
+		},
 	};
 }
 
@@ -72,22 +79,25 @@
 		assert.deepEqual(generations, [[0, false], [1, true]]);
 	});
 
-	it('names each placer to which a job was submitted before, once', () => {
+	it('names each incarnation of a placer to which a job was submitted before, once', () => {
 		const test = createTestSubmitter();
 		submit(test);
 		for (const view of [{term: 1, placerId: 'second'}, {term: 2, placerId: 'first'}]) {
 			test.setView(view);
 			test.submitter.handlePlacerChange();
 			test.submitter.handleUnknownJobs(['job']);
+			test.setIncarnation('two');
 		}
 
-		const earlierPlacers = test.sent.flatMap(message => (message.kind === 'placement.submit' ? [message.earlierPlacers.map(({term, placerId}) => `${term} ${placerId}`)] : []));
-		assert.deepEqual(earlierPlacers, [
-			[],
-			['1 first'],
-			['1 first', '1 second'],
-			['1 first', '1 second'],
-			['1 first', '1 second', '2 first'],
+		test.submitter.handleUnknownJobs(['job']);
+		const handovers = test.sent.flatMap(message => (message.kind === 'placement.submit' ? [message.handover?.placers.map(({incarnation}) => incarnation)] : []));
+		assert.deepEqual(handovers, [
+			undefined,
+			['first one'],
+			['first one', 'second one'],
+			['first one', 'second one'],
+			['first one', 'second one', 'first two'],
+			['first one', 'second one', 'first two'],
 		]);
 	});
 
--- a/packages/cluster/test/placing/local-placer.test.ts
+++ b/packages/cluster/test/placing/local-placer.test.ts
@@ -17,7 +17,12 @@
 		random: createSeededRandomSource(1),
 		events: new RecordingEventLog(),
 		metrics: new RecordingMetricSink(),
-		knowsServersOf: () => true,
+		serverSources: {
+			isCoveredBy: () => true,
+			requestMissing() {
+				// Everything is covered.
+			},
+		},
 		send() {
 			// Results are not checked.
 		},
@@ -25,7 +30,7 @@
 	localPlacer.start(1);
 	localPlacer.setServers(fleet.getDescriptions(), 0);
 	localPlacer.handleMessage('entry', {
-		kind: 'placement.submit', request: {...defaultRequest, jobId: 'job', callerTimeoutMs: 9000}, submissionId: 'one', generation: 0, mayHaveStarted: false, earlierPlacers: [],
+		kind: 'placement.submit', request: {...defaultRequest, jobId: 'job', callerTimeoutMs: 9000}, submissionId: 'one', generation: 0, mayHaveStarted: false,
 	});
 	await runFor(timers, 100);
 	fleet.servers[0]!.fault = {isUnreachableFrom: () => true};
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -1,6 +1,6 @@
-import type {PlacerTerm} from '../messages/placement-messages.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {TaskNeeds} from '../sessions/run.js';
+import type {HandoverSource} from './job-handover.js';
 import type {JobRequest, JobStep} from './job-request.js';
 import {getTaskName} from './task-name.js';
 
@@ -41,8 +41,8 @@
 	isEnded: boolean;
 	/** The backend servers of all runs, in the order of their starts. */
 	readonly serverIds: string[];
-	/** The placers that may have started tasks of the job before. */
-	readonly earlierPlacers: readonly PlacerTerm[];
+	/** Where the job comes from if earlier placers may have started its tasks. */
+	readonly handover: HandoverSource | undefined;
 	/** When the search for runs of an earlier placer ends; undefined if there is no search. */
 	recoveryDeadlineMs: number | undefined;
 };
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {jobHandoverSchema} from '../jobs/job-handover.js';
 import {jobRequestSchema} from '../jobs/job-request.js';
 
 /** Why a job was refused before any of its tasks ran. */
@@ -14,12 +15,6 @@
 	z.object({outcome: z.literal('unknown')}),
 ]);
 
-/** One term of a placer. */
-export const placerTermSchema = z.object({
-	term: z.int(),
-	placerId: z.string(),
-});
-
 /** Messages between entry daemons and the placer. */
 export const placementMessageSchema = z.discriminatedUnion('kind', [
 	z.object({
@@ -34,8 +29,8 @@
 		generation: z.int().min(0),
 		/** Whether an earlier placer may have started tasks of the job. */
 		mayHaveStarted: z.boolean(),
-		/** The placers to which the job was submitted before. */
-		earlierPlacers: z.array(placerTermSchema).default([]),
+		/** Set if the job was submitted to a placer before. */
+		handover: jobHandoverSchema.optional(),
 	}),
 	z.object({kind: z.literal('placement.result'), jobId: z.string(), result: jobOutcomeSchema}),
 	z.object({kind: z.literal('placement.cancel'), jobId: z.string()}),
@@ -48,6 +43,5 @@
 
 export type RefusalReason = z.infer<typeof refusalReasonSchema>;
 export type JobOutcome = z.infer<typeof jobOutcomeSchema>;
-export type PlacerTerm = z.infer<typeof placerTermSchema>;
 export type PlacementMessage = z.infer<typeof placementMessageSchema>;
 export type PlacementMessageOf<Kind extends PlacementMessage['kind']> = Extract<PlacementMessage, {kind: Kind}>;
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -7,10 +7,9 @@
 import {
 	createPlacedTasks, getStartableTasks, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
-import type {
-	JobOutcome, PlacementMessageOf, PlacerTerm, RefusalReason,
-} from '../messages/placement-messages.js';
+import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
+import type {ServerSources} from '../ports/server-sources.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createJobTable} from './job-table.js';
@@ -30,8 +29,7 @@
 	random: RandomSource;
 	events: EventLog;
 	metrics: MetricSink;
-	/** Whether this daemon knows every backend server on which a placer may have started tasks. */
-	knowsServersOf: (placer: PlacerTerm) => boolean;
+	serverSources: ServerSources;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -74,7 +72,7 @@
 		events,
 		jobTable,
 		pool,
-		knowsServersOf: options.knowsServersOf,
+		serverSources: options.serverSources,
 		onUnknown(job) {
 			endJob(job, {outcome: 'unknown'});
 		},
@@ -305,7 +303,7 @@
 	}
 
 	function createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob {
-		const {request, submissionId, generation, mayHaveStarted, earlierPlacers} = message;
+		const {request, submissionId, generation, mayHaveStarted, handover} = message;
 		const {criticalPathMs, work} = getJobEstimate(request, step => runTimeEstimator.getExpectedMs(request.queueName, step.estimateMs));
 		return {
 			request,
@@ -320,7 +318,7 @@
 			hasStarted: mayHaveStarted,
 			isEnded: false,
 			serverIds: [],
-			earlierPlacers,
+			handover: handover === undefined ? undefined : {...handover, entryId},
 			recoveryDeadlineMs: mayHaveStarted ? timers.getNowMs() + recoveryMs : undefined,
 		};
 	}
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -1,6 +1,6 @@
 import type {EventLog, TimerService} from '@camphortack/core';
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
-import type {PlacerTerm} from '../messages/placement-messages.js';
+import type {ServerSources} from '../ports/server-sources.js';
 import type {JobTable} from './job-table.js';
 import type {ServerPool} from './server-pool.js';
 
@@ -15,8 +15,7 @@
 	events: EventLog;
 	jobTable: JobTable;
 	pool: ServerPool;
-	/** Whether every backend server is known on which a placer may have started tasks. */
-	knowsServersOf: (placer: PlacerTerm) => boolean;
+	serverSources: ServerSources;
 	/** Called with each job for which it cannot be determined which tasks run. */
 	onUnknown: (job: PlacedJob) => void;
 };
@@ -28,7 +27,7 @@
  * Creates the recovery.
  * @param options - The jobs and the backend servers.
  */
-export function createJobRecovery({timers, events, jobTable, pool, knowsServersOf, onUnknown}: JobRecoveryOptions): JobRecovery {
+export function createJobRecovery({timers, events, jobTable, pool, serverSources, onUnknown}: JobRecoveryOptions): JobRecovery {
 	function recoverJobs(): void {
 		for (const job of jobTable.getJobs()) {
 			if (job.recoveryDeadlineMs !== undefined) {
@@ -42,6 +41,8 @@
 		const isKnown = missingCount === 0 || areRunsKnown(job);
 		if (isKnown || timers.getNowMs() >= deadlineMs) {
 			endRecovery(job, missingCount, isKnown);
+		} else if (job.handover !== undefined) {
+			serverSources.requestMissing(job.handover);
 		}
 	}
 
@@ -53,7 +54,8 @@
 			missing: missingCount,
 			known: isKnown,
 			...pool.getKnowledge(),
-			unknownPlacers: job.earlierPlacers.filter(placer => !knowsServersOf(placer)).map(({placerId}) => placerId).join(' '),
+			isCovered: isCovered(job),
+			earlierPlacers: job.handover?.placers.map(({placerId}) => placerId).join(' '),
 		});
 		if (!isKnown) {
 			onUnknown(job);
@@ -62,7 +64,11 @@
 
 	/** Whether a task of the job of which no run is found certainly does not run. */
 	function areRunsKnown(job: PlacedJob): boolean {
-		return pool.isFullyKnown() && job.earlierPlacers.length > 0 && job.earlierPlacers.every(placer => knowsServersOf(placer));
+		return pool.isFullyKnown() && isCovered(job);
+	}
+
+	function isCovered({handover}: PlacedJob): boolean {
+		return handover !== undefined && serverSources.isCoveredBy(handover);
 	}
 
 	function adoptRun(task: PlacedTask): boolean {
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -1,9 +1,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createSeededRandomSource} from '@camphortack/core';
+import type {JobHandover} from '../../src/index.js';
 import {createTestPlacer, defaultRequest, unknownPlacerId} from '../support/create-test-placer.js';
 import {runFor} from '../support/run-for.js';
 
+function getHandover(...placerIds: string[]): JobHandover {
+	return {placers: placerIds.map(placerId => ({placerId, incarnation: 'one'})), registryDigest: ''};
+}
+
 describe('createPlacer', () => {
 	it('runs every task of a job once and reports the result', async () => {
 		const {timers, fleet, submit, results} = createTestPlacer();
@@ -168,7 +173,7 @@
 			generation: 1,
 			submissionId: 'one',
 			mayHaveStarted: true,
-			earlierPlacers: [{term: 1, placerId: 'first'}],
+			handover: getHandover('first'),
 		});
 		await runFor(timers, 20);
 		submit({jobId: 'late'});
@@ -193,7 +198,7 @@
 			generation: 1,
 			submissionId: 'one',
 			mayHaveStarted: true,
-			earlierPlacers: [{term: 1, placerId: 'first'}],
+			handover: getHandover('first'),
 		});
 		await runFor(timers, 600);
 		const servers = fleet.records.map(({serverId}) => serverId).join(' ');
@@ -202,7 +207,7 @@
 			job: 'started', entry: 'entry', ageMs: 20, servers,
 		}]);
 		assert.deepEqual(getFields('job-recovered'), [{
-			job: 'other', tasks: 2, missing: 2, known: false, servers: 3, heldServers: 3, unclaimableServers: 1, unknownPlacers: '',
+			job: 'other', tasks: 2, missing: 2, known: false, servers: 3, heldServers: 3, unclaimableServers: 1, isCovered: true, earlierPlacers: 'first',
 		}]);
 	});
 
@@ -216,7 +221,7 @@
 			generation: 1,
 			submissionId: 'one',
 			mayHaveStarted: true,
-			earlierPlacers: [{term: 1, placerId: 'first'}],
+			handover: getHandover('first'),
 		});
 		await runFor(timers, 600);
 		assert.deepEqual(results.get('job'), {outcome: 'unknown'});
@@ -224,8 +229,8 @@
 	});
 
 	const earlierPlacers = [
-		{title: 'is not known', placerIds: ['first', unknownPlacerId]},
-		{title: 'is not named', placerIds: []},
+		{title: 'is not covered', placerIds: ['first', unknownPlacerId]},
+		{title: 'is not named', placerIds: undefined},
 	];
 	for (const {title, placerIds} of earlierPlacers) {
 		it(`does not restart a job if an earlier placer ${title}, since tasks may run on backend servers that it does not know`, async () => {
@@ -238,7 +243,7 @@
 				generation: 1,
 				submissionId: 'one',
 				mayHaveStarted: true,
-				earlierPlacers: placerIds.map(placerId => ({term: 1, placerId})),
+				handover: placerIds === undefined ? undefined : getHandover(...placerIds),
 			});
 			await runFor(timers, 300);
 			assert.equal(results.get('job'), undefined, 'it waits for the registry of the earlier placer');
@@ -271,7 +276,7 @@
 			generation: 1,
 			submissionId: 'two',
 			mayHaveStarted: true,
-			earlierPlacers: [{term: 1, placerId: 'first'}],
+			handover: getHandover('first'),
 		});
 		await runFor(timers, 1500);
 		assert.deepEqual(fleet.findOverlaps(), []);
@@ -279,7 +284,7 @@
 
 	// Guards against runs that are stopped because their job waits for registries although all of its runs are found.
 	it('completes a job whose runs are all found, even if an earlier placer is not covered', async () => {
-		const {timers, fleet, submit, results, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
+		const {timers, fleet, submit, results, createSuccessor, requestedSources} = createTestPlacer({getDurationMs: () => 900});
 		await runFor(timers, 10);
 		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 900}]});
 		await runFor(timers, 100);
@@ -291,11 +296,12 @@
 			generation: 1,
 			submissionId: 'one',
 			mayHaveStarted: true,
-			earlierPlacers: [{term: 1, placerId: unknownPlacerId}],
+			handover: getHandover(unknownPlacerId),
 		});
 		await runFor(timers, 1000);
 		assert.deepEqual(results.get('job'), {outcome: 'completed'});
 		assert.deepEqual(fleet.records.map(({runNumber, outcome}) => [runNumber, outcome]), [[1, 'done'], [1, 'done']]);
+		assert.deepEqual(requestedSources[0], {...getHandover(unknownPlacerId), entryId: 'entry'});
 	});
 
 	// Guards against two placers of one term of which the replaced one fences the other, which then does not know what runs.
@@ -320,7 +326,7 @@
 			},
 			generation: 1,
 			submissionId: 'two',
-			mayHaveStarted: true, earlierPlacers: [{term: 1, placerId: 'first'}],
+			mayHaveStarted: true, handover: getHandover('first'),
 		});
 		await runFor(timers, 1000);
 		assert.deepEqual(fleet.findOverlaps(), []);
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -1,7 +1,7 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {
-	createPlacer, type JobOutcome, type JobRequest, type Placer,
+	createPlacer, type HandoverSource, type JobOutcome, type JobRequest, type Placer,
 } from '../../src/index.js';
 import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from './fake-fleet.js';
 
@@ -13,6 +13,8 @@
 	results: Map<string, JobOutcome>;
 	/** When each result was reported. */
 	endedAtMs: Map<string, number>;
+	/** The sources whose missing registries the placers have requested. */
+	requestedSources: HandoverSource[];
 	submit(request: Partial<JobRequest> & {jobId: string}, options?: {generation?: number; submissionId?: string}): void;
 	/** Creates another placer for the same backend servers. Its daemon number is the term unless it is given. */
 	createSuccessor(term: number, daemonId: string, daemonNumber?: number): Placer;
@@ -46,6 +48,7 @@
 	const metrics = new RecordingMetricSink();
 	const results = new Map<string, JobOutcome>();
 	const endedAtMs = new Map<string, number>();
+	const requestedSources: HandoverSource[] = [];
 
 	function createSuccessor(term: number, daemonId: string, daemonNumber = term): Placer {
 		return createPlacer({
@@ -56,7 +59,12 @@
 			random: createSeededRandomSource(term),
 			events,
 			metrics,
-			knowsServersOf: ({placerId}) => placerId !== unknownPlacerId,
+			serverSources: {
+				isCoveredBy: ({placers}) => placers.every(({placerId}) => placerId !== unknownPlacerId),
+				requestMissing(source) {
+					requestedSources.push(source);
+				},
+			},
 			onResult(_entryId, jobId, result) {
 				results.set(jobId, result);
 				endedAtMs.set(jobId, timers.getNowMs());
@@ -74,9 +82,10 @@
 		results,
 		endedAtMs,
 		createSuccessor,
+		requestedSources,
 		submit(request, {generation = 0, submissionId = 'one'} = {}) {
 			placer.submit('entry', {
-				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0, earlierPlacers: [],
+				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0,
 			});
 		},
 	};
