--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {TimerService} from '@camphortack/core';
 import {isNewerDescription, type BackendServerDescription} from '@camphortack/placement';
 import {registryRetentionMs} from '../cluster-timings.js';
@@ -14,17 +15,17 @@
 	removeServer(serverId: string, bornMs: number): void;
 	findDescription(serverId: string): BackendServerDescription | undefined;
 	getDescriptions(): BackendServerDescription[];
-	/** Gets the descriptions that were new or differed when they were added, at or after a time. */
-	getChangedDescriptions(sinceMs: number): BackendServerDescription[];
+	/** Gets a digest of the known incarnations of an availability zone, or of all zones. Equal incarnations give equal digests. */
+	getDigest(availabilityZone?: string): string;
 	/** Removes backend servers without a recent heartbeat, except those still in use, and expired records of ended incarnations. */
 	removeExpired(isInUse: (serverId: string) => boolean): void;
 };
 
+const digestLength = 16;
+
 type RegistryEntry = {
 	description: BackendServerDescription;
 	receivedAtMs: number;
-	/** When the description last differed from the one before. */
-	changedAtMs: number;
 };
 
 /**
@@ -34,6 +35,18 @@
 export function createServerRegistry(timers: TimerService): ServerRegistry {
 	const entries = new Map<string, RegistryEntry>();
 	const endedAtMs = new Map<string, number>();
+	const digests = new Map<string, string>();
+
+	function deleteEntry(serverId: string): void {
+		entries.delete(serverId);
+		digests.clear();
+	}
+
+	function computeDigest(availabilityZone: string): string {
+		const descriptions = [...entries.values()].map(({description}) => description).filter(description => availabilityZone === '' || description.availabilityZone === availabilityZone);
+		const keys = descriptions.map(({id, bornMs}) => getIncarnationKey(id, bornMs)).toSorted();
+		return createHash('sha256').update(keys.join('\n')).digest('hex').slice(0, digestLength);
+	}
 
 	function hasEnded({id, bornMs}: BackendServerDescription): boolean {
 		return endedAtMs.has(getIncarnationKey(id, bornMs));
@@ -41,31 +54,37 @@
 
 	return {
 		addDescription(description) {
-			const entry = entries.get(description.id);
-			const known = entry?.description;
+			const known = entries.get(description.id)?.description;
 			if (hasEnded(description) || (known !== undefined && !isNewerDescription(description, known))) {
 				return 'stale';
 			}
 
-			const nowMs = timers.getNowMs();
-			const change = getChange(known, description);
-			entries.set(description.id, {description, receivedAtMs: nowMs, changedAtMs: change === 'same' ? entry!.changedAtMs : nowMs});
-			return change;
+			entries.set(description.id, {description, receivedAtMs: timers.getNowMs()});
+			if (known?.bornMs !== description.bornMs) {
+				digests.clear();
+				return 'new';
+			}
+
+			return isSameExceptSequence(known, description) ? 'same' : 'changed';
 		},
 		removeServer(serverId, bornMs) {
 			endedAtMs.set(getIncarnationKey(serverId, bornMs), timers.getNowMs());
 			if (entries.get(serverId)?.description.bornMs === bornMs) {
-				entries.delete(serverId);
+				deleteEntry(serverId);
 			}
 		},
 		findDescription: serverId => entries.get(serverId)?.description,
 		getDescriptions: () => [...entries.values()].map(({description}) => description),
-		getChangedDescriptions: sinceMs => [...entries.values()].filter(({changedAtMs}) => changedAtMs >= sinceMs).map(({description}) => description),
+		getDigest(availabilityZone = '') {
+			const digest = digests.get(availabilityZone) ?? computeDigest(availabilityZone);
+			digests.set(availabilityZone, digest);
+			return digest;
+		},
 		removeExpired(isInUse) {
 			const oldestMs = timers.getNowMs() - registryRetentionMs;
 			for (const [id, {receivedAtMs}] of entries) {
 				if (receivedAtMs < oldestMs && !isInUse(id)) {
-					entries.delete(id);
+					deleteEntry(id);
 				}
 			}
 
@@ -82,14 +101,6 @@
 	return `${serverId} ${bornMs}`;
 }
 
-function getChange(known: BackendServerDescription | undefined, description: BackendServerDescription): 'new' | 'changed' | 'same' {
-	if (known?.bornMs !== description.bornMs) {
-		return 'new';
-	}
-
-	return isSameExceptSequence(known, description) ? 'same' : 'changed';
-}
-
 function isSameExceptSequence(left: BackendServerDescription, right: BackendServerDescription): boolean {
 	return JSON.stringify({...left, sequence: 0}) === JSON.stringify({...right, sequence: 0});
 }
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -1,12 +1,12 @@
 import type {EventLog, TimerService} from '@camphortack/core';
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
-import type {PlacerTerm} from '../messages/placement-messages.js';
+import type {ServerSources} from '../ports/server-sources.js';
 import type {JobTable} from './job-table.js';
 import type {ServerPool} from './server-pool.js';
 
 /** Reattaches the jobs that an earlier placer started to their runs. */
 export type JobRecovery = {
-	/** Recovers the jobs whose runs are all known or whose recovery deadline has passed. */
+	/** Adopts the runs that are found, and ends the search for those whose runs are all known or whose deadline has passed. */
 	recoverJobs(): void;
 };
 
@@ -15,8 +15,7 @@
 	events: EventLog;
 	jobTable: JobTable;
 	pool: ServerPool;
-	/** Whether every backend server is known on which a placer may have started tasks. */
-	knowsServersOf: (placer: PlacerTerm) => boolean;
+	serverSources: ServerSources;
 	/** Called with each job for which it cannot be determined which tasks run. */
 	onUnknown: (job: PlacedJob) => void;
 };
@@ -28,42 +27,50 @@
  * Creates the recovery.
  * @param options - The jobs and the backend servers.
  */
-export function createJobRecovery({timers, events, jobTable, pool, knowsServersOf, onUnknown}: JobRecoveryOptions): JobRecovery {
+export function createJobRecovery({timers, events, jobTable, pool, serverSources, onUnknown}: JobRecoveryOptions): JobRecovery {
 	function recoverJobs(): void {
-		const nowMs = timers.getNowMs();
 		for (const job of jobTable.getJobs()) {
-			if (job.recoveryDeadlineMs !== undefined && (areRunsKnown(job) || nowMs >= job.recoveryDeadlineMs)) {
-				recoverJob(job);
+			if (job.recoveryDeadlineMs !== undefined) {
+				recoverJob(job, job.recoveryDeadlineMs);
 			}
 		}
 	}
 
-	/** Whether a task of the job of which no run is found certainly does not run. */
-	function areRunsKnown(job: PlacedJob): boolean {
-		return pool.isFullyKnown() && job.earlierPlacers.length > 0 && job.earlierPlacers.every(placer => knowsServersOf(placer));
-	}
-
-	function recoverJob(job: PlacedJob): void {
-		let missingCount = 0;
-		for (const task of job.tasks) {
-			missingCount += adoptRun(task) ? 0 : 1;
+	function recoverJob(job: PlacedJob, deadlineMs: number): void {
+		const missingCount = job.tasks.filter(task => task.state === 'waiting' && !adoptRun(task)).length;
+		const isKnown = missingCount === 0 || areRunsKnown(job);
+		if (isKnown || timers.getNowMs() >= deadlineMs) {
+			endRecovery(job, missingCount, isKnown);
+		} else if (job.handover !== undefined) {
+			serverSources.requestMissing(job.handover);
 		}
+	}
 
+	function endRecovery(job: PlacedJob, missingCount: number, isKnown: boolean): void {
 		job.recoveryDeadlineMs = undefined;
-		const isKnown = missingCount === 0 || areRunsKnown(job);
 		events.write('job-recovered', {
 			job: job.request.jobId,
 			tasks: job.tasks.length,
 			missing: missingCount,
 			known: isKnown,
 			...pool.getKnowledge(),
-			unknownPlacers: job.earlierPlacers.filter(placer => !knowsServersOf(placer)).map(({placerId}) => placerId).join(' '),
+			isCovered: isCovered(job),
+			earlierPlacers: job.handover?.placers.map(({placerId}) => placerId).join(' '),
 		});
 		if (!isKnown) {
 			onUnknown(job);
 		}
 	}
 
+	/** Whether a task of the job of which no run is found certainly does not run. */
+	function areRunsKnown(job: PlacedJob): boolean {
+		return pool.isFullyKnown() && isCovered(job);
+	}
+
+	function isCovered({handover}: PlacedJob): boolean {
+		return handover !== undefined && serverSources.isCoveredBy(handover);
+	}
+
 	function adoptRun(task: PlacedTask): boolean {
 		const found = pool.findRun(task.name);
 		if (found === undefined) {
