Say what a digest covers, and show the sources of a registry by an example

Read as a newcomer: the digest of the global shard was that of an empty zone without a word on it, and a public function had no example. Comments only. Measured: linter and compiler pass.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -118,7 +118,7 @@
 		return shard === shards.getOwnShard() ? election.getView() : shards.findOtherView(shard) ?? {term: 0, placerId: ''};
 	}
 
-	/** Gets the digest of the backend servers that the placer of this daemon's shard may use. */
+	/** Gets the digest of the backend servers that the placer of this daemon's shard may use: of all zones in the global shard. */
 	function getRegistryDigest(): string {
 		return registry.getDigest(shards.getOwnShard());
 	}
--- a/packages/cluster/src/registry/registry-sources.ts
+++ b/packages/cluster/src/registry/registry-sources.ts
@@ -27,6 +27,15 @@
  * registry, and the entry daemons of its shard receive the same reports. The runs of an earlier placer can therefore be found
  * by a daemon that has the registries of both: of the incarnation that placed, and of the entry daemon when it changed placers.
  * @param options - The daemon and the other daemons.
+ *
+ * @example
+ * ```ts
+ * const sources = createRegistrySources(options);
+ * const source = {entryId: '10.3.0.31', registryDigest: getDigest(), placers: [{placerId: '10.3.0.40', incarnation: 'one'}]};
+ * sources.isCoveredBy(source); // false
+ * sources.addSource('10.3.0.40', undefined);
+ * sources.isCoveredBy(source); // true while the first incarnation of 10.3.0.40 is heard
+ * ```
  */
 export function createRegistrySources(options: RegistrySourcesOptions): RegistrySources {
 	const {ownId, ownIncarnation, members, timers, getDigest, isInShard, sendRequest} = options;
--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -15,7 +15,7 @@
 	removeServer(serverId: string, bornMs: number): void;
 	findDescription(serverId: string): BackendServerDescription | undefined;
 	getDescriptions(): BackendServerDescription[];
-	/** Gets a digest of the known incarnations of an availability zone, or of all zones. Equal incarnations give equal digests. */
+	/** Gets a digest of the known incarnations of an availability zone; of all zones if it is omitted or empty. */
 	getDigest(availabilityZone?: string): string;
 	/** Removes backend servers without a recent heartbeat, except those still in use, and expired records of ended incarnations. */
 	removeExpired(isInUse: (serverId: string) => boolean): void;
