Let announcements of other zones expire, and answer jobs forwarded to a zone that is cut off

Cause: what a daemon knew of another shard never aged, so a zone that had been cut off still counted as idle, with the wait that it announced last. A job that its own zone refused was forwarded there, no message left the daemon, and the caller got no answer at all; the same if the cut came after the job was forwarded. Of several idle zones, all daemons chose the first.

Change: only the placer's own announcements count, for 0.7 s. A job that never left is refused at once ("not run" is true); one that may have started in a zone that has not been heard for 1 s is answered as unknown. The zone is chosen at random, weighted by how far its wait is below the limit.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -10,6 +10,11 @@
 export const placerTimeoutMs = 450;
 /** Time without a heartbeat after which another daemon no longer counts as alive. */
 export const memberTimeoutMs = 700;
+/**
+ * Time without an announcement of another shard's placer after which jobs forwarded there end as unknown. Longer than it
+ * takes that shard to replace its placer, which then takes the jobs over.
+ */
+export const shardTimeoutMs = 1000;
 /** How long a silent daemon still counts towards the majority of its availability zone. */
 export const memberRetentionMs = 20_000;
 /** Minimum uptime of a daemon that becomes the placer, so that it discovers the other daemons first. */
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -38,7 +38,7 @@
 		heartbeatSender.sendAll();
 	});
 	const hints = options.hintStore?.findHints() ?? {term: 0, isDivided: false};
-	const shards = createShardMap(options.availabilityZone, hints.isDivided);
+	const shards = createShardMap({...options, wasDivided: hints.isDivided});
 	const relay = createRelay({ownId, peers, members});
 	const localPlacer = createLocalPlacer({
 		...options,
--- a/packages/cluster/src/election/placer-view.ts
+++ b/packages/cluster/src/election/placer-view.ts
@@ -15,3 +15,12 @@
 export function isNewerView(left: PlacerView, right: PlacerView): boolean {
 	return left.term === right.term ? compareDaemonIds(left.placerId, right.placerId) > 0 : left.term > right.term;
 }
+
+/**
+ * Whether two views name the same placer in the same term.
+ * @param left - One view.
+ * @param right - The other view.
+ */
+export function isSameView(left: PlacerView, right: PlacerView): boolean {
+	return left.term === right.term && left.placerId === right.placerId;
+}
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -5,7 +5,7 @@
 	JobHandover, JobOutcome, JobRequest, PlacementMessage,
 } from '@camphortack/placement';
 import {openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
-import type {PlacerView} from '../election/placer-view.js';
+import {isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
 
 /** A job as the callers' server submits it. */
@@ -92,11 +92,16 @@
 	const cancellations = new Map<string, Cancellation>();
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
 
-	/** Sends the placers the ids of the open jobs, so that lost messages are detected; resubmits jobs whose placer has changed. */
+	/**
+	 * Sends the placers the ids of the open jobs, so that lost messages are detected; resubmits jobs whose placer has changed,
+	 * and ends those forwarded to a shard that is cut off.
+	 */
 	function sendOpenJobs(): void {
 		const jobIds = new Map<string, string[]>([[shards.getOwnShard(), []]]);
 		for (const open of openJobs.values()) {
-			if (isSameView(open.submittedTo, getPlacerView(open.shard))) {
+			if (isCutOff(open)) {
+				endJob(open.job.jobId, {outcome: 'unknown'});
+			} else if (isSubmitted(open)) {
 				jobIds.set(open.shard, [...(jobIds.get(open.shard) ?? []), open.job.jobId]);
 			} else {
 				sendJob(open);
@@ -108,8 +113,14 @@
 		}
 	}
 
-	function isSameView(left: PlacerView | undefined, right: PlacerView): boolean {
-		return left?.term === right.term && left.placerId === right.placerId;
+	/** Whether a job was submitted to the current placer of its shard. */
+	function isSubmitted({submittedTo, shard}: OpenJob): boolean {
+		return submittedTo !== undefined && isSameView(submittedTo, getPlacerView(shard));
+	}
+
+	/** Whether a forwarded job can no longer be asked about: the shard that may have started it is not heard. */
+	function isCutOff({wasForwarded, shard}: OpenJob): boolean {
+		return wasForwarded && !shards.isHeard(shard);
 	}
 
 	function isSamePlacer(left: PlacerIncarnation, right: PlacerIncarnation): boolean {
@@ -200,16 +211,22 @@
 		return isOverload && !open.wasForwarded && open.generation === 0 ? shards.findIdleShard() : undefined;
 	}
 
-	function forward(open: OpenJob, shard: string): void {
-		events.write('job-forwarded', {
-			job: open.job.jobId, queue: open.job.queueName, shard, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
-		});
+	/** Forwards a job to another shard. Returns false if there is no route, so that the job certainly has not started there. */
+	function forward(open: OpenJob, shard: string): boolean {
 		open.shard = shard;
 		open.wasForwarded = true;
 		open.submittedTo = undefined;
 		open.lastPlacer = undefined;
 		open.submissionId = random.getIdentifier();
 		sendJob(open);
+		if (open.submittedTo === undefined) {
+			return false;
+		}
+
+		events.write('job-forwarded', {
+			job: open.job.jobId, queue: open.job.queueName, shard, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
+		});
+		return true;
 	}
 
 	/**
@@ -277,10 +294,8 @@
 		handleResult(jobId, result) {
 			const open = openJobs.get(jobId);
 			const idleShard = open === undefined ? undefined : findForwardingShard(open, result);
-			if (open === undefined || idleShard === undefined) {
+			if (open === undefined || idleShard === undefined || !forward(open, idleShard)) {
 				endJob(jobId, result);
-			} else {
-				forward(open, idleShard);
 			}
 		},
 		handleCancelled(jobId) {
@@ -296,7 +311,7 @@
 		},
 		handlePlacerChange() {
 			for (const open of openJobs.values()) {
-				if (!isSameView(open.submittedTo, getPlacerView(open.shard))) {
+				if (!isSubmitted(open)) {
 					sendJob(open);
 				}
 			}
--- a/packages/cluster/src/shards/shard-map.ts
+++ b/packages/cluster/src/shards/shard-map.ts
@@ -1,4 +1,6 @@
-import {isNewerView, type PlacerView} from '../election/placer-view.js';
+import type {RandomSource, TimerService} from '@camphortack/core';
+import {memberTimeoutMs, shardTimeoutMs} from '../cluster-timings.js';
+import {isNewerView, isSameView, type PlacerView} from '../election/placer-view.js';
 
 /** The shard of all backend servers, for deployments that a single placer can serve. */
 export const globalShard = '';
@@ -13,11 +15,22 @@
 	isDivided(): boolean;
 	/** Divides the deployment if there are too many backend servers or another daemon has divided it. Returns true on the transition. */
 	divideIfDue(serverCount: number, isOtherDivided: boolean): boolean;
-	/** Updates the placer of another shard and the expected wait of jobs there. */
+	/** Updates the placer of another shard; the expected wait of jobs there is known only from the placer itself. */
 	updateOtherShard(shard: string, view: PlacerView, loadMs: number | undefined): void;
 	findOtherView(shard: string): PlacerView | undefined;
-	/** Finds the other shard with the shortest expected wait; undefined if the wait is too long in all of them. */
+	/** Finds another shard whose placer was heard recently and has a short expected wait. */
 	findIdleShard(): string | undefined;
+	/** Whether the placer of another shard was heard recently enough for its jobs to be still in progress. */
+	isHeard(shard: string): boolean;
+};
+
+export type ShardMapOptions = {
+	/** The availability zone of this daemon. */
+	availabilityZone: string;
+	/** Whether the deployment was divided before this daemon restarted. */
+	wasDivided: boolean;
+	timers: TimerService;
+	random: RandomSource;
 };
 
 /** A shard with a shorter expected wait accepts jobs forwarded from other shards. */
@@ -26,6 +39,8 @@
 type OtherShard = {
 	view: PlacerView;
 	loadMs: number;
+	/** When the placer last announced its load. */
+	announcedAtMs: number;
 };
 
 /**
@@ -33,13 +48,27 @@
  * is divided only when it is large. Each availability zone then has its own placer, and jobs that it refuses are
  * forwarded to an idle one. A division is not reverted while the process runs: daemons that disagree about it would
  * claim the same backend servers alternately.
- * @param availabilityZone - The availability zone of this daemon.
- * @param wasDivided - Whether the deployment was divided before this daemon restarted.
+ *
+ * While one zone is overloaded, all its daemons choose from the same announcements. The choice is random, weighted by how
+ * far each wait is below the limit, so that they do not all forward to the same zone. A zone that is cut off stays silent,
+ * so its announcements expire.
+ * @param options - The daemon, its clock and its source of randomness.
+ *
+ * @example
+ * ```ts
+ * const shards = createShardMap({availabilityZone: 'north', wasDivided: true, timers, random});
+ * shards.updateOtherShard('south', {term: 1, placerId: '10.2.0.4'}, 0);
+ * shards.findIdleShard(); // 'south'
+ * ```
  */
-export function createShardMap(availabilityZone: string, wasDivided: boolean): ShardMap {
+export function createShardMap({availabilityZone, wasDivided, timers, random}: ShardMapOptions): ShardMap {
 	const others = new Map<string, OtherShard>();
 	let isDivided = wasDivided;
 
+	function getSilenceMs(shard: string): number {
+		return timers.getNowMs() - (others.get(shard)?.announcedAtMs ?? Number.NEGATIVE_INFINITY);
+	}
+
 	return {
 		getOwnShard: () => (isDivided ? availabilityZone : globalShard),
 		isDivided: () => isDivided,
@@ -54,15 +83,30 @@
 		updateOtherShard(shard, view, loadMs) {
 			const known = others.get(shard);
 			if (known === undefined || isNewerView(view, known.view)) {
-				others.set(shard, {view, loadMs: loadMs ?? 0});
-			} else if (loadMs !== undefined) {
-				known.loadMs = loadMs;
+				others.set(shard, {view, loadMs: Number.POSITIVE_INFINITY, announcedAtMs: Number.NEGATIVE_INFINITY});
+			}
+
+			const current = others.get(shard)!;
+			if (loadMs !== undefined && isSameView(view, current.view)) {
+				current.loadMs = loadMs;
+				current.announcedAtMs = timers.getNowMs();
 			}
 		},
 		findOtherView: shard => others.get(shard)?.view,
 		findIdleShard() {
-			const idle = [...others].filter(([, {view, loadMs}]) => view.placerId !== '' && loadMs < idleLoadMs);
-			return idle.toSorted(([, left], [, right]) => left.loadMs - right.loadMs)[0]?.[0];
+			const idle = [...others].filter(([shard, {view, loadMs}]) => view.placerId !== '' && loadMs < idleLoadMs && getSilenceMs(shard) < memberTimeoutMs);
+			const weights = idle.map(([, {loadMs}]) => idleLoadMs - loadMs);
+			return idle[findWeightedPosition(weights, random)]?.[0];
 		},
+		isHeard: shard => getSilenceMs(shard) < shardTimeoutMs,
 	};
 }
+
+/** Chooses a position with a probability proportional to its weight. */
+function findWeightedPosition(weights: readonly number[], random: RandomSource): number {
+	let remaining = random.getFraction() * weights.reduce((sum, weight) => sum + weight, 0);
+	return weights.findIndex(weight => {
+		remaining -= weight;
+		return remaining < 0;
+	});
+}
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -5,35 +5,46 @@
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import type {PlacerView} from '../../src/election/placer-view.js';
 import {createJobSubmitter, type JobSubmitter} from '../../src/entry/job-submitter.js';
-import {createShardMap} from '../../src/shards/shard-map.js';
+import {createShardMap, type ShardMap} from '../../src/shards/shard-map.js';
 
 type TestSubmitter = {
 	timers: VirtualTimers;
 	submitter: JobSubmitter;
 	sent: PlacementMessage[];
 	results: JobOutcome[];
+	shards: ShardMap;
 	setView: (next: PlacerView) => void;
 	setIncarnation: (next: string) => void;
+	/** Cuts or restores the route to a shard. */
+	setRoute: (shard: string, isOpen: boolean) => void;
 };
 
 const refusal: JobOutcome = {outcome: 'refused', reason: 'overload', retryAfterMs: 1000};
 
-function createTestSubmitter(): TestSubmitter {
+function createTestSubmitter(isDivided = false): TestSubmitter {
 	const timers = new VirtualTimers();
 	const sent: PlacementMessage[] = [];
 	const results: JobOutcome[] = [];
 	let view: PlacerView = {term: 1, placerId: 'first'};
 	let incarnation = 'one';
+	const cutShards = new Set<string>();
+	const shards = createShardMap({
+		availabilityZone: 'north', wasDivided: isDivided, timers, random: createSeededRandomSource(1),
+	});
 	const submitter = createJobSubmitter({
 		timers,
 		random: createSeededRandomSource(1),
 		events: new RecordingEventLog(),
 		metrics: new RecordingMetricSink(),
-		shards: createShardMap('north', false),
-		getPlacerView: () => view,
+		shards,
+		getPlacerView: shard => (shard === shards.getOwnShard() ? view : shards.findOtherView(shard) ?? {term: 0, placerId: ''}),
 		getIncarnation: daemonId => `${daemonId} ${incarnation}`,
 		getRegistryDigest: () => 'digest',
-		sendToPlacer(_shard, message) {
+		sendToPlacer(shard, message) {
+			if (cutShards.has(shard)) {
+				return false;
+			}
+
 			sent.push(message);
 			return view.placerId !== '';
 		},
@@ -43,6 +54,14 @@
 		submitter,
 		sent,
 		results,
+		shards,
+		setRoute(shard, isOpen) {
+			if (isOpen) {
+				cutShards.delete(shard);
+			} else {
+				cutShards.add(shard);
+			}
+		},
 		setView(next) {
 			view = next;
 		},
@@ -125,4 +144,57 @@
 		test.timers.advance(3000);
 		assert.deepEqual(ends, [false]);
 	});
+
+	describe('with a job that its own zone refuses for overload', () => {
+		function createDividedSubmitter(): TestSubmitter {
+			const test = createTestSubmitter(true);
+			test.shards.updateOtherShard('south', {term: 1, placerId: 'other'}, 0);
+			submit(test);
+			return test;
+		}
+
+		it('forwards it to an idle zone and reports the result from there', () => {
+			const test = createDividedSubmitter();
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, []);
+			test.submitter.handleResult('job', {outcome: 'completed'});
+			assert.deepEqual(test.results, [{outcome: 'completed'}]);
+		});
+
+		// Guards against a job that waits for a zone which has been cut off.
+		it('refuses it at once if there is no route to the idle zone', () => {
+			const test = createDividedSubmitter();
+			test.setRoute('south', false);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [refusal]);
+		});
+
+		it('refuses it at once if the idle zone has not been heard for a second', () => {
+			const test = createDividedSubmitter();
+			test.timers.advance(1000);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [refusal]);
+		});
+
+		// Guards against a caller that gets no answer because the zone that runs its job has been cut off.
+		it('reports it as unknown once the other zone has not been heard for a second', () => {
+			const test = createDividedSubmitter();
+			test.submitter.handleResult('job', refusal);
+			test.timers.advance(900);
+			assert.deepEqual(test.results, []);
+			test.timers.advance(400);
+			assert.deepEqual(test.results, [{outcome: 'unknown'}]);
+		});
+
+		it('waits for the result as long as the other zone is heard', () => {
+			const test = createDividedSubmitter();
+			test.submitter.handleResult('job', refusal);
+			for (let round = 0; round < 8; round++) {
+				test.timers.advance(250);
+				test.shards.updateOtherShard('south', {term: 1, placerId: 'other'}, 90);
+			}
+
+			assert.deepEqual(test.results, []);
+		});
+	});
 });
