Count tasks as done whose ends the next placer finds, and adopt the runs of jobs submitted again

Cause: a new placer acknowledged the ends that its claims listed and ignored those of runs that it had not started. Most short tasks end between the last renewal of the old placer and the first claim of the new one, so their work was run again, or the job ended as unknown, since a run that is missing needs all backend servers of the zone to answer. A job that its caller submitted again through another daemon waited for its runs to end and then ran once more.

Change: such ends are remembered for 5 s, and count when the job is submitted. Runs of an earlier placer are adopted for jobs that come without a handover too.

--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -87,3 +87,11 @@
 	return job.tasks.filter(task => task.state === 'waiting'
 		&& job.request.steps[task.step]!.dependsOn.every(position => !unfinishedSteps.has(position)));
 }
+
+/**
+ * Whether all tasks of a job are done.
+ * @param job - The job.
+ */
+export function isDone(job: PlacedJob): boolean {
+	return job.tasks.every(task => task.state === 'done');
+}
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -5,7 +5,7 @@
 import {createQueueWorkMeans} from '../estimates/queue-work-means.js';
 import {getJobEstimate} from '../jobs/get-job-estimate.js';
 import {
-	createPlacedTasks, getStartableTasks, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
+	createPlacedTasks, getStartableTasks, isDone, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
@@ -76,6 +76,9 @@
 		onUnknown(job) {
 			endJob(job, {outcome: 'unknown'});
 		},
+		onCompleted(job) {
+			endJob(job, {outcome: 'completed'});
+		},
 	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool,
@@ -138,12 +141,22 @@
 
 	function placeJob(job: PlacedJob, table: CapacityTable): void {
 		for (const task of getStartableTasks(job)) {
-			// A run of an earlier submission of the same job may still be stopping.
-			const server = pool.findRun(task.name) === undefined ? table.allocate(job, task) : undefined;
-			if (server !== undefined) {
-				startTask(job, task, server);
+			if (!recovery.adoptEarlierRun(task)) {
+				startTaskIfPossible(job, task, table);
 			}
 		}
+
+		if (isDone(job)) {
+			endJob(job, {outcome: 'completed'});
+		}
+	}
+
+	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): void {
+		// A run of an earlier submission of the same job may still be stopping.
+		const server = pool.findRun(task.name) === undefined ? table.allocate(job, task) : undefined;
+		if (server !== undefined) {
+			startTask(job, task, server);
+		}
 	}
 
 	function getUsableServers(service: string): PooledServer[] {
@@ -171,6 +184,8 @@
 		const found = jobTable.findTask(run.taskName);
 		if (found?.task.session === session && found.task.runNumber === run.runNumber) {
 			handleTaskEnd(found.job, found.task, end);
+		} else if (end === 'done') {
+			recovery.addDoneTask(run.taskName);
 		}
 
 		schedulePass();
@@ -229,7 +244,7 @@
 
 		pool.findServer(session.getDescription().id)?.health.addSuccess();
 		metrics.increment('task-done');
-		if (job.tasks.every(other => other.state === 'done')) {
+		if (isDone(job)) {
 			endJob(job, {outcome: 'completed'});
 		}
 	}
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -1,5 +1,5 @@
 import type {EventLog, TimerService} from '@camphortack/core';
-import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
+import {isDone, type PlacedJob, type PlacedTask} from '../jobs/placed-job.js';
 import type {ServerSources} from '../ports/server-sources.js';
 import type {JobTable} from './job-table.js';
 import type {ServerPool} from './server-pool.js';
@@ -8,6 +8,10 @@
 export type JobRecovery = {
 	/** Adopts the runs that are found, and ends the search for those whose runs are all known or whose deadline has passed. */
 	recoverJobs(): void;
+	/** Records that a task is done whose run this placer did not start. */
+	addDoneTask(taskName: string): void;
+	/** Adopts the run of an earlier placer for a waiting task, or its result. Returns false if there is none. */
+	adoptEarlierRun(task: PlacedTask): boolean;
 };
 
 export type JobRecoveryOptions = {
@@ -18,16 +22,23 @@
 	serverSources: ServerSources;
 	/** Called with each job for which it cannot be determined which tasks run. */
 	onUnknown: (job: PlacedJob) => void;
+	/** Called with each job whose tasks are all done. */
+	onCompleted: (job: PlacedJob) => void;
 };
 
 /** How long to wait for backend servers that have not responded yet, on which runs of an earlier placer may exist. */
 export const recoveryMs = 400;
+/** How long a done task is remembered: until its caller has submitted the job again, as it does after a lost answer. */
+const doneTaskRetentionMs = 5000;
 
 /**
  * Creates the recovery.
  * @param options - The jobs and the backend servers.
  */
-export function createJobRecovery({timers, events, jobTable, pool, serverSources, onUnknown}: JobRecoveryOptions): JobRecovery {
+export function createJobRecovery({timers, events, jobTable, pool, serverSources, onUnknown, onCompleted}: JobRecoveryOptions): JobRecovery {
+	/** The times at which the tasks were found to be done, oldest first. */
+	const doneAtMs = new Map<string, number>();
+
 	function recoverJobs(): void {
 		for (const job of jobTable.getJobs()) {
 			if (job.recoveryDeadlineMs !== undefined) {
@@ -37,7 +48,7 @@
 	}
 
 	function recoverJob(job: PlacedJob, deadlineMs: number): void {
-		const missingCount = job.tasks.filter(task => task.state === 'waiting' && !adoptRun(task)).length;
+		const missingCount = job.tasks.filter(task => task.state === 'waiting' && !adoptResult(task) && !adoptRun(task)).length;
 		const isKnown = missingCount === 0 || areRunsKnown(job);
 		if (isKnown || timers.getNowMs() >= deadlineMs) {
 			endRecovery(job, missingCount, isKnown);
@@ -59,6 +70,8 @@
 		});
 		if (!isKnown) {
 			onUnknown(job);
+		} else if (isDone(job)) {
+			onCompleted(job);
 		}
 	}
 
@@ -86,5 +99,33 @@
 		return true;
 	}
 
-	return {recoverJobs};
+	/** A done task is never started again, whoever started it: no other run of it can be in progress. */
+	function adoptResult(task: PlacedTask): boolean {
+		if (!doneAtMs.has(task.name)) {
+			return false;
+		}
+
+		task.state = 'done';
+		return true;
+	}
+
+	function removeExpiredResults(): void {
+		const oldestMs = timers.getNowMs() - doneTaskRetentionMs;
+		for (const [taskName, atMs] of doneAtMs) {
+			if (atMs > oldestMs) {
+				return;
+			}
+
+			doneAtMs.delete(taskName);
+		}
+	}
+
+	return {
+		recoverJobs,
+		addDoneTask(taskName) {
+			removeExpiredResults();
+			doneAtMs.set(taskName, timers.getNowMs());
+		},
+		adoptEarlierRun: task => adoptResult(task) || (pool.findRun(task.name)?.run.needs === undefined && adoptRun(task)),
+	};
 }
--- a/packages/placement/src/sessions/run-table.ts
+++ b/packages/placement/src/sessions/run-table.ts
@@ -27,7 +27,7 @@
 /**
  * Creates an empty table.
  * @param getNowMs - Gets the current time.
- * @param onRunEnd - Called after a run has been removed from the table.
+ * @param onRunEnd - Called after a run has been removed from the table, and for ends of runs of an earlier placer that were never in it.
  */
 export function createRunTable(getNowMs: () => number, onRunEnd: (run: Run, end: RunEnd) => void): RunTable {
 	const runs = new Map<string, Run>();
@@ -39,10 +39,19 @@
 		}
 	}
 
-	function addUnknownRun({taskName, runNumber, percent}: ActiveRun): void {
-		runs.set(taskName, {
+	function createUnknownRun({taskName, runNumber, percent}: ActiveRun): Run {
+		return {
 			taskName, runNumber, needs: undefined, state: 'running', startedAtMs: getNowMs(), percent, serverStartMs: undefined, serverReportMs: undefined,
-		});
+		};
+	}
+
+	function handleListedEnd({taskName, runNumber, outcome}: EndedRun): void {
+		const run = runs.get(taskName);
+		if (run === undefined) {
+			onRunEnd(createUnknownRun({taskName, runNumber, percent: 100}), getRunEnd(outcome));
+		} else if (run.runNumber === runNumber) {
+			endRun(run, getRunEnd(outcome));
+		}
 	}
 
 	function setRunProgress(run: Run, percent: number, clockMs: number): void {
@@ -73,10 +82,7 @@
 				}
 
 				acknowledgedEndNumber = ended.endNumber;
-				const run = runs.get(ended.taskName);
-				if (run?.runNumber === ended.runNumber) {
-					endRun(run, getRunEnd(ended.outcome));
-				}
+				handleListedEnd(ended);
 			}
 		},
 		getAcknowledgedEndNumber: () => acknowledgedEndNumber,
@@ -102,7 +108,7 @@
 
 			for (const activeRun of activeRuns) {
 				if (!runs.has(activeRun.taskName)) {
-					addUnknownRun(activeRun);
+					runs.set(activeRun.taskName, createUnknownRun(activeRun));
 				}
 			}
 		},
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -282,6 +282,56 @@
 		assert.deepEqual(fleet.findOverlaps(), []);
 	});
 
+	const finished: Array<{title: string; claimedAtMs: number; submittedAtMs: number}> = [
+		{title: 'before it claimed the backend servers', claimedAtMs: 200, submittedAtMs: 210},
+		{title: 'between its claims and the submission', claimedAtMs: 60, submittedAtMs: 210},
+	];
+	for (const {title, claimedAtMs, submittedAtMs} of finished) {
+		// Guards against work that is run again because the placer that had started it did not see its end.
+		it(`counts tasks as done that ended ${title}, although a backend server is unreachable`, async () => {
+			const {timers, fleet, submit, placer, results, createSuccessor} = createTestPlacer({getDurationMs: () => 100});
+			await runFor(timers, 10);
+			submit({jobId: 'job'});
+			await runFor(timers, 40);
+			placer.stop();
+			const usedIds = fleet.records.map(({serverId}) => serverId);
+			fleet.servers.find(({description}) => !usedIds.includes(description.id))!.fault = {isUnreachableFrom: () => true};
+			await runFor(timers, claimedAtMs - timers.getNowMs());
+			const successor = createSuccessor(2, 'second');
+			successor.setServers(fleet.getDescriptions(), 0);
+			await runFor(timers, submittedAtMs - timers.getNowMs());
+			successor.submit('entry', {
+				kind: 'placement.submit',
+				request: {...defaultRequest, jobId: 'job', ageMs: 200},
+				generation: 1,
+				submissionId: 'one',
+				mayHaveStarted: true,
+				handover: getHandover('first'),
+			});
+			await runFor(timers, 20);
+			assert.deepEqual(results.get('job'), {outcome: 'completed'});
+			assert.equal(fleet.records.length, 2);
+		});
+	}
+
+	// Guards against a caller's second submission whose tasks are run again after the runs of the first one.
+	it('adopts the runs of a job that its caller submits again through another daemon', async () => {
+		const {timers, fleet, submit, placer, results, createSuccessor} = createTestPlacer({getDurationMs: () => 400});
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 400}]});
+		await runFor(timers, 100);
+		placer.stop();
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions(), 0);
+		await runFor(timers, 50);
+		successor.submit('other-entry', {
+			kind: 'placement.submit', request: {...defaultRequest, jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 400}]}, generation: 0, submissionId: 'two', mayHaveStarted: false,
+		});
+		await runFor(timers, 600);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.records.map(({runNumber, outcome}) => [runNumber, outcome]), [[1, 'done'], [1, 'done']]);
+	});
+
 	// Guards against runs that are stopped because their job waits for registries although all of its runs are found.
 	it('completes a job whose runs are all found, even if an earlier placer is not covered', async () => {
 		const {timers, fleet, submit, results, createSuccessor, requestedSources} = createTestPlacer({getDurationMs: () => 900});
