Find the run of a task by an index instead of asking every session

Cause: for each waiting task, each pass of the placer searched the sessions of all backend servers of its zone for earlier runs.

Change: an index of runs by task, kept up to date by the sessions.

--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -6,6 +6,7 @@
 import type {BackendSession, SessionListener} from '../sessions/backend-session.js';
 import {createBackendSession} from '../sessions/create-backend-session.js';
 import type {Run} from '../sessions/run.js';
+import {createRunIndex} from './run-index.js';
 
 export type PooledServer = {
 	session: BackendSession;
@@ -43,7 +44,7 @@
 	timers: TimerService;
 	events: EventLog;
 	metrics: MetricSink;
-	listener: SessionListener;
+	listener: Omit<SessionListener, 'onRunAdded'>;
 	/** Called with the runs of a backend server that was removed. */
 	onRunsLost: (session: BackendSession, runs: readonly Run[]) => void;
 };
@@ -55,6 +56,17 @@
 export function createServerPool(options: ServerPoolOptions): ServerPool {
 	const {timers, events, metrics, onRunsLost} = options;
 	const servers = new Map<string, PooledServer>();
+	const runIndex = createRunIndex<PooledServer>();
+	const listener: SessionListener = {
+		...options.listener,
+		onRunAdded(session, run) {
+			runIndex.addRun(run, servers.get(session.getDescription().id)!);
+		},
+		onRunEnd(session, run, end) {
+			runIndex.removeRun(run);
+			options.listener.onRunEnd(session, run, end);
+		},
+	};
 	const callTimeouts = createCallTimeouts(timers);
 	let unclaimableCount = 0;
 
@@ -63,11 +75,15 @@
 			metrics.increment('backend-server-ejected');
 			events.write('backend-server-ejected', {server: description.id, pauseMs});
 		});
-		servers.set(description.id, {session: createBackendSession({...options, callTimeouts, description}), health});
+		servers.set(description.id, {session: createBackendSession({
+				...options, listener, callTimeouts, description,
+			}), health});
 	}
 
-	function removeServer(serverId: string, {session}: PooledServer): void {
+	function removeServer(serverId: string, server: PooledServer): void {
+		const {session} = server;
 		servers.delete(serverId);
+		runIndex.removeServer(server);
 		const runs = [...session.getRuns().values()];
 		session.close();
 		onRunsLost(session, runs);
@@ -110,22 +126,14 @@
 			heldServers: [...servers.values()].filter(({session}) => session.getState() === 'held').length,
 			unclaimableServers: unclaimableCount,
 		}),
-		findRun(taskName) {
-			for (const server of servers.values()) {
-				const run = server.session.findRun(taskName);
-				if (run !== undefined) {
-					return {server, run};
-				}
-			}
-
-			return undefined;
-		},
+		findRun: runIndex.findRun,
 		close() {
 			for (const {session} of servers.values()) {
 				session.close();
 			}
 
 			servers.clear();
+			runIndex.clear();
 		},
 	};
 }
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -14,6 +14,8 @@
 
 /** Callbacks for the changes of a session. */
 export type SessionListener = {
+	/** A run was started or found. */
+	onRunAdded(session: BackendSession, run: Run): void;
 	/** A run has ended or was never started; its capacity is free. */
 	onRunEnd(session: BackendSession, run: Run, end: RunEnd): void;
 	/** A claim was accepted; every run on the backend server is known. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -38,8 +38,13 @@
  */
 export function createBackendSession(options: BackendSessionOptions): BackendSession {
 	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, listener} = options;
-	const runTable = createRunTable(() => timers.getNowMs(), (run, end) => {
-		listener.onRunEnd(session, run, end);
+	const runTable = createRunTable(() => timers.getNowMs(), {
+		onRunAdded(run) {
+			listener.onRunAdded(session, run);
+		},
+		onRunEnd(run, end) {
+			listener.onRunEnd(session, run, end);
+		},
 	});
 	const clock = createLeaseClock(leaseMs);
 	let {description} = options;
--- a/packages/placement/src/sessions/run-table.ts
+++ b/packages/placement/src/sessions/run-table.ts
@@ -24,21 +24,33 @@
 	getUnknownRuns(): Run[];
 };
 
+/** Callbacks for the changes of a table. */
+export type RunTableListener = {
+	onRunAdded(run: Run): void;
+	/** Called after a run has been removed from the table, and for ends of runs of an earlier placer that were never in it. */
+	onRunEnd(run: Run, end: RunEnd): void;
+};
+
 /**
  * Creates an empty table.
  * @param getNowMs - Gets the current time.
- * @param onRunEnd - Called after a run has been removed from the table, and for ends of runs of an earlier placer that were never in it.
+ * @param listener - Notified of the changes.
  */
-export function createRunTable(getNowMs: () => number, onRunEnd: (run: Run, end: RunEnd) => void): RunTable {
+export function createRunTable(getNowMs: () => number, listener: RunTableListener): RunTable {
 	const runs = new Map<string, Run>();
 	let acknowledgedEndNumber = 0;
 
 	function endRun(run: Run, end: RunEnd): void {
 		if (runs.delete(run.taskName)) {
-			onRunEnd(run, end);
+			listener.onRunEnd(run, end);
 		}
 	}
 
+	function addRun(run: Run): void {
+		runs.set(run.taskName, run);
+		listener.onRunAdded(run);
+	}
+
 	function createUnknownRun({taskName, runNumber, percent}: ActiveRun): Run {
 		return {
 			taskName, runNumber, needs: undefined, state: 'running', startedAtMs: getNowMs(), percent, serverStartMs: undefined, serverReportMs: undefined,
@@ -48,7 +60,7 @@
 	function handleListedEnd({taskName, runNumber, outcome}: EndedRun): void {
 		const run = runs.get(taskName);
 		if (run === undefined) {
-			onRunEnd(createUnknownRun({taskName, runNumber, percent: 100}), getRunEnd(outcome));
+			listener.onRunEnd(createUnknownRun({taskName, runNumber, percent: 100}), getRunEnd(outcome));
 		} else if (run.runNumber === runNumber) {
 			endRun(run, getRunEnd(outcome));
 		}
@@ -65,7 +77,7 @@
 			const run: Run = {
 				taskName, runNumber, needs, state: 'starting', startedAtMs: getNowMs(), percent: 0, serverStartMs: undefined, serverReportMs: undefined,
 			};
-			runs.set(taskName, run);
+			addRun(run);
 			return run;
 		},
 		hasRun: run => runs.get(run.taskName) === run,
@@ -108,7 +120,7 @@
 
 			for (const activeRun of activeRuns) {
 				if (!runs.has(activeRun.taskName)) {
-					runs.set(activeRun.taskName, createUnknownRun(activeRun));
+					addRun(createUnknownRun(activeRun));
 				}
 			}
 		},
--- a/packages/placement/test/sessions/run-table.test.ts
+++ b/packages/placement/test/sessions/run-table.test.ts
@@ -7,8 +7,13 @@
 
 function createFilledTable(): {runTable: RunTable; ends: string[]} {
 	const ends: string[] = [];
-	const runTable = createRunTable(() => 0, ({taskName, runNumber}, end) => {
-		ends.push(`${taskName}/${runNumber} ${end}`);
+	const runTable = createRunTable(() => 0, {
+		onRunAdded() {
+			// The tests look at the table.
+		},
+		onRunEnd({taskName, runNumber}, end) {
+			ends.push(`${taskName}/${runNumber} ${end}`);
+		},
 	});
 	runTable.addRun({taskName: 'starting', runNumber: 1, needs});
 	runTable.addRun({taskName: 'running', runNumber: 2, needs}).state = 'running';
