--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -317,7 +317,17 @@
 		}
 	}
 
+	/** An error while a message is handled costs that message only: the others ask again for what they need. */
 	function handlePeerMessage(fromId: string, message: PeerMessage): void {
+		try {
+			handleParsedMessage(fromId, message);
+		} catch (error) {
+			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+			events.write('peer-message-failed', {from: fromId, kind: message.kind, reason});
+		}
+	}
+
+	function handleParsedMessage(fromId: string, message: PeerMessage): void {
 		if (message.kind.startsWith('placement.')) {
 			const parsed = placementMessageSchema.safeParse(message);
 			if (parsed.success) {
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -349,6 +349,24 @@
 		assert.deepEqual([...new Set(test.daemons.map(daemon => daemon.cluster.getConfiguration()?.number))], [7]);
 	});
 
+	// Guards against a daemon that one message takes down.
+	it('drops a message whose handling fails, and handles the next one', async () => {
+		const test = createTestCluster({
+			onConfiguration(content) {
+				if (content === 'unreadable') {
+					throw new SyntaxError('unexpected token');
+				}
+			},
+		});
+		await startAndWaitUntilServing(test);
+		const {cluster} = test.find('entry-a1');
+		cluster.handlePeerMessage('keeper-a', {kind: 'cluster.configuration', number: 7, content: 'unreadable'});
+		cluster.handlePeerMessage('keeper-a', {kind: 'cluster.configuration', number: 8, content: 'readable'});
+		assert.equal(cluster.getConfiguration()?.content, 'readable');
+		const failures = test.events.filter(({name}) => name === 'peer-message-failed').map(({fields}) => [fields.from, fields.kind]);
+		assert.deepEqual(failures, [['keeper-a', 'cluster.configuration']]);
+	});
+
 	it('elects a placer in each availability zone if there are many backend servers', async () => {
 		const test = createTestCluster({serverCount: 105});
 		await startAndWaitUntilServing(test);
--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -45,6 +45,8 @@
 	keepsHints?: boolean;
 	/** Whether each availability zone has a second keeper, which is not a seed. */
 	hasSecondKeepers?: boolean;
+	/** Called with the content of each configuration that comes into force on a daemon. */
+	onConfiguration?: (content: string) => void;
 };
 
 const zones = ['a', 'b', 'c'];
@@ -122,8 +124,8 @@
 				random: createSeededRandomSource(startCount),
 				events: log,
 				metrics: new RecordingMetricSink(),
-				onConfiguration() {
-					// Jobs of these tests do not depend on the configuration.
+				onConfiguration({content}) {
+					options.onConfiguration?.(content);
 				},
 				onContacts() {
 					// Fake links need no addresses.
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -133,6 +133,9 @@
 	'peer-frame-rejected': {
 		number: 1402, level: 'warning', summary: 'A frame from a peer was malformed or too large; the link was closed.', action: 'Check for a program that connects to the wrong port.',
 	},
+	'peer-message-failed': {
+		number: 1407, level: 'error', summary: 'An error occurred while a message from another daemon was handled; the message was dropped.', action: 'Report a bug with the message and the stack.',
+	},
 	'member-joined': {
 		number: 1403, level: 'info', summary: 'Another daemon has joined or responds again.', action: 'None.',
 	},
