Start a task again after a farewell only when its backend server has ended

Cause: a farewell names an id, no incarnation. One that arrived late, after a new incarnation had started under that id, removed the new one: its running work was started again elsewhere at once, and the backend server stayed out of use for 30 s. Also, the runs of a backend server that says farewell were started again before it had ended.

Its runs count as over when it no longer answers a claim.

--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -16,7 +16,10 @@
 	sendMissedReports(member: ClusterMember, silentSinceMs: number): void;
 	/** Adds the descriptions of another daemon's registry. */
 	addDescriptions(descriptions: readonly BackendServerDescription[]): void;
-	/** Removes a backend server that has left, and broadcasts that. */
+	/**
+	 * Removes a backend server that has left, and broadcasts that. A farewell names no incarnation and may arrive late, after
+	 * another one has started under the same id, so it counts only for a backend server that drains.
+	 */
 	removeServer(serverId: string): void;
 	handleServerLeft(serverId: string, bornMs: number): void;
 };
@@ -166,6 +169,11 @@
 				return;
 			}
 
+			if (description.state === 'ready') {
+				events.write('backend-farewell-ignored', {server: serverId, born: description.bornMs});
+				return;
+			}
+
 			handleServerLeft(serverId, description.bornMs);
 			peers.sendToAll(getReceiverIds(description.availabilityZone), {kind: 'cluster.server-left', serverId, bornMs: description.bornMs});
 		},
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -25,6 +25,7 @@
 
 /** The backend servers of one placer. */
 export type ServerPool = {
+	/** Sets the backend servers to claim. One that is no longer listed is removed as soon as nothing runs on it. */
 	setServers(descriptions: readonly BackendServerDescription[], unclaimableCount: number): void;
 	findServer(serverId: string): PooledServer | undefined;
 	getServers(): Iterable<PooledServer>;
@@ -89,6 +90,18 @@
 		onRunsLost(session, runs);
 	}
 
+	/** Removes a backend server that is no longer listed; one that has said farewell with runs is kept until these have ended. */
+	function removeUnlistedServer(serverId: string, server: PooledServer): void {
+		const {session} = server;
+		if (session.getRuns().size === 0 || session.getState() === 'closed' || session.getState() === 'fenced') {
+			removeServer(serverId, server);
+			return;
+		}
+
+		session.setDescription({...session.getDescription(), state: 'draining'});
+		session.expectEnd();
+	}
+
 	function updateServer(description: BackendServerDescription, known: PooledServer): void {
 		if (known.session.getDescription().bornMs === description.bornMs) {
 			known.session.setDescription(description);
@@ -105,7 +118,7 @@
 			const ids = new Set(descriptions.map(({id}) => id));
 			for (const [serverId, server] of servers) {
 				if (!ids.has(serverId)) {
-					removeServer(serverId, server);
+					removeUnlistedServer(serverId, server);
 				}
 			}
 
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -52,6 +52,7 @@
 	let claim = -1;
 	let unansweredClaims = 0;
 	let hasNewerIncarnation = false;
+	let isEndExpected = false;
 	let isClosed = false;
 
 	function getTarget(): RequestTarget {
@@ -132,7 +133,7 @@
 			setState('silent', failureReason);
 		}
 
-		endRunsAfterLease();
+		endRunsIfOver();
 		const delayMs = Math.min(maxClaimRetryDelayMs, minClaimRetryDelayMs * (2 ** (unansweredClaims - 1)));
 		// No start or stop was sent with this token, so the retry can reuse it.
 		timers.addTimer(delayMs, () => {
@@ -144,10 +145,10 @@
 
 	/**
 	 * Runs on an unresponsive backend server have certainly ended once every lease sent to it has expired, and also any
-	 * lease that another placer may have granted in the meantime.
+	 * lease that another placer may have granted in the meantime. Those on one that has said farewell ended with it.
 	 */
-	function endRunsAfterLease(): void {
-		if (timers.getNowMs() > clock.getLeaseExpiryMs() + takeoverMarginMs) {
+	function endRunsIfOver(): void {
+		if (isEndExpected || timers.getNowMs() > clock.getLeaseExpiryMs() + takeoverMarginMs) {
 			runTable.endAllRuns('lost');
 		}
 	}
@@ -342,6 +343,12 @@
 			void sendStart(runTable.addRun(start), payload);
 		},
 		stop,
+		expectEnd() {
+			isEndExpected = true;
+			if (state === 'silent') {
+				endRunsIfOver();
+			}
+		},
 		close() {
 			isClosed = true;
 			backendServerClient.disconnect(getTarget());
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -72,6 +72,8 @@
 	getDescriptions(): BackendServerDescription[];
 	/** Gets the pairs of overlapping runs of the same task. */
 	findOverlaps(): Array<[RunRecord, RunRecord]>;
+	/** Ends a backend server without a word: its runs are gone, and it no longer responds. */
+	crash(serverId: string): void;
 	/** Gets the highest ratio of used to available CPU that any backend server has reached. */
 	getPeakUtilization(): number;
 };
@@ -324,6 +326,15 @@
 		getClient,
 		getDescriptions: () => servers.map(server => server.description),
 		findOverlaps: () => findOverlaps(records, timers.getNowMs()),
+		crash(serverId) {
+			const server = servers.find(({description}) => description.id === serverId)!;
+			server.fault = {isUnreachableFrom: () => true};
+			for (const {record} of server.runs.values()) {
+				record.endedAtMs = timers.getNowMs();
+			}
+
+			server.runs.clear();
+		},
 		getPeakUtilization: () => peakUtilization,
 	};
 }
