Hold or forward new jobs while the placer is overdue, and report its silence at once

Cause: until its silence had lasted 0.7 s, new jobs were sent to a placer that was gone. The next placer cannot tell that they have not started, so it needs an answer from every backend server of the zone; with one silent server each of them ended as unknown after 0.4 s. The election took up to 0.71 s, because daemons said only in their next regular heartbeat that they do not hear it.

Change: heartbeats come every 100 ms; once 250 ms have passed without one, new jobs go to an idle zone, or wait for the next placer, to which they are new. A daemon that ceases to hear the placer says so in a heartbeat of its own.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -8,6 +8,11 @@
 export const memberListIntervalMs = 1000;
 /** Time without a heartbeat after which a daemon no longer hears the placer. */
 export const placerTimeoutMs = 450;
+/**
+ * Time without a heartbeat after which the placer is overdue: new jobs are not sent to it, since the next placer could not
+ * tell whether they have started.
+ */
+export const placerOverdueMs = 250;
 /** Time without a heartbeat after which another daemon no longer counts as alive. */
 export const memberTimeoutMs = 700;
 /**
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -73,6 +73,9 @@
 			jobSubmitter.handlePlacerChange();
 			heartbeatSender.sendAll();
 		},
+		onPlacerLost() {
+			heartbeatSender.sendAll();
+		},
 		onElected: updatePlacerServers,
 	});
 	const jobSubmitter = createJobSubmitter({
@@ -82,6 +85,7 @@
 		metrics,
 		shards,
 		getPlacerView,
+		isPlacerOverdue: election.isPlacerOverdue,
 		getIncarnation: daemonId => daemonId === ownId ? ownIncarnation : members.findMember(daemonId)?.incarnation ?? '',
 		getRegistryDigest,
 		sendToPlacer: (shard: string, message: PlacementMessage) => relay.sendTo(getPlacerView(shard).placerId, message),
@@ -185,6 +189,9 @@
 
 		divideIfDue(heartbeat.shard !== globalShard);
 		updatePlacerView(fromId, heartbeat);
+		if (fromId === election.getView().placerId) {
+			jobSubmitter.handlePlacerHeard();
+		}
 	}
 
 	function sendMissedReports(memberId: string, silenceMs: number): void {
--- a/packages/cluster/src/election/placer-election.ts
+++ b/packages/cluster/src/election/placer-election.ts
@@ -1,6 +1,6 @@
 import {
-	maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs, placerTimeoutMs, startTimeToleranceMs,
-	supersededDelayMs, supersededInMinorityDelayMs, termIncrement,
+	maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs, placerOverdueMs, placerTimeoutMs,
+	startTimeToleranceMs, supersededDelayMs, supersededInMinorityDelayMs, termIncrement,
 } from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
 import type {ClusterMember, MemberTable} from '../members/member-table.js';
@@ -14,6 +14,8 @@
 export type PlacerElection = {
 	getView(): PlacerView;
 	hearsPlacer(): boolean;
+	/** Whether the placer was heard directly until a moment ago and its next heartbeats have not arrived: it may be gone. */
+	isPlacerOverdue(): boolean;
 	/** Adopts the view of another daemon if it is newer. */
 	handleView(view: PlacerView, sourceId: string): void;
 	/** Gets the availability zones whose backend servers this daemon may claim. */
@@ -34,6 +36,8 @@
 	initialTerm: number;
 	/** Called after the placer has changed, also if it is this daemon. */
 	onPlacerChange: () => void;
+	/** Called when this daemon no longer hears the placer. */
+	onPlacerLost: () => void;
 	/** Called after this daemon has started a term, before the other daemons learn of it. */
 	onElected: () => void;
 };
@@ -50,6 +54,7 @@
 	let lastElectionAtMs = startedAtMs;
 	let followedAtMs = Number.NEGATIVE_INFINITY;
 	let supersededSinceMs: number | undefined;
+	let heardPlacer = false;
 
 	/**
 	 * A newly adopted placer counts as heard until its own heartbeats are due. One whose heartbeats name another placer,
@@ -64,6 +69,26 @@
 		return timers.getNowMs() - followedAtMs < placerTimeoutMs || (isPlacing && members.getSilenceMs(view.placerId) < placerTimeoutMs);
 	}
 
+	/** After `memberTimeoutMs`, messages to the placer are relayed, and it is not known whether it is gone. */
+	function isPlacerOverdue(): boolean {
+		if (view.placerId === ownId || timers.getNowMs() - followedAtMs < placerTimeoutMs) {
+			return false;
+		}
+
+		const silenceMs = members.getSilenceMs(view.placerId);
+		return silenceMs >= placerOverdueMs && silenceMs < memberTimeoutMs;
+	}
+
+	/** Tells the others at once when this daemon ceases to hear the placer: a new one is elected when most have said so. */
+	function checkPlacer(): void {
+		const hears = hearsPlacer();
+		if (heardPlacer && !hears) {
+			options.onPlacerLost();
+		}
+
+		heardPlacer = hears;
+	}
+
 	function follow(next: PlacerView, sourceId: string): void {
 		const previous = view;
 		view = next;
@@ -163,6 +188,7 @@
 	return {
 		getView: () => view,
 		hearsPlacer,
+		isPlacerOverdue,
 		handleView(next, sourceId) {
 			if (next.placerId === ownId && !localPlacer.isRunning()) {
 				handleOwnFormerTerm(next.term, sourceId);
@@ -179,6 +205,7 @@
 				return;
 			}
 
+			checkPlacer();
 			takeOverIfNeeded();
 			if (localPlacer.hasExhaustedClaims()) {
 				becomePlacer('claims-used-up', 1);
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -28,6 +28,8 @@
 	handleUnknownJobs(jobIds: readonly string[]): void;
 	/** Resubmits every open job whose shard has a new placer. */
 	handlePlacerChange(): void;
+	/** Submits the jobs that were held because the placer was overdue. */
+	handlePlacerHeard(): void;
 	/** Ends jobs that the placer of the undivided deployment may have started on any backend server. */
 	handleDivision(): void;
 	getOpenCount(): number;
@@ -44,6 +46,8 @@
 	shards: ShardMap;
 	/** Gets the placer of a shard. */
 	getPlacerView: (shard: string) => PlacerView;
+	/** Whether heartbeats of the placer of this daemon's shard are overdue, so that it may be gone. */
+	isPlacerOverdue: () => boolean;
 	/** Gets the incarnation of a daemon that this one hears; empty if it was never heard. */
 	getIncarnation: (daemonId: string) => string;
 	/** Gets the digest of the own registry of backend servers. */
@@ -87,7 +91,7 @@
  * @param options - The dependencies and the connection to the placers.
  */
 export function createJobSubmitter(options: JobSubmitterOptions): JobSubmitter {
-	const {timers, random, events, metrics, shards, getPlacerView, sendToPlacer} = options;
+	const {timers, random, events, metrics, shards, getPlacerView, isPlacerOverdue, sendToPlacer} = options;
 	const openJobs = new Map<string, OpenJob>();
 	const cancellations = new Map<string, Cancellation>();
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
@@ -132,7 +136,15 @@
 		return isListed ? earlierPlacers : [...earlierPlacers, lastPlacer];
 	}
 
+	/**
+	 * Submits a job, unless the placer of its shard is overdue. A job that was never submitted certainly has not started, so the
+	 * next placer can start it without looking for its runs.
+	 */
 	function sendJob(open: OpenJob): void {
+		if (!open.wasForwarded && isPlacerOverdue()) {
+			return;
+		}
+
 		const view = getPlacerView(open.shard);
 		const generation = open.generation + (open.submittedTo === undefined ? 0 : 1);
 		const earlierPlacers = getEarlierPlacers(open);
@@ -153,6 +165,14 @@
 		}
 	}
 
+	function sendUnsubmittedJobs(): void {
+		for (const open of openJobs.values()) {
+			if (!isSubmitted(open)) {
+				sendJob(open);
+			}
+		}
+	}
+
 	function addJob(job: EntryJob): OpenJob {
 		const open: OpenJob = {
 			job,
@@ -174,6 +194,10 @@
 		});
 		openJobs.set(job.jobId, open);
 		sendJob(open);
+		if (open.submittedTo === undefined) {
+			forwardIfPossible(open);
+		}
+
 		return open;
 	}
 
@@ -205,14 +229,21 @@
 		}
 	}
 
-	/** A job refused for overload is forwarded to an idle shard, once, and only if it cannot have started. */
-	function findForwardingShard(open: OpenJob, result: JobOutcome): string | undefined {
-		const isOverload = result.outcome === 'refused' && result.reason === 'overload';
-		return isOverload && !open.wasForwarded && open.generation === 0 ? shards.findIdleShard() : undefined;
+	function isOverload(result: JobOutcome): boolean {
+		return result.outcome === 'refused' && result.reason === 'overload';
+	}
+
+	/**
+	 * Forwards a job to an idle shard, once, and only if it cannot have started: its own placer has refused it for overload, or
+	 * is overdue and was never sent the job. Returns false if there is no such shard, or no route to it.
+	 */
+	function forwardIfPossible(open: OpenJob): boolean {
+		const shard = open.wasForwarded || open.generation > 0 ? undefined : shards.findIdleShard();
+		return shard !== undefined && forward(open, shard);
 	}
 
-	/** Forwards a job to another shard. Returns false if there is no route, so that the job certainly has not started there. */
 	function forward(open: OpenJob, shard: string): boolean {
+		const ownShard = open.shard;
 		open.shard = shard;
 		open.wasForwarded = true;
 		open.submittedTo = undefined;
@@ -220,6 +251,8 @@
 		open.submissionId = random.getIdentifier();
 		sendJob(open);
 		if (open.submittedTo === undefined) {
+			open.shard = ownShard;
+			open.wasForwarded = false;
 			return false;
 		}
 
@@ -293,8 +326,7 @@
 		},
 		handleResult(jobId, result) {
 			const open = openJobs.get(jobId);
-			const idleShard = open === undefined ? undefined : findForwardingShard(open, result);
-			if (open === undefined || idleShard === undefined || !forward(open, idleShard)) {
+			if (open === undefined || !isOverload(result) || !forwardIfPossible(open)) {
 				endJob(jobId, result);
 			}
 		},
@@ -309,13 +341,8 @@
 				}
 			}
 		},
-		handlePlacerChange() {
-			for (const open of openJobs.values()) {
-				if (!isSubmitted(open)) {
-					sendJob(open);
-				}
-			}
-		},
+		handlePlacerChange: sendUnsubmittedJobs,
+		handlePlacerHeard: sendUnsubmittedJobs,
 		handleDivision() {
 			for (const [jobId, open] of openJobs) {
 				open.shard = shards.getOwnShard();
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -425,6 +425,55 @@
 		assert.deepEqual(test.fleet.findOverlaps(), []);
 	});
 
+	const placerLosses = [
+		{title: 'forwards them to another zone', serverCount: 105},
+		{title: 'holds them for the next placer', serverCount: 9},
+	];
+	for (const {title, serverCount} of placerLosses) {
+		// Guards against jobs that are sent to a placer which is already gone: the next placer cannot tell that they never started.
+		it(`completes jobs that arrive while the placer is overdue, although a backend server is silent: ${title}`, async () => {
+			const test = createTestCluster({serverCount, getDurationMs: () => 150});
+			await startAndWaitUntilServing(test);
+			await runFor(test.timers, 2500);
+			const {placerId} = test.find('entry-a1').cluster.getStatus();
+			const silent = test.fleet.servers.find(({description}) => description.availabilityZone === 'a')!;
+			silent.fault = {isUnreachableFrom: () => true};
+			await runFor(test.timers, 1000);
+			test.kill(placerId);
+			await runFor(test.timers, 350);
+			for (let number = 0; number < 8; number++) {
+				test.submit(`entry-a${(number % 2) + 1}`, `overdue-${number}`);
+			}
+
+			await runFor(test.timers, 600);
+			assert.deepEqual(countOutcomes(test, 'overdue'), {completed: 8});
+			assert.deepEqual(test.fleet.findOverlaps(), []);
+		});
+	}
+
+	// Guards against daemons that report late that they do not hear the placer, whose majority the next placer needs.
+	it('replaces a silent placer within 600 ms, whenever it became silent', async () => {
+		const delays: number[] = [];
+		for (let phaseMs = 0; phaseMs < 250; phaseMs += 50) {
+			const test = createTestCluster();
+			// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
+			await startAndWaitUntilServing(test);
+			// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
+			await runFor(test.timers, 500 + phaseMs);
+			const {id} = test.getPlacer();
+			const killedAtMs = test.timers.getNowMs();
+			test.kill(id);
+			while (test.find('entry-a1').cluster.getStatus().placerId === id) {
+				// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
+				await runFor(test.timers, 10);
+			}
+
+			delays.push(Math.round(test.timers.getNowMs() - killedAtMs));
+		}
+
+		assert.ok(Math.max(...delays) <= 600, delays.join(' '));
+	});
+
 	it('propagates a configuration in a divided deployment, including to a zone without a keeper', async () => {
 		const test = createTestCluster({serverCount: 105});
 		await startAndWaitUntilServing(test);
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -15,6 +15,8 @@
 	shards: ShardMap;
 	setView: (next: PlacerView) => void;
 	setIncarnation: (next: string) => void;
+	/** Sets whether heartbeats of the placer are overdue. */
+	setOverdue: (next: boolean) => void;
 	/** Cuts or restores the route to a shard. */
 	setRoute: (shard: string, isOpen: boolean) => void;
 };
@@ -27,6 +29,7 @@
 	const results: JobOutcome[] = [];
 	let view: PlacerView = {term: 1, placerId: 'first'};
 	let incarnation = 'one';
+	let isOverdue = false;
 	const cutShards = new Set<string>();
 	const shards = createShardMap({
 		availabilityZone: 'north', wasDivided: isDivided, timers, random: createSeededRandomSource(1),
@@ -38,6 +41,7 @@
 		metrics: new RecordingMetricSink(),
 		shards,
 		getPlacerView: shard => (shard === shards.getOwnShard() ? view : shards.findOtherView(shard) ?? {term: 0, placerId: ''}),
+		isPlacerOverdue: () => isOverdue,
 		getIncarnation: daemonId => `${daemonId} ${incarnation}`,
 		getRegistryDigest: () => 'digest',
 		sendToPlacer(shard, message) {
@@ -65,6 +69,9 @@
 		setView(next) {
 			view = next;
 		},
+		setOverdue(next) {
+			isOverdue = next;
+		},
 		setIncarnation(next) {
 			incarnation = next;
 		},
@@ -145,6 +152,35 @@
 		assert.deepEqual(ends, [false]);
 	});
 
+	it('holds a job while the placer is overdue, and submits it as new when the placer is heard again', () => {
+		const test = createTestSubmitter();
+		test.setOverdue(true);
+		submit(test);
+		test.timers.advance(250);
+		assert.equal(test.sent.filter(message => message.kind === 'placement.submit').length, 0);
+		test.setOverdue(false);
+		test.submitter.handlePlacerHeard();
+		const submissions = test.sent.flatMap(message => (message.kind === 'placement.submit' ? [message.generation] : []));
+		assert.deepEqual(submissions, [0]);
+	});
+
+	it('refuses a held job if no placer becomes known in time', () => {
+		const test = createTestSubmitter();
+		test.setOverdue(true);
+		submit(test);
+		test.timers.advance(300);
+		assert.deepEqual(test.results.map(result => result.outcome), ['refused']);
+	});
+
+	it('forwards a job while the placer is overdue, if another zone is idle', () => {
+		const test = createTestSubmitter(true);
+		test.shards.updateOtherShard('south', {term: 1, placerId: 'other'}, 0);
+		test.setOverdue(true);
+		submit(test);
+		test.submitter.handleResult('job', {outcome: 'completed'});
+		assert.deepEqual(test.results, [{outcome: 'completed'}]);
+	});
+
 	describe('with a job that its own zone refuses for overload', () => {
 		function createDividedSubmitter(): TestSubmitter {
 			const test = createTestSubmitter(true);
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -76,9 +76,11 @@
 			metrics.increment('backend-server-ejected');
 			events.write('backend-server-ejected', {server: description.id, pauseMs});
 		});
-		servers.set(description.id, {session: createBackendSession({
+		servers.set(description.id, {
+			session: createBackendSession({
 				...options, listener, callTimeouts, description,
-			}), health});
+			}), health,
+		});
 	}
 
 	function removeServer(serverId: string, server: PooledServer): void {
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -294,8 +294,8 @@
 			submit({jobId: 'job'});
 			await runFor(timers, 40);
 			placer.stop();
-			const usedIds = fleet.records.map(({serverId}) => serverId);
-			fleet.servers.find(({description}) => !usedIds.includes(description.id))!.fault = {isUnreachableFrom: () => true};
+			const usedIds = new Set(fleet.records.map(({serverId}) => serverId));
+			fleet.servers.find(({description}) => !usedIds.has(description.id))!.fault = {isUnreachableFrom: () => true};
 			await runFor(timers, claimedAtMs - timers.getNowMs());
 			const successor = createSuccessor(2, 'second');
 			successor.setServers(fleet.getDescriptions(), 0);
