Refuse jobs as soon as they would be late behind others, not after three objectives

Cause: after a quarter of its objective a job was no longer refused for overload. If it became late it went behind all jobs in time, new ones overtook it, and its caller was told after three objectives that it had not run: a tenth of all refusals came 2.5 objectives after the arrival or later.

Change: a job that has not started, would be late and has others ahead of it is refused at once, and may then be forwarded to an idle zone.

--- a/packages/placement/src/queue/find-refusal.ts
+++ b/packages/placement/src/queue/find-refusal.ts
@@ -17,8 +17,9 @@
 
 /**
  * Finds the reason to refuse a waiting job now, if there is one. A started job is never refused. This handles overload
- * that lasts longer than the objectives: a job that cannot be served in time is refused immediately, and for any other
- * job the decision is made within a quarter of its objective.
+ * that lasts longer than the objectives: a job that cannot be served in time is refused immediately, for any other job the
+ * decision is made within a quarter of its objective, and one that has waited in vain is refused as soon as it would be late.
+ * While jobs wait ahead, new ones would overtake it again and again, until its result is of no use to the caller.
  * @param job - The job.
  * @param state - The time and the queue ahead of the job.
  */
@@ -34,5 +35,7 @@
 	}
 
 	const isInDecisionWindow = ageMs <= job.objectiveMs * decisionWindowShare;
-	return isInDecisionWindow && earliestEndMs + waitAheadMs > job.objectiveMs ? 'overload' : undefined;
+	const isLate = earliestEndMs > job.objectiveMs;
+	const isQueueTooLong = waitAheadMs > 0 && earliestEndMs + waitAheadMs > job.objectiveMs;
+	return isQueueTooLong && (isInDecisionWindow || isLate) ? 'overload' : undefined;
 }
--- a/packages/placement/test/queue/decisions.test.ts
+++ b/packages/placement/test/queue/decisions.test.ts
@@ -30,6 +30,15 @@
 		{
 			title: 'a wait beyond the objective, after a quarter of it', job: {}, nowMs: 60, waitAheadMs: 121, expected: undefined,
 		},
+		{
+			title: 'a late job behind others', job: {}, nowMs: 121, waitAheadMs: 1, expected: 'overload',
+		},
+		{
+			title: 'a late job with nothing ahead', job: {}, nowMs: 121, waitAheadMs: 0, expected: undefined,
+		},
+		{
+			title: 'a new job that would be late, with nothing ahead', job: {criticalPathMs: 230}, nowMs: 0, waitAheadMs: 0, expected: undefined,
+		},
 		{
 			title: 'three objectives have passed', job: {}, nowMs: 561, waitAheadMs: 0, expected: 'too-late',
 		},
--- /dev/null
+++ b/packages/placement/test/support/load-replay.ts
@@ -0,0 +1,128 @@
+import {createSeededRandomSource} from '@camphortack/core';
+import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
+import {createLoadPattern, mixedKinds, type PatternJob} from './load-pattern.js';
+import {runFor} from './run-for.js';
+
+/** A trouble that begins, or ends, while a load is replayed. */
+export type ReplayStep = {
+	atMs: number;
+	/** Changes the fleet or the placers; `openJobs` have arrived and have no result. */
+	apply: (test: TestPlacer, openJobs: readonly PatternJob[]) => void;
+};
+
+export type ReplayOptions = {
+	/** The mean load as a multiple of all cores. */
+	load: number;
+	seed?: number;
+	durationMs?: number;
+	steps?: readonly ReplayStep[];
+};
+
+/** How callers were served. Shares are of worth. */
+export type ReplayResult = {
+	/** Worth of the jobs in time, and a fifth of that of late ones, of all. */
+	earnedShare: number;
+	earnedShareByKind: Record<string, number>;
+	/** Jobs by outcome. */
+	outcomes: Record<string, number>;
+	/** Runs of tasks beyond one for each. */
+	repeatedRuns: number;
+	test: TestPlacer;
+};
+
+const serverCount = 76;
+/** Every third backend server is half as large again as the others. */
+const largeServerMillicores = 96_000;
+const claimMs = 50;
+const drainMs = 2000;
+const stepMs = 2;
+const callerLinkMs = 6;
+const lateShare = 0.2;
+const lateFactor = 3;
+const millicoresPerCore = 1000;
+
+/**
+ * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
+ * @param options - The load and the troubles.
+ */
+export async function replayLoad({load, seed = 1, durationMs = 4000, steps = []}: ReplayOptions): Promise<ReplayResult> {
+	const random = createSeededRandomSource(seed);
+	const durations = new Map<string, number>();
+	const millicores = new Map<string, number>();
+	const test = createTestPlacer({
+		serverCount, getDurationMs: taskName => durations.get(taskName)!, getMillicores: taskName => millicores.get(taskName)!,
+	});
+	for (const [position, server] of test.fleet.servers.entries()) {
+		server.description.cpuMillicores = position % 3 === 2 ? largeServerMillicores : server.description.cpuMillicores;
+	}
+
+	test.placer.setServers(test.fleet.getDescriptions(), 0);
+	await runFor(test.timers, claimMs);
+	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
+	const jobs = createLoadPattern({
+		kinds: mixedKinds, cores, load, durationMs, random,
+	});
+	for (const {request, taskDurationsMs} of jobs) {
+		for (const [index, taskDurationMs] of taskDurationsMs.entries()) {
+			durations.set(`${request.jobId}.0.0.${index}`, taskDurationMs);
+			millicores.set(`${request.jobId}.0.0.${index}`, request.steps[0]!.cpuMillicores);
+		}
+	}
+
+	const startedAtMs = test.timers.getNowMs();
+	await submitJobs(test, jobs, steps);
+	await runFor(test.timers, drainMs, stepMs);
+	return getResult(test, jobs, startedAtMs);
+}
+
+async function submitJobs(test: TestPlacer, jobs: readonly PatternJob[], steps: readonly ReplayStep[]): Promise<void> {
+	const startedAtMs = test.timers.getNowMs();
+	const remainingSteps = steps.toSorted((left, right) => left.atMs - right.atMs);
+	for (const [position, {request, arrivesAtMs}] of jobs.entries()) {
+		while (remainingSteps[0] !== undefined && remainingSteps[0].atMs <= arrivesAtMs) {
+			const step = remainingSteps.shift()!;
+			// eslint-disable-next-line no-await-in-loop -- Steps and jobs follow each other in time.
+			await runFor(test.timers, startedAtMs + step.atMs - test.timers.getNowMs(), stepMs);
+			step.apply(test, jobs.slice(0, position).filter(job => !test.results.has(job.request.jobId)));
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- Steps and jobs follow each other in time.
+		await runFor(test.timers, startedAtMs + arrivesAtMs - test.timers.getNowMs(), stepMs);
+		test.submit(request);
+	}
+}
+
+function getResult(test: TestPlacer, jobs: readonly PatternJob[], startedAtMs: number): ReplayResult {
+	const owed: Record<string, number> = {};
+	const earned: Record<string, number> = {};
+	const outcomes: Record<string, number> = {};
+	for (const job of jobs) {
+		const {kind: {name}, worth, request: {jobId}} = job;
+		const outcome = test.results.get(jobId)?.outcome ?? 'none';
+		outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
+		owed[name] = (owed[name] ?? 0) + worth;
+		earned[name] = (earned[name] ?? 0) + (worth * getServedShare(test, job, startedAtMs));
+	}
+
+	const taskCount = jobs.reduce((sum, {taskDurationsMs}) => sum + taskDurationsMs.length, 0);
+	return {
+		earnedShare: getSum(earned) / getSum(owed),
+		earnedShareByKind: Object.fromEntries(Object.keys(owed).map(name => [name, earned[name]! / owed[name]!])),
+		outcomes,
+		repeatedRuns: Math.max(0, test.fleet.records.length - taskCount),
+		test,
+	};
+}
+
+function getServedShare({results, endedAtMs}: TestPlacer, {request: {jobId}, arrivesAtMs, objectiveMs}: PatternJob, startedAtMs: number): number {
+	const responseMs = (endedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) - startedAtMs - arrivesAtMs + callerLinkMs;
+	if (results.get(jobId)?.outcome !== 'completed' || responseMs > objectiveMs * lateFactor) {
+		return 0;
+	}
+
+	return responseMs <= objectiveMs ? 1 : lateShare;
+}
+
+function getSum(values: Record<string, number>): number {
+	return Object.values(values).reduce((sum, value) => sum + value, 0);
+}
