Claim backend servers through a window that grows with quick answers

Cause: a new placer claimed all backend servers of its zone at once. On an entry VM, which has a third of a core, opening 80 connections takes longer than the timeout of a claim; every claim went unanswered, closed its connection and was sent again.

--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -3,6 +3,7 @@
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import {createCallTimeouts} from '../sessions/create-call-timeouts.js';
+import {createClaimWindow} from '../sessions/create-claim-window.js';
 import type {BackendSession, SessionListener} from '../sessions/backend-session.js';
 import {createBackendSession} from '../sessions/create-backend-session.js';
 import type {Run} from '../sessions/run.js';
@@ -69,6 +70,7 @@
 		},
 	};
 	const callTimeouts = createCallTimeouts(timers);
+	const claimWindow = createClaimWindow();
 	let unclaimableCount = 0;
 
 	function addServer(description: BackendServerDescription): void {
@@ -78,7 +80,7 @@
 		});
 		servers.set(description.id, {
 			session: createBackendSession({
-				...options, listener, callTimeouts, description,
+				...options, listener, callTimeouts, claimWindow, description,
 			}), health,
 		});
 	}
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -6,6 +6,7 @@
 import type {BackendSession, SessionListener, SessionState} from './backend-session.js';
 import {getFencingToken, maxClaimNumber} from './fencing-token.js';
 import type {CallTimeouts} from './create-call-timeouts.js';
+import type {ClaimWindow} from './create-claim-window.js';
 import {createLeaseClock} from './lease-clock.js';
 import {getRejectedStartEnd} from './get-run-end.js';
 import type {Run} from './run.js';
@@ -27,6 +28,8 @@
 	metrics: MetricSink;
 	/** The timeouts, shared by all sessions of the placer. */
 	callTimeouts: CallTimeouts;
+	/** The limit on claims in flight, shared by all sessions of the placer. */
+	claimWindow: ClaimWindow;
 	listener: SessionListener;
 };
 
@@ -37,7 +40,7 @@
  * @param options - The backend server and the ports.
  */
 export function createBackendSession(options: BackendSessionOptions): BackendSession {
-	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, listener} = options;
+	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, claimWindow, listener} = options;
 	const runTable = createRunTable(() => timers.getNowMs(), {
 		onRunAdded(run) {
 			listener.onRunAdded(session, run);
@@ -102,7 +105,21 @@
 			setState('claiming', reason);
 		}
 
-		void sendClaim(claim, reason);
+		scheduleClaim(claim, reason);
+	}
+
+	function isCurrent(ownClaim: number): boolean {
+		return !isClosed && ownClaim === claim && state !== 'fenced';
+	}
+
+	function scheduleClaim(ownClaim: number, reason: string): void {
+		claimWindow.enter(unansweredClaims > 0, () => {
+			if (isCurrent(ownClaim)) {
+				void sendClaim(ownClaim, reason);
+			} else {
+				claimWindow.leave(undefined);
+			}
+		});
 	}
 
 	/** The timeout doubles with each unanswered claim. */
@@ -113,7 +130,9 @@
 	/** Sends a claim. It does not extend the lease, so that earlier leases expire while claims go unanswered. */
 	async function sendClaim(ownClaim: number, reason: string): Promise<void> {
 		metrics.increment('server-claimed');
+		const sentAtMs = timers.getNowMs();
 		const response = await backendServerClient.renew(getTarget(), {token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}, getClaimTimeoutMs());
+		claimWindow.leave(response.outcome === 'unanswered' ? undefined : timers.getNowMs() - sentAtMs);
 		if (isClosed || ownClaim !== claim) {
 			return;
 		}
@@ -137,8 +156,8 @@
 		const delayMs = Math.min(maxClaimRetryDelayMs, minClaimRetryDelayMs * (2 ** (unansweredClaims - 1)));
 		// No start or stop was sent with this token, so the retry can reuse it.
 		timers.addTimer(delayMs, () => {
-			if (!isClosed && ownClaim === claim && state !== 'fenced') {
-				void sendClaim(ownClaim, reason);
+			if (isCurrent(ownClaim)) {
+				scheduleClaim(ownClaim, reason);
 			}
 		});
 	}
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -1,7 +1,7 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {
-	createPlacer, type HandoverSource, type JobOutcome, type JobRequest, type Placer,
+	createPlacer, type BackendServerClient, type HandoverSource, type JobOutcome, type JobRequest, type Placer,
 } from '../../src/index.js';
 import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from './fake-fleet.js';
 
@@ -17,7 +17,7 @@
 	requestedSources: HandoverSource[];
 	submit(request: Partial<JobRequest> & {jobId: string}, options?: {generation?: number; submissionId?: string}): void;
 	/** Creates another placer for the same backend servers. Its daemon number is the term unless it is given. */
-	createSuccessor(term: number, daemonId: string, daemonNumber?: number): Placer;
+	createSuccessor(term: number, daemonId: string, daemonNumber?: number, wrapClient?: (client: BackendServerClient) => BackendServerClient): Placer;
 };
 
 export const defaultRequest: Omit<JobRequest, 'jobId'> = {
@@ -50,11 +50,11 @@
 	const endedAtMs = new Map<string, number>();
 	const requestedSources: HandoverSource[] = [];
 
-	function createSuccessor(term: number, daemonId: string, daemonNumber = term): Placer {
+	function createSuccessor(term: number, daemonId: string, daemonNumber = term, wrapClient = (client: BackendServerClient) => client): Placer {
 		return createPlacer({
 			term,
 			daemonNumber,
-			backendServerClient: fleet.getClient(daemonId),
+			backendServerClient: wrapClient(fleet.getClient(daemonId)),
 			timers,
 			random: createSeededRandomSource(term),
 			events,
