Divide the job submitter and the placer by job: cancellations, intake of jobs

Change: cancellations with their retries stand in job-cancellations.ts, the estimates that turn a submission into a job in job-intake.ts. No behaviour changes.

--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -7,6 +7,7 @@
 import {openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
 import {isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
+import {createJobCancellations} from './job-cancellations.js';
 
 /** A job as the callers' server submits it. */
 export type EntryJob = Omit<JobRequest, 'ageMs'>;
@@ -77,13 +78,6 @@
 
 type PlacerIncarnation = JobHandover['placers'][number];
 
-type Cancellation = {
-	onEnd: (isConfirmed: boolean) => void;
-	subscriptions: TimerSubscription[];
-};
-
-const cancelResendMs = 250;
-const cancelTimeoutMs = 2500;
 const retryAfterMs = 1000;
 
 /**
@@ -93,7 +87,7 @@
 export function createJobSubmitter(options: JobSubmitterOptions): JobSubmitter {
 	const {timers, random, events, metrics, shards, getPlacerView, isPlacerOverdue, sendToPlacer} = options;
 	const openJobs = new Map<string, OpenJob>();
-	const cancellations = new Map<string, Cancellation>();
+	const cancellations = createJobCancellations(timers);
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
 
 	/**
@@ -284,20 +278,6 @@
 		sendToPlacer(open.shard, {kind: 'placement.cancel', jobId});
 	}
 
-	function endCancellation(jobId: string, isConfirmed: boolean): void {
-		const cancellation = cancellations.get(jobId);
-		if (cancellation === undefined) {
-			return;
-		}
-
-		cancellations.delete(jobId);
-		for (const subscription of cancellation.subscriptions) {
-			subscription.cancel();
-		}
-
-		cancellation.onEnd(isConfirmed);
-	}
-
 	return {
 		submit(job, onResult) {
 			const open = openJobs.get(job.jobId) ?? addJob(job);
@@ -310,19 +290,9 @@
 		},
 		cancel(jobId, onEnd) {
 			const shard = openJobs.get(jobId)?.shard ?? shards.getOwnShard();
-			endCancellation(jobId, false);
-			cancellations.set(jobId, {
-				onEnd,
-				subscriptions: [
-					timers.addInterval(cancelResendMs, () => {
-						sendToPlacer(shard, {kind: 'placement.cancel', jobId});
-					}),
-					timers.addTimer(cancelTimeoutMs, () => {
-						endCancellation(jobId, false);
-					}),
-				],
-			});
-			sendToPlacer(shard, {kind: 'placement.cancel', jobId});
+			cancellations.cancelJob(jobId, () => {
+				sendToPlacer(shard, {kind: 'placement.cancel', jobId});
+			}, onEnd);
 		},
 		handleResult(jobId, result) {
 			const open = openJobs.get(jobId);
@@ -331,7 +301,7 @@
 			}
 		},
 		handleCancelled(jobId) {
-			endCancellation(jobId, true);
+			cancellations.endCancellation(jobId, true);
 		},
 		handleUnknownJobs(jobIds) {
 			for (const jobId of jobIds) {
@@ -362,9 +332,7 @@
 		},
 		stop() {
 			reconciliation.cancel();
-			for (const jobId of cancellations.keys()) {
-				endCancellation(jobId, false);
-			}
+			cancellations.endAll();
 		},
 	};
 }
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -1,11 +1,8 @@
 import type {
 	EventLog, MetricSink, RandomSource, TimerService,
 } from '@camphortack/core';
-import {createRunTimeEstimator} from '../estimates/run-time-estimator.js';
-import {createQueueWorkMeans} from '../estimates/queue-work-means.js';
-import {getJobEstimate} from '../jobs/get-job-estimate.js';
 import {
-	createPlacedTasks, getStartableTasks, isDone, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
+	getStartableTasks, isDone, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
@@ -13,7 +10,8 @@
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createJobTable} from './job-table.js';
-import {createJobRecovery, recoveryMs} from './job-recovery.js';
+import {createJobIntake} from './job-intake.js';
+import {createJobRecovery} from './job-recovery.js';
 import type {Placer} from './placer.js';
 import {createCapacityTable, type CapacityTable} from './capacity-table.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
@@ -48,8 +46,7 @@
 export function createPlacer(options: PlacerOptions): Placer {
 	const {timers, random, events, metrics, onResult} = options;
 	const jobTable = createJobTable(timers);
-	const runTimeEstimator = createRunTimeEstimator();
-	const queueWorkMeans = createQueueWorkMeans();
+	const intake = createJobIntake(timers);
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -239,7 +236,7 @@
 		task.state = 'done';
 		if (!task.isAdopted) {
 			task.durationMs = durationMs;
-			runTimeEstimator.addRun(job.request.queueName, durationMs);
+			intake.addRun(job.request.queueName, durationMs);
 		}
 
 		pool.findServer(session.getDescription().id)?.health.addSuccess();
@@ -301,9 +298,8 @@
 	}
 
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
-		const job = createJob(entryId, message);
+		const job = intake.createJob(entryId, message);
 		jobTable.addJob(job);
-		queueWorkMeans.addJob(job.request.queueName, job.work);
 		events.write('job-taken', {
 			job: job.request.jobId,
 			queue: job.request.queueName,
@@ -317,27 +313,6 @@
 		schedulePass();
 	}
 
-	function createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob {
-		const {request, submissionId, generation, mayHaveStarted, handover} = message;
-		const {criticalPathMs, work} = getJobEstimate(request, step => runTimeEstimator.getExpectedMs(request.queueName, step.estimateMs));
-		return {
-			request,
-			submissionId,
-			entryId,
-			arrivedAtMs: timers.getNowMs() - request.ageMs,
-			tasks: createPlacedTasks(request, generation),
-			objectiveMs: (criticalPathMs * request.stretch) + request.slackMs,
-			criticalPathMs,
-			work,
-			relativeWork: queueWorkMeans.getRelativeWork(request.queueName, work),
-			hasStarted: mayHaveStarted,
-			isEnded: false,
-			serverIds: [],
-			handover: handover === undefined ? undefined : {...handover, entryId},
-			recoveryDeadlineMs: mayHaveStarted ? timers.getNowMs() + recoveryMs : undefined,
-		};
-	}
-
 	return {
 		setServers(descriptions, hiddenCount) {
 			pool.setServers(descriptions, hiddenCount);
--- /dev/null
+++ b/packages/placement/src/placer/job-intake.ts
@@ -0,0 +1,49 @@
+import type {TimerService} from '@camphortack/core';
+import {createQueueWorkMeans} from '../estimates/queue-work-means.js';
+import {createRunTimeEstimator} from '../estimates/run-time-estimator.js';
+import {getJobEstimate} from '../jobs/get-job-estimate.js';
+import {createPlacedTasks, type PlacedJob} from '../jobs/placed-job.js';
+import type {PlacementMessageOf} from '../messages/placement-messages.js';
+import {recoveryMs} from './job-recovery.js';
+
+/** Turns submissions into jobs, with estimates from what the queues' earlier jobs took. */
+export type JobIntake = {
+	createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob;
+	/** Records how long a task of a queue took. */
+	addRun(queueName: string, durationMs: number): void;
+};
+
+/**
+ * Creates the intake of a placer, which has seen no jobs yet.
+ * @param timers - The clock.
+ */
+export function createJobIntake(timers: TimerService): JobIntake {
+	const runTimeEstimator = createRunTimeEstimator();
+	const queueWorkMeans = createQueueWorkMeans();
+
+	return {
+		createJob(entryId, {request, submissionId, generation, mayHaveStarted, handover}) {
+			const {queueName} = request;
+			const {criticalPathMs, work} = getJobEstimate(request, step => runTimeEstimator.getExpectedMs(queueName, step.estimateMs));
+			const relativeWork = queueWorkMeans.getRelativeWork(queueName, work);
+			queueWorkMeans.addJob(queueName, work);
+			return {
+				request,
+				submissionId,
+				entryId,
+				arrivedAtMs: timers.getNowMs() - request.ageMs,
+				tasks: createPlacedTasks(request, generation),
+				objectiveMs: (criticalPathMs * request.stretch) + request.slackMs,
+				criticalPathMs,
+				work,
+				relativeWork,
+				hasStarted: mayHaveStarted,
+				isEnded: false,
+				serverIds: [],
+				handover: handover === undefined ? undefined : {...handover, entryId},
+				recoveryDeadlineMs: mayHaveStarted ? timers.getNowMs() + recoveryMs : undefined,
+			};
+		},
+		addRun: runTimeEstimator.addRun,
+	};
+}
