Give the placing back to keepers when these have restarted

Cause: when all keepers of a zone were off, an entry VM placed its load, and went on for as long as it responded.

--- a/packages/cluster/src/election/find-claim-reason.ts
+++ b/packages/cluster/src/election/find-claim-reason.ts
@@ -15,24 +15,29 @@
 	others: readonly ElectionParticipant[];
 	/** The placer that this daemon follows; empty before the first one. */
 	placerId: string;
+	/** Whether this daemon has been up, and has followed the placer, long enough to replace one that still responds. */
+	isSettled: boolean;
 };
 
-export type ClaimReason = 'no-placer' | 'placer-silent' | 'placer-leaving';
+export type ClaimReason = 'no-placer' | 'placer-silent' | 'placer-leaving' | 'placer-outranked';
 
 /**
  * Finds the reason for which this daemon should become the placer now, if there is one. A placer needs no majority:
  * backend servers accept only the highest fencing token, so each side of a network partition can continue with its own
  * backend servers. A daemon that does not hear the placer while most others do is itself cut off and must not take over;
  * it relays its jobs through another daemon. Covers placers that crash, freeze, leave or are cut off, and availability
- * zones that are cut off.
+ * zones that are cut off. An entry daemon that had to take over, because no keeper responded, is replaced by the first
+ * keeper that has settled again: its VM is too small to place the load of a large availability zone.
  * @param state - This daemon and the others that it hears.
  */
-export function findClaimReason({own, others, placerId}: ElectionState): ClaimReason | undefined {
-	const reason = findVacancyReason({own, others, placerId});
+export function findClaimReason({own, others, placerId, isSettled}: ElectionState): ClaimReason | undefined {
+	const reason = findVacancyReason({
+		own, others, placerId, isSettled,
+	});
 	return reason !== undefined && isPreferredCandidate(own, others.filter(other => other.id !== placerId)) ? reason : undefined;
 }
 
-function findVacancyReason({own, others, placerId}: ElectionState): ClaimReason | undefined {
+function findVacancyReason({own, others, placerId, isSettled}: ElectionState): ClaimReason | undefined {
 	if (placerId === '') {
 		return 'no-placer';
 	}
@@ -41,10 +46,15 @@
 		return undefined;
 	}
 
-	if (others.find(other => other.id === placerId)?.isLeaving) {
+	const placer = others.find(other => other.id === placerId);
+	if (placer?.isLeaving) {
 		return 'placer-leaving';
 	}
 
+	if (placer !== undefined && !placer.isKeeper && own.isKeeper && isSettled) {
+		return 'placer-outranked';
+	}
+
 	const voters = [own, ...others.filter(other => other.id !== placerId)];
 	const hearingCount = voters.filter(voter => voter.hearsPlacer).length;
 	return own.hearsPlacer || hearingCount * 2 > voters.length ? undefined : 'placer-silent';
--- a/packages/cluster/src/election/placer-election.ts
+++ b/packages/cluster/src/election/placer-election.ts
@@ -1,5 +1,5 @@
 import {
-	maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs, placerOverdueMs, placerTimeoutMs,
+	maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs, outrankDelayMs, placerOverdueMs, placerTimeoutMs,
 	startTimeToleranceMs, supersededDelayMs, supersededInMinorityDelayMs, termIncrement,
 } from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
@@ -139,11 +139,18 @@
 	}
 
 	function takeOverIfNeeded(): void {
+		const nowMs = timers.getNowMs();
 		const own: ElectionParticipant = {
-			id: ownId, isKeeper, isLeaving, isWarmedUp: isWarmedUp(timers.getNowMs() - startedAtMs, isKeeper), hearsPlacer: hearsPlacer(),
+			id: ownId,
+			isKeeper,
+			isLeaving,
+			isWarmedUp: isWarmedUp(nowMs - startedAtMs, isKeeper),
+			hearsPlacer: hearsPlacer(),
 		};
 		const others = members.getAliveMembers().filter(member => member.shard === shards.getOwnShard()).map(member => getParticipant(member));
-		const reason = findClaimReason({own, others, placerId: view.placerId});
+		const reason = findClaimReason({
+			own, others, placerId: view.placerId, isSettled: nowMs - Math.max(startedAtMs, followedAtMs) >= outrankDelayMs,
+		});
 		if (reason !== undefined && findClaimableZones().size > 0) {
 			becomePlacer(reason, 1);
 		}
--- a/packages/cluster/test/create-cluster.test.ts
+++ b/packages/cluster/test/create-cluster.test.ts
@@ -451,6 +451,29 @@
 		});
 	}
 
+	// Guards against entry daemons that go on placing the load of a zone, for which their VMs are too small.
+	it('gives the placing back to keepers when these have restarted, and loses no job', async () => {
+		const test = createTestCluster({serverCount: 105, getDurationMs: () => 150});
+		await startAndWaitUntilServing(test);
+		await runFor(test.timers, 2500);
+		const keeperIds = test.daemons.map(({id}) => id).filter(id => id.startsWith('keeper'));
+		for (const id of keeperIds) {
+			test.kill(id);
+		}
+
+		await runFor(test.timers, 1000);
+		assert.match(test.find('entry-a1').cluster.getStatus().placerId, /^entry/v);
+		for (const id of keeperIds) {
+			test.restart(id);
+		}
+
+		await submitFor(test, 3000, 20, 'during');
+		await runFor(test.timers, 300);
+		assert.match(test.find('entry-a1').cluster.getStatus().placerId, /^keeper/v);
+		assert.deepEqual(countOutcomes(test, 'during'), {completed: 150});
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+	});
+
 	// Guards against daemons that report late that they do not hear the placer, whose majority the next placer needs.
 	it('replaces a silent placer within 600 ms, whenever it became silent', async () => {
 		const delays: number[] = [];
--- a/packages/cluster/test/election/find-claim-reason.test.ts
+++ b/packages/cluster/test/election/find-claim-reason.test.ts
@@ -8,7 +8,7 @@
 });
 
 describe('findClaimReason', () => {
-	const rows: Array<{title: string; own: ElectionParticipant; others: ElectionParticipant[]; placerId: string; expected: string | undefined}> = [
+	const rows: Array<{title: string; own: ElectionParticipant; others: ElectionParticipant[]; placerId: string; isSettled?: boolean; expected: string | undefined}> = [
 		{
 			title: 'first start, smallest id', own: getParticipant('a'), others: [getParticipant('b')], placerId: '', expected: 'no-placer',
 		},
@@ -40,10 +40,27 @@
 		{
 			title: 'it is the placer itself', own: getParticipant('p'), others: [getParticipant('a')], placerId: 'p', expected: undefined,
 		},
+		{
+			title: 'a settled keeper, an entry daemon places', own: getParticipant('k', {isKeeper: true, hearsPlacer: true}), others: [getParticipant('a')], placerId: 'a', isSettled: true, expected: 'placer-outranked',
+		},
+		{
+			title: 'a keeper that has just started, an entry daemon places', own: getParticipant('k', {isKeeper: true, hearsPlacer: true}), others: [getParticipant('a')], placerId: 'a', expected: undefined,
+		},
+		{
+			title: 'the second of two settled keepers, an entry daemon places', own: getParticipant('l', {isKeeper: true, hearsPlacer: true}), others: [getParticipant('a'), getParticipant('k', {isKeeper: true})], placerId: 'a', isSettled: true, expected: undefined,
+		},
+		{
+			title: 'a settled keeper, another keeper places', own: getParticipant('k', {isKeeper: true, hearsPlacer: true}), others: [getParticipant('l', {isKeeper: true})], placerId: 'l', isSettled: true, expected: undefined,
+		},
+		{
+			title: 'a settled entry daemon, another one places', own: getParticipant('a', {hearsPlacer: true}), others: [getParticipant('b')], placerId: 'b', isSettled: true, expected: undefined,
+		},
 	];
-	for (const {title, own, others, placerId, expected} of rows) {
+	for (const {title, own, others, placerId, isSettled = false, expected} of rows) {
 		it(`${title} → ${expected ?? 'no claim'}`, () => {
-			assert.equal(findClaimReason({own, others, placerId}), expected);
+			assert.equal(findClaimReason({
+				own, others, placerId, isSettled,
+			}), expected);
 		});
 	}
 });
--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -45,6 +45,8 @@
 	keepsHints?: boolean;
 	/** Whether each availability zone has a second keeper, which is not a seed. */
 	hasSecondKeepers?: boolean;
+	/** Number of entry daemons of each availability zone; 2 by default. */
+	entriesPerZone?: number;
 	/** Called with the content of each configuration that comes into force on a daemon. */
 	onConfiguration?: (content: string) => void;
 };
@@ -67,7 +69,8 @@
 	const hints = new Map<string, ClusterHints>();
 	const daemonIds = zones.flatMap(zone => {
 		const secondKeepers = options.hasSecondKeepers === true ? [`keeper-${zone}2`] : [];
-		return [`keeper-${zone}`, ...secondKeepers, `entry-${zone}1`, `entry-${zone}2`];
+		const entries = Array.from({length: options.entriesPerZone ?? 2}, (_, position) => `entry-${zone}${position + 1}`);
+		return [`keeper-${zone}`, ...secondKeepers, ...entries];
 	});
 	let startCount = 0;
 	let sequence = 1;
