Name deregistrations and the preference for keepers in the usual terms

Cause: the glossary keeps the word farewell for names that leave the process, and outranked needed an explanation.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -27,7 +27,7 @@
 /** The same for a daemon that hears every seed: no other daemon can then know of a placer that it does not know. */
 export const minCandidateUptimeWithAllSeedsMs = 350;
 /** How long a keeper must have been up, and have followed an entry daemon as placer, before it takes over from it. */
-export const outrankDelayMs = 1000;
+export const keeperPreferenceDelayMs = 1000;
 /** Added to the uptime of other daemons, so that daemons started within this time of each other count as equally warmed up. */
 export const startTimeToleranceMs = 400;
 /** How much longer a daemon without a disk waits before it becomes the first placer, so that a keeper is elected first. */
--- a/packages/cluster/src/election/find-claim-reason.ts
+++ b/packages/cluster/src/election/find-claim-reason.ts
@@ -19,7 +19,7 @@
 	isSettled: boolean;
 };
 
-export type ClaimReason = 'no-placer' | 'placer-silent' | 'placer-leaving' | 'placer-outranked';
+export type ClaimReason = 'no-placer' | 'placer-silent' | 'placer-leaving' | 'keeper-preferred';
 
 /**
  * Finds the reason for which this daemon should become the placer now, if there is one. A placer needs no majority:
@@ -52,7 +52,7 @@
 	}
 
 	if (placer !== undefined && !placer.isKeeper && own.isKeeper && isSettled) {
-		return 'placer-outranked';
+		return 'keeper-preferred';
 	}
 
 	const voters = [own, ...others.filter(other => other.id !== placerId)];
--- a/packages/cluster/src/election/placer-election.ts
+++ b/packages/cluster/src/election/placer-election.ts
@@ -1,6 +1,6 @@
 import {
-	maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs, outrankDelayMs, placerOverdueMs, placerTimeoutMs,
-	startTimeToleranceMs, supersededDelayMs, supersededInMinorityDelayMs, termIncrement,
+	keeperPreferenceDelayMs, maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs,
+	placerOverdueMs, placerTimeoutMs, startTimeToleranceMs, supersededDelayMs, supersededInMinorityDelayMs, termIncrement,
 } from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
 import type {ClusterMember, MemberTable} from '../members/member-table.js';
@@ -149,7 +149,7 @@
 		};
 		const others = members.getAliveMembers().filter(member => member.shard === shards.getOwnShard()).map(member => getParticipant(member));
 		const reason = findClaimReason({
-			own, others, placerId: view.placerId, isSettled: nowMs - Math.max(startedAtMs, followedAtMs) >= outrankDelayMs,
+			own, others, placerId: view.placerId, isSettled: nowMs - Math.max(startedAtMs, followedAtMs) >= keeperPreferenceDelayMs,
 		});
 		if (reason !== undefined && findClaimableZones().size > 0) {
 			becomePlacer(reason, 1);
--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -17,8 +17,8 @@
 	/** Adds the descriptions of another daemon's registry. */
 	addDescriptions(descriptions: readonly BackendServerDescription[]): void;
 	/**
-	 * Removes a backend server that has left, and broadcasts that. A farewell names no incarnation and may arrive late, after
-	 * another one has started under the same id, so it counts only for a backend server that drains.
+	 * Removes a backend server that has left, and broadcasts that. A deregistration names no incarnation and may
+	 * arrive late, after another one has started under the same id, so it counts only for a backend server that drains.
 	 */
 	removeServer(serverId: string): void;
 	handleServerLeft(serverId: string, bornMs: number): void;
@@ -170,7 +170,7 @@
 			}
 
 			if (description.state === 'ready') {
-				events.write('backend-farewell-ignored', {server: serverId, born: description.bornMs});
+				events.write('backend-deregistration-ignored', {server: serverId, born: description.bornMs});
 				return;
 			}
 
--- a/packages/cluster/test/create-cluster-farewells.test.ts
+++ b/packages/cluster/test/create-cluster-deregistrations.test.ts
@@ -4,7 +4,7 @@
 import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
 import {ignoreAcknowledgement, startAndWaitUntilServing} from './support/drive-cluster.js';
 
-describe('createCluster, when a backend server says farewell', () => {
+describe('createCluster, when a backend server deregisters', () => {
 	const longRequest = {
 		steps: [{
 			taskCount: 1, cpuMillicores: 27_000, memoryMb: 64, gpuCount: 0, estimateMs: 900, dependsOn: [],
@@ -19,7 +19,7 @@
 		return {test, serverId: test.fleet.records[0]!.serverId};
 	}
 
-	// Guards against the farewell of an earlier incarnation that arrives late: its sender's successor has the same id.
+	// Guards against the deregistration of an earlier incarnation that arrives late: its sender's successor has the same id.
 	it('keeps the runs of one that did not announce that it drains', async () => {
 		const {test, serverId} = await startLongJob();
 		test.find('keeper-b').cluster.removeServer(serverId);
--- a/packages/cluster/test/election/find-claim-reason.test.ts
+++ b/packages/cluster/test/election/find-claim-reason.test.ts
@@ -41,7 +41,7 @@
 			title: 'it is the placer itself', own: getParticipant('p'), others: [getParticipant('a')], placerId: 'p', expected: undefined,
 		},
 		{
-			title: 'a settled keeper, an entry daemon places', own: getParticipant('k', {isKeeper: true, hearsPlacer: true}), others: [getParticipant('a')], placerId: 'a', isSettled: true, expected: 'placer-outranked',
+			title: 'a settled keeper, an entry daemon places', own: getParticipant('k', {isKeeper: true, hearsPlacer: true}), others: [getParticipant('a')], placerId: 'a', isSettled: true, expected: 'keeper-preferred',
 		},
 		{
 			title: 'a keeper that has just started, an entry daemon places', own: getParticipant('k', {isKeeper: true, hearsPlacer: true}), others: [getParticipant('a')], placerId: 'a', expected: undefined,
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -94,7 +94,7 @@
 		onRunsLost(session, runs);
 	}
 
-	/** Removes a backend server that is no longer listed; one that has said farewell with runs is kept until these have ended. */
+	/** Removes a backend server that is no longer listed; one that has deregistered while tasks run on it is kept until they have ended. */
 	function removeUnlistedServer(serverId: string, server: PooledServer): void {
 		const {session} = server;
 		if (session.getRuns().size === 0 || session.getState() === 'closed' || session.getState() === 'fenced') {
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -41,7 +41,7 @@
 	start(options: RunStart & {payload: string}): void;
 	/** Stops the run of a task, if there is one. The listener is notified when it has ended. */
 	stop(taskName: string): void;
-	/** Expects the backend server, which has said farewell, to end: from now on, its runs are over when it does not respond. */
+	/** Expects the backend server, which has deregistered, to end: from now on, its runs are over when it does not respond. */
 	expectEnd(): void;
 	/** Closes the session. Its runs end when their lease expires. */
 	close(): void;
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -164,7 +164,7 @@
 
 	/**
 	 * Runs on an unresponsive backend server have certainly ended once every lease sent to it has expired, and also any
-	 * lease that another placer may have granted in the meantime. Those on one that has said farewell ended with it.
+	 * lease that another placer may have granted in the meantime. Those on one that has deregistered ended with it.
 	 */
 	function endRunsIfOver(): void {
 		if (isEndExpected || timers.getNowMs() > clock.getLeaseExpiryMs() + takeoverMarginMs) {
