Test a placer that was paused, and a restart after a backend server drained

Change: a placer is paused for 2 s with waiting jobs and wakes; all keepers restart and an old report of a draining backend server arrives late. Responses of backend servers wait while a simulated process is paused; before, the fake client handled them all the same.

--- a/packages/cluster/test/create-cluster-takeovers.test.ts
+++ b/packages/cluster/test/create-cluster-takeovers.test.ts
@@ -250,4 +250,52 @@
 
 		assert.ok(Math.max(...delays) <= 600, delays.join(' '));
 	});
+
+	// Guards against a placer that acts on a term which ended while its process was paused.
+	it('accepts no start of a placer that was paused with waiting jobs, and runs none of them twice', async () => {
+		const test = createTestCluster({getDurationMs: () => 400});
+		await startAndWaitUntilServing(test);
+		const paused = test.getPlacer();
+		for (let number = 0; number < 30; number++) {
+			test.submit(`entry-${['a', 'b', 'c'][number % 3]}1`, `waiting-${number}`, {slackMs: 5000, callerTimeoutMs: 10_000});
+		}
+
+		await runFor(test.timers, 50);
+		const startedBefore = test.fleet.records.length;
+		assert.ok(startedBefore > 0 && startedBefore < 60, `${startedBefore} of 60 tasks have started`);
+		paused.timers.pause();
+		await runFor(test.timers, 2000);
+		paused.timers.resume();
+		await runFor(test.timers, 6000);
+		const startedLater = test.fleet.records.slice(startedBefore).filter(({daemonId}) => daemonId === paused.id);
+		assert.deepEqual(startedLater, []);
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+		assert.equal(Object.values(countOutcomes(test, 'waiting')).reduce((sum, count) => sum + count, 0), 30);
+	});
+
+	// Guards against a backend server that leaves and is in use again because the daemons that knew so have restarted.
+	it('does not use a draining backend server again after all keepers restarted, although an old report of it arrives late', async () => {
+		const test = createTestCluster();
+		await startAndWaitUntilServing(test);
+		const leaving = test.fleet.servers[0]!.description;
+		test.fleet.servers[0]!.description = {...leaving, state: 'draining'};
+		test.find('keeper-b').cluster.reportServer({...leaving, state: 'draining', sequence: 1000}, ignoreAcknowledgement);
+		await runFor(test.timers, 100);
+		const keeperIds = test.daemons.map(({id}) => id).filter(id => id.startsWith('keeper'));
+		for (const id of keeperIds) {
+			test.kill(id);
+		}
+
+		await runFor(test.timers, 100);
+		for (const id of keeperIds) {
+			test.restart(id);
+		}
+
+		const startedBefore = test.fleet.records.length;
+		test.find('keeper-a').cluster.reportServer({...leaving, sequence: 999}, ignoreAcknowledgement);
+		await submitFor(test, 2000, 20, 'after');
+		await runFor(test.timers, 500);
+		assert.ok(test.fleet.records.length > startedBefore);
+		assert.ok(test.fleet.records.slice(startedBefore).every(({serverId}) => serverId !== leaving.id));
+	});
 });
--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -8,6 +8,7 @@
 	ClusterHintStore, createCluster, type Cluster, type ClusterHints, type EntryJob,
 } from '../../src/index.js';
 import {compareDaemonIds} from '../../src/utils/compare-daemon-ids.js';
+import {ProcessClient} from './process-client.js';
 
 export type TestDaemon = {
 	id: string;
@@ -121,7 +122,7 @@
 				resetLink() {
 					// Fake links queue nothing.
 				},
-				backendServerClient: fleet.getClient(id),
+				backendServerClient: new ProcessClient(fleet.getClient(id), processTimers),
 				hintStore: id.startsWith('keeper') && options.keepsHints !== false ? createHintStore(id) : undefined,
 				timers: processTimers,
 				random: createSeededRandomSource(startCount),
