--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -15,7 +15,10 @@
 	endedAtMs: Map<string, number>;
 	/** The sources whose missing registries the placers have requested. */
 	requestedSources: HandoverSource[];
-	submit(request: Partial<JobRequest> & {jobId: string}, options?: {generation?: number; submissionId?: string}): void;
+	/** Submits a job to the placer in use, at first the one that was created with the fleet. */
+	submit(request: Partial<JobRequest> & {jobId: string}, options?: {generation?: number; submissionId?: string; handover?: HandoverSource}): void;
+	/** Submits later jobs to another placer. */
+	usePlacer(next: Placer): void;
 	/** Creates another placer for the same backend servers. Its daemon number is the term unless it is given. */
 	createSuccessor(term: number, daemonId: string, daemonNumber?: number, wrapClient?: (client: BackendServerClient) => BackendServerClient): Placer;
 };
@@ -73,6 +76,7 @@
 	}
 
 	const placer = createSuccessor(1, 'first');
+	let placerInUse = placer;
 	placer.setServers(fleet.getDescriptions(), 0);
 	return {
 		timers,
@@ -83,10 +87,13 @@
 		endedAtMs,
 		createSuccessor,
 		requestedSources,
-		submit(request, {generation = 0, submissionId = 'one'} = {}) {
-			placer.submit('entry', {
-				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0,
+		submit(request, {generation = 0, submissionId = 'one', handover} = {}) {
+			placerInUse.submit('entry', {
+				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0, handover,
 			});
 		},
+		usePlacer(next) {
+			placerInUse = next;
+		},
 	};
 }
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -27,13 +27,15 @@
 	outcomes: Record<string, number>;
 	/** Runs of tasks beyond one for each. */
 	repeatedRuns: number;
+	jobs: readonly PatternJob[];
 	test: TestPlacer;
 };
 
 const serverCount = 76;
 /** Every third backend server is half as large again as the others. */
 const largeServerMillicores = 96_000;
-const claimMs = 50;
+/** When the replay starts: the placer has claimed all backend servers. */
+export const claimMs = 50;
 const drainMs = 2000;
 const stepMs = 2;
 const callerLinkMs = 6;
@@ -110,6 +112,7 @@
 		earnedShareByKind: Object.fromEntries(Object.keys(owed).map(name => [name, earned[name]! / owed[name]!])),
 		outcomes,
 		repeatedRuns: Math.max(0, test.fleet.records.length - taskCount),
+		jobs,
 		test,
 	};
 }
