--- /dev/null
+++ b/packages/placement/test/placer/successor-placer.test.ts
@@ -0,0 +1,216 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {JobHandover, JobRequest, Placer} from '../../src/index.js';
+import {createTestPlacer, defaultRequest, unknownPlacerId} from '../support/create-test-placer.js';
+import {runFor} from '../support/run-for.js';
+
+function getHandover(...placerIds: string[]): JobHandover {
+	return {placers: placerIds.map(placerId => ({placerId, incarnation: 'one'})), registryDigest: ''};
+}
+
+/** Submits a job to a placer after it was submitted to others. */
+function resubmit(placer: Placer, request: Partial<JobRequest> & {jobId: string}, handover: JobHandover | undefined, submissionId = 'one'): void {
+	placer.submit('entry', {
+		kind: 'placement.submit', request: {...defaultRequest, ...request}, generation: 1, submissionId, mayHaveStarted: true, handover,
+	});
+}
+
+describe('a successor placer', () => {
+	it('adopts the runs of its predecessor, which can start nothing afterwards', async () => {
+		const {timers, fleet, submit, placer, results, createSuccessor} = createTestPlacer({getDurationMs: () => 400});
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 400}]});
+		await runFor(timers, 100);
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions(), 0);
+		resubmit(successor, {jobId: 'job', ageMs: 100}, getHandover('first'));
+		await runFor(timers, 20);
+		submit({jobId: 'late'});
+		await runFor(timers, 600);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.records.map(({runNumber, outcome}) => [runNumber, outcome]), [[1, 'done'], [1, 'done']]);
+		assert.ok(placer.isSuperseded());
+	});
+
+	it('logs what its predecessor left open, and how much it knows when it looks for the runs', async () => {
+		const {timers, fleet, submit, placer, events, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
+		await runFor(timers, 10);
+		submit({jobId: 'started'});
+		await runFor(timers, 20);
+		submit({jobId: 'too-wide', steps: [{...defaultRequest.steps[0]!, cpuMillicores: 99_000}]});
+		placer.stop();
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions().slice(0, 3), 1);
+		resubmit(successor, {jobId: 'other', ageMs: 100}, getHandover('first'));
+		await runFor(timers, 600);
+		const servers = fleet.records.map(({serverId}) => serverId).join(' ');
+		const getFields = (name: string) => events.events.filter(event => event.name === name).map(({fields}) => fields);
+		assert.deepEqual(getFields('job-left-open'), [{
+			job: 'started', entry: 'entry', ageMs: 20, servers,
+		}]);
+		assert.deepEqual(getFields('job-recovered'), [{
+			job: 'other', tasks: 2, missing: 2, known: false, servers: 3, heldServers: 3, unclaimableServers: 1, isCovered: true, earlierPlacers: 'first',
+		}]);
+	});
+
+	it('does not restart a job while a backend server that may run it must not be claimed', async () => {
+		const {timers, fleet, results, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions().slice(0, 3), 1);
+		resubmit(successor, {jobId: 'job', ageMs: 100}, getHandover('first'));
+		await runFor(timers, 600);
+		assert.deepEqual(results.get('job'), {outcome: 'unknown'});
+		assert.equal(fleet.records.length, 0);
+	});
+
+	const earlierPlacers = [
+		{title: 'is not covered', placerIds: ['first', unknownPlacerId]},
+		{title: 'is not named', placerIds: undefined},
+	];
+	for (const {title, placerIds} of earlierPlacers) {
+		it(`does not restart a job if an earlier placer ${title}, since tasks may run on backend servers that it does not know`, async () => {
+			const {timers, fleet, results, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
+			const successor = createSuccessor(2, 'second');
+			successor.setServers(fleet.getDescriptions(), 0);
+			resubmit(successor, {jobId: 'job', ageMs: 100}, placerIds === undefined ? undefined : getHandover(...placerIds));
+			await runFor(timers, 300);
+			assert.equal(results.get('job'), undefined, 'it waits for the registry of the earlier placer');
+			await runFor(timers, 300);
+			assert.deepEqual(results.get('job'), {outcome: 'unknown'});
+			assert.equal(fleet.records.length, 0);
+		});
+	}
+
+	// Guards against a placer that has the old description of a backend server and takes its new incarnation for an idle one.
+	it('does not restart a job that may run on a newer incarnation of a backend server', async () => {
+		const {timers, fleet, placer, submit, createSuccessor} = createTestPlacer({serverCount: 2, getDurationMs: () => 900});
+		const descriptions = fleet.getDescriptions();
+		for (const server of fleet.servers) {
+			server.description = {...server.description, bornMs: 2};
+		}
+
+		placer.setServers(fleet.getDescriptions(), 0);
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}]});
+		await runFor(timers, 100);
+		const {serverId} = fleet.records[0]!;
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions().map(description => description.id === serverId ? descriptions.find(({id}) => id === serverId)! : description), 0);
+		resubmit(successor, {jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}], ageMs: 100}, getHandover('first'), 'two');
+		await runFor(timers, 1500);
+		assert.deepEqual(fleet.findOverlaps(), []);
+	});
+
+	const finished: Array<{title: string; claimedAtMs: number; submittedAtMs: number}> = [
+		{title: 'before it claimed the backend servers', claimedAtMs: 200, submittedAtMs: 210},
+		{title: 'between its claims and the submission', claimedAtMs: 60, submittedAtMs: 210},
+	];
+	for (const {title, claimedAtMs, submittedAtMs} of finished) {
+		// Guards against work that is run again because the placer that had started it did not see its end.
+		it(`counts tasks as done that ended ${title}, although a backend server is unreachable`, async () => {
+			const {timers, fleet, submit, placer, results, createSuccessor} = createTestPlacer({getDurationMs: () => 100});
+			await runFor(timers, 10);
+			submit({jobId: 'job'});
+			await runFor(timers, 40);
+			placer.stop();
+			const usedIds = new Set(fleet.records.map(({serverId}) => serverId));
+			fleet.servers.find(({description}) => !usedIds.has(description.id))!.fault = {isUnreachableFrom: () => true};
+			await runFor(timers, claimedAtMs - timers.getNowMs());
+			const successor = createSuccessor(2, 'second');
+			successor.setServers(fleet.getDescriptions(), 0);
+			await runFor(timers, submittedAtMs - timers.getNowMs());
+			resubmit(successor, {jobId: 'job', ageMs: 200}, getHandover('first'));
+			await runFor(timers, 20);
+			assert.deepEqual(results.get('job'), {outcome: 'completed'});
+			assert.equal(fleet.records.length, 2);
+		});
+	}
+
+	// Guards against a caller's second submission whose tasks are run again after the runs of the first one.
+	it('adopts the runs of a job that its caller submits again through another daemon', async () => {
+		const {timers, fleet, submit, placer, results, createSuccessor} = createTestPlacer({getDurationMs: () => 400});
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 400}]});
+		await runFor(timers, 100);
+		placer.stop();
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions(), 0);
+		await runFor(timers, 50);
+		successor.submit('other-entry', {
+			kind: 'placement.submit', request: {...defaultRequest, jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 400}]}, generation: 0, submissionId: 'two', mayHaveStarted: false,
+		});
+		await runFor(timers, 600);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.records.map(({runNumber, outcome}) => [runNumber, outcome]), [[1, 'done'], [1, 'done']]);
+	});
+
+	// Guards against runs that are stopped because their job waits for registries although all of its runs are found.
+	it('completes a job whose runs are all found, even if an earlier placer is not covered', async () => {
+		const {timers, fleet, submit, results, createSuccessor, requestedSources} = createTestPlacer({getDurationMs: () => 900});
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 900}]});
+		await runFor(timers, 100);
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions(), 0);
+		resubmit(successor, {jobId: 'job', ageMs: 100}, getHandover(unknownPlacerId));
+		await runFor(timers, 1000);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.records.map(({runNumber, outcome}) => [runNumber, outcome]), [[1, 'done'], [1, 'done']]);
+		assert.deepEqual(requestedSources[0], {...getHandover(unknownPlacerId), entryId: 'entry'});
+	});
+
+	// Guards against two placers of one term of which the replaced one fences the other, which then does not know what runs.
+	it('stays in control of a backend server that its predecessor of the same term claims again', async () => {
+		const {timers, fleet, submit, createSuccessor} = createTestPlacer({serverCount: 2, getDurationMs: () => 600});
+		const [first] = fleet.servers;
+		await runFor(timers, 10);
+		const successor = createSuccessor(1, 'second', 2);
+		first!.fault = {isRequestDelayed: () => true};
+		submit({jobId: 'unanswered', steps: [{...defaultRequest.steps[0]!, taskCount: 1}]});
+		await runFor(timers, 5);
+		first!.fault = {};
+		successor.setServers(fleet.getDescriptions(), 0);
+		// The predecessor claims the first backend server again because its request went unanswered, and starts a job there.
+		await runFor(timers, 160);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1}]});
+		await runFor(timers, 20);
+		successor.submit('entry', {
+			kind: 'placement.submit',
+			request: {
+				...defaultRequest, jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1}], ageMs: 20,
+			},
+			generation: 1,
+			submissionId: 'two',
+			mayHaveStarted: true, handover: getHandover('first'),
+		});
+		await runFor(timers, 1000);
+		assert.deepEqual(fleet.findOverlaps(), []);
+	});
+
+	it('stops runs whose jobs are not submitted again', async () => {
+		const {timers, fleet, submit, createSuccessor} = createTestPlacer({getDurationMs: () => 5000});
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 900}]});
+		await runFor(timers, 50);
+		createSuccessor(2, 'second').setServers(fleet.getDescriptions(), 0);
+		await runFor(timers, 400);
+		assert.deepEqual(fleet.records.map(({outcome}) => outcome), ['stopped', 'stopped']);
+	});
+});
+
+describe('an unreachable backend server', () => {
+	it('has its tasks restarted elsewhere only when every lease has expired, including one of another placer', async () => {
+		const {timers, fleet, submit, events, results} = createTestPlacer({serverCount: 2, getDurationMs: () => 900});
+		const isRepeated = () => events.events.some(({name, fields}) => name === 'task-repeated' && fields.reason === 'lost');
+		await runFor(timers, 400);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}], callerTimeoutMs: 6000});
+		await runFor(timers, 100);
+		// The lease of the last renewal ends at 1302 ms. Another placer may grant one until then and needs some time to stop runs.
+		fleet.servers.find(({description}) => description.id === fleet.records[0]!.serverId)!.fault = {isUnreachableFrom: () => true};
+		await runFor(timers, 1200);
+		assert.equal(isRepeated(), false);
+		await runFor(timers, 3000);
+		assert.equal(isRepeated(), true);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.findOverlaps(), []);
+	});
+});
