Keep waiting for forwarded jobs while their zone replaces its placer

Cause: a newer placer of another zone, known before it had announced its load, reset the time at which that zone was heard; jobs forwarded there ended as unknown at the next check.

Change: the time of the last announcement of any placer of the zone counts; the new placer is not idle until it announces so.

--- a/packages/cluster/src/shards/shard-map.ts
+++ b/packages/cluster/src/shards/shard-map.ts
@@ -39,7 +39,7 @@
 type OtherShard = {
 	view: PlacerView;
 	loadMs: number;
-	/** When the placer last announced its load. */
+	/** When a placer of the shard last announced its load. */
 	announcedAtMs: number;
 };
 
@@ -83,7 +83,7 @@
 		updateOtherShard(shard, view, loadMs) {
 			const known = others.get(shard);
 			if (known === undefined || isNewerView(view, known.view)) {
-				others.set(shard, {view, loadMs: Number.POSITIVE_INFINITY, announcedAtMs: Number.NEGATIVE_INFINITY});
+				others.set(shard, {view, loadMs: Number.POSITIVE_INFINITY, announcedAtMs: known?.announcedAtMs ?? Number.NEGATIVE_INFINITY});
 			}
 
 			const current = others.get(shard)!;
--- a/packages/cluster/test/shards/shard-map.test.ts
+++ b/packages/cluster/test/shards/shard-map.test.ts
@@ -109,6 +109,17 @@
 });
 
 describe('isHeard', () => {
+	// Guards against forwarded jobs that end as unknown because their zone has just replaced its placer.
+	it('a zone that was heard 300 ms ago and has a new placer that has not announced its load → true', () => {
+		const {timers, shards} = createTestMap([{
+			shard: 'b', term: 1, placerId: 'keeper-b', loadMs: 0,
+		}]);
+		timers.advance(300);
+		shards.updateOtherShard('b', {term: 2, placerId: 'keeper-b2'}, undefined);
+		assert.equal(shards.isHeard('b'), true);
+		assert.equal(shards.findIdleShard(), undefined);
+	});
+
 	const rows = [
 		{silenceMs: 0, expected: true},
 		{silenceMs: 900, expected: true},
