--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -8,14 +8,26 @@
 export const memberListIntervalMs = 1000;
 /** Time without a heartbeat after which a daemon no longer hears the placer. */
 export const placerTimeoutMs = 450;
+/**
+ * Time without a heartbeat after which the placer is overdue: new jobs are not sent to it, since the next placer could not
+ * tell whether they have started.
+ */
+export const placerOverdueMs = 250;
 /** Time without a heartbeat after which another daemon no longer counts as alive. */
 export const memberTimeoutMs = 700;
+/**
+ * Time without an announcement of another shard's placer after which jobs forwarded there end as unknown. Longer than it
+ * takes that shard to replace its placer, which then takes the jobs over.
+ */
+export const shardTimeoutMs = 1000;
 /** How long a silent daemon still counts towards the majority of its availability zone. */
 export const memberRetentionMs = 20_000;
 /** Minimum uptime of a daemon that becomes the placer, so that it discovers the other daemons first. */
 export const minCandidateUptimeMs = 1200;
 /** The same for a daemon that hears every seed: no other daemon can then know of a placer that it does not know. */
 export const minCandidateUptimeWithAllSeedsMs = 350;
+/** How long a keeper must have been up, and have followed an entry daemon as placer, before it takes over from it. */
+export const keeperPreferenceDelayMs = 1000;
 /** Added to the uptime of other daemons, so that daemons started within this time of each other count as equally warmed up. */
 export const startTimeToleranceMs = 400;
 /** How much longer a daemon without a disk waits before it becomes the first placer, so that a keeper is elected first. */
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -38,7 +38,7 @@
 		heartbeatSender.sendAll();
 	});
 	const hints = options.hintStore?.findHints() ?? {term: 0, isDivided: false};
-	const shards = createShardMap(options.availabilityZone, hints.isDivided);
+	const shards = createShardMap({...options, wasDivided: hints.isDivided});
 	const relay = createRelay({ownId, peers, members});
 	const localPlacer = createLocalPlacer({
 		...options,
@@ -73,6 +73,9 @@
 			jobSubmitter.handlePlacerChange();
 			heartbeatSender.sendAll();
 		},
+		onPlacerLost() {
+			heartbeatSender.sendAll();
+		},
 		onElected: updatePlacerServers,
 	});
 	const jobSubmitter = createJobSubmitter({
@@ -82,6 +85,7 @@
 		metrics,
 		shards,
 		getPlacerView,
+		isPlacerOverdue: election.isPlacerOverdue,
 		getIncarnation: daemonId => daemonId === ownId ? ownIncarnation : members.findMember(daemonId)?.incarnation ?? '',
 		getRegistryDigest,
 		sendToPlacer: (shard: string, message: PlacementMessage) => relay.sendTo(getPlacerView(shard).placerId, message),
@@ -185,6 +189,9 @@
 
 		divideIfDue(heartbeat.shard !== globalShard);
 		updatePlacerView(fromId, heartbeat);
+		if (fromId === election.getView().placerId) {
+			jobSubmitter.handlePlacerHeard();
+		}
 	}
 
 	function sendMissedReports(memberId: string, silenceMs: number): void {
@@ -317,7 +324,17 @@
 		}
 	}
 
+	/** An error while a message is handled costs that message only: the others ask again for what they need. */
 	function handlePeerMessage(fromId: string, message: PeerMessage): void {
+		try {
+			handleParsedMessage(fromId, message);
+		} catch (error) {
+			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+			events.write('peer-message-failed', {from: fromId, kind: message.kind, reason});
+		}
+	}
+
+	function handleParsedMessage(fromId: string, message: PeerMessage): void {
 		if (message.kind.startsWith('placement.')) {
 			const parsed = placementMessageSchema.safeParse(message);
 			if (parsed.success) {
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -5,8 +5,9 @@
 	JobHandover, JobOutcome, JobRequest, PlacementMessage,
 } from '@camphortack/placement';
 import {openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
-import type {PlacerView} from '../election/placer-view.js';
+import {isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
+import {createJobCancellations} from './job-cancellations.js';
 
 /** A job as the callers' server submits it. */
 export type EntryJob = Omit<JobRequest, 'ageMs'>;
@@ -28,6 +29,8 @@
 	handleUnknownJobs(jobIds: readonly string[]): void;
 	/** Resubmits every open job whose shard has a new placer. */
 	handlePlacerChange(): void;
+	/** Submits the jobs that were held because the placer was overdue. */
+	handlePlacerHeard(): void;
 	/** Ends jobs that the placer of the undivided deployment may have started on any backend server. */
 	handleDivision(): void;
 	getOpenCount(): number;
@@ -44,6 +47,8 @@
 	shards: ShardMap;
 	/** Gets the placer of a shard. */
 	getPlacerView: (shard: string) => PlacerView;
+	/** Whether heartbeats of the placer of this daemon's shard are overdue, so that it may be gone. */
+	isPlacerOverdue: () => boolean;
 	/** Gets the incarnation of a daemon that this one hears; empty if it was never heard. */
 	getIncarnation: (daemonId: string) => string;
 	/** Gets the digest of the own registry of backend servers. */
@@ -73,13 +78,6 @@
 
 type PlacerIncarnation = JobHandover['placers'][number];
 
-type Cancellation = {
-	onEnd: (isConfirmed: boolean) => void;
-	subscriptions: TimerSubscription[];
-};
-
-const cancelResendMs = 250;
-const cancelTimeoutMs = 2500;
 const retryAfterMs = 1000;
 
 /**
@@ -87,16 +85,21 @@
  * @param options - The dependencies and the connection to the placers.
  */
 export function createJobSubmitter(options: JobSubmitterOptions): JobSubmitter {
-	const {timers, random, events, metrics, shards, getPlacerView, sendToPlacer} = options;
+	const {timers, random, events, metrics, shards, getPlacerView, isPlacerOverdue, sendToPlacer} = options;
 	const openJobs = new Map<string, OpenJob>();
-	const cancellations = new Map<string, Cancellation>();
+	const cancellations = createJobCancellations(timers);
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
 
-	/** Sends the placers the ids of the open jobs, so that lost messages are detected; resubmits jobs whose placer has changed. */
+	/**
+	 * Sends the placers the ids of the open jobs, so that lost messages are detected; resubmits jobs whose placer has changed,
+	 * and ends those forwarded to a shard that is cut off.
+	 */
 	function sendOpenJobs(): void {
 		const jobIds = new Map<string, string[]>([[shards.getOwnShard(), []]]);
 		for (const open of openJobs.values()) {
-			if (isSameView(open.submittedTo, getPlacerView(open.shard))) {
+			if (isCutOff(open)) {
+				endJob(open.job.jobId, {outcome: 'unknown'});
+			} else if (isSubmitted(open)) {
 				jobIds.set(open.shard, [...(jobIds.get(open.shard) ?? []), open.job.jobId]);
 			} else {
 				sendJob(open);
@@ -108,8 +111,14 @@
 		}
 	}
 
-	function isSameView(left: PlacerView | undefined, right: PlacerView): boolean {
-		return left?.term === right.term && left.placerId === right.placerId;
+	/** Whether a job was submitted to the current placer of its shard. */
+	function isSubmitted({submittedTo, shard}: OpenJob): boolean {
+		return submittedTo !== undefined && isSameView(submittedTo, getPlacerView(shard));
+	}
+
+	/** Whether a forwarded job can no longer be asked about: the shard that may have started it is not heard. */
+	function isCutOff({wasForwarded, shard}: OpenJob): boolean {
+		return wasForwarded && !shards.isHeard(shard);
 	}
 
 	function isSamePlacer(left: PlacerIncarnation, right: PlacerIncarnation): boolean {
@@ -121,7 +130,15 @@
 		return isListed ? earlierPlacers : [...earlierPlacers, lastPlacer];
 	}
 
+	/**
+	 * Submits a job, unless the placer of its shard is overdue. A job that was never submitted certainly has not started, so the
+	 * next placer can start it without looking for its runs.
+	 */
 	function sendJob(open: OpenJob): void {
+		if (!open.wasForwarded && isPlacerOverdue()) {
+			return;
+		}
+
 		const view = getPlacerView(open.shard);
 		const generation = open.generation + (open.submittedTo === undefined ? 0 : 1);
 		const earlierPlacers = getEarlierPlacers(open);
@@ -142,6 +159,14 @@
 		}
 	}
 
+	function sendUnsubmittedJobs(): void {
+		for (const open of openJobs.values()) {
+			if (!isSubmitted(open)) {
+				sendJob(open);
+			}
+		}
+	}
+
 	function addJob(job: EntryJob): OpenJob {
 		const open: OpenJob = {
 			job,
@@ -163,6 +188,10 @@
 		});
 		openJobs.set(job.jobId, open);
 		sendJob(open);
+		if (open.submittedTo === undefined) {
+			forwardIfPossible(open);
+		}
+
 		return open;
 	}
 
@@ -194,22 +223,37 @@
 		}
 	}
 
-	/** A job refused for overload is forwarded to an idle shard, once, and only if it cannot have started. */
-	function findForwardingShard(open: OpenJob, result: JobOutcome): string | undefined {
-		const isOverload = result.outcome === 'refused' && result.reason === 'overload';
-		return isOverload && !open.wasForwarded && open.generation === 0 ? shards.findIdleShard() : undefined;
+	function isOverload(result: JobOutcome): boolean {
+		return result.outcome === 'refused' && result.reason === 'overload';
 	}
 
-	function forward(open: OpenJob, shard: string): void {
-		events.write('job-forwarded', {
-			job: open.job.jobId, queue: open.job.queueName, shard, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
-		});
+	/**
+	 * Forwards a job to an idle shard, once, and only if it cannot have started: its own placer has refused it for overload, or
+	 * is overdue and was never sent the job. Returns false if there is no such shard, or no route to it.
+	 */
+	function forwardIfPossible(open: OpenJob): boolean {
+		const shard = open.wasForwarded || open.generation > 0 ? undefined : shards.findIdleShard();
+		return shard !== undefined && forward(open, shard);
+	}
+
+	function forward(open: OpenJob, shard: string): boolean {
+		const ownShard = open.shard;
 		open.shard = shard;
 		open.wasForwarded = true;
 		open.submittedTo = undefined;
 		open.lastPlacer = undefined;
 		open.submissionId = random.getIdentifier();
 		sendJob(open);
+		if (open.submittedTo === undefined) {
+			open.shard = ownShard;
+			open.wasForwarded = false;
+			return false;
+		}
+
+		events.write('job-forwarded', {
+			job: open.job.jobId, queue: open.job.queueName, shard, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
+		});
+		return true;
 	}
 
 	/**
@@ -234,20 +278,6 @@
 		sendToPlacer(open.shard, {kind: 'placement.cancel', jobId});
 	}
 
-	function endCancellation(jobId: string, isConfirmed: boolean): void {
-		const cancellation = cancellations.get(jobId);
-		if (cancellation === undefined) {
-			return;
-		}
-
-		cancellations.delete(jobId);
-		for (const subscription of cancellation.subscriptions) {
-			subscription.cancel();
-		}
-
-		cancellation.onEnd(isConfirmed);
-	}
-
 	return {
 		submit(job, onResult) {
 			const open = openJobs.get(job.jobId) ?? addJob(job);
@@ -260,31 +290,18 @@
 		},
 		cancel(jobId, onEnd) {
 			const shard = openJobs.get(jobId)?.shard ?? shards.getOwnShard();
-			endCancellation(jobId, false);
-			cancellations.set(jobId, {
-				onEnd,
-				subscriptions: [
-					timers.addInterval(cancelResendMs, () => {
-						sendToPlacer(shard, {kind: 'placement.cancel', jobId});
-					}),
-					timers.addTimer(cancelTimeoutMs, () => {
-						endCancellation(jobId, false);
-					}),
-				],
-			});
-			sendToPlacer(shard, {kind: 'placement.cancel', jobId});
+			cancellations.cancelJob(jobId, () => {
+				sendToPlacer(shard, {kind: 'placement.cancel', jobId});
+			}, onEnd);
 		},
 		handleResult(jobId, result) {
 			const open = openJobs.get(jobId);
-			const idleShard = open === undefined ? undefined : findForwardingShard(open, result);
-			if (open === undefined || idleShard === undefined) {
+			if (open === undefined || !isOverload(result) || !forwardIfPossible(open)) {
 				endJob(jobId, result);
-			} else {
-				forward(open, idleShard);
 			}
 		},
 		handleCancelled(jobId) {
-			endCancellation(jobId, true);
+			cancellations.endCancellation(jobId, true);
 		},
 		handleUnknownJobs(jobIds) {
 			for (const jobId of jobIds) {
@@ -294,13 +311,8 @@
 				}
 			}
 		},
-		handlePlacerChange() {
-			for (const open of openJobs.values()) {
-				if (!isSameView(open.submittedTo, getPlacerView(open.shard))) {
-					sendJob(open);
-				}
-			}
-		},
+		handlePlacerChange: sendUnsubmittedJobs,
+		handlePlacerHeard: sendUnsubmittedJobs,
 		handleDivision() {
 			for (const [jobId, open] of openJobs) {
 				open.shard = shards.getOwnShard();
@@ -320,9 +332,7 @@
 		},
 		stop() {
 			reconciliation.cancel();
-			for (const jobId of cancellations.keys()) {
-				endCancellation(jobId, false);
-			}
+			cancellations.endAll();
 		},
 	};
 }
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -58,6 +58,9 @@
 	'backend-report-rejected': {
 		number: 1106, level: 'warning', summary: 'A heartbeat of a backend server could not be decoded and identifies no usable backend server.', action: 'Check the program that sent it.',
 	},
+	'backend-deregistration-ignored': {
+		number: 1108, level: 'warning', summary: 'A deregistration arrived for a backend server that does not drain; it may be of an earlier incarnation.', action: 'If it does not respond, check why it stopped.',
+	},
 	'backend-session-changed': {
 		number: 1107, level: 'info', summary: 'The session between the placer and a backend server changed state.', action: 'If it stays unresponsive, check the backend server and the link to it.',
 	},
@@ -133,6 +136,9 @@
 	'peer-frame-rejected': {
 		number: 1402, level: 'warning', summary: 'A frame from a peer was malformed or too large; the link was closed.', action: 'Check for a program that connects to the wrong port.',
 	},
+	'peer-message-failed': {
+		number: 1407, level: 'error', summary: 'An error occurred while a message from another daemon was handled; the message was dropped.', action: 'Report a bug with the message and the stack.',
+	},
 	'member-joined': {
 		number: 1403, level: 'info', summary: 'Another daemon has joined or responds again.', action: 'None.',
 	},
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -1,11 +1,8 @@
 import type {
 	EventLog, MetricSink, RandomSource, TimerService,
 } from '@camphortack/core';
-import {createRunTimeEstimator} from '../estimates/run-time-estimator.js';
-import {createQueueWorkMeans} from '../estimates/queue-work-means.js';
-import {getJobEstimate} from '../jobs/get-job-estimate.js';
 import {
-	createPlacedTasks, getStartableTasks, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
+	getStartableTasks, isDone, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
@@ -13,7 +10,8 @@
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createJobTable} from './job-table.js';
-import {createJobRecovery, recoveryMs} from './job-recovery.js';
+import {createJobIntake} from './job-intake.js';
+import {createJobRecovery} from './job-recovery.js';
 import type {Placer} from './placer.js';
 import {createCapacityTable, type CapacityTable} from './capacity-table.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
@@ -48,8 +46,7 @@
 export function createPlacer(options: PlacerOptions): Placer {
 	const {timers, random, events, metrics, onResult} = options;
 	const jobTable = createJobTable(timers);
-	const runTimeEstimator = createRunTimeEstimator();
-	const queueWorkMeans = createQueueWorkMeans();
+	const intake = createJobIntake(timers);
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -76,6 +73,9 @@
 		onUnknown(job) {
 			endJob(job, {outcome: 'unknown'});
 		},
+		onCompleted(job) {
+			endJob(job, {outcome: 'completed'});
+		},
 	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool,
@@ -138,12 +138,22 @@
 
 	function placeJob(job: PlacedJob, table: CapacityTable): void {
 		for (const task of getStartableTasks(job)) {
-			// A run of an earlier submission of the same job may still be stopping.
-			const server = pool.findRun(task.name) === undefined ? table.allocate(job, task) : undefined;
-			if (server !== undefined) {
-				startTask(job, task, server);
+			if (!recovery.adoptEarlierRun(task)) {
+				startTaskIfPossible(job, task, table);
 			}
 		}
+
+		if (isDone(job)) {
+			endJob(job, {outcome: 'completed'});
+		}
+	}
+
+	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): void {
+		// A run of an earlier submission of the same job may still be stopping.
+		const server = pool.findRun(task.name) === undefined ? table.allocate(job, task) : undefined;
+		if (server !== undefined) {
+			startTask(job, task, server);
+		}
 	}
 
 	function getUsableServers(service: string): PooledServer[] {
@@ -171,6 +181,8 @@
 		const found = jobTable.findTask(run.taskName);
 		if (found?.task.session === session && found.task.runNumber === run.runNumber) {
 			handleTaskEnd(found.job, found.task, end);
+		} else if (end === 'done') {
+			recovery.addDoneTask(run.taskName);
 		}
 
 		schedulePass();
@@ -224,12 +236,12 @@
 		task.state = 'done';
 		if (!task.isAdopted) {
 			task.durationMs = durationMs;
-			runTimeEstimator.addRun(job.request.queueName, durationMs);
+			intake.addRun(job.request.queueName, durationMs);
 		}
 
 		pool.findServer(session.getDescription().id)?.health.addSuccess();
 		metrics.increment('task-done');
-		if (job.tasks.every(other => other.state === 'done')) {
+		if (isDone(job)) {
 			endJob(job, {outcome: 'completed'});
 		}
 	}
@@ -286,9 +298,8 @@
 	}
 
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
-		const job = createJob(entryId, message);
+		const job = intake.createJob(entryId, message);
 		jobTable.addJob(job);
-		queueWorkMeans.addJob(job.request.queueName, job.work);
 		events.write('job-taken', {
 			job: job.request.jobId,
 			queue: job.request.queueName,
@@ -302,27 +313,6 @@
 		schedulePass();
 	}
 
-	function createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob {
-		const {request, submissionId, generation, mayHaveStarted, handover} = message;
-		const {criticalPathMs, work} = getJobEstimate(request, step => runTimeEstimator.getExpectedMs(request.queueName, step.estimateMs));
-		return {
-			request,
-			submissionId,
-			entryId,
-			arrivedAtMs: timers.getNowMs() - request.ageMs,
-			tasks: createPlacedTasks(request, generation),
-			objectiveMs: (criticalPathMs * request.stretch) + request.slackMs,
-			criticalPathMs,
-			work,
-			relativeWork: queueWorkMeans.getRelativeWork(request.queueName, work),
-			hasStarted: mayHaveStarted,
-			isEnded: false,
-			serverIds: [],
-			handover: handover === undefined ? undefined : {...handover, entryId},
-			recoveryDeadlineMs: mayHaveStarted ? timers.getNowMs() + recoveryMs : undefined,
-		};
-	}
-
 	return {
 		setServers(descriptions, hiddenCount) {
 			pool.setServers(descriptions, hiddenCount);
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -3,9 +3,11 @@
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import {createCallTimeouts} from '../sessions/create-call-timeouts.js';
+import {createClaimWindow} from '../sessions/create-claim-window.js';
 import type {BackendSession, SessionListener} from '../sessions/backend-session.js';
 import {createBackendSession} from '../sessions/create-backend-session.js';
 import type {Run} from '../sessions/run.js';
+import {createRunIndex} from './run-index.js';
 
 export type PooledServer = {
 	session: BackendSession;
@@ -24,6 +26,7 @@
 
 /** The backend servers of one placer. */
 export type ServerPool = {
+	/** Sets the backend servers to claim. One that is no longer listed is removed as soon as nothing runs on it. */
 	setServers(descriptions: readonly BackendServerDescription[], unclaimableCount: number): void;
 	findServer(serverId: string): PooledServer | undefined;
 	getServers(): Iterable<PooledServer>;
@@ -43,7 +46,7 @@
 	timers: TimerService;
 	events: EventLog;
 	metrics: MetricSink;
-	listener: SessionListener;
+	listener: Omit<SessionListener, 'onRunAdded'>;
 	/** Called with the runs of a backend server that was removed. */
 	onRunsLost: (session: BackendSession, runs: readonly Run[]) => void;
 };
@@ -55,7 +58,19 @@
 export function createServerPool(options: ServerPoolOptions): ServerPool {
 	const {timers, events, metrics, onRunsLost} = options;
 	const servers = new Map<string, PooledServer>();
+	const runIndex = createRunIndex<PooledServer>();
+	const listener: SessionListener = {
+		...options.listener,
+		onRunAdded(session, run) {
+			runIndex.addRun(run, servers.get(session.getDescription().id)!);
+		},
+		onRunEnd(session, run, end) {
+			runIndex.removeRun(run);
+			options.listener.onRunEnd(session, run, end);
+		},
+	};
 	const callTimeouts = createCallTimeouts(timers);
+	const claimWindow = createClaimWindow();
 	let unclaimableCount = 0;
 
 	function addServer(description: BackendServerDescription): void {
@@ -63,16 +78,34 @@
 			metrics.increment('backend-server-ejected');
 			events.write('backend-server-ejected', {server: description.id, pauseMs});
 		});
-		servers.set(description.id, {session: createBackendSession({...options, callTimeouts, description}), health});
+		servers.set(description.id, {
+			session: createBackendSession({
+				...options, listener, callTimeouts, claimWindow, description,
+			}), health,
+		});
 	}
 
-	function removeServer(serverId: string, {session}: PooledServer): void {
+	function removeServer(serverId: string, server: PooledServer): void {
+		const {session} = server;
 		servers.delete(serverId);
+		runIndex.removeServer(server);
 		const runs = [...session.getRuns().values()];
 		session.close();
 		onRunsLost(session, runs);
 	}
 
+	/** Removes a backend server that is no longer listed; one that has deregistered while tasks run on it is kept until they have ended. */
+	function removeUnlistedServer(serverId: string, server: PooledServer): void {
+		const {session} = server;
+		if (session.getRuns().size === 0 || session.getState() === 'closed' || session.getState() === 'fenced') {
+			removeServer(serverId, server);
+			return;
+		}
+
+		session.setDescription({...session.getDescription(), state: 'draining'});
+		session.expectEnd();
+	}
+
 	function updateServer(description: BackendServerDescription, known: PooledServer): void {
 		if (known.session.getDescription().bornMs === description.bornMs) {
 			known.session.setDescription(description);
@@ -89,7 +122,7 @@
 			const ids = new Set(descriptions.map(({id}) => id));
 			for (const [serverId, server] of servers) {
 				if (!ids.has(serverId)) {
-					removeServer(serverId, server);
+					removeUnlistedServer(serverId, server);
 				}
 			}
 
@@ -110,22 +143,14 @@
 			heldServers: [...servers.values()].filter(({session}) => session.getState() === 'held').length,
 			unclaimableServers: unclaimableCount,
 		}),
-		findRun(taskName) {
-			for (const server of servers.values()) {
-				const run = server.session.findRun(taskName);
-				if (run !== undefined) {
-					return {server, run};
-				}
-			}
-
-			return undefined;
-		},
+		findRun: runIndex.findRun,
 		close() {
 			for (const {session} of servers.values()) {
 				session.close();
 			}
 
 			servers.clear();
+			runIndex.clear();
 		},
 	};
 }
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -14,6 +14,8 @@
 
 /** Callbacks for the changes of a session. */
 export type SessionListener = {
+	/** A run was started or found. */
+	onRunAdded(session: BackendSession, run: Run): void;
 	/** A run has ended or was never started; its capacity is free. */
 	onRunEnd(session: BackendSession, run: Run, end: RunEnd): void;
 	/** A claim was accepted; every run on the backend server is known. */
@@ -39,6 +41,8 @@
 	start(options: RunStart & {payload: string}): void;
 	/** Stops the run of a task, if there is one. The listener is notified when it has ended. */
 	stop(taskName: string): void;
+	/** Expects the backend server, which has deregistered, to end: from now on, its runs are over when it does not respond. */
+	expectEnd(): void;
 	/** Closes the session. Its runs end when their lease expires. */
 	close(): void;
 };
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -6,6 +6,7 @@
 import type {BackendSession, SessionListener, SessionState} from './backend-session.js';
 import {getFencingToken, maxClaimNumber} from './fencing-token.js';
 import type {CallTimeouts} from './create-call-timeouts.js';
+import type {ClaimWindow} from './create-claim-window.js';
 import {createLeaseClock} from './lease-clock.js';
 import {getRejectedStartEnd} from './get-run-end.js';
 import type {Run} from './run.js';
@@ -27,6 +28,8 @@
 	metrics: MetricSink;
 	/** The timeouts, shared by all sessions of the placer. */
 	callTimeouts: CallTimeouts;
+	/** The limit on claims in flight, shared by all sessions of the placer. */
+	claimWindow: ClaimWindow;
 	listener: SessionListener;
 };
 
@@ -37,9 +40,14 @@
  * @param options - The backend server and the ports.
  */
 export function createBackendSession(options: BackendSessionOptions): BackendSession {
-	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, listener} = options;
-	const runTable = createRunTable(() => timers.getNowMs(), (run, end) => {
-		listener.onRunEnd(session, run, end);
+	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, claimWindow, listener} = options;
+	const runTable = createRunTable(() => timers.getNowMs(), {
+		onRunAdded(run) {
+			listener.onRunAdded(session, run);
+		},
+		onRunEnd(run, end) {
+			listener.onRunEnd(session, run, end);
+		},
 	});
 	const clock = createLeaseClock(leaseMs);
 	let {description} = options;
@@ -47,6 +55,7 @@
 	let claim = -1;
 	let unansweredClaims = 0;
 	let hasNewerIncarnation = false;
+	let isEndExpected = false;
 	let isClosed = false;
 
 	function getTarget(): RequestTarget {
@@ -96,7 +105,21 @@
 			setState('claiming', reason);
 		}
 
-		void sendClaim(claim, reason);
+		scheduleClaim(claim, reason);
+	}
+
+	function isCurrent(ownClaim: number): boolean {
+		return !isClosed && ownClaim === claim && state !== 'fenced';
+	}
+
+	function scheduleClaim(ownClaim: number, reason: string): void {
+		claimWindow.enter(unansweredClaims > 0, () => {
+			if (isCurrent(ownClaim)) {
+				void sendClaim(ownClaim, reason);
+			} else {
+				claimWindow.leave(undefined);
+			}
+		});
 	}
 
 	/** The timeout doubles with each unanswered claim. */
@@ -107,7 +130,9 @@
 	/** Sends a claim. It does not extend the lease, so that earlier leases expire while claims go unanswered. */
 	async function sendClaim(ownClaim: number, reason: string): Promise<void> {
 		metrics.increment('server-claimed');
+		const sentAtMs = timers.getNowMs();
 		const response = await backendServerClient.renew(getTarget(), {token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}, getClaimTimeoutMs());
+		claimWindow.leave(response.outcome === 'unanswered' ? undefined : timers.getNowMs() - sentAtMs);
 		if (isClosed || ownClaim !== claim) {
 			return;
 		}
@@ -127,22 +152,22 @@
 			setState('silent', failureReason);
 		}
 
-		endRunsAfterLease();
+		endRunsIfOver();
 		const delayMs = Math.min(maxClaimRetryDelayMs, minClaimRetryDelayMs * (2 ** (unansweredClaims - 1)));
 		// No start or stop was sent with this token, so the retry can reuse it.
 		timers.addTimer(delayMs, () => {
-			if (!isClosed && ownClaim === claim && state !== 'fenced') {
-				void sendClaim(ownClaim, reason);
+			if (isCurrent(ownClaim)) {
+				scheduleClaim(ownClaim, reason);
 			}
 		});
 	}
 
 	/**
 	 * Runs on an unresponsive backend server have certainly ended once every lease sent to it has expired, and also any
-	 * lease that another placer may have granted in the meantime.
+	 * lease that another placer may have granted in the meantime. Those on one that has deregistered ended with it.
 	 */
-	function endRunsAfterLease(): void {
-		if (timers.getNowMs() > clock.getLeaseExpiryMs() + takeoverMarginMs) {
+	function endRunsIfOver(): void {
+		if (isEndExpected || timers.getNowMs() > clock.getLeaseExpiryMs() + takeoverMarginMs) {
 			runTable.endAllRuns('lost');
 		}
 	}
@@ -337,6 +362,12 @@
 			void sendStart(runTable.addRun(start), payload);
 		},
 		stop,
+		expectEnd() {
+			isEndExpected = true;
+			if (state === 'silent') {
+				endRunsIfOver();
+			}
+		},
 		close() {
 			isClosed = true;
 			backendServerClient.disconnect(getTarget());
