Send reports again to daemons that have just joined

Backend servers report to one daemon at a time; that one sent each report to the daemons it knew then, while others were still starting, and again only after ten seconds. Requests for a registry that were lost while links were opened are not repeated. Ruled out: claims that go unanswered (none was silent), tokens that are too low (none was fenced but one), elections (done 0.8 s after the start). Change: a report that has not changed is sent to daemons that joined less than a second before it was last sent, or since.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -46,6 +46,8 @@
 export const reportTimeoutMs = 700;
 /** How often the report of an unchanged backend server is sent to the other daemons. */
 export const reportIntervalMs = 10_000;
+/** How long messages to a daemon that has just joined may be lost, because the link to it is still being opened. */
+export const joinSettlingMs = 1000;
 /** Time without a heartbeat after which a backend server is removed from the registry. */
 export const registryRetentionMs = 30_000;
 /** Time since the last heartbeat of a placer until which a registry that it sent before counts as current. */
--- a/packages/cluster/src/members/member-table.ts
+++ b/packages/cluster/src/members/member-table.ts
@@ -5,6 +5,8 @@
 /** The state of another daemon according to its last heartbeat. */
 export type ClusterMember = ClusterMessageOf<'cluster.heartbeat'> & {
 	id: string;
+	/** When its current process was first heard. */
+	joinedAtMs: number;
 	lastHeartbeatAtMs: number;
 };
 
@@ -48,10 +50,15 @@
 
 	return {
 		addHeartbeat(memberId, heartbeat) {
+			const nowMs = timers.getNowMs();
 			const known = members.get(memberId);
-			members.set(memberId, {...heartbeat, id: memberId, lastHeartbeatAtMs: timers.getNowMs()});
-			contacts.set(memberId, timers.getNowMs());
-			return known?.incarnation !== heartbeat.incarnation;
+			const isNew = known?.incarnation !== heartbeat.incarnation;
+			const joinedAtMs = isNew ? nowMs : known.joinedAtMs;
+			members.set(memberId, {
+				...heartbeat, id: memberId, joinedAtMs, lastHeartbeatAtMs: nowMs,
+			});
+			contacts.set(memberId, nowMs);
+			return isNew;
 		},
 		addContact(memberId) {
 			if (memberId !== ownId && !contacts.has(memberId)) {
--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -1,5 +1,5 @@
 import type {BackendServerDescription} from '@camphortack/placement';
-import {reportIntervalMs, reportTimeoutMs} from '../cluster-timings.js';
+import {joinSettlingMs, reportIntervalMs, reportTimeoutMs} from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
 import type {ClusterMember, MemberTable} from '../members/member-table.js';
 import type {ClusterMessageOf} from '../messages/cluster-messages.js';
@@ -44,6 +44,7 @@
 export function createRegistryReplicator(options: RegistryReplicatorOptions): RegistryReplicator {
 	const {ownId, availabilityZone: ownZone, peers, timers, random, events, registry, members, getPlacerId, needsServersOf, onChange} = options;
 	const reportedAtMs = new Map<string, number>();
+	const sentToNewMembersAtMs = new Map<string, number>();
 	const pendingReports = new Map<string, (isAcknowledged: boolean) => void>();
 
 	function addDescription(description: BackendServerDescription): 'new' | 'changed' | 'same' | 'stale' {
@@ -77,6 +78,21 @@
 		}
 	}
 
+	/**
+	 * Sends a description again to daemons that had only just joined when it was last sent, or joined since: links may not
+	 * have been open yet, so that they may have missed it, or the answer to their request for the registry. After a restart of
+	 * all daemons, a placer would otherwise know only some of its backend servers until the next regular report.
+	 */
+	function sendToNewMembers(description: BackendServerDescription): void {
+		const {id, availabilityZone} = description;
+		const lastSentAtMs = Math.max(reportedAtMs.get(id) ?? Number.NEGATIVE_INFINITY, sentToNewMembersAtMs.get(id) ?? Number.NEGATIVE_INFINITY);
+		const receivers = members.getAliveMembers().filter(member => member.joinedAtMs + joinSettlingMs > lastSentAtMs && needsServersOf(member, availabilityZone));
+		if (receivers.length > 0) {
+			sentToNewMembersAtMs.set(id, timers.getNowMs());
+			peers.sendToAll(receivers.map(receiver => receiver.id), {kind: 'cluster.server-report', description});
+		}
+	}
+
 	/** Broadcasts a description and waits until the placer acknowledges it. */
 	function broadcastAndWait(description: BackendServerDescription, onEnd: (isAcknowledged: boolean) => void): void {
 		const placerId = getPlacerId(description.availabilityZone);
@@ -119,6 +135,7 @@
 	function handleServerLeft(serverId: string, bornMs: number): void {
 		registry.removeServer(serverId, bornMs);
 		reportedAtMs.delete(serverId);
+		sentToNewMembersAtMs.delete(serverId);
 		events.write('backend-server-left', {server: serverId, born: bornMs});
 		onChange();
 	}
@@ -134,6 +151,8 @@
 			const isDue = timers.getNowMs() - (reportedAtMs.get(description.id) ?? Number.NEGATIVE_INFINITY) >= reportIntervalMs;
 			if (change === 'new' || change === 'changed' || (change === 'same' && isDue)) {
 				broadcast(description);
+			} else if (change === 'same') {
+				sendToNewMembers(description);
 			}
 
 			onEnd(true);
