Agree on evacuated availability zones in the keepers' log

Cause: operators' orders to evacuate an availability zone have nowhere to be stored.

Evacuations are delivered before documents.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -6,6 +6,7 @@
 export type * from './keeper/keeper-options.js';
 export type {KeeperRecord} from './keeper/keeper-set.js';
 export * from './publish/document-schemas.js';
+export type {Evacuations, EvacuationResult} from './publish/evacuation-schemas.js';
 export * from './publish/publish-schemas.js';
 export type {KeeperTimings} from './keeper/keeper-timings.js';
 export type * from './content/version-history.js';
--- a/packages/consensus/src/keeper/applier.ts
+++ b/packages/consensus/src/keeper/applier.ts
@@ -1,8 +1,10 @@
+import type {ConfigurationContent} from '../content/configuration-content.js';
 import type {MachineState} from '../publish/configuration-machine.js';
 import type {DocumentResult, NumberedDocument} from '../publish/document-schemas.js';
+import type {Evacuations} from '../publish/evacuation-schemas.js';
 import type {PublishResult} from '../publish/publish-schemas.js';
 import type {KeeperCore} from './keeper-core.js';
-import type {DocumentListener, KeeperListener} from './keeper-options.js';
+import type {DocumentListener, EvacuationListener, KeeperListener} from './keeper-options.js';
 import {getEntrySizeBytes, type LogEntry} from './log-entry.js';
 import {maxAppliedBytes, maxAppliedEntries, retainedEntries} from './keeper-timings.js';
 import type {LogBase} from './store-records.js';
@@ -21,7 +23,10 @@
 	addDocumentListener(listener: DocumentListener): void;
 	/** Finds the document as of the last durable commit index. */
 	findDurableDocument(): NumberedDocument | undefined;
-	/** Starts to deliver versions and documents to listeners. */
+	addEvacuationListener(listener: EvacuationListener): void;
+	/** Gets the evacuations as of the last durable commit index. */
+	getDurableEvacuations(): Evacuations;
+	/** Starts to deliver versions, documents and evacuations to listeners. */
 	startDelivery(): void;
 };
 
@@ -37,6 +42,9 @@
 /** The result of applying an entry that was a publish or a document. */
 export type AppliedResults = {publish?: PublishResult; document?: DocumentResult};
 
+/** What the state machine provides to listeners. */
+type AppliedOutputs = {content: ConfigurationContent; document: NumberedDocument | undefined; evacuations: Evacuations};
+
 type AppliedEntry = {entry: LogEntry; results: AppliedResults};
 
 /**
@@ -48,6 +56,7 @@
 	const {store, machine} = core;
 	const listeners: KeeperListener[] = [];
 	const documentListeners: DocumentListener[] = [];
+	const evacuationListeners: EvacuationListener[] = [];
 	let appliedIndex = 0;
 	let appliedBytes = 0;
 	let deliveredIndex = 0;
@@ -55,9 +64,13 @@
 	let isDelivering = false;
 	let isApplying = false;
 	let targetIndex = 0;
-	let durableContent = machine.getContent();
-	let durableDocument = machine.documents.findDocument();
+	let durable = getOutputs();
 	let deliveredNumber = Number.NEGATIVE_INFINITY;
+	let deliveredRevision = 0;
+
+	function getOutputs(): AppliedOutputs {
+		return {content: machine.getContent(), document: machine.documents.findDocument(), evacuations: machine.evacuations.getEvacuations()};
+	}
 
 	function applyUpTo(index: number): AppliedEntry[] {
 		return store.getEntries(appliedIndex + 1, index - appliedIndex).map(entry => {
@@ -69,6 +82,10 @@
 	}
 
 	function applyEntry({command}: LogEntry): AppliedResults {
+		if (command.type === 'set-evacuation') {
+			machine.evacuations.apply(command.order);
+		}
+
 		return {
 			publish: command.type === 'publish' ? machine.apply(command.proposal) : undefined,
 			document: command.type === 'put-document' ? machine.documents.apply(command.document) : undefined,
@@ -78,10 +95,9 @@
 	function commitUpTo(index: number): void {
 		const previousIndex = store.getCommitIndex();
 		const applied = applyUpTo(index);
-		const content = machine.getContent();
-		const document = machine.documents.findDocument();
+		const outputs = getOutputs();
 		store.setCommitIndex(index, () => {
-			markDurable(index, content, document);
+			markDurable(index, outputs);
 		});
 		onCommitted(previousIndex);
 		compactIfLarge();
@@ -98,38 +114,56 @@
 		}
 	}
 
-	function markDurable(index: number, content: typeof durableContent, document: typeof durableDocument): void {
+	function markDurable(index: number, outputs: AppliedOutputs): void {
 		if (core.isStopped || index <= deliveredIndex) {
 			return;
 		}
 
 		deliveredIndex = index;
-		durableContent = content;
-		durableDocument = document;
+		durable = outputs;
 		deliver();
-		deliverDocument();
 		onDelivered();
 	}
 
+	/** Evacuations go first: a daemon that can serve jobs because it has a configuration then knows them too. */
 	function deliver(): void {
-		if (!isDelivering || durableContent.version <= deliveredVersion) {
+		if (isDelivering) {
+			deliverEvacuations(durable.evacuations);
+			deliverContent(durable.content);
+			deliverDocument(durable.document);
+		}
+	}
+
+	function deliverContent(content: ConfigurationContent): void {
+		if (content.version <= deliveredVersion) {
 			return;
 		}
 
-		deliveredVersion = durableContent.version;
+		deliveredVersion = content.version;
 		for (const listener of listeners) {
-			listener(durableContent);
+			listener(content);
 		}
 	}
 
-	function deliverDocument(): void {
-		if (!isDelivering || durableDocument === undefined || durableDocument.number <= deliveredNumber) {
+	function deliverDocument(document: NumberedDocument | undefined): void {
+		if (document === undefined || document.number <= deliveredNumber) {
 			return;
 		}
 
-		deliveredNumber = durableDocument.number;
+		deliveredNumber = document.number;
 		for (const listener of documentListeners) {
-			listener(durableDocument);
+			listener(document);
+		}
+	}
+
+	function deliverEvacuations(evacuations: Evacuations): void {
+		if (evacuations.revision <= deliveredRevision) {
+			return;
+		}
+
+		deliveredRevision = evacuations.revision;
+		for (const listener of evacuationListeners) {
+			listener(evacuations);
 		}
 	}
 
@@ -142,8 +176,7 @@
 
 		applyUpTo(store.getCommitIndex());
 		deliveredIndex = appliedIndex;
-		durableContent = machine.getContent();
-		durableDocument = machine.documents.findDocument();
+		durable = getOutputs();
 	}
 
 	restore();
@@ -167,30 +200,35 @@
 			machine.setState(state);
 			appliedIndex = base.index;
 			appliedBytes = 0;
-			const content = machine.getContent();
-			const document = machine.documents.findDocument();
+			const outputs = getOutputs();
 			store.installSnapshot(base, state, () => {
-				markDurable(base.index, content, document);
+				markDurable(base.index, outputs);
 				onSynced();
 			});
 		},
 		addListener(listener) {
 			listeners.push(listener);
 			if (deliveredVersion > 0) {
-				listener(durableContent);
+				listener(durable.content);
 			}
 		},
 		addDocumentListener(listener) {
 			documentListeners.push(listener);
-			if (durableDocument?.number === deliveredNumber) {
-				listener(durableDocument);
+			if (durable.document?.number === deliveredNumber) {
+				listener(durable.document);
+			}
+		},
+		findDurableDocument: () => durable.document,
+		addEvacuationListener(listener) {
+			evacuationListeners.push(listener);
+			if (deliveredRevision > 0) {
+				listener(durable.evacuations);
 			}
 		},
-		findDurableDocument: () => durableDocument,
+		getDurableEvacuations: () => durable.evacuations,
 		startDelivery() {
 			isDelivering = true;
 			deliver();
-			deliverDocument();
 		},
 	};
 }
--- a/packages/consensus/src/keeper/keeper-messages.ts
+++ b/packages/consensus/src/keeper/keeper-messages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {documentResultSchema, numberedDocumentSchema} from '../publish/document-schemas.js';
+import {evacuationOrderSchema, evacuationResultSchema} from '../publish/evacuation-schemas.js';
 import {publishProposalSchema, publishResultSchema} from '../publish/publish-schemas.js';
 import {logEntrySchema} from './log-entry.js';
 
@@ -110,6 +111,12 @@
 		requestId: z.string(),
 		result: documentResultSchema,
 	}),
+	z.object({kind: z.literal('consensus.set-evacuation'), order: evacuationOrderSchema}),
+	z.object({
+		kind: z.literal('consensus.set-evacuation-result'),
+		requestId: z.string(),
+		result: evacuationResultSchema,
+	}),
 	z.object({kind: z.literal('consensus.barrier'), nonce: z.string()}),
 	z.object({kind: z.literal('consensus.barrier-answer'), nonce: z.string(), index: z.int()}),
 ]);
--- a/packages/consensus/src/keeper/keeper-options.ts
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -5,6 +5,7 @@
 import type {ConfigurationContent} from '../content/configuration-content.js';
 import type {VersionHistory} from '../content/version-history.js';
 import type {DocumentResult, NumberedDocument} from '../publish/document-schemas.js';
+import type {EvacuationResult, Evacuations} from '../publish/evacuation-schemas.js';
 import type {PublishRequest, PublishResult} from '../publish/publish-schemas.js';
 import type {KeeperRecord} from './keeper-set.js';
 import type {KeeperTimings} from './keeper-timings.js';
@@ -59,6 +60,9 @@
 /** Called with a document that is committed and durable on this keeper. */
 export type DocumentListener = (document: NumberedDocument) => void;
 
+/** Called with the evacuations that are committed and durable on this keeper. */
+export type EvacuationListener = (evacuations: Evacuations) => void;
+
 /** A consensus replica: one of the daemons that replicate the configuration with Raft. */
 export type Keeper = {
 	/** Handles a peer message whose kind starts with `consensus.`. */
@@ -73,6 +77,15 @@
 	findDocument(): NumberedDocument | undefined;
 	/** Calls the listener with the current document, if it can be served yet, and with each later one. */
 	addDocumentListener(listener: DocumentListener): void;
+	/**
+	 * Stores through consensus whether an availability zone is evacuated. `onResult` is called once, within a bounded time,
+	 * unless the keeper is stopped. Orders take effect in the order of the log.
+	 */
+	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void;
+	/** Finds the newest committed evacuations known to this keeper. */
+	findEvacuations(): Evacuations;
+	/** Calls the listener with the current evacuations, if there was an order and they can be served yet, and with each later change. */
+	addEvacuationListener(listener: EvacuationListener): void;
 	/** Calls the listener with the current version, if it can be served yet, and with each later one. */
 	addListener(listener: KeeperListener): void;
 	/** Checks with the leader that this keeper is up to date. The result is true only if the keeper holds every version committed before the call. */
--- a/packages/consensus/src/keeper/keeper.ts
+++ b/packages/consensus/src/keeper/keeper.ts
@@ -1,13 +1,14 @@
 import {createConfigurationMachine} from '../publish/configuration-machine.js';
-import {createDocumentForwarder} from '../publish/document-forwarder.js';
 import {createPublishForwarder} from '../publish/publish-forwarder.js';
-import type {NumberedDocument} from '../publish/document-schemas.js';
+import type {DocumentResult, NumberedDocument} from '../publish/document-schemas.js';
+import {createRequestForwarder} from '../publish/request-forwarder.js';
 import {createAppendHandler} from './append-handler.js';
 import {createApplier} from './applier.js';
 import {createBarrier} from './barrier.js';
 import {createBootstrap} from './bootstrap.js';
 import {createDocumentPublisher} from './document-publisher.js';
 import {createElection} from './election.js';
+import {createEvacuationOrders} from './evacuation-orders.js';
 import {createKeeperChanges} from './keeper-changes.js';
 import {createKeeperCore} from './keeper-core.js';
 import {keeperMessageSchema, type KeeperMessage, type KeeperMessageOf} from './keeper-messages.js';
@@ -44,6 +45,7 @@
 		onApplied(entry, results) {
 			publisher.handleApplied(entry, results.publish);
 			documentPublisher.handleApplied(entry, results.document);
+			evacuationOrders.handleApplied(entry);
 			if (entry.command.type === 'set-keepers') {
 				stepDownIfRemoved();
 			}
@@ -58,6 +60,7 @@
 	const replication = createReplication({core, applier, onProgress: handleProgress});
 	const publisher = createPublisher(core, replication);
 	const documentPublisher = createDocumentPublisher(core, replication);
+	const evacuationOrders = createEvacuationOrders(core, replication);
 	const changes = createKeeperChanges(core, replication);
 	const barrier = createBarrier(core, replication, applier);
 	const election = createElection(core, () => {
@@ -70,11 +73,12 @@
 	const forwarder = createPublishForwarder({
 		timers, random: options.random, getContent: machine.getContent, send: sendProposal,
 	});
-	const documentForwarder = createDocumentForwarder({
+	const documentForwarder = createRequestForwarder<NumberedDocument, DocumentResult>({
 		timers,
 		random: options.random,
 		resendMs: core.timings.documentResendMs,
 		timeoutMs: core.timings.documentTimeoutMs,
+		timeoutResult: {outcome: 'no-majority'},
 		send: sendDocument,
 	});
 	const forwardedRequests = new Set<string>();
@@ -84,6 +88,7 @@
 		replication.stop();
 		publisher.reset();
 		documentPublisher.reset();
+		evacuationOrders.reset();
 		changes.reset();
 	}
 
@@ -274,6 +279,16 @@
 				break;
 			}
 
+			case 'consensus.set-evacuation': {
+				evacuationOrders.handleRequest(fromPeerId, message);
+				break;
+			}
+
+			case 'consensus.set-evacuation-result': {
+				evacuationOrders.handleResult(message);
+				break;
+			}
+
 			case 'consensus.barrier': {
 				barrier.handleRequest(fromPeerId, message);
 				break;
@@ -330,6 +345,9 @@
 		putDocument: documentForwarder.submit,
 		findDocument: applier.findDurableDocument,
 		addDocumentListener: applier.addDocumentListener,
+		setEvacuation: evacuationOrders.setEvacuation,
+		findEvacuations: applier.getDurableEvacuations,
+		addEvacuationListener: applier.addEvacuationListener,
 		addListener: applier.addListener,
 		confirm: barrier.confirm,
 		isSoleConfirmedInZone() {
@@ -364,6 +382,7 @@
 			bootstrap.stop();
 			forwarder.stop();
 			documentForwarder.stop();
+			evacuationOrders.stop();
 		},
 	};
 }
--- a/packages/consensus/src/keeper/log-entry.ts
+++ b/packages/consensus/src/keeper/log-entry.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {numberedDocumentSchema} from '../publish/document-schemas.js';
+import {evacuationOrderSchema} from '../publish/evacuation-schemas.js';
 import {publishProposalSchema} from '../publish/publish-schemas.js';
 import {keeperRecordSchema} from './keeper-set.js';
 
@@ -11,6 +12,8 @@
 	z.object({type: z.literal('set-keepers'), keepers: z.array(keeperRecordSchema)}),
 	z.object({type: z.literal('publish'), proposal: publishProposalSchema}),
 	z.object({type: z.literal('put-document'), document: numberedDocumentSchema}),
+	/** Written only when an operator orders it: a keeper of an earlier version cannot read it. */
+	z.object({type: z.literal('set-evacuation'), order: evacuationOrderSchema}),
 ]);
 
 export const logEntrySchema = z.object({
--- a/packages/consensus/src/publish/configuration-machine.ts
+++ b/packages/consensus/src/publish/configuration-machine.ts
@@ -5,6 +5,8 @@
 import {createVersionHistory, versionRecordSchema, type VersionHistory} from '../content/version-history.js';
 import {createDocumentMachine, type DocumentMachine} from './document-machine.js';
 import {numberedDocumentSchema} from './document-schemas.js';
+import {createEvacuationMachine, type EvacuationMachine} from './evacuation-machine.js';
+import {evacuationStateSchema} from './evacuation-schemas.js';
 import type {PublishProposal, PublishResult} from './publish-schemas.js';
 
 /** The state of the state machine, as stored in a snapshot. */
@@ -14,6 +16,8 @@
 	objects: configurationObjectsSchema,
 	history: z.array(versionRecordSchema),
 	document: numberedDocumentSchema.optional(),
+	/** Omitted before the first order. */
+	evacuations: evacuationStateSchema.optional(),
 });
 
 export type MachineState = z.infer<typeof machineStateSchema>;
@@ -22,6 +26,8 @@
 export type ConfigurationMachine = {
 	/** The documents, which are numbered independently of the versions. */
 	readonly documents: DocumentMachine;
+	/** The evacuated availability zones, with revisions of their own. */
+	readonly evacuations: EvacuationMachine;
 	getContent(): ConfigurationContent;
 	getHistory(): VersionHistory;
 	/** Finds the result of a proposal if it is known without committing it: an earlier publish with the same id, a conflict or an unknown base. */
@@ -36,6 +42,7 @@
 	let content = emptyContent;
 	let history = createVersionHistory();
 	const documents = createDocumentMachine();
+	const evacuations = createEvacuationMachine();
 
 	function findResult(proposal: PublishProposal): PublishResult | undefined {
 		const earlier = history.findPublish(proposal.publishId);
@@ -88,15 +95,19 @@
 
 	return {
 		documents,
+		evacuations,
 		getContent: () => content,
 		getHistory: () => history,
 		findResult,
 		apply,
-		getState: () => ({...content, history: [...history.getRecords()], document: documents.findDocument()}),
+		getState: () => ({
+			...content, history: [...history.getRecords()], document: documents.findDocument(), evacuations: evacuations.findState(),
+		}),
 		setState(state) {
 			content = {version: state.version, digest: state.digest, objects: state.objects};
 			history = createVersionHistory(state.history);
 			documents.setDocument(state.document);
+			evacuations.setState(state.evacuations);
 		},
 	};
 }
