Start no task in an evacuated availability zone, and send its jobs elsewhere

Cause: nothing heeded the evacuations on which the keepers agree. Entry daemons try the other zones, each once, by a weighted hash of the job id; after 4 s without asking the own placer. A placer that was suspended for more than 200 ms handles messages before its first pass. Descriptions have an optional cold time: runs on cold backend servers do not count for estimates, and the check for slow runs leaves out the cold time. The exchanges of configurations and registries move out of create-cluster.ts into modules of their own.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -42,6 +42,11 @@
 export const openJobsIntervalMs = 200;
 /** How long a new job waits for a placer to become known before it is refused. */
 export const placerWaitTimeoutMs = 300;
+/**
+ * How long the jobs of an evacuated availability zone still go through its own placer, which knows the runs of earlier
+ * submissions. All of these are over by then: their callers have timed out, and so have the leases.
+ */
+export const evacuationSettleMs = 4000;
 /** How long the report of a draining backend server waits for the placer to acknowledge it. */
 export const reportTimeoutMs = 700;
 /** How often the report of an unchanged backend server is sent to the other daemons. */
@@ -54,6 +59,8 @@
 export const registryRequestIntervalMs = 100;
 /** Minimum interval between requests for a newer configuration. */
 export const configurationRequestIntervalMs = 300;
+/** Minimum interval between requests for newer evacuations. */
+export const evacuationRequestIntervalMs = 100;
 /** A longer gap between two election checks means that this process was suspended. */
 export const maxElectionGapMs = 200;
 /** How long most backend servers may reject the tokens of a placer before it raises its term. */
--- a/packages/cluster/src/cluster.ts
+++ b/packages/cluster/src/cluster.ts
@@ -1,6 +1,7 @@
 import type {PeerMessage} from '@camphortack/core';
 import type {BackendServerDescription, JobOutcome} from '@camphortack/placement';
 import type {NumberedDocument} from './configuration/latest-document.js';
+import type {Evacuations} from './evacuations/evacuations.js';
 import type {EntryJob, JobSubscription} from './entry/job-submitter.js';
 
 /** The state of the cluster as this daemon sees it, for operators. */
@@ -34,6 +35,11 @@
 	/** Applies a committed configuration if it is newer, and propagates it to the other daemons. */
 	setConfiguration(document: NumberedDocument): void;
 	getConfiguration(): NumberedDocument | undefined;
+	/** Applies the evacuations that the keepers have agreed on, if their revision is higher, and propagates them to the other daemons. */
+	setEvacuations(evacuations: Evacuations): void;
+	getEvacuations(): Evacuations;
+	/** Whether a daemon or a backend server of an availability zone is known. */
+	isZoneKnown(availabilityZone: string): boolean;
 	getStatus(): ClusterStatus;
 	/** Announces to the other daemons that this one is leaving, so that another placer is elected. */
 	startLeaving(): void;
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -1,19 +1,21 @@
 import type {PeerMessage} from '@camphortack/core';
-import {placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
+import {decodeOutcome, placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
 import {
-	configurationRequestIntervalMs, electionIntervalMs, memberTimeoutMs, reportIntervalMs, serverRefreshIntervalMs,
+	electionIntervalMs, reportIntervalMs, serverRefreshIntervalMs,
 } from './cluster-timings.js';
-import {createLatestDocument} from './configuration/latest-document.js';
+import {createConfigurationExchange} from './configuration/configuration-exchange.js';
 import {createPlacerElection} from './election/placer-election.js';
 import type {PlacerView} from './election/placer-view.js';
 import {createJobSubmitter} from './entry/job-submitter.js';
+import {createEvacuationExchange} from './evacuations/evacuation-exchange.js';
 import {createHeartbeatSender} from './members/heartbeat-sender.js';
 import {createMemberTable, type ClusterMember} from './members/member-table.js';
 import {clusterMessageSchema, type ClusterMessage, type ClusterMessageOf} from './messages/cluster-messages.js';
 import {createLocalPlacer} from './placing/local-placer.js';
 import {createRelay} from './relay/relay.js';
+import {createRegistryExchange} from './registry/registry-exchange.js';
 import {createRegistrySources} from './registry/registry-sources.js';
 import {createServerRegistry} from './registry/server-registry.js';
 import {createRegistryReplicator} from './registry/registry-replicator.js';
@@ -29,16 +31,24 @@
 	const ownIncarnation = random.getIdentifier();
 	const members = createMemberTable(ownId, options.seedIds, timers);
 	const registry = createServerRegistry(timers);
-	let configurationRequestedAtMs = Number.NEGATIVE_INFINITY;
-
-	const latestDocument = createLatestDocument(document => {
-		metrics.setGauge('configuration-version', document.number);
-		events.write('configuration-in-force', {version: document.number, bytes: document.content.length});
-		options.onConfiguration(document);
-		heartbeatSender.sendAll();
+	const configuration = createConfigurationExchange({
+		...options,
+		send,
+		onConfiguration(document) {
+			options.onConfiguration(document);
+			heartbeatSender.sendAll();
+		},
+	});
+	const evacuations = createEvacuationExchange({
+		...options,
+		send,
+		onChange() {
+			localPlacer.setEvacuatedZones(evacuations.getEvacuations().availabilityZones);
+			heartbeatSender.sendAll();
+		},
 	});
 	const hints = options.hintStore?.findHints() ?? {term: 0, isDivided: false};
-	const shards = createShardMap({...options, wasDivided: hints.isDivided});
+	const shards = createShardMap({...options, wasDivided: hints.isDivided, isEvacuated: evacuations.isEvacuated});
 	const relay = createRelay({ownId, peers, members});
 	const localPlacer = createLocalPlacer({
 		...options,
@@ -88,6 +98,7 @@
 		isPlacerOverdue: election.isPlacerOverdue,
 		getIncarnation: daemonId => daemonId === ownId ? ownIncarnation : members.findMember(daemonId)?.incarnation ?? '',
 		getRegistryDigest,
+		findEvacuatedMs: () => (shards.isDivided() ? evacuations.findEvacuatedMs(options.availabilityZone) : undefined),
 		sendToPlacer: (shard: string, message: PlacementMessage) => relay.sendTo(getPlacerView(shard).placerId, message),
 	});
 	const heartbeatSender = createHeartbeatSender({
@@ -102,7 +113,8 @@
 			view: election.getView(),
 			hearsPlacer: election.hearsPlacer(),
 			isLeaving: election.isLeaving(),
-			configurationNumber: latestDocument.getNumber(),
+			configurationNumber: configuration.getNumber(),
+			evacuationRevision: evacuations.findRevision(),
 		}),
 	});
 	const registryReplicator = createRegistryReplicator({
@@ -118,6 +130,17 @@
 		},
 	});
 
+	const registryExchange = createRegistryExchange({
+		...options,
+		registry,
+		members,
+		replicator: registryReplicator,
+		isDivided: shards.isDivided,
+		needsServersOf,
+		getDigest: getRegistryDigest,
+		send,
+	});
+
 	function getPlacerView(shard: string): PlacerView {
 		return shard === shards.getOwnShard() ? election.getView() : shards.findOtherView(shard) ?? {term: 0, placerId: ''};
 	}
@@ -172,10 +195,10 @@
 		if (isNew) {
 			events.write('member-joined', {member: fromId, availabilityZone: heartbeat.availabilityZone, upMs: heartbeat.upMs});
 			heartbeatSender.replyToNewMember(fromId);
-			requestRegistry(fromId, heartbeat);
+			registryExchange.requestRegistry(fromId, heartbeat);
 		} else {
 			heartbeatSender.replyIfDue(fromId);
-			sendMissedReports(fromId, silenceMs);
+			registryExchange.sendMissedReports(fromId, silenceMs);
 		}
 
 		for (const memberId of heartbeat.memberIds ?? []) {
@@ -183,9 +206,9 @@
 		}
 
 		heartbeatSender.handleReportedSilence(fromId, heartbeat.silenceMs);
-		if (heartbeat.configurationNumber > latestDocument.getNumber()) {
-			requestConfiguration(fromId);
-		}
+		// Evacuations come first: a daemon that serves jobs because it has a configuration then knows them too.
+		evacuations.handleRevision(fromId, heartbeat.evacuationRevision);
+		configuration.handleNumber(fromId, heartbeat.configurationNumber);
 
 		divideIfDue(heartbeat.shard !== globalShard);
 		updatePlacerView(fromId, heartbeat);
@@ -194,31 +217,6 @@
 		}
 	}
 
-	function sendMissedReports(memberId: string, silenceMs: number): void {
-		if (silenceMs >= memberTimeoutMs) {
-			registryReplicator.sendMissedReports(members.findMember(memberId)!, timers.getNowMs() - silenceMs);
-		}
-	}
-
-	/**
-	 * Any daemon may become the placer and then needs the registry. Keepers have all of it, so other daemons are asked only
-	 * if no keeper is heard.
-	 */
-	function requestRegistry(fromId: string, {isKeeper, availabilityZone}: ClusterMessageOf<'cluster.heartbeat'>): void {
-		const isRemote = shards.isDivided() && availabilityZone !== options.availabilityZone;
-		const hearsKeeper = members.getAliveMembers().some(member => member.isKeeper);
-		if (isKeeper ? options.isKeeper || !isRemote : !hearsKeeper) {
-			send(fromId, {kind: 'cluster.registry-request'});
-		}
-	}
-
-	/** Sends a daemon the descriptions of the backend servers that it needs, or all of them if the daemon is not known yet. */
-	function answerRegistryRequest(fromId: string): void {
-		const member = members.findMember(fromId);
-		const descriptions = registry.getDescriptions().filter(({availabilityZone}) => member === undefined || needsServersOf(member, availabilityZone));
-		send(fromId, {kind: 'cluster.registry', descriptions, digest: getRegistryDigest()});
-	}
-
 	function updatePlacerView(fromId: string, {shard, term, placerId, loadMs}: ClusterMessageOf<'cluster.heartbeat'>): void {
 		if (shard === shards.getOwnShard()) {
 			election.handleView({term, placerId}, fromId);
@@ -227,21 +225,6 @@
 		}
 	}
 
-	function requestConfiguration(fromId: string): void {
-		const nowMs = timers.getNowMs();
-		if (nowMs - configurationRequestedAtMs >= configurationRequestIntervalMs) {
-			configurationRequestedAtMs = nowMs;
-			send(fromId, {kind: 'cluster.configuration-request', knownNumber: latestDocument.getNumber()});
-		}
-	}
-
-	function answerConfigurationRequest(fromId: string, knownNumber: number): void {
-		const document = latestDocument.getDocument();
-		if (document !== undefined && document.number > knownNumber) {
-			send(fromId, {kind: 'cluster.configuration', ...document});
-		}
-	}
-
 	function handleClusterMessage(fromId: string, message: ClusterMessage): void {
 		switch (message.kind) {
 			case 'cluster.heartbeat': {
@@ -265,7 +248,7 @@
 			}
 
 			case 'cluster.registry-request': {
-				answerRegistryRequest(fromId);
+				registryExchange.answerRequest(fromId);
 				break;
 			}
 
@@ -276,12 +259,22 @@
 			}
 
 			case 'cluster.configuration-request': {
-				answerConfigurationRequest(fromId, message.knownNumber);
+				configuration.answerRequest(fromId, message.knownNumber);
 				break;
 			}
 
 			case 'cluster.configuration': {
-				latestDocument.setDocument({number: message.number, content: message.content});
+				configuration.setDocument({number: message.number, content: message.content});
+				break;
+			}
+
+			case 'cluster.evacuations-request': {
+				evacuations.answerRequest(fromId, message.knownRevision);
+				break;
+			}
+
+			case 'cluster.evacuations': {
+				evacuations.setEvacuations({revision: message.revision, availabilityZones: message.availabilityZones});
 				break;
 			}
 
@@ -301,7 +294,7 @@
 	function handlePlacementMessage(fromId: string, message: PlacementMessage): void {
 		switch (message.kind) {
 			case 'placement.result': {
-				jobSubmitter.handleResult(message.jobId, message.result);
+				jobSubmitter.handleResult(message.jobId, decodeOutcome(message.result));
 				break;
 			}
 
@@ -374,8 +367,11 @@
 				members.addContact(contactId);
 			}
 		},
-		setConfiguration: latestDocument.setDocument,
-		getConfiguration: latestDocument.getDocument,
+		setConfiguration: configuration.setDocument,
+		getConfiguration: configuration.getDocument,
+		setEvacuations: evacuations.setEvacuations,
+		getEvacuations: evacuations.getEvacuations,
+		isZoneKnown: zone => zone === options.availabilityZone || members.hasZone(zone) || registry.getDescriptions().some(({availabilityZone}) => availabilityZone === zone),
 		getStatus: () => ({
 			...election.getView(),
 			hearsPlacer: election.hearsPlacer(),
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -4,7 +4,7 @@
 import type {
 	JobHandover, JobOutcome, JobRequest, PlacementMessage,
 } from '@camphortack/placement';
-import {openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
+import {evacuationSettleMs, openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
 import {isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
 import {createJobCancellations} from './job-cancellations.js';
@@ -53,6 +53,8 @@
 	getIncarnation: (daemonId: string) => string;
 	/** Gets the digest of the own registry of backend servers. */
 	getRegistryDigest: () => string;
+	/** Gets for how long the availability zone of this daemon, if it has a placer of its own, is known to be evacuated; undefined if it is not. */
+	findEvacuatedMs: () => number | undefined;
 	/** Sends a message to the placer of a shard, relayed if necessary. Returns false if there is no route. */
 	sendToPlacer: (shard: string, message: PlacementMessage) => boolean;
 };
@@ -62,8 +64,10 @@
 	submissionId: string;
 	/** The shard to whose placer the job is submitted. */
 	shard: string;
-	/** Whether the placer of this daemon's shard refused the job and it was forwarded to another shard. */
+	/** Whether the job was forwarded to another shard. */
 	wasForwarded: boolean;
+	/** The shards that the job was forwarded to because an availability zone is evacuated. */
+	readonly divertedTo: Set<string>;
 	readonly arrivedAtMs: number;
 	readonly callers: Set<(result: JobOutcome) => void>;
 	/** The placer to which the job was last submitted. */
@@ -78,14 +82,18 @@
 
 type PlacerIncarnation = JobHandover['placers'][number];
 
+/** Why a job is forwarded to another shard. */
+type ForwardReason = 'overload' | 'placer-overdue' | 'evacuated';
+
 const retryAfterMs = 1000;
+const retryAfterJitterMs = 2000;
 
 /**
  * Creates the submitter.
  * @param options - The dependencies and the connection to the placers.
  */
 export function createJobSubmitter(options: JobSubmitterOptions): JobSubmitter {
-	const {timers, random, events, metrics, shards, getPlacerView, isPlacerOverdue, sendToPlacer} = options;
+	const {timers, random, events, metrics, shards, getPlacerView, isPlacerOverdue, findEvacuatedMs, sendToPlacer} = options;
 	const openJobs = new Map<string, OpenJob>();
 	const cancellations = createJobCancellations(timers);
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
@@ -167,12 +175,13 @@
 		}
 	}
 
-	function addJob(job: EntryJob): OpenJob {
+	function createOpenJob(job: EntryJob): OpenJob {
 		const open: OpenJob = {
 			job,
 			submissionId: random.getIdentifier(),
 			shard: shards.getOwnShard(),
 			wasForwarded: false,
+			divertedTo: new Set(),
 			arrivedAtMs: timers.getNowMs(),
 			callers: new Set(),
 			submittedTo: undefined,
@@ -187,14 +196,20 @@
 			}
 		});
 		openJobs.set(job.jobId, open);
-		sendJob(open);
-		if (open.submittedTo === undefined) {
-			forwardIfPossible(open);
-		}
-
 		return open;
 	}
 
+	function startJob(open: OpenJob): void {
+		if ((findEvacuatedMs() ?? 0) < evacuationSettleMs) {
+			sendJob(open);
+			if (open.submittedTo === undefined) {
+				forwardIfPossible(open, 'placer-overdue');
+			}
+		} else if (!divert(open)) {
+			endJob(open.job.jobId, {outcome: 'refused', reason: 'evacuated', retryAfterMs: Math.round(retryAfterMs + (random.getFraction() * retryAfterJitterMs))});
+		}
+	}
+
 	function endJob(jobId: string, result: JobOutcome): void {
 		const open = openJobs.get(jobId);
 		if (open === undefined) {
@@ -223,21 +238,49 @@
 		}
 	}
 
-	function isOverload(result: JobOutcome): boolean {
-		return result.outcome === 'refused' && result.reason === 'overload';
+	/** Forwards a job that was refused for a reason that does not hold elsewhere. Returns false if no shard may take it. */
+	function forwardRefused(open: OpenJob, result: JobOutcome): boolean {
+		const reason = result.outcome === 'refused' ? result.reason : undefined;
+		if (reason === 'evacuated' || (reason === 'overload' && open.divertedTo.size > 0)) {
+			return divert(open);
+		}
+
+		return reason === 'overload' && forwardIfPossible(open, 'overload');
 	}
 
 	/**
 	 * Forwards a job to an idle shard, once, and only if it cannot have started: its own placer has refused it for overload, or
 	 * is overdue and was never sent the job. Returns false if there is no such shard, or no route to it.
 	 */
-	function forwardIfPossible(open: OpenJob): boolean {
+	function forwardIfPossible(open: OpenJob, reason: ForwardReason): boolean {
+		if (findEvacuatedMs() !== undefined) {
+			return divert(open);
+		}
+
 		const shard = open.wasForwarded || open.generation > 0 ? undefined : shards.findIdleShard();
-		return shard !== undefined && forward(open, shard);
+		return shard !== undefined && forward(open, shard, reason);
+	}
+
+	/**
+	 * Forwards a job that cannot be placed because its availability zone is evacuated, to one shard after the other until one
+	 * takes it. It cannot have started: each placer before has refused it, or was never sent it.
+	 */
+	function divert(open: OpenJob): boolean {
+		const shard = open.generation > 0 ? undefined : shards.findOpenShard(open.job.jobId, open.divertedTo);
+		if (shard === undefined) {
+			return false;
+		}
+
+		if (open.divertedTo.size === 0) {
+			metrics.increment('job-diverted');
+		}
+
+		open.divertedTo.add(shard);
+		return forward(open, shard, 'evacuated') || divert(open);
 	}
 
-	function forward(open: OpenJob, shard: string): boolean {
-		const ownShard = open.shard;
+	function forward(open: OpenJob, shard: string, reason: ForwardReason): boolean {
+		const {shard: previousShard, wasForwarded: wasForwardedBefore} = open;
 		open.shard = shard;
 		open.wasForwarded = true;
 		open.submittedTo = undefined;
@@ -245,13 +288,13 @@
 		open.submissionId = random.getIdentifier();
 		sendJob(open);
 		if (open.submittedTo === undefined) {
-			open.shard = ownShard;
-			open.wasForwarded = false;
+			open.shard = previousShard;
+			open.wasForwarded = wasForwardedBefore;
 			return false;
 		}
 
 		events.write('job-forwarded', {
-			job: open.job.jobId, queue: open.job.queueName, shard, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
+			job: open.job.jobId, queue: open.job.queueName, shard, reason, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
 		});
 		return true;
 	}
@@ -280,8 +323,13 @@
 
 	return {
 		submit(job, onResult) {
-			const open = openJobs.get(job.jobId) ?? addJob(job);
+			const known = openJobs.get(job.jobId);
+			const open = known ?? createOpenJob(job);
 			open.callers.add(onResult);
+			if (known === undefined) {
+				startJob(open);
+			}
+
 			return {
 				unsubscribe() {
 					removeCaller(open, onResult);
@@ -296,7 +344,7 @@
 		},
 		handleResult(jobId, result) {
 			const open = openJobs.get(jobId);
-			if (open === undefined || !isOverload(result) || !forwardIfPossible(open)) {
+			if (open === undefined || !forwardRefused(open, result)) {
 				endJob(jobId, result);
 			}
 		},
--- a/packages/cluster/src/members/heartbeat-sender.ts
+++ b/packages/cluster/src/members/heartbeat-sender.ts
@@ -15,6 +15,7 @@
 	hearsPlacer: boolean;
 	isLeaving: boolean;
 	configurationNumber: number;
+	evacuationRevision: number | undefined;
 };
 
 /** Sends this daemon's heartbeats, and resets links that fail silently. */
--- a/packages/cluster/src/members/member-table.ts
+++ b/packages/cluster/src/members/member-table.ts
@@ -19,6 +19,8 @@
 	findMember(memberId: string): ClusterMember | undefined;
 	/** Gets the time since the last heartbeat of a daemon; infinite if there was none. */
 	getSilenceMs(memberId: string): number;
+	/** Whether a daemon of an availability zone has ever sent a heartbeat to this one. */
+	hasZone(availabilityZone: string): boolean;
 	/** Gets the daemons with a recent heartbeat. */
 	getAliveMembers(): ClusterMember[];
 	/** Whether all seeds are alive. */
@@ -73,6 +75,7 @@
 			const member = members.get(memberId);
 			return member === undefined ? Number.POSITIVE_INFINITY : timers.getNowMs() - member.lastHeartbeatAtMs;
 		},
+		hasZone: availabilityZone => [...members.values()].some(member => member.availabilityZone === availabilityZone),
 		getAliveMembers: () => [...members.values()].filter(member => isAlive(member)),
 		hearsAllSeeds: () => [...otherSeedIds].every(id => members.has(id) && isAlive(members.get(id)!)),
 		getCountedMembers: () => [...members.values()].filter(member => isCounted(member)),
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {peerMessageSchema} from '@camphortack/core';
 import {backendServerDescriptionSchema} from '@camphortack/placement';
+import {evacuationsSchema} from '../evacuations/evacuations.js';
 
 /** Messages between the daemons of a deployment. */
 export const clusterMessageSchema = z.discriminatedUnion('kind', [
@@ -23,6 +24,8 @@
 		hearsPlacer: z.boolean(),
 		isLeaving: z.boolean(),
 		configurationNumber: z.int(),
+		/** The revision of the evacuations that the sender knows; omitted before the first order. */
+		evacuationRevision: z.int().optional(),
 		/** Time since the sender last received a heartbeat from the receiver; set only if that is long. */
 		silenceMs: z.number().optional(),
 		/** Daemons that the sender hears; included at intervals. */
@@ -45,6 +48,8 @@
 	}),
 	z.object({kind: z.literal('cluster.configuration-request'), knownNumber: z.int()}),
 	z.object({kind: z.literal('cluster.configuration'), number: z.int(), content: z.string()}),
+	z.object({kind: z.literal('cluster.evacuations-request'), knownRevision: z.int()}),
+	z.object({kind: z.literal('cluster.evacuations'), ...evacuationsSchema.shape}),
 	/** Asks the receiver to forward a message to a daemon that the sender does not hear. */
 	z.object({kind: z.literal('cluster.relay'), toId: z.string(), message: peerMessageSchema}),
 	z.object({kind: z.literal('cluster.relayed'), fromId: z.string(), message: peerMessageSchema}),
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@camphortack/core';
 import {
-	createPlacer, type BackendServerDescription, type Placer, type PlacementMessage, type ServerSources,
+	createPlacer, encodeOutcome, type BackendServerDescription, type Placer, type PlacementMessage, type ServerSources,
 } from '@camphortack/placement';
 import type {ClusterOptions} from '../cluster-options.js';
 import {entryTimeoutMs} from '../cluster-timings.js';
@@ -14,6 +14,8 @@
 	stop(reason: string): void;
 	/** Sets the backend servers to claim, and the number of others, which this placer must not claim. */
 	setServers(descriptions: readonly BackendServerDescription[], unclaimableCount: number): void;
+	/** Sets the availability zones in which nothing is started, in this term and later ones. */
+	setEvacuatedZones(availabilityZones: readonly string[]): void;
 	/** Gets the ids of the backend servers that respond, or on which tasks may still run. */
 	getServerIdsInUse(): Set<string>;
 	handleMessage(fromId: string, message: PlacementMessage): void;
@@ -40,6 +42,7 @@
 	const {timers, events, send} = options;
 	const entryActivity = createEntryActivityTracker(timers);
 	let placer: Placer | undefined;
+	let evacuatedZones: readonly string[] = [];
 	timers.addInterval(entryTimeoutMs / 2, endJobsOfSilentEntries);
 
 	function endJobsOfSilentEntries(): void {
@@ -85,7 +88,7 @@
 			if (result === undefined) {
 				unknownIds.push(jobId);
 			} else if (result !== 'open') {
-				send(fromId, {kind: 'placement.result', jobId, result});
+				send(fromId, {kind: 'placement.result', jobId, result: encodeOutcome(result)});
 			}
 		}
 
@@ -101,9 +104,10 @@
 				...options,
 				term,
 				onResult(entryId, jobId, result) {
-					send(entryId, {kind: 'placement.result', jobId, result});
+					send(entryId, {kind: 'placement.result', jobId, result: encodeOutcome(result)});
 				},
 			});
+			placer.setEvacuatedZones(evacuatedZones);
 		},
 		stop(reason) {
 			if (placer !== undefined) {
@@ -115,6 +119,10 @@
 		setServers(descriptions, unclaimableCount) {
 			placer?.setServers(descriptions, unclaimableCount);
 		},
+		setEvacuatedZones(availabilityZones) {
+			evacuatedZones = availabilityZones;
+			placer?.setEvacuatedZones(availabilityZones);
+		},
 		getServerIdsInUse() {
 			const statuses = placer?.getServerStatuses() ?? [];
 			return new Set(statuses.filter(status => status.state !== 'silent' || status.runCount > 0).map(status => status.id));
--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -74,7 +74,7 @@
 			}
 		},
 		findDescription: serverId => entries.get(serverId)?.description,
-		getDescriptions: () => [...entries.values()].map(({description}) => description),
+		getDescriptions: () => [...entries.values()].map(entry => getAgedDescription(entry, timers.getNowMs())),
 		getDigest(availabilityZone = '') {
 			const digest = digests.get(availabilityZone) ?? computeDigest(availabilityZone);
 			digests.set(availabilityZone, digest);
@@ -102,5 +102,15 @@
 }
 
 function isSameExceptSequence(left: BackendServerDescription, right: BackendServerDescription): boolean {
-	return JSON.stringify({...left, sequence: 0}) === JSON.stringify({...right, sequence: 0});
+	return JSON.stringify(getComparable(left)) === JSON.stringify(getComparable(right));
+}
+
+/** The remaining cold time differs in each heartbeat; only its begin and end are changes. */
+function getComparable(description: BackendServerDescription): unknown {
+	return {...description, sequence: 0, coldMs: description.coldMs === undefined ? undefined : 0};
+}
+
+/** Gets a description in which the remaining cold time is that of now. */
+function getAgedDescription({description, receivedAtMs}: RegistryEntry, nowMs: number): BackendServerDescription {
+	return description.coldMs === undefined ? description : {...description, coldMs: Math.max(0, description.coldMs - (nowMs - receivedAtMs))};
 }
--- a/packages/cluster/src/shards/shard-map.ts
+++ b/packages/cluster/src/shards/shard-map.ts
@@ -1,6 +1,7 @@
 import type {RandomSource, TimerService} from '@camphortack/core';
 import {memberTimeoutMs, shardTimeoutMs} from '../cluster-timings.js';
 import {isNewerView, isSameView, type PlacerView} from '../election/placer-view.js';
+import {chooseShard} from './choose-shard.js';
 
 /** The shard of all backend servers, for deployments that a single placer can serve. */
 export const globalShard = '';
@@ -18,8 +19,10 @@
 	/** Updates the placer of another shard; the expected wait of jobs there is known only from the placer itself. */
 	updateOtherShard(shard: string, view: PlacerView, loadMs: number | undefined): void;
 	findOtherView(shard: string): PlacerView | undefined;
-	/** Finds another shard whose placer was heard recently and has a short expected wait. */
+	/** Finds another shard whose placer was heard recently and has a short expected wait. One that is evacuated never counts as idle. */
 	findIdleShard(): string | undefined;
+	/** Finds another shard that is not evacuated for a job that cannot be placed here, preferably one with a short expected wait. */
+	findOpenShard(jobId: string, excludedShards: ReadonlySet<string>): string | undefined;
 	/** Whether the placer of another shard was heard recently enough for its jobs to be still in progress. */
 	isHeard(shard: string): boolean;
 };
@@ -29,6 +32,8 @@
 	availabilityZone: string;
 	/** Whether the deployment was divided before this daemon restarted. */
 	wasDivided: boolean;
+	/** Whether an availability zone is evacuated. */
+	isEvacuated: (availabilityZone: string) => boolean;
 	timers: TimerService;
 	random: RandomSource;
 };
@@ -56,12 +61,12 @@
  *
  * @example
  * ```ts
- * const shards = createShardMap({availabilityZone: 'north', wasDivided: true, timers, random});
+ * const shards = createShardMap({availabilityZone: 'north', wasDivided: true, isEvacuated: () => false, timers, random});
  * shards.updateOtherShard('south', {term: 1, placerId: '10.2.0.4'}, 0);
  * shards.findIdleShard(); // 'south'
  * ```
  */
-export function createShardMap({availabilityZone, wasDivided, timers, random}: ShardMapOptions): ShardMap {
+export function createShardMap({availabilityZone, wasDivided, isEvacuated, timers, random}: ShardMapOptions): ShardMap {
 	const others = new Map<string, OtherShard>();
 	let isDivided = wasDivided;
 
@@ -69,6 +74,13 @@
 		return timers.getNowMs() - (others.get(shard)?.announcedAtMs ?? Number.NEGATIVE_INFINITY);
 	}
 
+	/** Gets the shards that may take jobs, with the waits that their placers have announced recently. */
+	function getOpenShards(): Array<{shard: string; waitMs: number}> {
+		return [...others]
+			.filter(([shard, {view, loadMs}]) => view.placerId !== '' && Number.isFinite(loadMs) && getSilenceMs(shard) < memberTimeoutMs && !isEvacuated(shard))
+			.map(([shard, {loadMs}]) => ({shard, waitMs: loadMs}));
+	}
+
 	return {
 		getOwnShard: () => (isDivided ? availabilityZone : globalShard),
 		isDivided: () => isDivided,
@@ -94,9 +106,13 @@
 		},
 		findOtherView: shard => others.get(shard)?.view,
 		findIdleShard() {
-			const idle = [...others].filter(([shard, {view, loadMs}]) => view.placerId !== '' && loadMs < idleLoadMs && getSilenceMs(shard) < memberTimeoutMs);
-			const weights = idle.map(([, {loadMs}]) => idleLoadMs - loadMs);
-			return idle[findWeightedPosition(weights, random)]?.[0];
+			const idle = getOpenShards().filter(({waitMs}) => waitMs < idleLoadMs);
+			const weights = idle.map(({waitMs}) => idleLoadMs - waitMs);
+			return idle[findWeightedPosition(weights, random)]?.shard;
+		},
+		findOpenShard(jobId, excludedShards) {
+			const candidates = getOpenShards().filter(({shard}) => !excludedShards.has(shard));
+			return chooseShard(jobId, candidates.map(({shard, waitMs}) => ({shard, weight: 1 / (idleLoadMs + waitMs)})));
 		},
 		isHeard: shard => getSilenceMs(shard) < shardTimeoutMs,
 	};
--- a/packages/consensus/src/keeper/evacuation-orders.ts
+++ b/packages/consensus/src/keeper/evacuation-orders.ts
@@ -9,8 +9,7 @@
 export type EvacuationOrders = {
 	/** Stores an order through consensus; calls back once, within a bounded time, unless the keeper is stopped. */
 	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void;
-	handleRequest(fromPeerId: string, message: KeeperMessageOf<'consensus.set-evacuation'>): void;
-	handleResult(message: KeeperMessageOf<'consensus.set-evacuation-result'>): void;
+	handleMessage(fromPeerId: string, message: KeeperMessageOf<'consensus.set-evacuation' | 'consensus.set-evacuation-result'>): void;
 	handleApplied(entry: LogEntry): void;
 	/** Discards the orders in flight, since this keeper is no longer the leader. */
 	reset(): void;
@@ -86,16 +85,16 @@
 		setEvacuation(availabilityZone, isEvacuated, onResult) {
 			forwarder.submit({availabilityZone, isEvacuated}, onResult);
 		},
-		handleRequest(fromPeerId, {order}) {
-			if (core.role === 'leader') {
+		handleMessage(fromPeerId, message) {
+			if (message.kind === 'consensus.set-evacuation-result') {
+				forwarder.handleResult(message.requestId, message.result);
+			} else if (core.role === 'leader') {
+				const {order} = message;
 				handleOrder(order, result => {
 					core.send(fromPeerId, {kind: 'consensus.set-evacuation-result', requestId: order.requestId, result});
 				});
 			}
 		},
-		handleResult({requestId, result}) {
-			forwarder.handleResult(requestId, result);
-		},
 		handleApplied({index}) {
 			const ended = inFlight.get(index);
 			inFlight.delete(index);
--- a/packages/consensus/src/keeper/keeper.ts
+++ b/packages/consensus/src/keeper/keeper.ts
@@ -279,16 +279,6 @@
 				break;
 			}
 
-			case 'consensus.set-evacuation': {
-				evacuationOrders.handleRequest(fromPeerId, message);
-				break;
-			}
-
-			case 'consensus.set-evacuation-result': {
-				evacuationOrders.handleResult(message);
-				break;
-			}
-
 			case 'consensus.barrier': {
 				barrier.handleRequest(fromPeerId, message);
 				break;
@@ -298,6 +288,12 @@
 				barrier.handleAnswer(message);
 				break;
 			}
+
+			case 'consensus.set-evacuation':
+			case 'consensus.set-evacuation-result': {
+				evacuationOrders.handleMessage(fromPeerId, message);
+				break;
+			}
 		}
 	}
 
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -92,7 +92,7 @@
 		number: 1213, level: 'info', summary: 'The caller closed the connection before the response; the job was stopped.', action: 'None.',
 	},
 	'job-forwarded': {
-		number: 1214, level: 'info', summary: 'The placer of the zone had no capacity for a job, so the job was forwarded to the placer of another zone.', action: 'None.',
+		number: 1214, level: 'info', summary: 'A job was forwarded to the placer of another zone.', action: 'Read the reason.',
 	},
 	'job-left-open': {
 		number: 1215,
@@ -127,6 +127,18 @@
 	'configuration-stale': {
 		number: 1301, level: 'warning', summary: 'No keeper has responded for some time; the last known version stays in force.', action: 'Check for a network partition.',
 	},
+	'evacuation-ordered': {
+		number: 1304, level: 'info', summary: 'An operator ordered the evacuation of an availability zone, or withdrew it.', action: 'None; wait for event 1305.',
+	},
+	'evacuation-answered': {
+		number: 1305, level: 'info', summary: 'An order to evacuate an availability zone, or its withdrawal, was answered.', action: 'If no majority of the keepers has stored it, send it again.',
+	},
+	'evacuation-in-force': {
+		number: 1306, level: 'info', summary: 'This daemon knows that an availability zone is evacuated: no task starts there any more.', action: 'None.',
+	},
+	'evacuation-ended': {
+		number: 1307, level: 'info', summary: 'This daemon knows that an availability zone is no longer evacuated.', action: 'None.',
+	},
 	'peer-connected': {
 		number: 1400, level: 'info', summary: 'A connection to another daemon was established.', action: 'None.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -54,6 +54,8 @@
 	'job-outcome-failed': 'Jobs reported to the caller as failed.',
 	'job-outcome-refused': 'Jobs refused before any of their tasks ran.',
 	'job-outcome-unknown': 'Jobs for which it is unknown whether they ran.',
+	'job-diverted': 'Jobs forwarded to another availability zone because theirs is evacuated.',
+	'evacuated-zones': 'Availability zones that are evacuated, as far as this daemon knows.',
 	'job-abandoned': 'Jobs stopped because the caller closed the connection.',
 	'placed-job-time': 'Time from arrival to the end of a job at the placer, in milliseconds.',
 	'task-slow': 'Runs stopped because another backend server was expected to finish the task sooner.',
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,6 @@
 export type * from './jobs/job-handover.js';
 export * from './jobs/job-request.js';
+export * from './messages/job-outcome.js';
 export * from './messages/placement-messages.js';
 export * from './placer/create-placer.js';
 export type * from './placer/placer.js';
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -1,19 +1,7 @@
 import {z} from 'zod';
 import {jobHandoverSchema} from '../jobs/job-handover.js';
 import {jobRequestSchema} from '../jobs/job-request.js';
-
-/** Why a job was refused before any of its tasks ran. */
-export const refusalReasonSchema = z.enum(['overload', 'too-late', 'no-capacity', 'no-placer', 'stopping', 'unsupported', 'no-configuration']);
-
-/** The result of a job as known to the placer. */
-export const jobOutcomeSchema = z.discriminatedUnion('outcome', [
-	z.object({outcome: z.literal('completed')}),
-	z.object({outcome: z.literal('failed'), reason: z.enum(['attempts-used', 'cancelled'])}),
-	/** No task of the job has run. */
-	z.object({outcome: z.literal('refused'), reason: refusalReasonSchema, retryAfterMs: z.number()}),
-	/** Tasks may have run, but their state cannot be determined. */
-	z.object({outcome: z.literal('unknown')}),
-]);
+import {wireOutcomeSchema} from './job-outcome.js';
 
 /** Messages between entry daemons and the placer. */
 export const placementMessageSchema = z.discriminatedUnion('kind', [
@@ -32,7 +20,7 @@
 		/** Set if the job was submitted to a placer before. */
 		handover: jobHandoverSchema.optional(),
 	}),
-	z.object({kind: z.literal('placement.result'), jobId: z.string(), result: jobOutcomeSchema}),
+	z.object({kind: z.literal('placement.result'), jobId: z.string(), result: wireOutcomeSchema}),
 	z.object({kind: z.literal('placement.cancel'), jobId: z.string()}),
 	z.object({kind: z.literal('placement.cancelled'), jobId: z.string()}),
 	/** The jobs whose results a daemon waits for. The placer replies with the results of those that have ended. */
@@ -41,7 +29,5 @@
 	z.object({kind: z.literal('placement.unknown-jobs'), jobIds: z.array(z.string())}),
 ]);
 
-export type RefusalReason = z.infer<typeof refusalReasonSchema>;
-export type JobOutcome = z.infer<typeof jobOutcomeSchema>;
 export type PlacementMessage = z.infer<typeof placementMessageSchema>;
 export type PlacementMessageOf<Kind extends PlacementMessage['kind']> = Extract<PlacementMessage, {kind: Kind}>;
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -4,12 +4,14 @@
 import {
 	getStartableTasks, isDone, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
-import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
+import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
+import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {ServerSources} from '../ports/server-sources.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createJobTable} from './job-table.js';
+import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
 import {createJobRecovery} from './job-recovery.js';
 import type {Placer} from './placer.js';
@@ -35,6 +37,8 @@
 /** Scheduling passes requested within this interval are combined into one. */
 const minPassIntervalMs = 2;
 const maxPassIntervalMs = 50;
+/** A longer gap between two passes means that this process was suspended. */
+const maxPassGapMs = 200;
 const minRetryAfterMs = 1000;
 const retryAfterJitterMs = 2000;
 
@@ -77,6 +81,17 @@
 			endJob(job, {outcome: 'completed'});
 		},
 	});
+	const evacuatedJobs = createEvacuatedJobs({
+		timers,
+		jobTable,
+		pool,
+		onRefused(job) {
+			refuse(job, 'evacuated', 0);
+		},
+		onUnknown(job) {
+			endJob(job, {outcome: 'unknown'});
+		},
+	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool,
 	});
@@ -102,14 +117,19 @@
 
 	function runScheduledPass(): void {
 		isPassScheduled = false;
-		if (!isStopped) {
-			lastPassAtMs = timers.getNowMs();
+		const gapMs = timers.getNowMs() - lastPassAtMs;
+		lastPassAtMs = timers.getNowMs();
+		if (Number.isFinite(gapMs) && gapMs > maxPassGapMs) {
+			// The messages received meanwhile, such as an evacuation, are handled before any decision.
+			schedulePass();
+		} else if (!isStopped) {
 			runPass();
 		}
 	}
 
 	function runPass(): void {
 		recovery.recoverJobs();
+		evacuatedJobs.endJobs();
 		const nowMs = timers.getNowMs();
 		const waiting = getWaitingJobs(jobTable.getJobs(), nowMs);
 		const tables = createTables(waiting);
@@ -159,7 +179,7 @@
 	function getUsableServers(service: string): PooledServer[] {
 		return [...pool.getServers()].filter(({session}) => {
 			const description = session.getDescription();
-			return session.getState() === 'held' && description.state === 'ready' && description.service === service;
+			return session.getState() === 'held' && description.state === 'ready' && description.service === service && !evacuatedJobs.isEvacuated(description.availabilityZone);
 		});
 	}
 
@@ -236,7 +256,9 @@
 		task.state = 'done';
 		if (!task.isAdopted) {
 			task.durationMs = durationMs;
-			intake.addRun(job.request.queueName, durationMs);
+			if (session.getColdUntilMs() <= task.startedAtMs) {
+				intake.addRun(job.request.queueName, durationMs);
+			}
 		}
 
 		pool.findServer(session.getDescription().id)?.health.addSuccess();
@@ -318,6 +340,10 @@
 			pool.setServers(descriptions, hiddenCount);
 			schedulePass();
 		},
+		setEvacuatedZones(availabilityZones) {
+			evacuatedJobs.setEvacuatedZones(availabilityZones);
+			schedulePass();
+		},
 		submit(entryId, message) {
 			const {jobId} = message.request;
 			const known = jobTable.findJob(jobId);
@@ -353,7 +379,7 @@
 
 			return count;
 		},
-		getLoadMs: () => loadMs,
+		getLoadMs: () => evacuatedJobs.findLoadMs() ?? loadMs,
 		getServerStatuses: () => [...pool.getServers()].map(({session}) => ({
 			id: session.getDescription().id, state: session.getState(), runCount: session.getRuns().size,
 		})),
--- a/packages/placement/src/placer/job-table.ts
+++ b/packages/placement/src/placer/job-table.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@camphortack/core';
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
-import type {JobOutcome} from '../messages/placement-messages.js';
+import type {JobOutcome} from '../messages/job-outcome.js';
 
 /** The open jobs, their tasks, and the results of recently ended jobs. */
 export type JobTable = {
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -1,4 +1,5 @@
-import type {JobOutcome, PlacementMessageOf} from '../messages/placement-messages.js';
+import type {JobOutcome} from '../messages/job-outcome.js';
+import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {SessionState} from '../sessions/backend-session.js';
 
@@ -17,6 +18,11 @@
 	 * @param unclaimableCount - Number of other backend servers, which this placer must not claim.
 	 */
 	setServers(descriptions: readonly BackendServerDescription[], unclaimableCount: number): void;
+	/**
+	 * Sets the availability zones in which nothing is started any more. Jobs that cannot start elsewhere are refused.
+	 * @param availabilityZones - The evacuated availability zones.
+	 */
+	setEvacuatedZones(availabilityZones: readonly string[]): void;
 	/** Accepts a job. For a job that is already open, only the entry daemon is updated. */
 	submit(entryId: string, message: PlacementMessageOf<'placement.submit'>): void;
 	/** Cancels a job and stops its runs. */
--- a/packages/placement/src/placer/slow-run-detector.ts
+++ b/packages/placement/src/placer/slow-run-detector.ts
@@ -45,7 +45,8 @@
 			return;
 		}
 
-		const runningMs = getReportedRunningMs(run);
+		// The time during which the backend server was cold does not count: a task is slow everywhere on such a server.
+		const runningMs = getReportedRunningMs(run) - Math.max(0, task.session.getColdUntilMs() - task.startedAtMs);
 		if (runningMs < minAssessedRunMs) {
 			return;
 		}
--- a/packages/placement/src/placer/waiting-jobs.ts
+++ b/packages/placement/src/placer/waiting-jobs.ts
@@ -1,5 +1,5 @@
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
-import type {RefusalReason} from '../messages/placement-messages.js';
+import type {RefusalReason} from '../messages/job-outcome.js';
 import {compareWaitingJobs} from '../queue/compare-waiting-jobs.js';
 import {createWaitEstimator, type ServiceLoad} from '../queue/create-wait-estimator.js';
 import {findRefusal} from '../queue/find-refusal.js';
--- a/packages/placement/src/queue/find-refusal.ts
+++ b/packages/placement/src/queue/find-refusal.ts
@@ -1,4 +1,4 @@
-import type {RefusalReason} from '../messages/placement-messages.js';
+import type {RefusalReason} from '../messages/job-outcome.js';
 import type {WaitingJob} from './waiting-job.js';
 
 /** Multiple of the objective after which a result is of no more use to the caller. */
--- a/packages/placement/src/servers/backend-server-description.ts
+++ b/packages/placement/src/servers/backend-server-description.ts
@@ -20,6 +20,8 @@
 	memoryMb: z.number().min(0),
 	gpuCount: z.number().min(0),
 	labels: z.array(z.string()),
+	/** For how long it runs tasks slowly, since it has just been put back into use; omitted if it does not. */
+	coldMs: z.number().min(0).optional(),
 });
 
 export type BackendServerDescription = z.infer<typeof backendServerDescriptionSchema>;
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -28,6 +28,8 @@
 export type BackendSession = {
 	getDescription(): BackendServerDescription;
 	setDescription(description: BackendServerDescription): void;
+	/** Gets the time until which the backend server runs tasks slowly, since it has just been put back into use. */
+	getColdUntilMs(): number;
 	getState(): SessionState;
 	/** Whether every run on the backend server is known. */
 	areRunsKnown(): boolean;
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -51,6 +51,7 @@
 	});
 	const clock = createLeaseClock(leaseMs);
 	let {description} = options;
+	let coldUntilMs = getColdEndMs();
 	let state: SessionState = 'claiming';
 	let claim = -1;
 	let unansweredClaims = 0;
@@ -58,6 +59,10 @@
 	let isEndExpected = false;
 	let isClosed = false;
 
+	function getColdEndMs(): number {
+		return description.coldMs === undefined ? Number.NEGATIVE_INFINITY : timers.getNowMs() + description.coldMs;
+	}
+
 	function getTarget(): RequestTarget {
 		return {host: description.host, port: description.port, serverId: description.id};
 	}
@@ -350,7 +355,9 @@
 		getDescription: () => description,
 		setDescription(next) {
 			description = next;
+			coldUntilMs = getColdEndMs();
 		},
+		getColdUntilMs: () => coldUntilMs,
 		getState: () => state,
 		// Nothing runs on an incarnation that has ended, but a newer one under the same id is not claimed yet.
 		areRunsKnown: () => state === 'held' || (state === 'closed' && !hasNewerIncarnation),
