Prefer the entry VM with the larger processor share as the placer without keepers

Cause: when all keepers of a zone are lost, the entry VM with the smallest id takes over, also one of 0.243 cores beside one of 0.81, and service collapses for seconds.

Among candidates that can start at once, keepers come first, then the larger share in classes of a factor of 1.5, then the smaller id. Unknown shares form one class below all others: if they compared as equal to every share, the order could be cyclic and nobody would take over.

--- a/packages/cluster/src/cluster-options.ts
+++ b/packages/cluster/src/cluster-options.ts
@@ -13,6 +13,8 @@
 	availabilityZone: string;
 	/** Whether this daemon has a disk and takes part in the consensus on the configuration. */
 	isKeeper: boolean;
+	/** The processor time that this VM may use; omitted if it is not known. */
+	cpuMillicores?: number;
 	/** Daemons that are always contacted, to discover the others. */
 	seedIds: readonly string[];
 	peers: PeerNetwork;
--- a/packages/cluster/src/election/find-claim-reason.ts
+++ b/packages/cluster/src/election/find-claim-reason.ts
@@ -2,6 +2,8 @@
 export type ElectionParticipant = {
 	id: string;
 	isKeeper: boolean;
+	/** The processor time that its VM may use; undefined if it is not known. */
+	cpuMillicores?: number;
 	isLeaving: boolean;
 	/** Whether it has been up long enough to have discovered the other daemons. */
 	isWarmedUp: boolean;
@@ -19,6 +21,9 @@
 	isSettled: boolean;
 };
 
+/** Processor shares that differ by less than this factor make no difference that is worth a departure from the order of the ids. */
+const shareClassFactor = 1.5;
+
 export type ClaimReason = 'no-placer' | 'placer-silent' | 'placer-leaving' | 'keeper-preferred';
 
 /**
@@ -64,10 +69,19 @@
 	return own.isWarmedUp && !own.isLeaving && others.every(other => compareCandidates(own, other) < 0);
 }
 
-/** Prefers keepers, since their VMs are larger and serve no callers, then the smallest id. */
+/**
+ * Prefers keepers, since their VMs are larger and serve no callers, then the larger class of processor share, then the smallest
+ * id. A daemon that can start at once comes before larger ones that leave or have just started.
+ */
 function compareCandidates(left: ElectionParticipant, right: ElectionParticipant): number {
 	return Number(right.isWarmedUp) - Number(left.isWarmedUp)
 		|| Number(left.isLeaving) - Number(right.isLeaving)
 		|| Number(right.isKeeper) - Number(left.isKeeper)
+		|| getShareClass(right) - getShareClass(left)
 		|| (left.id < right.id ? -1 : 1);
 }
+
+/** Unknown shares are in one class below all others: if they compared as equal to every class, the order could be cyclic. */
+function getShareClass({cpuMillicores}: ElectionParticipant): number {
+	return cpuMillicores === undefined || cpuMillicores < 1 ? -1 : Math.floor(Math.log(cpuMillicores) / Math.log(shareClassFactor));
+}
--- a/packages/cluster/src/election/placer-election.ts
+++ b/packages/cluster/src/election/placer-election.ts
@@ -28,7 +28,7 @@
 	isLeaving(): boolean;
 };
 
-export type PlacerElectionOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'timers' | 'events' | 'metrics'> & {
+export type PlacerElectionOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'cpuMillicores' | 'timers' | 'events' | 'metrics'> & {
 	members: MemberTable;
 	shards: ShardMap;
 	localPlacer: LocalPlacer;
@@ -120,6 +120,7 @@
 		return {
 			id: member.id,
 			isKeeper: member.isKeeper,
+			cpuMillicores: member.cpuMillicores,
 			isLeaving: member.isLeaving,
 			isWarmedUp: isWarmedUp(member.upMs + members.getSilenceMs(member.id) + startTimeToleranceMs, member.isKeeper),
 			hearsPlacer: member.hearsPlacer && member.placerId === view.placerId,
@@ -143,6 +144,7 @@
 		const own: ElectionParticipant = {
 			id: ownId,
 			isKeeper,
+			cpuMillicores: options.cpuMillicores,
 			isLeaving,
 			isWarmedUp: isWarmedUp(nowMs - startedAtMs, isKeeper),
 			hearsPlacer: hearsPlacer(),
--- a/packages/cluster/src/members/heartbeat-sender.ts
+++ b/packages/cluster/src/members/heartbeat-sender.ts
@@ -31,7 +31,7 @@
 	handleReportedSilence(memberId: string, silenceMs: number | undefined): void;
 };
 
-export type HeartbeatSenderOptions = Pick<ClusterOptions, 'availabilityZone' | 'isKeeper' | 'peers' | 'timers' | 'resetLink' | 'onContacts'> & {
+export type HeartbeatSenderOptions = Pick<ClusterOptions, 'availabilityZone' | 'isKeeper' | 'cpuMillicores' | 'peers' | 'timers' | 'resetLink' | 'onContacts'> & {
 	members: MemberTable;
 	incarnation: string;
 	getContent: () => HeartbeatContent;
@@ -45,7 +45,7 @@
  * @param options - The links, the member table and the content of the heartbeats.
  */
 export function createHeartbeatSender(options: HeartbeatSenderOptions): HeartbeatSender {
-	const {availabilityZone, isKeeper, peers, timers, members, incarnation, getContent, isPlacing, isDivided} = options;
+	const {availabilityZone, isKeeper, cpuMillicores, peers, timers, members, incarnation, getContent, isPlacing, isDivided} = options;
 	const startedAtMs = timers.getNowMs();
 	const linkResetAtMs = new Map<string, number>();
 	let memberListSentAtMs = Number.NEGATIVE_INFINITY;
@@ -63,6 +63,7 @@
 			kind: 'cluster.heartbeat',
 			availabilityZone,
 			isKeeper,
+			cpuMillicores,
 			incarnation,
 			upMs: Math.round(timers.getNowMs() - startedAtMs),
 			...view,
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -9,6 +9,8 @@
 		availabilityZone: z.string(),
 		/** Whether the sender has a disk and takes part in the consensus on the configuration. */
 		isKeeper: z.boolean(),
+		/** The processor time that the VM of the sender may use, if the sender knows it. */
+		cpuMillicores: z.number().optional(),
 		/** A random identifier of the sender's process, new at each start. */
 		incarnation: z.string(),
 		upMs: z.number(),
--- a/packages/cluster/test/election/find-claim-reason.test.ts
+++ b/packages/cluster/test/election/find-claim-reason.test.ts
@@ -56,6 +56,60 @@
 			title: 'a settled entry daemon, another one places', own: getParticipant('a', {hearsPlacer: true}), others: [getParticipant('b')], placerId: 'b', isSettled: true, expected: undefined,
 		},
 	];
+	const shareRows: Array<{title: string; own: Partial<ElectionParticipant>; other: Partial<ElectionParticipant>; claims: boolean}> = [
+		{
+			title: 'larger share, larger id', own: {id: 'b', cpuMillicores: 810}, other: {id: 'a', cpuMillicores: 243}, claims: true,
+		},
+		{
+			title: 'smaller share, smaller id', own: {id: 'a', cpuMillicores: 243}, other: {id: 'b', cpuMillicores: 810}, claims: false,
+		},
+		{
+			title: 'equal shares, larger id', own: {id: 'b', cpuMillicores: 324}, other: {id: 'a', cpuMillicores: 324}, claims: false,
+		},
+		{
+			title: 'equal shares, smaller id', own: {id: 'a', cpuMillicores: 324}, other: {id: 'b', cpuMillicores: 324}, claims: true,
+		},
+		{
+			title: 'share larger by a factor in one class, larger id', own: {id: 'b', cpuMillicores: 340}, other: {id: 'a', cpuMillicores: 300}, claims: false,
+		},
+		{
+			title: 'both shares unknown, smaller id', own: {id: 'a'}, other: {id: 'b'}, claims: true,
+		},
+		{
+			title: 'both shares unknown, larger id', own: {id: 'b'}, other: {id: 'a'}, claims: false,
+		},
+		{
+			title: 'known share against an unknown one, larger id', own: {id: 'b', cpuMillicores: 243}, other: {id: 'a'}, claims: true,
+		},
+		{
+			title: 'larger share against a keeper', own: {id: 'a', cpuMillicores: 4000}, other: {id: 'b', isKeeper: true, cpuMillicores: 1080}, claims: false,
+		},
+		{
+			title: 'smaller share, the larger one leaves', own: {id: 'a', cpuMillicores: 243}, other: {id: 'b', cpuMillicores: 810, isLeaving: true}, claims: true,
+		},
+		{
+			title: 'smaller share, the larger one has just started', own: {id: 'a', cpuMillicores: 243}, other: {id: 'b', cpuMillicores: 810, isWarmedUp: false}, claims: true,
+		},
+	];
+	for (const {title, own, other, claims} of shareRows) {
+		it(`${title} → ${claims ? 'claims' : 'no claim'}`, () => {
+			const reason = findClaimReason({
+				own: getParticipant('', own), others: [getParticipant('', other)], placerId: 'p', isSettled: false,
+			});
+			assert.equal(reason, claims ? 'placer-silent' : undefined);
+		});
+	}
+
+	// Guards against an order in which each candidate comes after another one, so that nobody takes over.
+	it('exactly one of several candidates claims, whichever of their shares are known', () => {
+		const shares = [810, undefined, 243, 0, 324, 300];
+		const candidates = shares.map((cpuMillicores, position) => getParticipant(`entry-${position}`, {cpuMillicores}));
+		const claiming = candidates.filter(own => findClaimReason({
+			own, others: candidates.filter(other => other !== own), placerId: 'p', isSettled: false,
+		}) !== undefined);
+		assert.deepEqual(claiming.map(({id}) => id), ['entry-0']);
+	});
+
 	for (const {title, own, others, placerId, isSettled = false, expected} of rows) {
 		it(`${title} → ${expected ?? 'no claim'}`, () => {
 			assert.equal(findClaimReason({
--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -48,6 +48,8 @@
 	hasSecondKeepers?: boolean;
 	/** Number of entry daemons of each availability zone; 2 by default. */
 	entriesPerZone?: number;
+	/** Gets the processor share of a daemon's VM, if the daemon knows it. */
+	getCpuMillicores?: (daemonId: string) => number | undefined;
 	/** Called with the content of each configuration that comes into force on a daemon. */
 	onConfiguration?: (content: string) => void;
 };
@@ -117,6 +119,7 @@
 				daemonNumber: getDaemonNumber(id),
 				availabilityZone,
 				isKeeper: id.startsWith('keeper'),
+				cpuMillicores: options.getCpuMillicores?.(id),
 				seedIds: zones.map(zone => `keeper-${zone}`),
 				peers,
 				resetLink() {
