Report jobs as not run, or run them, where it is proven that no placer has begun them

Cause: a job that an earlier placer got counts as possibly started, and ends as unknown (504) if its runs cannot be searched for within 0.4 s. Many such jobs reached no backend server, and some daemon knows that or can learn it:

- a placer that stops (another one is followed, its term is raised, its daemon leaves) knows what it has not started;
- a daemon gets a job for a term in which it does not place, because it has stopped or restarted;
- a placer on a small VM needs more than 0.4 s for its first claims;
- the next placer after an entry VM has no registry of it: entry daemons ask only keepers, so all its jobs ended as unknown;
- a placer ends jobs of a silent entry daemon as unknown that it has not begun.

Change: a stopping placer tells each entry daemon, in one message, which of its jobs it has not begun (`placement.not-begun`); a submission carries the term, and a daemon that does not place in it returns the job. The entry daemon keeps one record for each submission and removes the one that is proven harmless; two submissions to one placer in one term prove nothing. If none is left, the job is new for the next placer. The placer's heartbeats carry the digest of its registry; who has the same digest covers it. The search goes on while first claims are under way and the job can still be run in time. Which runs are known is computed once a pass.

This removed a side effect: keepers that restart together got the registry only because jobs were searched for. They now ask entry daemons of their zone that have been up for longer. A job that adopts the run of another submission counts as started.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -8,6 +8,7 @@
 import {createLatestDocument} from './configuration/latest-document.js';
 import {createPlacerElection} from './election/placer-election.js';
 import type {PlacerView} from './election/placer-view.js';
+import {handleEntryMessage} from './entry/handle-entry-message.js';
 import {createJobSubmitter} from './entry/job-submitter.js';
 import {createHeartbeatSender} from './members/heartbeat-sender.js';
 import {createMemberTable, type ClusterMember} from './members/member-table.js';
@@ -99,6 +100,7 @@
 		getContent: () => ({
 			shard: shards.getOwnShard(),
 			loadMs: localPlacer.findLoadMs(),
+			registryDigest: localPlacer.isRunning() ? getRegistryDigest() : undefined,
 			view: election.getView(),
 			hearsPlacer: election.hearsPlacer(),
 			isLeaving: election.isLeaving(),
@@ -189,6 +191,7 @@
 
 		divideIfDue(heartbeat.shard !== globalShard);
 		updatePlacerView(fromId, heartbeat);
+		registrySources.addSourceIfEqual(fromId, heartbeat.registryDigest);
 		if (fromId === election.getView().placerId) {
 			jobSubmitter.handlePlacerHeard();
 		}
@@ -202,12 +205,13 @@
 
 	/**
 	 * Any daemon may become the placer and then needs the registry. Keepers have all of it, so other daemons are asked only
-	 * if no keeper is heard.
+	 * if no keeper is heard, or only keepers that have restarted since and have not received the repeated reports yet.
 	 */
-	function requestRegistry(fromId: string, {isKeeper, availabilityZone}: ClusterMessageOf<'cluster.heartbeat'>): void {
+	function requestRegistry(fromId: string, {isKeeper, availabilityZone, upMs}: ClusterMessageOf<'cluster.heartbeat'>): void {
 		const isRemote = shards.isDivided() && availabilityZone !== options.availabilityZone;
-		const hearsKeeper = members.getAliveMembers().some(member => member.isKeeper);
-		if (isKeeper ? options.isKeeper || !isRemote : !hearsKeeper) {
+		const keepers = members.getAliveMembers().filter(member => member.isKeeper);
+		const areKeepersNew = !isRemote && keepers.every(keeper => keeper.upMs < Math.min(upMs, reportIntervalMs));
+		if (isKeeper ? options.isKeeper || !isRemote : keepers.length === 0 || areKeepersNew) {
 			send(fromId, {kind: 'cluster.registry-request'});
 		}
 	}
@@ -299,28 +303,8 @@
 	}
 
 	function handlePlacementMessage(fromId: string, message: PlacementMessage): void {
-		switch (message.kind) {
-			case 'placement.result': {
-				jobSubmitter.handleResult(message.jobId, message.result);
-				break;
-			}
-
-			case 'placement.cancelled': {
-				jobSubmitter.handleCancelled(message.jobId);
-				break;
-			}
-
-			case 'placement.unknown-jobs': {
-				jobSubmitter.handleUnknownJobs(message.jobIds);
-				break;
-			}
-
-			case 'placement.submit':
-			case 'placement.cancel':
-			case 'placement.open-jobs': {
-				localPlacer.handleMessage(fromId, message);
-				break;
-			}
+		if (!handleEntryMessage(jobSubmitter, fromId, message)) {
+			localPlacer.handleMessage(fromId, message);
 		}
 	}
 
--- /dev/null
+++ b/packages/cluster/src/entry/job-submissions.ts
@@ -0,0 +1,60 @@
+import type {JobHandover} from '@camphortack/placement';
+import {isSameView, type PlacerView} from '../election/placer-view.js';
+
+/** The submissions of a job to placers that may have started its tasks. */
+export type JobSubmissions = {
+	add(view: PlacerView, incarnation: string): void;
+	/** Gets the placers of all submissions, each incarnation once. */
+	getPlacers(): JobHandover['placers'];
+	/** Whether there are more submissions than the last one. */
+	hasEarlier(): boolean;
+	/** Whether the only submission is the one to the placer of a term. */
+	isOnly(view: PlacerView): boolean;
+	/** Removes the submission to a placer that has not started the job. Returns false if nothing is proven. */
+	removeNotBegun(view: PlacerView): boolean;
+	/** Removes all submissions, because each placer has refused the job. */
+	clear(): void;
+};
+
+/**
+ * Creates the submissions of a job that was not sent to any placer. As long as there are none, the job certainly has not
+ * started. After two submissions to one placer in one term, its word may be about either of them and proves nothing.
+ *
+ * @example
+ * ```ts
+ * const submissions = createJobSubmissions();
+ * submissions.add({term: 1, placerId: 'first'}, 'one');
+ * submissions.removeNotBegun({term: 1, placerId: 'first'}); // true
+ * submissions.getPlacers(); // []
+ * ```
+ */
+export function createJobSubmissions(): JobSubmissions {
+	let submissions: Array<{view: PlacerView; incarnation: string}> = [];
+
+	return {
+		add(view, incarnation) {
+			submissions.push({view, incarnation});
+		},
+		getPlacers() {
+			const placers: JobHandover['placers'] = [];
+			for (const {view: {placerId}, incarnation} of submissions) {
+				if (!placers.some(placer => placer.placerId === placerId && placer.incarnation === incarnation)) {
+					placers.push({placerId, incarnation});
+				}
+			}
+
+			return placers;
+		},
+		hasEarlier: () => submissions.length > 1,
+		isOnly: view => submissions.length === 1 && isSameView(submissions[0]!.view, view),
+		removeNotBegun(view) {
+			const others = submissions.filter(submission => !isSameView(submission.view, view));
+			const isProven = submissions.length - others.length === 1;
+			submissions = isProven ? others : submissions;
+			return isProven;
+		},
+		clear() {
+			submissions = [];
+		},
+	};
+}
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -8,6 +8,7 @@
 import {isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
 import {createJobCancellations} from './job-cancellations.js';
+import {createJobSubmissions, type JobSubmissions} from './job-submissions.js';
 
 /** A job as the callers' server submits it. */
 export type EntryJob = Omit<JobRequest, 'ageMs'>;
@@ -27,6 +28,8 @@
 	handleCancelled(jobId: string): void;
 	/** Resubmits jobs that the placer does not know. */
 	handleUnknownJobs(jobIds: readonly string[]): void;
+	/** Handles the word of the placer of a term that it has started none of some jobs. */
+	handleNotBegun(view: PlacerView, jobIds: readonly string[]): void;
 	/** Resubmits every open job whose shard has a new placer. */
 	handlePlacerChange(): void;
 	/** Submits the jobs that were held because the placer was overdue. */
@@ -68,16 +71,12 @@
 	readonly callers: Set<(result: JobOutcome) => void>;
 	/** The placer to which the job was last submitted. */
 	submittedTo: PlacerView | undefined;
-	/** The placers to which the job was submitted, without the last submission. */
-	earlierPlacers: readonly PlacerIncarnation[];
-	/** The placer of the last submission. */
-	lastPlacer: PlacerIncarnation | undefined;
+	/** The submissions to placers that may have started tasks. */
+	readonly submissions: JobSubmissions;
 	generation: number;
 	waitTimer: TimerSubscription | undefined;
 };
 
-type PlacerIncarnation = JobHandover['placers'][number];
-
 const retryAfterMs = 1000;
 
 /**
@@ -121,15 +120,6 @@
 		return wasForwarded && !shards.isHeard(shard);
 	}
 
-	function isSamePlacer(left: PlacerIncarnation, right: PlacerIncarnation): boolean {
-		return left.placerId === right.placerId && left.incarnation === right.incarnation;
-	}
-
-	function getEarlierPlacers({lastPlacer, earlierPlacers}: OpenJob): readonly PlacerIncarnation[] {
-		const isListed = lastPlacer === undefined || earlierPlacers.some(placer => isSamePlacer(placer, lastPlacer));
-		return isListed ? earlierPlacers : [...earlierPlacers, lastPlacer];
-	}
-
 	/**
 	 * Submits a job, unless the placer of its shard is overdue. A job that was never submitted certainly has not started, so the
 	 * next placer can start it without looking for its runs.
@@ -141,21 +131,31 @@
 
 		const view = getPlacerView(open.shard);
 		const generation = open.generation + (open.submittedTo === undefined ? 0 : 1);
-		const earlierPlacers = getEarlierPlacers(open);
-		const isSent = view.placerId !== '' && sendToPlacer(open.shard, {
+		if (sendSubmission(open, view, generation, open.submissions.getPlacers())) {
+			open.submissions.add(view, options.getIncarnation(view.placerId));
+			open.generation = generation;
+			open.submittedTo = view;
+			open.waitTimer?.cancel();
+		}
+	}
+
+	function sendSubmission(open: OpenJob, view: PlacerView, generation: number, placers: JobHandover['placers']): boolean {
+		const mayHaveStarted = placers.length > 0;
+		return view.placerId !== '' && sendToPlacer(open.shard, {
 			kind: 'placement.submit',
 			request: {...open.job, ageMs: timers.getNowMs() - open.arrivedAtMs},
 			submissionId: open.submissionId,
+			term: view.term,
 			generation,
-			mayHaveStarted: generation > 0,
-			handover: generation === 0 ? undefined : {placers: [...earlierPlacers], registryDigest: options.getRegistryDigest()},
+			mayHaveStarted,
+			handover: mayHaveStarted ? {placers, registryDigest: options.getRegistryDigest()} : undefined,
 		});
-		if (isSent) {
-			open.earlierPlacers = earlierPlacers;
-			open.lastPlacer = {placerId: view.placerId, incarnation: options.getIncarnation(view.placerId)};
-			open.generation = generation;
-			open.submittedTo = view;
-			open.waitTimer?.cancel();
+	}
+
+	/** Tells the current placer, which looks for runs of earlier ones, if it turns out that none of these has started the job. */
+	function handleNotBegun(open: OpenJob, view: PlacerView): void {
+		if (open.submissions.removeNotBegun(view) && isSubmitted(open) && open.submissions.isOnly(open.submittedTo!)) {
+			sendSubmission(open, open.submittedTo!, open.generation, []);
 		}
 	}
 
@@ -176,8 +176,7 @@
 			arrivedAtMs: timers.getNowMs(),
 			callers: new Set(),
 			submittedTo: undefined,
-			earlierPlacers: [],
-			lastPlacer: undefined,
+			submissions: createJobSubmissions(),
 			generation: 0,
 			waitTimer: undefined,
 		};
@@ -232,7 +231,7 @@
 	 * is overdue and was never sent the job. Returns false if there is no such shard, or no route to it.
 	 */
 	function forwardIfPossible(open: OpenJob): boolean {
-		const shard = open.wasForwarded || open.generation > 0 ? undefined : shards.findIdleShard();
+		const shard = open.wasForwarded || open.submissions.hasEarlier() ? undefined : shards.findIdleShard();
 		return shard !== undefined && forward(open, shard);
 	}
 
@@ -241,7 +240,7 @@
 		open.shard = shard;
 		open.wasForwarded = true;
 		open.submittedTo = undefined;
-		open.lastPlacer = undefined;
+		open.submissions.clear();
 		open.submissionId = random.getIdentifier();
 		sendJob(open);
 		if (open.submittedTo === undefined) {
@@ -261,7 +260,7 @@
 	 * stopped it when it no longer heard this daemon. Such a refusal must not be reported as proof that the job has not run.
 	 */
 	function getReportableResult(open: OpenJob, result: JobOutcome): JobOutcome {
-		return result.outcome === 'refused' && open.generation > 0 ? {outcome: 'unknown'} : result;
+		return result.outcome === 'refused' && open.submissions.hasEarlier() ? {outcome: 'unknown'} : result;
 	}
 
 	function removeCaller(open: OpenJob, onResult: (result: JobOutcome) => void): void {
@@ -311,12 +310,20 @@
 				}
 			}
 		},
+		handleNotBegun(view, jobIds) {
+			for (const jobId of jobIds) {
+				const open = openJobs.get(jobId);
+				if (open !== undefined) {
+					handleNotBegun(open, view);
+				}
+			}
+		},
 		handlePlacerChange: sendUnsubmittedJobs,
 		handlePlacerHeard: sendUnsubmittedJobs,
 		handleDivision() {
 			for (const [jobId, open] of openJobs) {
 				open.shard = shards.getOwnShard();
-				if (open.submittedTo !== undefined) {
+				if (open.submissions.getPlacers().length > 0) {
 					endJob(jobId, {outcome: 'unknown'});
 				}
 			}
--- a/packages/cluster/src/members/heartbeat-sender.ts
+++ b/packages/cluster/src/members/heartbeat-sender.ts
@@ -11,6 +11,8 @@
 export type HeartbeatContent = {
 	shard: string;
 	loadMs: number | undefined;
+	/** Set only on the placer. */
+	registryDigest?: string;
 	view: PlacerView;
 	hearsPlacer: boolean;
 	isLeaving: boolean;
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -18,6 +18,8 @@
 		shard: z.string(),
 		/** The expected wait of a new job; set only if the sender is the placer. */
 		loadMs: z.number().optional(),
+		/** The digest of the registry of backend servers; set only if the sender is the placer. */
+		registryDigest: z.string().optional(),
 		/** The placer that the sender follows. */
 		term: z.int(),
 		placerId: z.string(),
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -10,7 +10,7 @@
 	isRunning(): boolean;
 	/** Starts a placer for a term. */
 	start(term: number): void;
-	/** Stops the placer, which ends its term. */
+	/** Stops the placer, which ends its term, and tells the entry daemons which of their jobs it has not started. */
 	stop(reason: string): void;
 	/** Sets the backend servers to claim, and the number of others, which this placer must not claim. */
 	setServers(descriptions: readonly BackendServerDescription[], unclaimableCount: number): void;
@@ -40,6 +40,7 @@
 	const {timers, events, send} = options;
 	const entryActivity = createEntryActivityTracker(timers);
 	let placer: Placer | undefined;
+	let placedTerm: number | undefined;
 	timers.addInterval(entryTimeoutMs / 2, endJobsOfSilentEntries);
 
 	function endJobsOfSilentEntries(): void {
@@ -72,6 +73,7 @@
 
 			case 'placement.result':
 			case 'placement.cancelled':
+			case 'placement.not-begun':
 			case 'placement.unknown-jobs': {
 				break;
 			}
@@ -94,9 +96,19 @@
 		}
 	}
 
+	/** Lets the entry daemons submit the jobs that were not started to the next placer as new. */
+	function releaseJobs(jobIds: ReadonlyMap<string, string[]>): void {
+		const term = placedTerm!;
+		placedTerm = undefined;
+		for (const [entryId, ids] of jobIds) {
+			send(entryId, {kind: 'placement.not-begun', term, jobIds: ids});
+		}
+	}
+
 	return {
 		isRunning: () => placer !== undefined,
 		start(term) {
+			placedTerm = term;
 			placer = createPlacer({
 				...options,
 				term,
@@ -108,8 +120,10 @@
 		stop(reason) {
 			if (placer !== undefined) {
 				events.write('placer-stopped', {reason});
+				const unstartedJobIds = placer.getUnstartedJobIds();
 				placer.stop();
 				placer = undefined;
+				releaseJobs(unstartedJobIds);
 			}
 		},
 		setServers(descriptions, unclaimableCount) {
@@ -120,7 +134,9 @@
 			return new Set(statuses.filter(status => status.state !== 'silent' || status.runCount > 0).map(status => status.id));
 		},
 		handleMessage(fromId, message) {
-			if (placer !== undefined) {
+			if (message.kind === 'placement.submit' && message.term !== undefined && message.term !== placedTerm) {
+				send(fromId, {kind: 'placement.not-begun', term: message.term, jobIds: [message.request.jobId]});
+			} else if (placer !== undefined) {
 				handle(fromId, message, placer);
 			}
 		},
--- a/packages/cluster/src/registry/registry-sources.ts
+++ b/packages/cluster/src/registry/registry-sources.ts
@@ -7,6 +7,11 @@
 export type RegistrySources = ServerSources & {
 	/** Records that the registry of a daemon, in the state of a digest, was added to the own one. */
 	addSource(memberId: string, digest: string | undefined): void;
+	/**
+	 * Records a placer whose registry has the digest of the own one. Entry daemons ask only keepers for their registries; without
+	 * this, the successor of an entry daemon that placed could not tell on which backend servers that one had started tasks.
+	 */
+	addSourceIfEqual(memberId: string, digest: string | undefined): void;
 };
 
 export type RegistrySourcesOptions = {
@@ -63,15 +68,22 @@
 		}
 	}
 
-	return {
-		addSource(memberId, digest) {
-			const member = members.findMember(memberId);
-			if (member !== undefined) {
-				incarnations.set(memberId, member.incarnation);
-			}
+	function addSource(memberId: string, digest: string | undefined): void {
+		const member = members.findMember(memberId);
+		if (member !== undefined) {
+			incarnations.set(memberId, member.incarnation);
+		}
 
-			if (digest !== undefined) {
-				digests.set(memberId, digest);
+		if (digest !== undefined) {
+			digests.set(memberId, digest);
+		}
+	}
+
+	return {
+		addSource,
+		addSourceIfEqual(memberId, digest) {
+			if (digest === getDigest()) {
+				addSource(memberId, digest);
 			}
 		},
 		isCoveredBy: source => source.placers.length > 0 && hasRegistryOfEntry(source) && source.placers.every(placer => hasRegistryOfPlacer(placer)),
--- a/packages/cluster/test/create-cluster-without-keepers.test.ts
+++ b/packages/cluster/test/create-cluster-without-keepers.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {runFor} from '../../placement/test/support/run-for.js';
 import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {startAndWaitUntilServing} from './support/drive-cluster.js';
+import {countOutcomes, startAndWaitUntilServing} from './support/drive-cluster.js';
 
 const smallMillicores = 243;
 const largeMillicores = 810;
@@ -53,6 +53,40 @@
 		assert.ok(delayMs <= 1000, `${delayMs} ms`);
 	});
 
+	// Guards against a successor that takes the jobs of an entry daemon for possibly started on backend servers that only that one knew.
+	it('jobs of an entry VM that dies as placer are completed by the next one', async () => {
+		const test = await startDivided();
+		killAllKeepers(test);
+		const {id} = await waitForEntryPlacer(test);
+		await runFor(test.timers, 1000);
+		test.kill(id);
+		for (let number = 0; number < 8; number++) {
+			test.submit(`entry-a${(number % 2) + 4}`, `job-${number}`);
+		}
+
+		await runFor(test.timers, 1200);
+		assert.deepEqual(countOutcomes(test, 'job'), {completed: 8});
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+	});
+
+	// Guards against keepers that place without the registry, since each has only asked keepers that were restarted as well.
+	it('keepers that restart together get the registry from entry daemons before backend servers report again', async () => {
+		const test = await startDivided();
+		const keepers = test.daemons.filter(({id}) => id.startsWith('keeper'));
+		for (const {id} of keepers) {
+			test.kill(id);
+		}
+
+		await runFor(test.timers, 100);
+		for (const {id} of keepers) {
+			test.restart(id);
+		}
+
+		await runFor(test.timers, 1000);
+		assert.match(test.find('entry-a1').cluster.getStatus().placerId, /^keeper-a/v);
+		assert.equal(test.find('keeper-a').cluster.getStatus().serverCount, 35);
+	});
+
 	const handicaps: Array<{title: string; prepare: (test: TestCluster) => Promise<void>}> = [
 		{
 			title: 'leaves',
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -105,6 +105,71 @@
 		assert.deepEqual(generations, [[0, false], [1, true]]);
 	});
 
+	describe('with a job that a placer has not begun', () => {
+		const first = {term: 1, placerId: 'first'};
+		const second = {term: 2, placerId: 'second'};
+
+		function getSubmissions({sent}: TestSubmitter): Array<[term: number | undefined, generation: number, mayHaveStarted: boolean]> {
+			return sent.flatMap(message => (message.kind === 'placement.submit' ? [[message.term, message.generation, message.mayHaveStarted]] : []));
+		}
+
+		// Guards against a 504 for a job that waited at a placer which was replaced.
+		it('submits it to the next placer as new, and reports a refusal by that one', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.submitter.handleNotBegun(first, ['job', 'other']);
+			test.setView(second);
+			test.submitter.handlePlacerChange();
+			assert.deepEqual(getSubmissions(test), [[1, 0, false], [2, 1, false]]);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [refusal]);
+		});
+
+		it('tells the next placer if it learns so only after the job was submitted there', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.setView(second);
+			test.submitter.handlePlacerChange();
+			test.submitter.handleNotBegun(first, ['job']);
+			assert.deepEqual(getSubmissions(test), [[1, 0, false], [2, 1, true], [2, 1, false]]);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [refusal]);
+		});
+
+		// Guards against a job that is reported as not run although another placer may have started it.
+		it('still counts it as possibly started by every other placer', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.setView(second);
+			test.submitter.handlePlacerChange();
+			test.setView({term: 3, placerId: 'third'});
+			test.submitter.handlePlacerChange();
+			test.submitter.handleNotBegun(second, ['job']);
+			assert.deepEqual(getSubmissions(test).at(-1), [3, 2, true]);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [{outcome: 'unknown'}]);
+		});
+
+		it('does not count the word of a placer that got the job twice, since it may be about either submission', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.submitter.handleUnknownJobs(['job']);
+			test.submitter.handleNotBegun(first, ['job']);
+			test.setView(second);
+			test.submitter.handlePlacerChange();
+			assert.deepEqual(getSubmissions(test).at(-1), [2, 2, true]);
+		});
+
+		it('does not count the word of the placer about another term', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.submitter.handleNotBegun({...first, term: 2}, ['job']);
+			test.setView(second);
+			test.submitter.handlePlacerChange();
+			assert.deepEqual(getSubmissions(test).at(-1), [2, 1, true]);
+		});
+	});
+
 	it('names each incarnation of a placer to which a job was submitted before, once', () => {
 		const test = createTestSubmitter();
 		submit(test);
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -95,3 +95,11 @@
 export function isDone(job: PlacedJob): boolean {
 	return job.tasks.every(task => task.state === 'done');
 }
+
+/**
+ * Whether this placer has started or adopted no task of a job. An earlier placer may have started some.
+ * @param job - The job.
+ */
+export function isUnstarted({serverIds, tasks}: PlacedJob): boolean {
+	return serverIds.length === 0 && tasks.every(task => task.state === 'waiting' && !task.isAdopted);
+}
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -25,6 +25,8 @@
 		 * submits the job again.
 		 */
 		submissionId: z.string(),
+		/** The term of the placer to which the job is submitted. A daemon that does not place in it never starts the job. */
+		term: z.int().optional(),
 		/** How often the job was submitted to a placer before. */
 		generation: z.int().min(0),
 		/** Whether an earlier placer may have started tasks of the job. */
@@ -33,6 +35,8 @@
 		handover: jobHandoverSchema.optional(),
 	}),
 	z.object({kind: z.literal('placement.result'), jobId: z.string(), result: jobOutcomeSchema}),
+	/** The sender, as the placer of the term, has started no task of these jobs and never will. */
+	z.object({kind: z.literal('placement.not-begun'), term: z.int(), jobIds: z.array(z.string())}),
 	z.object({kind: z.literal('placement.cancel'), jobId: z.string()}),
 	z.object({kind: z.literal('placement.cancelled'), jobId: z.string()}),
 	/** The jobs whose results a daemon waits for. The placer replies with the results of those that have ended. */
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -2,7 +2,7 @@
 	EventLog, MetricSink, RandomSource, TimerService,
 } from '@camphortack/core';
 import {
-	getStartableTasks, isDone, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
+	getStartableTasks, isDone, isUnstarted, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
 import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
@@ -138,7 +138,9 @@
 
 	function placeJob(job: PlacedJob, table: CapacityTable): void {
 		for (const task of getStartableTasks(job)) {
-			if (!recovery.adoptEarlierRun(task)) {
+			if (recovery.adoptEarlierRun(task)) {
+				job.hasStarted = true;
+			} else {
 				startTaskIfPossible(job, task, table);
 			}
 		}
@@ -324,6 +326,8 @@
 			const result = jobTable.findResult(jobId, message.submissionId);
 			if (known !== undefined) {
 				known.entryId = entryId;
+				recovery.handleResubmission(known, message);
+				schedulePass();
 			} else if (result === undefined) {
 				addJob(entryId, message);
 			} else {
@@ -340,7 +344,11 @@
 		endJobsOfEntry(entryId) {
 			const dropped = [...jobTable.getJobs()].filter(job => job.entryId === entryId);
 			for (const job of dropped) {
-				endJob(job, {outcome: 'unknown'});
+				if (job.hasStarted) {
+					endJob(job, {outcome: 'unknown'});
+				} else {
+					refuse(job, 'no-placer', 0);
+				}
 			}
 
 			return dropped.length;
@@ -353,6 +361,16 @@
 
 			return count;
 		},
+		getUnstartedJobIds() {
+			const jobIds = new Map<string, string[]>();
+			for (const job of jobTable.getJobs()) {
+				if (isUnstarted(job)) {
+					jobIds.set(job.entryId, [...(jobIds.get(job.entryId) ?? []), job.request.jobId]);
+				}
+			}
+
+			return jobIds;
+		},
 		getLoadMs: () => loadMs,
 		getServerStatuses: () => [...pool.getServers()].map(({session}) => ({
 			id: session.getDescription().id, state: session.getState(), runCount: session.getRuns().size,
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -1,5 +1,8 @@
 import type {EventLog, TimerService} from '@camphortack/core';
-import {isDone, type PlacedJob, type PlacedTask} from '../jobs/placed-job.js';
+import {
+	isDone, isUnstarted, type PlacedJob, type PlacedTask,
+} from '../jobs/placed-job.js';
+import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {ServerSources} from '../ports/server-sources.js';
 import type {JobTable} from './job-table.js';
 import type {ServerPool} from './server-pool.js';
@@ -8,6 +11,8 @@
 export type JobRecovery = {
 	/** Adopts the runs that are found, and ends the search for those whose runs are all known or whose deadline has passed. */
 	recoverJobs(): void;
+	/** Ends the search for the runs of an open job if its entry daemon has learned that no placer started them. */
+	handleResubmission(job: PlacedJob, message: PlacementMessageOf<'placement.submit'>): void;
 	/** Records that a task is done whose run this placer did not start. */
 	addDoneTask(taskName: string): void;
 	/** Adopts the run of an earlier placer for a waiting task, or its result. Returns false if there is none. */
@@ -26,7 +31,10 @@
 	onCompleted: (job: PlacedJob) => void;
 };
 
-/** How long to wait for backend servers that have not responded yet, on which runs of an earlier placer may exist. */
+/**
+ * How long to wait for backend servers that do not respond and for registries. A placer on a small VM takes longer to send its
+ * first claims; while these are under way, the search goes on for as long as the job could still be run in time.
+ */
 export const recoveryMs = 400;
 /** How long a done task is remembered: until its caller has submitted the job again, as it does after a lost answer. */
 const doneTaskRetentionMs = 5000;
@@ -38,8 +46,11 @@
 export function createJobRecovery({timers, events, jobTable, pool, serverSources, onUnknown, onCompleted}: JobRecoveryOptions): JobRecovery {
 	/** The times at which the tasks were found to be done, oldest first. */
 	const doneAtMs = new Map<string, number>();
+	let isPoolKnown: boolean | undefined;
 
+	/** The knowledge about the backend servers is the same for all jobs of a pass, and takes a look at each of them. */
 	function recoverJobs(): void {
+		isPoolKnown = undefined;
 		for (const job of jobTable.getJobs()) {
 			if (job.recoveryDeadlineMs !== undefined) {
 				recoverJob(job, job.recoveryDeadlineMs);
@@ -47,10 +58,21 @@
 		}
 	}
 
+	function isFullyKnown(): boolean {
+		isPoolKnown ??= pool.isFullyKnown();
+		return isPoolKnown;
+	}
+
+	function isSearchOver(job: PlacedJob, deadlineMs: number): boolean {
+		const nowMs = timers.getNowMs();
+		const lastStartMs = job.arrivedAtMs + job.request.callerTimeoutMs - job.criticalPathMs;
+		return nowMs >= deadlineMs && (nowMs >= lastStartMs || !pool.hasFirstClaimsPending());
+	}
+
 	function recoverJob(job: PlacedJob, deadlineMs: number): void {
 		const missingCount = job.tasks.filter(task => task.state === 'waiting' && !adoptResult(task) && !adoptRun(task)).length;
 		const isKnown = missingCount === 0 || areRunsKnown(job);
-		if (isKnown || timers.getNowMs() >= deadlineMs) {
+		if (isKnown || isSearchOver(job, deadlineMs)) {
 			endRecovery(job, missingCount, isKnown);
 		} else if (job.handover !== undefined) {
 			serverSources.requestMissing(job.handover);
@@ -77,7 +99,7 @@
 
 	/** Whether a task of the job of which no run is found certainly does not run. */
 	function areRunsKnown(job: PlacedJob): boolean {
-		return pool.isFullyKnown() && isCovered(job);
+		return isFullyKnown() && isCovered(job);
 	}
 
 	function isCovered({handover}: PlacedJob): boolean {
@@ -122,6 +144,12 @@
 
 	return {
 		recoverJobs,
+		handleResubmission(job, {submissionId, mayHaveStarted}) {
+			if (!mayHaveStarted && submissionId === job.submissionId && isUnstarted(job)) {
+				job.recoveryDeadlineMs = undefined;
+				job.hasStarted = false;
+			}
+		},
 		addDoneTask(taskName) {
 			removeExpiredResults();
 			doneAtMs.set(taskName, timers.getNowMs());
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -30,6 +30,8 @@
 	endJobsOfEntry(entryId: string): number;
 	/** Gets the number of accepted jobs of a queue of which no task has started. */
 	getPendingCount(queueName: string): number;
+	/** Gets the ids of the jobs of which this placer has started no task, by entry daemon. */
+	getUnstartedJobIds(): Map<string, string[]>;
 	/** Gets the estimated wait of a job of typical size that arrives now. */
 	getLoadMs(): number;
 	getServerStatuses(): PlacerServerStatus[];
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -32,6 +32,8 @@
 	getServers(): Iterable<PooledServer>;
 	/** Whether all runs on all backend servers, including those that must not be claimed, are known. */
 	isFullyKnown(): boolean;
+	/** Whether backend servers wait for the answer to the first claim of this placer, and may still give it in time. */
+	hasFirstClaimsPending(): boolean;
 	/** Gets how much the pool knows, for logs. */
 	getKnowledge(): ServerKnowledge;
 	/** Finds the run of a task on any backend server. */
@@ -138,6 +140,7 @@
 		findServer: serverId => servers.get(serverId),
 		getServers: () => servers.values(),
 		isFullyKnown: () => unclaimableCount === 0 && [...servers.values()].every(({session}) => session.areRunsKnown()),
+		hasFirstClaimsPending: () => [...servers.values()].some(({session}) => session.isFirstClaimPending()),
 		getKnowledge: () => ({
 			servers: servers.size,
 			heldServers: [...servers.values()].filter(({session}) => session.getState() === 'held').length,
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -29,6 +29,8 @@
 	getDescription(): BackendServerDescription;
 	setDescription(description: BackendServerDescription): void;
 	getState(): SessionState;
+	/** Whether the backend server has neither answered the first claim nor left several unanswered. */
+	isFirstClaimPending(): boolean;
 	/** Whether every run on the backend server is known. */
 	areRunsKnown(): boolean;
 	/** Whether the term has no fencing token left for another claim. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -352,6 +352,7 @@
 			description = next;
 		},
 		getState: () => state,
+		isFirstClaimPending: () => state === 'claiming' && claim === 0,
 		// Nothing runs on an incarnation that has ended, but a newer one under the same id is not claimed yet.
 		areRunsKnown: () => state === 'held' || (state === 'closed' && !hasNewerIncarnation),
 		hasExhaustedClaims: () => claim >= maxClaimNumber && state === 'silent',
--- a/packages/placement/test/placer/successor-placer.test.ts
+++ b/packages/placement/test/placer/successor-placer.test.ts
@@ -3,6 +3,7 @@
 import type {JobHandover, JobRequest, Placer} from '../../src/index.js';
 import {createTestPlacer, defaultRequest, unknownPlacerId} from '../support/create-test-placer.js';
 import {runFor} from '../support/run-for.js';
+import {SlowClient} from '../support/slow-client.js';
 
 function getHandover(...placerIds: string[]): JobHandover {
 	return {placers: placerIds.map(placerId => ({placerId, incarnation: 'one'})), registryDigest: ''};
@@ -187,6 +188,60 @@
 		assert.deepEqual(fleet.findOverlaps(), []);
 	});
 
+	// Guards against jobs that end as unknown because a placer on a small VM needs longer for its claims than an unresponsive server.
+	it('goes on looking for the runs of a job while its first claims are under way', async () => {
+		const {timers, fleet, placer, results, createSuccessor} = createTestPlacer({serverCount: 80});
+		await runFor(timers, 100);
+		placer.stop();
+		const successor = createSuccessor(2, 'second', 2, client => new SlowClient(client, timers, {firstMs: 8, laterMs: 0.5}));
+		successor.setServers(fleet.getDescriptions(), 0);
+		resubmit(successor, {jobId: 'job', ageMs: 300}, getHandover('first'));
+		await runFor(timers, 500);
+		assert.equal(results.get('job'), undefined);
+		await runFor(timers, 600);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.records.map(({runNumber}) => runNumber), [33, 33]);
+	});
+
+	it('ends the search while claims are under way when the job could no longer be run in time', async () => {
+		const {timers, fleet, placer, endedAtMs, results, createSuccessor} = createTestPlacer({serverCount: 80});
+		await runFor(timers, 100);
+		placer.stop();
+		const successor = createSuccessor(2, 'second', 2, client => new SlowClient(client, timers, {firstMs: 20, laterMs: 0.5}));
+		successor.setServers(fleet.getDescriptions(), 0);
+		resubmit(successor, {jobId: 'job', ageMs: 300}, getHandover('first'));
+		await runFor(timers, 1500);
+		assert.deepEqual(results.get('job'), {outcome: 'unknown'});
+		const searchedMs = endedAtMs.get('job')! - 100;
+		assert.ok(searchedMs >= 1100 && searchedMs <= 1160, `${searchedMs} ms`);
+	});
+
+	// Guards against a search, and a 504 at its end, for a job of which its entry daemon knows that nobody has started it.
+	it('starts a job at once when its entry daemon has learned that no placer started it', async () => {
+		const {timers, fleet, results, createSuccessor} = createTestPlacer({getDurationMs: () => 50});
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions(), 1);
+		resubmit(successor, {jobId: 'job'}, getHandover('first'));
+		await runFor(timers, 100);
+		assert.equal(fleet.records.length, 0);
+		successor.submit('entry', {
+			kind: 'placement.submit', request: {...defaultRequest, jobId: 'job'}, generation: 1, submissionId: 'one', mayHaveStarted: false,
+		});
+		await runFor(timers, 60);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+	});
+
+	it('refuses jobs of a silent entry daemon that it has not started, and ends the others as unknown', async () => {
+		const {timers, submit, placer, results} = createTestPlacer({serverCount: 1, getDurationMs: () => 400});
+		await runFor(timers, 10);
+		submit({jobId: 'started', slackMs: 900});
+		await runFor(timers, 10);
+		submit({jobId: 'waiting', slackMs: 900});
+		await runFor(timers, 10);
+		assert.equal(placer.endJobsOfEntry('entry'), 2);
+		assert.deepEqual(['started', 'waiting'].map(jobId => results.get(jobId)?.outcome), ['unknown', 'refused']);
+	});
+
 	it('stops runs whose jobs are not submitted again', async () => {
 		const {timers, fleet, submit, createSuccessor} = createTestPlacer({getDurationMs: () => 5000});
 		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 900}]});
