--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -1,5 +1,5 @@
 import type {PeerMessage} from '@camphortack/core';
-import {decodeOutcome, placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
+import {placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
 import {
@@ -8,6 +8,7 @@
 import {createConfigurationExchange} from './configuration/configuration-exchange.js';
 import {createPlacerElection} from './election/placer-election.js';
 import type {PlacerView} from './election/placer-view.js';
+import {handleEntryMessage} from './entry/handle-entry-message.js';
 import {createJobSubmitter} from './entry/job-submitter.js';
 import {createEvacuationExchange} from './evacuations/evacuation-exchange.js';
 import {createHeartbeatSender} from './members/heartbeat-sender.js';
@@ -110,6 +111,7 @@
 		getContent: () => ({
 			shard: shards.getOwnShard(),
 			loadMs: localPlacer.findLoadMs(),
+			registryDigest: localPlacer.isRunning() ? getRegistryDigest() : undefined,
 			view: election.getView(),
 			hearsPlacer: election.hearsPlacer(),
 			isLeaving: election.isLeaving(),
@@ -212,6 +214,7 @@
 
 		divideIfDue(heartbeat.shard !== globalShard);
 		updatePlacerView(fromId, heartbeat);
+		registrySources.addSourceIfEqual(fromId, heartbeat.registryDigest);
 		if (fromId === election.getView().placerId) {
 			jobSubmitter.handlePlacerHeard();
 		}
@@ -292,28 +295,8 @@
 	}
 
 	function handlePlacementMessage(fromId: string, message: PlacementMessage): void {
-		switch (message.kind) {
-			case 'placement.result': {
-				jobSubmitter.handleResult(message.jobId, decodeOutcome(message.result));
-				break;
-			}
-
-			case 'placement.cancelled': {
-				jobSubmitter.handleCancelled(message.jobId);
-				break;
-			}
-
-			case 'placement.unknown-jobs': {
-				jobSubmitter.handleUnknownJobs(message.jobIds);
-				break;
-			}
-
-			case 'placement.submit':
-			case 'placement.cancel':
-			case 'placement.open-jobs': {
-				localPlacer.handleMessage(fromId, message);
-				break;
-			}
+		if (!handleEntryMessage(jobSubmitter, fromId, message)) {
+			localPlacer.handleMessage(fromId, message);
 		}
 	}
 
--- a/packages/cluster/src/members/heartbeat-sender.ts
+++ b/packages/cluster/src/members/heartbeat-sender.ts
@@ -11,6 +11,8 @@
 export type HeartbeatContent = {
 	shard: string;
 	loadMs: number | undefined;
+	/** Set only on the placer. */
+	registryDigest?: string;
 	view: PlacerView;
 	hearsPlacer: boolean;
 	isLeaving: boolean;
@@ -32,7 +34,7 @@
 	handleReportedSilence(memberId: string, silenceMs: number | undefined): void;
 };
 
-export type HeartbeatSenderOptions = Pick<ClusterOptions, 'availabilityZone' | 'isKeeper' | 'peers' | 'timers' | 'resetLink' | 'onContacts'> & {
+export type HeartbeatSenderOptions = Pick<ClusterOptions, 'availabilityZone' | 'isKeeper' | 'cpuMillicores' | 'peers' | 'timers' | 'resetLink' | 'onContacts'> & {
 	members: MemberTable;
 	incarnation: string;
 	getContent: () => HeartbeatContent;
@@ -46,7 +48,7 @@
  * @param options - The links, the member table and the content of the heartbeats.
  */
 export function createHeartbeatSender(options: HeartbeatSenderOptions): HeartbeatSender {
-	const {availabilityZone, isKeeper, peers, timers, members, incarnation, getContent, isPlacing, isDivided} = options;
+	const {availabilityZone, isKeeper, cpuMillicores, peers, timers, members, incarnation, getContent, isPlacing, isDivided} = options;
 	const startedAtMs = timers.getNowMs();
 	const linkResetAtMs = new Map<string, number>();
 	let memberListSentAtMs = Number.NEGATIVE_INFINITY;
@@ -64,6 +66,7 @@
 			kind: 'cluster.heartbeat',
 			availabilityZone,
 			isKeeper,
+			cpuMillicores,
 			incarnation,
 			upMs: Math.round(timers.getNowMs() - startedAtMs),
 			...view,
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -10,6 +10,8 @@
 		availabilityZone: z.string(),
 		/** Whether the sender has a disk and takes part in the consensus on the configuration. */
 		isKeeper: z.boolean(),
+		/** The processor time that the VM of the sender may use, if the sender knows it. */
+		cpuMillicores: z.number().optional(),
 		/** A random identifier of the sender's process, new at each start. */
 		incarnation: z.string(),
 		upMs: z.number(),
@@ -17,6 +19,8 @@
 		shard: z.string(),
 		/** The expected wait of a new job; set only if the sender is the placer. */
 		loadMs: z.number().optional(),
+		/** The digest of the registry of backend servers; set only if the sender is the placer. */
+		registryDigest: z.string().optional(),
 		/** The placer that the sender follows. */
 		term: z.int(),
 		placerId: z.string(),
--- a/packages/cluster/src/registry/registry-exchange.ts
+++ b/packages/cluster/src/registry/registry-exchange.ts
@@ -1,4 +1,4 @@
-import {memberTimeoutMs} from '../cluster-timings.js';
+import {memberTimeoutMs, reportIntervalMs} from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
 import type {ClusterMember, MemberTable} from '../members/member-table.js';
 import type {ClusterMessage, ClusterMessageOf} from '../messages/cluster-messages.js';
@@ -34,11 +34,12 @@
 	const {timers, registry, members, replicator, isDivided, needsServersOf, getDigest, send} = options;
 	return {
 		// Any daemon may become the placer and then needs the registry. Keepers have all of it, so other daemons are asked only
-		// if no keeper is heard.
-		requestRegistry(fromId, {isKeeper, availabilityZone}) {
+		// if no keeper is heard, or only keepers that have restarted since and have not received the repeated reports yet.
+		requestRegistry(fromId, {isKeeper, availabilityZone, upMs}) {
 			const isRemote = isDivided() && availabilityZone !== options.availabilityZone;
-			const hearsKeeper = members.getAliveMembers().some(member => member.isKeeper);
-			if (isKeeper ? options.isKeeper || !isRemote : !hearsKeeper) {
+			const keepers = members.getAliveMembers().filter(member => member.isKeeper);
+			const areKeepersNew = !isRemote && keepers.every(keeper => keeper.upMs < Math.min(upMs, reportIntervalMs));
+			if (isKeeper ? options.isKeeper || !isRemote : keepers.length === 0 || areKeepersNew) {
 				send(fromId, {kind: 'cluster.registry-request'});
 			}
 		},
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -31,6 +31,8 @@
 	/** Gets the time until which the backend server runs tasks slowly, since it has just been put back into use. */
 	getColdUntilMs(): number;
 	getState(): SessionState;
+	/** Whether the backend server has neither answered the first claim nor left several unanswered. */
+	isFirstClaimPending(): boolean;
 	/** Whether every run on the backend server is known. */
 	areRunsKnown(): boolean;
 	/** Whether the term has no fencing token left for another claim. */
