--- a/packages/cluster/test/support/replay-zones.ts
+++ b/packages/cluster/test/support/replay-zones.ts
@@ -71,7 +71,12 @@
 			random: createSeededRandomSource(position),
 			events: new RecordingEventLog(),
 			metrics: new RecordingMetricSink(),
-			serverSources: {isCoveredBy: () => true, requestMissing() {/* Nothing is missing. */}},
+			serverSources: {
+				isCoveredBy: () => true,
+				requestMissing() {
+					// Nothing is missing.
+				},
+			},
 			onResult(entryId, jobId, result) {
 				timers.addTimer(getLinkMs(entryId, zone), () => {
 					entries.get(entryId)!.submitter.handleResult(jobId, result);
