Log how far a new placer has come with its claims and its first start

Cause: E1220 says when a placer was elected and how long the previous one was silent, but nothing says when it can serve.

Change: E1224 `placer-progressed` at half and all of the backend servers claimed and at the first start, with the time since the election; two timings in the metrics.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -115,6 +115,12 @@
 	'entry-silent': {
 		number: 1223, level: 'warning', summary: 'A daemon that had submitted jobs no longer responds; its jobs were stopped.', action: 'Check the VM or the network.',
 	},
+	'placer-progressed': {
+		number: 1224,
+		level: 'info',
+		summary: 'A new placer has reached a milestone: half or all of the backend servers claimed, or the first task started.',
+		action: 'If it takes more than a second, check the processor share of the VM.',
+	},
 	'configuration-put': {
 		number: 1302, level: 'info', summary: 'A configuration sent by an operator was processed.', action: 'Read the outcome.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -61,6 +61,8 @@
 	'server-renewal-unanswered': 'Lease renewals that got no response.',
 	'start-unanswered': 'Requests to start a task that got no response.',
 	'placer-elected': 'Terms in which this daemon became the placer.',
+	'placer-half-claimed-time': 'Time from the start of a term until the placer held half of its backend servers, in milliseconds.',
+	'placer-first-start-time': 'Time from the start of a term until the placer started its first task, in milliseconds.',
 	'request-rejected': 'Requests rejected before they reached the placer.',
 	'log-lines-left-out': 'Log lines omitted by rate limiting.',
 	'membership-sent': 'Messages sent by the membership protocol.',
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -16,6 +16,7 @@
 import {createCapacityTable, type CapacityTable} from './capacity-table.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
+import {createTakeoverLog} from './takeover-log.js';
 import {findRefusals, getWaitingJobs, type WaitingEntry} from './waiting-jobs.js';
 
 export type PlacerOptions = {
@@ -55,7 +56,10 @@
 		...options,
 		listener: {
 			onRunEnd: handleRunEnd,
-			onHeld: schedulePass,
+			onHeld() {
+				takeoverLog.handleClaim();
+				schedulePass();
+			},
 			onStateChange: schedulePass,
 		},
 		onRunsLost(session, runs) {
@@ -64,6 +68,7 @@
 			}
 		},
 	});
+	const takeoverLog = createTakeoverLog({...options, getKnowledge: pool.getKnowledge});
 	const recovery = createJobRecovery({
 		timers,
 		events,
@@ -174,6 +179,7 @@
 		job.hasStarted = true;
 		job.serverIds.push(session.getDescription().id);
 		metrics.increment('task-started');
+		takeoverLog.handleStart();
 		session.start({
 			taskName: task.name, runNumber: task.runNumber, payload: job.request.payload, needs: task.needs,
 		});
