--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -1,9 +1,10 @@
 import {createSeededRandomSource, type EventFields, type EventName} from '@camphortack/core';
-import type {JobOutcome} from '@camphortack/placement';
+import type {BackendServerClient, JobOutcome} from '@camphortack/placement';
 import {
 	FakeNetwork, ProcessTimers, RecordingEventLog, RecordingMetricSink, VirtualTimers,
 } from '@camphortack/testkit';
 import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from '../../../placement/test/support/fake-fleet.js';
+import {SlowClient, type RequestCost} from '../../../placement/test/support/slow-client.js';
 import {
 	ClusterHintStore, createCluster, type Cluster, type ClusterHints, type EntryJob,
 } from '../../src/index.js';
@@ -24,7 +25,7 @@
 	fleet: FakeFleet;
 	daemons: TestDaemon[];
 	results: Array<{jobId: string; result: JobOutcome; atMs: number; daemonId: string}>;
-	events: Array<{daemonId: string; name: EventName; fields: EventFields}>;
+	events: Array<{daemonId: string; name: EventName; fields: EventFields; atMs: number}>;
 	find(id: string): TestDaemon;
 	/** Gets the daemon that most others follow. */
 	getPlacer(): TestDaemon;
@@ -50,6 +51,8 @@
 	entriesPerZone?: number;
 	/** Gets the processor share of a daemon's VM, if the daemon knows it. */
 	getCpuMillicores?: (daemonId: string) => number | undefined;
+	/** Gets what requests to backend servers cost a daemon; nothing by default. */
+	getRequestCost?: (daemonId: string) => RequestCost | undefined;
 	/** Called with the content of each configuration that comes into force on a daemon. */
 	onConfiguration?: (content: string) => void;
 };
@@ -91,6 +94,11 @@
 		}();
 	}
 
+	function getClient(id: string): BackendServerClient {
+		const cost = options.getRequestCost?.(id);
+		return cost === undefined ? fleet.getClient(id) : new SlowClient(fleet.getClient(id), timers, cost);
+	}
+
 	/** Gets a number that is the same after each start and sorts the daemons by their ids. */
 	function getDaemonNumber(id: string): number {
 		return daemonIds.toSorted(compareDaemonIds).indexOf(id) + 1;
@@ -101,7 +109,9 @@
 		const processTimers = new ProcessTimers(timers);
 		const log = new class extends RecordingEventLog {
 			override write(name: EventName, fields: EventFields = {}): void {
-				events.push({daemonId: id, name, fields});
+				events.push({
+					daemonId: id, name, fields, atMs: timers.getNowMs(),
+				});
 			}
 		}();
 		const peers = network.addPeer(id, (fromId, message) => {
@@ -125,7 +135,7 @@
 				resetLink() {
 					// Fake links queue nothing.
 				},
-				backendServerClient: new ProcessClient(fleet.getClient(id), processTimers),
+				backendServerClient: new ProcessClient(getClient(id), processTimers),
 				hintStore: id.startsWith('keeper') && options.keepsHints !== false ? createHintStore(id) : undefined,
 				timers: processTimers,
 				random: createSeededRandomSource(startCount),
