Prove nothing by the word of a placer that got a submission a second time

Cause: when an entry daemon learns late that an earlier placer has not begun a job, it sends the submission to the current placer again. If that placer begins the job on the first message, loses power and restarts, the second message may reach its next process, which does not place in that term and returns the job as not begun.

Change: the record of the submission notes that it was sent again; a later `placement.not-begun` about it proves nothing.

Result: the new test in job-submitter.test.ts fails on the code before.

--- a/packages/cluster/src/entry/job-submissions.ts
+++ b/packages/cluster/src/entry/job-submissions.ts
@@ -4,6 +4,8 @@
 /** The submissions of a job to placers that may have started its tasks. */
 export type JobSubmissions = {
 	add(view: PlacerView, incarnation: string): void;
+	/** Records that the last submission was sent again. One copy may reach the placer after a restart, the other one before. */
+	repeatLast(): void;
 	/** Gets the placers of all submissions, each incarnation once. */
 	getPlacers(): JobHandover['placers'];
 	/** Whether there are more submissions than the last one. */
@@ -18,7 +20,7 @@
 
 /**
  * Creates the submissions of a job that was not sent to any placer. As long as there are none, the job certainly has not
- * started. After two submissions to one placer in one term, its word may be about either of them and proves nothing.
+ * started. If a job was sent to one placer twice in one term, its word may be about either of them and proves nothing.
  *
  * @example
  * ```ts
@@ -29,11 +31,14 @@
  * ```
  */
 export function createJobSubmissions(): JobSubmissions {
-	let submissions: Array<{view: PlacerView; incarnation: string}> = [];
+	let submissions: Array<{view: PlacerView; incarnation: string; isRepeated: boolean}> = [];
 
 	return {
 		add(view, incarnation) {
-			submissions.push({view, incarnation});
+			submissions.push({view, incarnation, isRepeated: false});
+		},
+		repeatLast() {
+			submissions.at(-1)!.isRepeated = true;
 		},
 		getPlacers() {
 			const placers: JobHandover['placers'] = [];
@@ -48,9 +53,9 @@
 		hasEarlier: () => submissions.length > 1,
 		isOnly: view => submissions.length === 1 && isSameView(submissions[0]!.view, view),
 		removeNotBegun(view) {
-			const others = submissions.filter(submission => !isSameView(submission.view, view));
-			const isProven = submissions.length - others.length === 1;
-			submissions = isProven ? others : submissions;
+			const [found, ...more] = submissions.filter(submission => isSameView(submission.view, view));
+			const isProven = found !== undefined && more.length === 0 && !found.isRepeated;
+			submissions = isProven ? submissions.filter(submission => submission !== found) : submissions;
 			return isProven;
 		},
 		clear() {
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -156,6 +156,7 @@
 	function handleNotBegun(open: OpenJob, view: PlacerView): void {
 		if (open.submissions.removeNotBegun(view) && isSubmitted(open) && open.submissions.isOnly(open.submittedTo!)) {
 			sendSubmission(open, open.submittedTo!, open.generation, []);
+			open.submissions.repeatLast();
 		}
 	}
 
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -160,6 +160,19 @@
 			assert.deepEqual(getSubmissions(test).at(-1), [2, 2, true]);
 		});
 
+		// Guards against a placer that begins the job, restarts, and returns the second message as one that it never began.
+		it('does not count the word of a placer that was told afterwards that the job is new', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.setView(second);
+			test.submitter.handlePlacerChange();
+			test.submitter.handleNotBegun(first, ['job']);
+			test.submitter.handleNotBegun(second, ['job']);
+			test.setView({term: 3, placerId: 'third'});
+			test.submitter.handlePlacerChange();
+			assert.deepEqual(getSubmissions(test).at(-1), [3, 2, true]);
+		});
+
 		it('does not count the word of the placer about another term', () => {
 			const test = createTestSubmitter();
 			submit(test);
