Read the factor by which tasks run longer far from their data

Cause: the settings state by which factor a task takes longer on a rack without its data, but no part reads it, so the placer treats distance as a fixed penalty.

It is optional and has no effect yet.

--- a/packages/cluster/src/cluster-options.ts
+++ b/packages/cluster/src/cluster-options.ts
@@ -19,6 +19,8 @@
 	/** Reopens the link to a daemon. */
 	resetLink: (peerId: string) => void;
 	backendServerClient: BackendServerClient;
+	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
+	remoteRunFactor?: number | undefined;
 	/** Omitted on a VM without a disk. */
 	hintStore?: ClusterHintStore;
 	timers: TimerService;
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -26,7 +26,7 @@
 	findLoadMs(): number | undefined;
 };
 
-export type LocalPlacerOptions = Pick<ClusterOptions, 'daemonNumber' | 'backendServerClient' | 'timers' | 'random' | 'events' | 'metrics'> & {
+export type LocalPlacerOptions = Pick<ClusterOptions, 'daemonNumber' | 'backendServerClient' | 'timers' | 'random' | 'events' | 'metrics' | 'remoteRunFactor'> & {
 	serverSources: ServerSources;
 	/** Sends a message to a daemon, relayed if necessary. */
 	send: (toId: string, message: PlacementMessage) => void;
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -28,6 +28,8 @@
 	events: EventLog;
 	metrics: MetricSink;
 	serverSources: ServerSources;
+	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
+	remoteRunFactor?: number | undefined;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
