Wait for a place near the data while that is expected to pay

Cause: distance is a fixed penalty. A task whose rack is full goes to another rack at once, whatever the run costs there: 1.5 or 3 times the run time. At a factor of 3, nearly all jobs are late then, and their runs take three times the capacity.

Change: choosePlacement replaces chooseBackendServer. It compares the expected completion on a free place (run time times distance factor over speed, best fit among equal ones) with that near the data after a wait, and returns a place, a wait or nothing. The capacity table knows the expected ends of the runs of a rack and promises them in queue order within a pass. Far places are given out after all tasks of the pass were offered near ones; under contention the additional time of a far run counts once more, and no late far run takes capacity if the wait is shorter. A far run that would be late counts in the refusal (createDistanceEstimator). Without the factor the choice is as before.

Metrics: near-wait, near-wait-time, far-run.

--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -1,5 +1,6 @@
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {TaskNeeds} from '../sessions/run.js';
+import type {StepEstimate} from './get-step-estimates.js';
 import type {HandoverSource} from './job-handover.js';
 import type {JobRequest, JobStep} from './job-request.js';
 import {getTaskName} from './task-name.js';
@@ -8,6 +9,10 @@
 	readonly name: string;
 	readonly step: number;
 	readonly needs: TaskNeeds;
+	/** The expected run time on a nominal backend server near the data. */
+	readonly expectedMs: number;
+	/** The expected run time of the longest chain of steps after it. */
+	readonly followingMs: number;
 	state: 'waiting' | 'running' | 'done';
 	session: BackendSession | undefined;
 	/** The number of the last run. */
@@ -16,12 +21,14 @@
 	/** Backend servers that the task is not placed on again, because it failed, was too slow or could not start there. */
 	readonly avoidedServerIds: Set<string>;
 	startedAtMs: number;
-	/** Duration of the successful run. */
+	/** Duration of the successful run, without what the distance to the data added. */
 	durationMs: number | undefined;
 	/** Whether an earlier placer started the run, so that its start time is not known. */
 	isAdopted: boolean;
 	/** Number of runs that were stopped because they were slow. */
 	slowRunCount: number;
+	/** Since when the task has waited for a place near its data; undefined if it has not. */
+	nearWaitSinceMs: number | undefined;
 };
 
 /** A job that the placer has accepted. */
@@ -54,14 +61,16 @@
  * Creates the tasks of a job, all in the waiting state.
  * @param request - The job.
  * @param generation - How often the job was submitted to a placer before. Each generation has its own, higher range of run numbers.
+ * @param estimates - The estimate of each step.
  */
-export function createPlacedTasks(request: JobRequest, generation: number): PlacedTask[] {
+export function createPlacedTasks(request: JobRequest, generation: number, estimates: readonly StepEstimate[]): PlacedTask[] {
 	return request.steps.flatMap((step, position) => Array.from({length: step.taskCount}, (_, index): PlacedTask => ({
 		name: getTaskName({
 			jobId: request.jobId, occurrence: 0, step: position, index,
 		}),
 		step: position,
 		needs: getTaskNeeds(step),
+		...estimates[position]!,
 		state: 'waiting',
 		session: undefined,
 		runNumber: generation * runNumbersPerGeneration,
@@ -71,6 +80,7 @@
 		durationMs: undefined,
 		isAdopted: false,
 		slowRunCount: 0,
+		nearWaitSinceMs: undefined,
 	})));
 }
 
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -13,10 +13,14 @@
 import {createJobIntake} from './job-intake.js';
 import {createJobRecovery} from './job-recovery.js';
 import type {Placer} from './placer.js';
-import {createCapacityTable, type CapacityTable} from './capacity-table.js';
+import {createCapacityTable, type Allocation, type CapacityTable} from './capacity-table.js';
+import {recordDistance} from './record-distance.js';
+import {createRunExpectations} from './run-expectations.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
-import {findRefusals, getWaitingJobs, type WaitingEntry} from './waiting-jobs.js';
+import {
+	findRefusals, getWaitingJobs, getWaitingMillicores, type WaitingEntry,
+} from './waiting-jobs.js';
 
 export type PlacerOptions = {
 	term: number;
@@ -34,6 +38,9 @@
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
 
+/** Offers far places to a task, after all tasks of the pass have been offered near ones. */
+type DeferredStart = () => void;
+
 /** Scheduling passes requested within this interval are combined into one. */
 const minPassIntervalMs = 2;
 const maxPassIntervalMs = 50;
@@ -46,9 +53,10 @@
  * @param options - The term and the ports.
  */
 export function createPlacer(options: PlacerOptions): Placer {
-	const {timers, random, events, metrics, onResult} = options;
+	const {timers, random, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const intake = createJobIntake(timers);
+	const {getRunFactor, findExpectedEndMs} = createRunExpectations(timers, jobTable, remoteRunFactor);
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -80,7 +88,7 @@
 		},
 	});
 	const slowRunDetector = createSlowRunDetector({
-		timers, events, metrics, jobTable, pool,
+		timers, events, metrics, jobTable, pool, getRunFactor,
 	});
 	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
 	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
@@ -121,16 +129,23 @@
 			refuse(job, reason, waitMs);
 		}
 
+		const deferred: DeferredStart[] = [];
 		for (const {job} of waiting) {
 			if (!job.isEnded) {
-				placeJob(job, tables.get(job.request.service)!);
+				placeJob(job, tables.get(job.request.service)!, deferred);
 			}
 		}
+
+		for (const start of deferred) {
+			start();
+		}
 	}
 
 	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
 		const services = new Set(waiting.map(({job}) => job.request.service));
-		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service))]));
+		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service), {
+			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs,
+		})]));
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
@@ -138,10 +153,13 @@
 		endJob(job, {outcome: 'refused', reason, retryAfterMs});
 	}
 
-	function placeJob(job: PlacedJob, table: CapacityTable): void {
+	function placeJob(job: PlacedJob, table: CapacityTable, deferred: DeferredStart[]): void {
 		for (const task of getStartableTasks(job)) {
-			if (!recovery.adoptEarlierRun(task)) {
-				startTaskIfPossible(job, task, table);
+			if (!recovery.adoptEarlierRun(task) && startTaskIfPossible(job, task, table) === 'deferred') {
+				deferred.push(() => {
+					table.permitFarRuns();
+					startTaskIfPossible(job, task, table);
+				});
 			}
 		}
 
@@ -150,12 +168,18 @@
 		}
 	}
 
-	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): void {
+	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): Allocation['outcome'] {
 		// A run of an earlier submission of the same job may still be stopping.
-		const server = pool.findRun(task.name) === undefined ? table.allocate(job, task) : undefined;
-		if (server !== undefined) {
-			startTask(job, task, server);
+		const allocation: Allocation = pool.findRun(task.name) === undefined ? table.allocate(job, task) : {outcome: 'none'};
+		if (allocation.outcome === 'server') {
+			recordDistance(metrics, task, {isFar: allocation.isFar, nowMs: timers.getNowMs()});
+			startTask(job, task, allocation.server);
+		} else if (allocation.outcome === 'wait' && task.nearWaitSinceMs === undefined) {
+			task.nearWaitSinceMs = timers.getNowMs();
+			metrics.increment('near-wait');
 		}
+
+		return allocation.outcome;
 	}
 
 	function getUsableServers(service: string): PooledServer[] {
@@ -234,7 +258,7 @@
 	}
 
 	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
-		const durationMs = timers.getNowMs() - task.startedAtMs;
+		const durationMs = (timers.getNowMs() - task.startedAtMs) / getRunFactor(job, task, session);
 		task.state = 'done';
 		if (!task.isAdopted) {
 			task.durationMs = durationMs;
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -2,6 +2,8 @@
 import {createQueueWorkMeans} from '../estimates/queue-work-means.js';
 import {createRunTimeEstimator} from '../estimates/run-time-estimator.js';
 import {getJobEstimate} from '../jobs/get-job-estimate.js';
+import {getStepEstimates} from '../jobs/get-step-estimates.js';
+import type {JobStep} from '../jobs/job-request.js';
 import {createPlacedTasks, type PlacedJob} from '../jobs/placed-job.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import {recoveryMs} from './job-recovery.js';
@@ -24,7 +26,8 @@
 	return {
 		createJob(entryId, {request, submissionId, generation, mayHaveStarted, handover}) {
 			const {queueName} = request;
-			const {criticalPathMs, work} = getJobEstimate(request, step => runTimeEstimator.getExpectedMs(queueName, step.estimateMs));
+			const getExpectedMs = (step: JobStep) => runTimeEstimator.getExpectedMs(queueName, step.estimateMs);
+			const {criticalPathMs, work} = getJobEstimate(request, getExpectedMs);
 			const relativeWork = queueWorkMeans.getRelativeWork(queueName, work);
 			queueWorkMeans.addJob(queueName, work);
 			return {
@@ -32,7 +35,7 @@
 				submissionId,
 				entryId,
 				arrivedAtMs: timers.getNowMs() - request.ageMs,
-				tasks: createPlacedTasks(request, generation),
+				tasks: createPlacedTasks(request, generation, getStepEstimates(request, getExpectedMs)),
 				objectiveMs: (criticalPathMs * request.stretch) + request.slackMs,
 				criticalPathMs,
 				work,
--- a/packages/placement/src/placer/slow-run-detector.ts
+++ b/packages/placement/src/placer/slow-run-detector.ts
@@ -1,6 +1,7 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import {findSlowness, minAssessedRunMs} from '../health/find-slowness.js';
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
+import type {BackendSession} from '../sessions/backend-session.js';
 import {getReportedRunningMs} from '../sessions/run.js';
 import type {JobTable} from './job-table.js';
 import type {ServerPool} from './server-pool.js';
@@ -16,6 +17,8 @@
 	metrics: MetricSink;
 	jobTable: JobTable;
 	pool: ServerPool;
+	/** Gets the factor by which a task takes longer on a backend server than near its data. */
+	getRunFactor: (job: PlacedJob, task: PlacedTask, session: BackendSession) => number;
 };
 
 const checkIntervalMs = 50;
@@ -28,7 +31,7 @@
  * Creates the detector and starts it.
  * @param options - The jobs and the backend servers.
  */
-export function createSlowRunDetector({timers, events, metrics, jobTable, pool}: SlowRunDetectorOptions): SlowRunDetector {
+export function createSlowRunDetector({timers, events, metrics, jobTable, pool, getRunFactor}: SlowRunDetectorOptions): SlowRunDetector {
 	function checkRuns(): void {
 		for (const job of jobTable.getJobs()) {
 			for (const task of job.tasks) {
@@ -52,7 +55,7 @@
 
 		const {percent} = run;
 		const slowness = findSlowness({
-			runningMs, percent, expectedMs: job.criticalPathMs, siblingMs: getSiblingTimes(job, task),
+			runningMs: runningMs / getRunFactor(job, task, task.session), percent, expectedMs: job.criticalPathMs, siblingMs: getSiblingTimes(job, task),
 		});
 		if (slowness === undefined) {
 			return;
@@ -74,7 +77,7 @@
 		const times: number[] = [];
 		for (const other of job.tasks) {
 			const isElsewhere = other !== task && other.step === task.step && other.session !== task.session;
-			const timeMs = isElsewhere ? findRunTimeMs(other) : undefined;
+			const timeMs = isElsewhere ? findRunTimeMs(job, other) : undefined;
 			if (timeMs !== undefined) {
 				times.push(timeMs);
 			}
@@ -83,14 +86,15 @@
 		return times;
 	}
 
-	function findRunTimeMs(task: PlacedTask): number | undefined {
+	/** Finds the run time that a task has, or would have, near its data. */
+	function findRunTimeMs(job: PlacedJob, task: PlacedTask): number | undefined {
 		if (task.state !== 'running') {
 			return task.durationMs;
 		}
 
 		const run = task.session?.findRun(task.name);
 		const isProjectable = run !== undefined && !task.isAdopted && run.percent >= minProjectablePercent;
-		return isProjectable ? getReportedRunningMs(run) * 100 / run.percent : undefined;
+		return isProjectable ? getReportedRunningMs(run) * 100 / run.percent / getRunFactor(job, task, task.session!) : undefined;
 	}
 
 	const subscription = timers.addInterval(checkIntervalMs, checkRuns);
--- a/packages/placement/src/placer/waiting-jobs.ts
+++ b/packages/placement/src/placer/waiting-jobs.ts
@@ -1,6 +1,7 @@
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
 import type {RefusalReason} from '../messages/placement-messages.js';
 import {compareWaitingJobs} from '../queue/compare-waiting-jobs.js';
+import {createDistanceEstimator} from '../queue/create-distance-estimator.js';
 import {createWaitEstimator, type ServiceLoad} from '../queue/create-wait-estimator.js';
 import {findRefusal} from '../queue/find-refusal.js';
 import type {WaitingJob} from '../queue/waiting-job.js';
@@ -53,6 +54,15 @@
 	};
 }
 
+/**
+ * Gets the CPU that the waiting tasks of a service need.
+ * @param waiting - The waiting jobs.
+ * @param service - The service.
+ */
+export function getWaitingMillicores(waiting: readonly WaitingEntry[], service: string): number {
+	return waiting.reduce((sum, {job, waitingJob}) => sum + (job.request.service === service ? waitingJob.waitingMillicores : 0), 0);
+}
+
 /**
  * Finds the jobs to refuse now, and estimates the wait of a further job of typical size behind the remaining ones.
  * @param jobs - The open jobs.
@@ -63,22 +73,36 @@
 export function findRefusals(jobs: Iterable<PlacedJob>, waiting: readonly WaitingEntry[], tables: ReadonlyMap<string, CapacityTable>, nowMs: number): {refusals: Refusal[]; loadMs: number} {
 	const refusals: Refusal[] = [];
 	const openJobs = [...jobs];
-	const estimators = new Map([...tables].map(([service, table]) => [service, createWaitEstimator(getServiceLoad(openJobs, service, table))]));
+	const estimators = new Map([...tables].map(([service, table]) => [service, {
+		estimator: createWaitEstimator(getServiceLoad(openJobs, service, table)),
+		contention: table.contention,
+		distanceEstimator: createDistanceEstimator(nowMs, table.remoteRunFactor, table.getRackLoad),
+	}]));
 	for (const {job, waitingJob} of waiting) {
-		const estimator = estimators.get(job.request.service)!;
-		const waitAheadMs = estimator.getWaitMs(waitingJob);
+		const {estimator, distanceEstimator, contention} = estimators.get(job.request.service)!;
+		const distantJob = {...waitingJob, dataRack: findDataRack(job)};
+		const waitMs = estimator.getWaitMs(waitingJob);
+		const distance = distanceEstimator.getEstimate(distantJob, waitMs);
+		// Without contention, nothing better can be done with free capacity than to run a job far, even if that is late.
+		const waitAheadMs = contention > 0 ? Math.max(waitMs, distance.delayMs) : waitMs;
 		const reason = findRefusal(waitingJob, {nowMs, waitAheadMs});
 		if (reason === undefined) {
+			distanceEstimator.addJob(distantJob, distance);
 			estimator.addJob(waitingJob);
 		} else {
 			refusals.push({job, reason, waitMs: waitAheadMs});
 		}
 	}
 
-	const loadMs = Math.max(0, ...[...estimators.values()].map(estimator => estimator.getWaitMs(referenceJob)));
+	const loadMs = Math.max(0, ...[...estimators.values()].map(({estimator}) => estimator.getWaitMs(referenceJob)));
 	return {refusals, loadMs: Math.round(loadMs)};
 }
 
+/** Finds the rack that all steps of a job with a rack want. */
+function findDataRack({request}: PlacedJob): string | undefined {
+	return request.steps.find(({dataRack}) => dataRack !== undefined)?.dataRack;
+}
+
 function getServiceLoad(jobs: readonly PlacedJob[], service: string, table: CapacityTable): ServiceLoad {
 	let runningMillicores = 0;
 	let runningWork = 0;
--- a/packages/placement/test/queue/decisions.test.ts
+++ b/packages/placement/test/queue/decisions.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {chooseBackendServer, type Candidate} from '../../src/queue/choose-backend-server.js';
 import {compareWaitingJobs} from '../../src/queue/compare-waiting-jobs.js';
 import {createWaitEstimator} from '../../src/queue/create-wait-estimator.js';
 import {findRefusal} from '../../src/queue/find-refusal.js';
@@ -108,41 +107,3 @@
 		});
 	}
 });
-
-describe('chooseBackendServer', () => {
-	const needs = {cpuMillicores: 27_000, memoryMb: 64, gpuCount: 0};
-	const getCandidate = (id: string, cores: number, rest: Partial<Candidate> = {}): Candidate & {id: string} => ({
-		id, freeCapacity: {cpuMillicores: cores * 1000, memoryMb: 1000, gpuCount: 0}, grade: 'good', labels: ['a', 'rack-1'], sameStepCount: 0, ...rest,
-	});
-	const rows = [
-		{
-			title: 'the tightest fit', candidates: [getCandidate('wide', 64), getCandidate('tight', 30)], wanted: {needs}, expected: 'tight',
-		},
-		{
-			title: 'none if none has enough cores', candidates: [getCandidate('small', 26)], wanted: {needs}, expected: undefined,
-		},
-		{
-			title: 'a good one over a tighter suspect one', candidates: [getCandidate('suspect', 27, {grade: 'suspect'}), getCandidate('good', 64)], wanted: {needs}, expected: 'good',
-		},
-		{
-			title: 'a suspect one if there is no good one', candidates: [getCandidate('suspect', 64, {grade: 'suspect'})], wanted: {needs}, expected: 'suspect',
-		},
-		{
-			title: 'no ejected one', candidates: [getCandidate('ejected', 64, {grade: 'ejected'})], wanted: {needs}, expected: undefined,
-		},
-		{
-			title: 'one with the required label', candidates: [getCandidate('plain', 27), getCandidate('labelled', 64, {labels: ['b']})], wanted: {needs, requiredLabel: 'b'}, expected: 'labelled',
-		},
-		{
-			title: 'one in the rack of the data', candidates: [getCandidate('far', 27), getCandidate('near', 64, {labels: ['a', 'rack-2']})], wanted: {needs, dataRack: 'rack-2'}, expected: 'near',
-		},
-		{
-			title: 'one with fewer tasks of the step', candidates: [getCandidate('used', 30, {sameStepCount: 2}), getCandidate('free', 64)], wanted: {needs, mostPerServer: 2}, expected: 'free',
-		},
-	];
-	for (const {title, candidates, wanted, expected} of rows) {
-		it(`chooses ${title}`, () => {
-			assert.equal(chooseBackendServer(candidates, wanted)?.id, expected);
-		});
-	}
-});
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -1,7 +1,7 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {
-	createPlacer, type BackendServerClient, type HandoverSource, type JobOutcome, type JobRequest, type Placer,
+	createPlacer, type BackendServerClient, type HandoverSource, type JobOutcome, type JobRequest, type Placer, type PlacerOptions,
 } from '../../src/index.js';
 import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from './fake-fleet.js';
 
@@ -10,6 +10,7 @@
 	fleet: FakeFleet;
 	placer: Placer;
 	events: RecordingEventLog;
+	metrics: RecordingMetricSink;
 	results: Map<string, JobOutcome>;
 	/** When each result was reported. */
 	endedAtMs: Map<string, number>;
@@ -44,7 +45,7 @@
  * Creates a placer for a fake fleet.
  * @param options - Options of the fleet.
  */
-export function createTestPlacer(options: Partial<FakeFleetOptions> = {}): TestPlacer {
+export function createTestPlacer(options: Partial<FakeFleetOptions> & Pick<PlacerOptions, 'remoteRunFactor'> = {}): TestPlacer {
 	const timers = new VirtualTimers();
 	const fleet = createFakeFleet({timers, serverCount: 4, ...options});
 	const events = new RecordingEventLog();
@@ -62,6 +63,7 @@
 			random: createSeededRandomSource(term),
 			events,
 			metrics,
+			remoteRunFactor: options.remoteRunFactor,
 			serverSources: {
 				isCoveredBy: ({placers}) => placers.every(({placerId}) => placerId !== unknownPlacerId),
 				requestMissing(source) {
@@ -83,6 +85,7 @@
 		fleet,
 		placer,
 		events,
+		metrics,
 		results,
 		endedAtMs,
 		createSuccessor,
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -52,6 +52,8 @@
 	availabilityZones?: readonly string[];
 	/** Gets the run time of a task. */
 	getDurationMs?: (taskName: string, payload: string) => number;
+	/** Gets the factor on the run time of a task on a backend server, from its speed and the distance to the data. */
+	getRunFactor?: (taskName: string, server: BackendServerDescription) => number;
 	/** Gets the CPU that a task uses. */
 	getMillicores?: (taskName: string) => number;
 	delayMs?: number;
@@ -86,6 +88,7 @@
 	const {timers, serverCount, cpuMillicores = 64_000, availabilityZones = ['north'], delayMs = 0.5, stopMs = 20} = options;
 	const getMillicores = options.getMillicores ?? (() => 27_000);
 	const getDurationMs = options.getDurationMs ?? (() => 100);
+	const getRunFactor = options.getRunFactor ?? (() => 1);
 	const records: RunRecord[] = [];
 	let peakUtilization = 0;
 
@@ -176,7 +179,7 @@
 		const record: RunRecord = {
 			taskName, runNumber, serverId: server.description.id, startedAtMs: timers.getNowMs(), endedAtMs: undefined, outcome: undefined, daemonId,
 		};
-		const durationMs = getDurationMs(taskName, payload) * (server.fault.slowdownFactor ?? 1);
+		const durationMs = getDurationMs(taskName, payload) * getRunFactor(taskName, server.description) * (server.fault.slowdownFactor ?? 1);
 		records.push(record);
 		server.runs.set(taskName, {record, durationMs});
 		server.highestRuns.set(taskName, runNumber);
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -1,6 +1,9 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
 import {createLoadPattern, mixedKinds, type PatternJob} from './load-pattern.js';
+import {
+	addDataRacks, getRackRunFactor, setRacks, type RackOptions,
+} from './rack-layout.js';
 import {runFor} from './run-for.js';
 
 /** A trouble that begins, or ends, while a load is replayed. */
@@ -16,6 +19,8 @@
 	seed?: number;
 	durationMs?: number;
 	steps?: readonly ReplayStep[];
+	/** Without it, all backend servers stand in one rack and no job states where its data is. */
+	racks?: RackOptions;
 };
 
 /** How callers were served. Shares are of worth. */
@@ -23,6 +28,10 @@
 	/** Worth of the jobs in time, and a fifth of that of late ones, of all. */
 	earnedShare: number;
 	earnedShareByKind: Record<string, number>;
+	/** Jobs that completed in time, of all. */
+	servedShare: number;
+	/** The mean response time of the completed jobs. */
+	meanResponseMs: number;
 	/** Jobs by outcome. */
 	outcomes: Record<string, number>;
 	/** Runs of tasks beyond one for each. */
@@ -32,6 +41,7 @@
 };
 
 const serverCount = 76;
+const dataRackSeedOffset = 1000;
 /** Every third backend server is half as large again as the others. */
 const largeServerMillicores = 96_000;
 /** When the replay starts: the placer has claimed all backend servers. */
@@ -47,25 +57,39 @@
  * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
  * @param options - The load and the troubles.
  */
-export async function replayLoad({load, seed = 1, durationMs = 4000, steps = []}: ReplayOptions): Promise<ReplayResult> {
+export async function replayLoad({load, seed = 1, durationMs = 4000, steps = [], racks}: ReplayOptions): Promise<ReplayResult> {
 	const random = createSeededRandomSource(seed);
 	const durations = new Map<string, number>();
 	const millicores = new Map<string, number>();
+	const dataRacks = new Map<string, string>();
 	const test = createTestPlacer({
-		serverCount, getDurationMs: taskName => durations.get(taskName)!, getMillicores: taskName => millicores.get(taskName)!,
+		serverCount,
+		getDurationMs: taskName => durations.get(taskName)!,
+		getMillicores: taskName => millicores.get(taskName)!,
+		getRunFactor: (taskName, server) => (racks === undefined ? 1 : getRackRunFactor(racks, server, dataRacks.get(taskName))),
+		remoteRunFactor: racks?.isFactorKnown ? racks.remoteFactor : undefined,
 	});
 	for (const [position, server] of test.fleet.servers.entries()) {
 		server.description.cpuMillicores = position % 3 === 2 ? largeServerMillicores : server.description.cpuMillicores;
 	}
 
+	if (racks !== undefined) {
+		setRacks(racks, test.fleet.servers);
+	}
+
 	test.placer.setServers(test.fleet.getDescriptions(), 0);
 	await runFor(test.timers, claimMs);
 	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
 	const jobs = createLoadPattern({
 		kinds: mixedKinds, cores, load, durationMs, random,
 	});
+	if (racks !== undefined) {
+		addDataRacks(racks, jobs, createSeededRandomSource(seed + dataRackSeedOffset));
+	}
+
 	for (const {request, taskDurationsMs} of jobs) {
 		for (const [index, taskDurationMs] of taskDurationsMs.entries()) {
+			dataRacks.set(`${request.jobId}.0.0.${index}`, request.steps[0]!.dataRack ?? '');
 			durations.set(`${request.jobId}.0.0.${index}`, taskDurationMs);
 			millicores.set(`${request.jobId}.0.0.${index}`, request.steps[0]!.cpuMillicores);
 		}
@@ -110,6 +134,7 @@
 	return {
 		earnedShare: getSum(earned) / getSum(owed),
 		earnedShareByKind: Object.fromEntries(Object.keys(owed).map(name => [name, earned[name]! / owed[name]!])),
+		...getResponses(test, jobs, startedAtMs),
 		outcomes,
 		repeatedRuns: Math.max(0, test.fleet.records.length - taskCount),
 		jobs,
@@ -117,6 +142,23 @@
 	};
 }
 
+function getResponses({results, endedAtMs}: TestPlacer, jobs: readonly PatternJob[], startedAtMs: number): {servedShare: number; meanResponseMs: number} {
+	let servedCount = 0;
+	const responsesMs: number[] = [];
+	for (const {request: {jobId}, arrivesAtMs, objectiveMs} of jobs) {
+		if (results.get(jobId)?.outcome === 'completed') {
+			const responseMs = endedAtMs.get(jobId)! - startedAtMs - arrivesAtMs + callerLinkMs;
+			responsesMs.push(responseMs);
+			servedCount += responseMs <= objectiveMs ? 1 : 0;
+		}
+	}
+
+	return {
+		servedShare: servedCount / jobs.length,
+		meanResponseMs: responsesMs.reduce((sum, responseMs) => sum + responseMs, 0) / Math.max(1, responsesMs.length),
+	};
+}
+
 function getServedShare({results, endedAtMs}: TestPlacer, {request: {jobId}, arrivesAtMs, objectiveMs}: PatternJob, startedAtMs: number): number {
 	const responseMs = (endedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) - startedAtMs - arrivesAtMs + callerLinkMs;
 	if (results.get(jobId)?.outcome !== 'completed' || responseMs > objectiveMs * lateFactor) {
