Wait for the benefit of others only while a far run can still be in time

Change: the additional time of a far run counts once more only while the task can still run far in time when its wait ends.

--- a/packages/placement/src/queue/choose-placement.ts
+++ b/packages/placement/src/queue/choose-placement.ts
@@ -125,7 +125,9 @@
 		return true;
 	}
 
-	const delayOfOthersMs = contention * (remoteRunFactor - 1) * task.runMs;
+	// A task waits for the benefit of others only while it can still run far in time if its expectation proves wrong.
+	const canRunFarLater = later.untilMs + far.runMs <= task.latestEndMs;
+	const delayOfOthersMs = canRunFarLater ? contention * (remoteRunFactor - 1) * task.runMs : 0;
 	return task.waitedMs + nearMs < far.runMs + delayOfOthersMs;
 }
 
--- a/packages/placement/test/queue/choose-placement.test.ts
+++ b/packages/placement/test/queue/choose-placement.test.ts
@@ -106,6 +106,10 @@
 		{
 			title: 'waits longer if a far run delays other work', near: [getBusy('near', 60)], far: [getCandidate('far', 27)], ...factor(1.5, 1), expected: 'wait near 60',
 		},
+		// Guards against waits for the benefit of others that leave neither place in time if the expectation proves wrong.
+		{
+			title: 'does not wait for the benefit of others beyond the last far start in time', near: [getBusy('near', 80)], far: [getCandidate('far', 27)], ...factor(1.5, 1), expected: 'place far',
+		},
 		{
 			title: 'waits if only the near run is in time', near: [getBusy('near', 110)], far: [getCandidate('far', 27)], ...factor(3), expected: 'wait near 110',
 		},
