Use the learnt speeds, and tell slow backend servers from long tasks

Cause: the check for slow runs compared tasks without regard to the speed of their backend servers, and took each long task for a fault of its server. Change: run times are recorded at nominal speed near the data; steps are compared when they have ended; capacity counts at its speed. A run is stopped only if several runs in a row are slow on its backend server, by how many tasks are long by themselves, and a new run would end sooner with a margin. An ejection needs more of them. Until long tasks are seen, one slow run is enough, as before. Result: 132 tests of packages/placement pass.

--- a/packages/placement/src/placer/capacity-table.ts
+++ b/packages/placement/src/placer/capacity-table.ts
@@ -1,11 +1,13 @@
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
 import {chooseBackendServer, type Candidate} from '../queue/choose-backend-server.js';
+import type {ServerSpeeds} from '../speed/server-speeds.js';
 import type {PooledServer} from './server-pool.js';
 
 /** The free capacity of the backend servers of one service during one scheduling pass. */
 export type CapacityTable = {
 	/** Chooses a backend server for a task and reserves capacity on it; undefined if none has enough. */
 	allocate(job: PlacedJob, task: PlacedTask): PooledServer | undefined;
+	/** Gets the CPU of the backend servers, each at its speed. */
 	getTotalMillicores(): number;
 	/** Gets the free CPU at the time when the table was created. */
 	getFreeMillicores(): number;
@@ -19,8 +21,9 @@
 /**
  * Creates the table.
  * @param servers - The backend servers of the service that are claimed and ready.
+ * @param speeds - Their speeds.
  */
-export function createCapacityTable(servers: readonly PooledServer[]): CapacityTable {
+export function createCapacityTable(servers: readonly PooledServer[], speeds: Pick<ServerSpeeds, 'getSpeed'>): CapacityTable {
 	const rows = servers.map(server => createRow(server));
 	const freeMillicores = rows.reduce((sum, row) => sum + row.freeCapacity.cpuMillicores, 0);
 	let largestFreeMillicores = getLargestFree();
@@ -69,7 +72,10 @@
 			largestFreeMillicores = getLargestFree();
 			return row.server;
 		},
-		getTotalMillicores: () => servers.reduce((sum, {session}) => sum + session.getDescription().cpuMillicores, 0),
+		getTotalMillicores: () => servers.reduce((sum, {session}) => {
+			const description = session.getDescription();
+			return sum + (description.cpuMillicores * speeds.getSpeed(description));
+		}, 0),
 		getFreeMillicores: () => freeMillicores,
 	};
 }
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -9,6 +9,8 @@
 import type {ServerSources} from '../ports/server-sources.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
+import {createRunRecorder} from '../speed/run-recorder.js';
+import {createServerSpeeds, type ServerSpeeds} from '../speed/server-speeds.js';
 import {createJobTable} from './job-table.js';
 import {createJobIntake} from './job-intake.js';
 import {createJobRecovery} from './job-recovery.js';
@@ -28,6 +30,10 @@
 	events: EventLog;
 	metrics: MetricSink;
 	serverSources: ServerSources;
+	/** How many times as long a task takes away from its data rack, if that is known. */
+	remoteFactor?: number;
+	/** The speeds of the backend servers; the placer learns its own unless they are given. */
+	serverSpeeds?: ServerSpeeds;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -47,6 +53,8 @@
 	const {timers, random, events, metrics, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const intake = createJobIntake(timers);
+	const speeds = options.serverSpeeds ?? createServerSpeeds(timers);
+	const runRecorder = createRunRecorder({speeds, intake, remoteFactor: options.remoteFactor});
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -78,7 +86,7 @@
 		},
 	});
 	const slowRunDetector = createSlowRunDetector({
-		timers, events, metrics, jobTable, pool,
+		timers, events, metrics, jobTable, pool, speeds, runRecorder,
 	});
 	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
 	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
@@ -128,7 +136,7 @@
 
 	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
 		const services = new Set(waiting.map(({job}) => job.request.service));
-		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service))]));
+		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service), speeds)]));
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
@@ -232,14 +240,16 @@
 	}
 
 	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
-		const durationMs = timers.getNowMs() - task.startedAtMs;
+		const description = session.getDescription();
 		task.state = 'done';
 		if (!task.isAdopted) {
-			task.durationMs = durationMs;
-			intake.addRun(job.request.queueName, durationMs);
+			runRecorder.addRun(job, task, description, timers.getNowMs() - task.startedAtMs);
+		}
+
+		if (slowRunDetector.addEnd(job, task)) {
+			pool.findServer(description.id)?.health.addSuccess();
 		}
 
-		pool.findServer(session.getDescription().id)?.health.addSuccess();
 		metrics.increment('task-done');
 		if (isDone(job)) {
 			endJob(job, {outcome: 'completed'});
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -9,8 +9,10 @@
 /** Turns submissions into jobs, with estimates from what the queues' earlier jobs took. */
 export type JobIntake = {
 	createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob;
-	/** Records how long a task of a queue took. */
+	/** Records how long a task of a queue took, or would have taken at nominal speed. */
 	addRun(queueName: string, durationMs: number): void;
+	/** Gets the expected run time of a task at nominal speed. */
+	getExpectedMs(queueName: string, declaredMs: number): number;
 };
 
 /**
@@ -45,5 +47,6 @@
 			};
 		},
 		addRun: runTimeEstimator.addRun,
+		getExpectedMs: runTimeEstimator.getExpectedMs,
 	};
 }
--- /dev/null
+++ b/packages/placement/src/speed/run-recorder.ts
@@ -0,0 +1,65 @@
+import type {JobIntake} from '../placer/job-intake.js';
+import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
+import type {BackendServerDescription} from '../servers/backend-server-description.js';
+import {getDistanceFactor} from './get-distance-factor.js';
+import {getExpectedRunMs} from './get-expected-run-ms.js';
+import type {ServerSpeeds} from './server-speeds.js';
+
+/** Records ended runs at nominal speed near their data, and what they tell about the speed of backend servers. */
+export type RunRecorder = {
+	/** Gets the multiple of the nominal rate at which a healthy run of a task progresses on a backend server. */
+	getRate(job: PlacedJob, task: PlacedTask, description: BackendServerDescription): number;
+	/** Records the successful run of a task that this placer started. */
+	addRun(job: PlacedJob, task: PlacedTask, description: BackendServerDescription, durationMs: number): void;
+};
+
+export type RunRecorderOptions = {
+	speeds: ServerSpeeds;
+	intake: Pick<JobIntake, 'addRun' | 'getExpectedMs'>;
+	/** How many times as long a task takes away from its data, if that is known. */
+	remoteFactor: number | undefined;
+};
+
+const minRunMs = 1;
+
+/**
+ * Creates the recorder. Run times are recorded at nominal speed, so that the estimates do not depend on where tasks ran.
+ * A step is compared when all its tasks have ended: its fast tasks end first, and comparing only those would overstate the
+ * speeds.
+ * @param options - The speeds and the estimates.
+ */
+export function createRunRecorder({speeds, intake, remoteFactor}: RunRecorderOptions): RunRecorder {
+	function findDistanceFactor(job: PlacedJob, task: PlacedTask, {labels}: BackendServerDescription): number | undefined {
+		return getDistanceFactor(job.request.steps[task.step]!, labels, remoteFactor);
+	}
+
+	function getRate(job: PlacedJob, task: PlacedTask, description: BackendServerDescription): number {
+		return speeds.getSpeed(description) / (findDistanceFactor(job, task, description) ?? 1);
+	}
+
+	function compareStep(job: PlacedJob, step: number): void {
+		const {queueName, steps} = job.request;
+		const estimateMs = intake.getExpectedMs(queueName, steps[step]!.estimateMs);
+		const runs = job.tasks.flatMap(task => task.step === step && task.finishedRun !== undefined ? [{task, ...task.finishedRun}] : []);
+		for (const run of runs) {
+			const {task, server, durationMs} = run;
+			const distanceFactor = findDistanceFactor(job, task, server);
+			const siblingMs = runs.filter(other => other.server.id !== server.id).map(({nominalMs}) => nominalMs);
+			if (distanceFactor !== undefined) {
+				speeds.addRun(server, getExpectedRunMs(estimateMs, siblingMs) * distanceFactor / durationMs);
+			}
+		}
+	}
+
+	return {
+		getRate,
+		addRun(job, task, description, durationMs) {
+			const nominalMs = Math.max(minRunMs, durationMs) * getRate(job, task, description);
+			task.finishedRun = {server: description, durationMs: Math.max(minRunMs, durationMs), nominalMs};
+			intake.addRun(job.request.queueName, nominalMs);
+			if (job.tasks.every(other => other.step !== task.step || other.state === 'done')) {
+				compareStep(job, task.step);
+			}
+		},
+	};
+}
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -1,4 +1,5 @@
 import {createSeededRandomSource} from '@camphortack/core';
+import type {ServerSpeeds} from '../../src/index.js';
 import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
 import {createLoadPattern, mixedKinds, type PatternJob} from './load-pattern.js';
 import {runFor} from './run-for.js';
@@ -16,6 +17,12 @@
 	seed?: number;
 	durationMs?: number;
 	steps?: readonly ReplayStep[];
+	/** The speeds of the backend servers, each for three in turn, of which one is large. */
+	speeds?: readonly number[];
+	/** The share of the tasks that take several times as long by themselves. */
+	longTaskShare?: number;
+	/** The speeds that the placer knows; it learns them unless they are given. */
+	serverSpeeds?: ServerSpeeds;
 };
 
 /** How callers were served. Shares are of worth. */
@@ -34,9 +41,12 @@
 const serverCount = 76;
 /** Every third backend server is half as large again as the others. */
 const largeServerMillicores = 96_000;
+const speedGroupSize = 3;
 /** When the replay starts: the placer has claimed all backend servers. */
 export const claimMs = 50;
 const drainMs = 2000;
+/** Time for the longest tasks that take several times as long by themselves. */
+const longDrainMs = 20_000;
 const stepMs = 2;
 const callerLinkMs = 6;
 const lateShare = 0.2;
@@ -47,22 +57,23 @@
  * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
  * @param options - The load and the troubles.
  */
-export async function replayLoad({load, seed = 1, durationMs = 4000, steps = []}: ReplayOptions): Promise<ReplayResult> {
+export async function replayLoad({load, seed = 1, durationMs = 4000, steps = [], speeds = [1], longTaskShare = 0, serverSpeeds}: ReplayOptions): Promise<ReplayResult> {
 	const random = createSeededRandomSource(seed);
 	const durations = new Map<string, number>();
 	const millicores = new Map<string, number>();
 	const test = createTestPlacer({
-		serverCount, getDurationMs: taskName => durations.get(taskName)!, getMillicores: taskName => millicores.get(taskName)!,
+		serverSpeeds, serverCount, getDurationMs: taskName => durations.get(taskName)!, getMillicores: taskName => millicores.get(taskName)!,
 	});
 	for (const [position, server] of test.fleet.servers.entries()) {
-		server.description.cpuMillicores = position % 3 === 2 ? largeServerMillicores : server.description.cpuMillicores;
+		server.speed = speeds[Math.floor(position / speedGroupSize) % speeds.length]!;
+		server.description.cpuMillicores = position % speedGroupSize === 2 ? largeServerMillicores : server.description.cpuMillicores;
 	}
 
 	test.placer.setServers(test.fleet.getDescriptions(), 0);
 	await runFor(test.timers, claimMs);
 	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
 	const jobs = createLoadPattern({
-		kinds: mixedKinds, cores, load, durationMs, random,
+		kinds: mixedKinds, cores, load, durationMs, random, longTaskShare,
 	});
 	for (const {request, taskDurationsMs} of jobs) {
 		for (const [index, taskDurationMs] of taskDurationsMs.entries()) {
@@ -73,7 +84,7 @@
 
 	const startedAtMs = test.timers.getNowMs();
 	await submitJobs(test, jobs, steps);
-	await runFor(test.timers, drainMs, stepMs);
+	await runFor(test.timers, longTaskShare > 0 ? longDrainMs : drainMs, stepMs);
 	return getResult(test, jobs, startedAtMs);
 }
 
