--- a/packages/placement/src/placer/capacity-table.ts
+++ b/packages/placement/src/placer/capacity-table.ts
@@ -72,10 +72,15 @@
 			largestFreeMillicores = getLargestFree();
 			return row.server;
 		},
-		getTotalMillicores: () => servers.reduce((sum, {session}) => {
-			const description = session.getDescription();
-			return sum + (description.cpuMillicores * speeds.getSpeed(description));
-		}, 0),
+		getTotalMillicores() {
+			let sum = 0;
+			for (const {session} of servers) {
+				const description = session.getDescription();
+				sum += description.cpuMillicores * speeds.getSpeed(description);
+			}
+
+			return sum;
+		},
 		getFreeMillicores: () => freeMillicores,
 	};
 }
--- a/packages/placement/src/placer/slow-run-detector.ts
+++ b/packages/placement/src/placer/slow-run-detector.ts
@@ -74,9 +74,13 @@
 			return;
 		}
 
-		const progress = getProgress({job, task, serverId: session.getDescription().id, rate: getRate(job, task, session)}, runningMs, run.percent);
+		const progress = getProgress({
+			job, task, serverId: session.getDescription().id, rate: getRate(job, task, session),
+		}, runningMs, run.percent);
 		const pace = findPace(progress);
-		const assessed = getAssessedRun({task, job, progress, serverId: session.getDescription().id});
+		const assessed = getAssessedRun({
+			task, job, progress, serverId: session.getDescription().id,
+		});
 		if (pace === 'slow') {
 			evidence.addSlowRun(assessed);
 		} else if (pace === 'normal') {
@@ -85,9 +89,13 @@
 
 		const suspicion = evidence.getSuspicion(assessed.serverId);
 		if (pace === 'stuck') {
-			stopRun({job, task, session, progress, pace, isCertain: true});
+			stopRun({
+				job, task, session, progress, pace, isCertain: true,
+			});
 		} else if (pace === 'slow' && suspicion !== 'none' && isRestartSooner(progress, getLikelyRate())) {
-			stopRun({job, task, session, progress, pace, isCertain: suspicion === 'certain'});
+			stopRun({
+				job, task, session, progress, pace, isCertain: suspicion === 'certain',
+			});
 		}
 	}
 
--- a/packages/placement/test/placer/server-speed.test.ts
+++ b/packages/placement/test/placer/server-speed.test.ts
@@ -15,7 +15,9 @@
 	const results: ReplayResult[] = [];
 	for (const seed of seeds) {
 		// eslint-disable-next-line no-await-in-loop -- One replay at a time.
-		results.push(await replayLoad({load: calmLoad, durationMs: 6000, seed, ...options}));
+		results.push(await replayLoad({
+			load: calmLoad, durationMs: 6000, seed, ...options,
+		}));
 	}
 
 	return results;
