Merge the speed of backend servers

Change: learned speeds in estimates, choice, room and the check for slow runs; joined with distance and cold servers in one rate of a run.

--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -10,6 +10,8 @@
 import type {ServerSources} from '../ports/server-sources.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
+import {createRunRecorder} from '../speed/run-recorder.js';
+import {createServerSpeeds, type ServerSpeeds} from '../speed/server-speeds.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
@@ -37,6 +39,8 @@
 	serverSources: ServerSources;
 	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
 	remoteRunFactor?: number | undefined;
+	/** The speeds of the backend servers; the placer learns its own unless they are given. */
+	serverSpeeds?: ServerSpeeds | undefined;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -61,7 +65,9 @@
 	const {timers, random, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const intake = createJobIntake(timers);
-	const {getRunFactor, findExpectedEndMs} = createRunExpectations(timers, jobTable, remoteRunFactor);
+	const speeds = options.serverSpeeds ?? createServerSpeeds(timers);
+	const runRecorder = createRunRecorder({speeds, intake, remoteRunFactor});
+	const findExpectedEndMs = createRunExpectations(timers, jobTable, runRecorder);
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -108,7 +114,7 @@
 		},
 	});
 	const slowRunDetector = createSlowRunDetector({
-		timers, events, metrics, jobTable, pool, getRunFactor,
+		timers, events, metrics, jobTable, pool, speeds, runRecorder,
 	});
 	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
 	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
@@ -169,7 +175,7 @@
 	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
 		const services = new Set(waiting.map(({job}) => job.request.service));
 		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service), {
-			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs,
+			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs, getSpeed: speeds.getSpeed,
 		})]));
 	}
 
@@ -286,16 +292,16 @@
 	}
 
 	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
-		const durationMs = (timers.getNowMs() - task.startedAtMs) / getRunFactor(job, task, session);
+		const description = session.getDescription();
 		task.state = 'done';
-		if (!task.isAdopted) {
-			task.durationMs = durationMs;
-			if (session.getColdUntilMs() <= task.startedAtMs) {
-				intake.addRun(job.request.queueName, durationMs);
-			}
+		if (!task.isAdopted && session.getColdUntilMs() <= task.startedAtMs) {
+			runRecorder.addRun(job, task, description, timers.getNowMs() - task.startedAtMs);
+		}
+
+		if (slowRunDetector.addEnd(job, task)) {
+			pool.findServer(description.id)?.health.addSuccess();
 		}
 
-		pool.findServer(session.getDescription().id)?.health.addSuccess();
 		metrics.increment('task-done');
 		if (isDone(job)) {
 			endJob(job, {outcome: 'completed'});
