--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -23,6 +23,7 @@
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
 import {createTakeoverLog} from './takeover-log.js';
+import {createTaskEnds} from './task-ends.js';
 import {
 	findRefusals, getWaitingJobs, getWaitingMillicores, type WaitingEntry,
 } from './waiting-jobs.js';
@@ -116,6 +117,9 @@
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, speeds, runRecorder,
 	});
+	const taskEnds = createTaskEnds({
+		timers, events, metrics, pool, runRecorder, slowRunDetector, onJobEnd: endJob,
+	});
 	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
 	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
 
@@ -240,7 +244,7 @@
 	function handleRunEnd(session: BackendSession, run: Run, end: RunEnd): void {
 		const found = jobTable.findTask(run.taskName);
 		if (found?.task.session === session && found.task.runNumber === run.runNumber) {
-			handleTaskEnd(found.job, found.task, end);
+			taskEnds.handleEnd(found.job, found.task, end);
 		} else if (end === 'done') {
 			recovery.addDoneTask(run.taskName);
 		}
@@ -248,80 +252,6 @@
 		schedulePass();
 	}
 
-	function handleTaskEnd(job: PlacedJob, task: PlacedTask, end: RunEnd): void {
-		const {session} = task;
-		task.session = undefined;
-		task.state = 'waiting';
-		switch (end) {
-			case 'done': {
-				finishTask(job, task, session!);
-				break;
-			}
-
-			case 'failed': {
-				failTask(job, task, session!);
-				break;
-			}
-
-			case 'unhealthy':
-			case 'no-room': {
-				task.avoidedServerIds.add(session!.getDescription().id);
-				break;
-			}
-
-			case 'unanswered': {
-				task.avoidedServerIds.add(session!.getDescription().id);
-				pool.findServer(session!.getDescription().id)?.health.addUnansweredRequest(job.request.jobId);
-				events.write('task-repeated', {
-					task: task.name, run: task.runNumber, server: session!.getDescription().id, reason: end,
-				});
-				break;
-			}
-
-			case 'old-run':
-			case 'stopped':
-			case 'lapsed':
-			case 'not-started':
-			case 'lost': {
-				events.write('task-repeated', {
-					task: task.name, run: task.runNumber, server: session!.getDescription().id, reason: end,
-				});
-				break;
-			}
-		}
-	}
-
-	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
-		const description = session.getDescription();
-		task.state = 'done';
-		if (!task.isAdopted && session.getColdUntilMs() <= task.startedAtMs) {
-			runRecorder.addRun(job, task, description, timers.getNowMs() - task.startedAtMs);
-		}
-
-		if (slowRunDetector.addEnd(job, task)) {
-			pool.findServer(description.id)?.health.addSuccess();
-		}
-
-		metrics.increment('task-done');
-		if (isDone(job)) {
-			endJob(job, {outcome: 'completed'});
-		}
-	}
-
-	function failTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
-		const serverId = session.getDescription().id;
-		task.failureCount++;
-		task.avoidedServerIds.add(serverId);
-		pool.findServer(serverId)?.health.addFailure(job.request.jobId);
-		metrics.increment('task-error');
-		events.write('task-failed', {
-			task: task.name, run: task.runNumber, server: serverId, failures: task.failureCount, mostAttempts: job.request.mostAttempts,
-		});
-		if (task.failureCount >= job.request.mostAttempts) {
-			endJob(job, {outcome: 'failed', reason: 'attempts-used'});
-		}
-	}
-
 	function endJob(job: PlacedJob, result: JobOutcome): void {
 		jobTable.endJob(job, result);
 		stopRuns(job);
--- /dev/null
+++ b/packages/placement/src/placer/task-ends.ts
@@ -0,0 +1,109 @@
+import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
+import {isDone, type PlacedJob, type PlacedTask} from '../jobs/placed-job.js';
+import type {JobOutcome} from '../messages/job-outcome.js';
+import type {BackendSession} from '../sessions/backend-session.js';
+import type {RunEnd} from '../sessions/run.js';
+import type {RunRecorder} from '../speed/run-recorder.js';
+import type {ServerPool} from './server-pool.js';
+import type {SlowRunDetector} from './slow-run-detector.js';
+
+/** Updates tasks whose runs have ended, and ends the jobs that are done or have failed. */
+export type TaskEnds = {
+	/** Handles the end of the run of a task. */
+	handleEnd(job: PlacedJob, task: PlacedTask, end: RunEnd): void;
+};
+
+export type TaskEndsOptions = {
+	timers: TimerService;
+	events: EventLog;
+	metrics: MetricSink;
+	pool: ServerPool;
+	runRecorder: RunRecorder;
+	slowRunDetector: SlowRunDetector;
+	/** Called with each job that is done, or of which a task has failed too often. */
+	onJobEnd: (job: PlacedJob, result: JobOutcome) => void;
+};
+
+/**
+ * Creates the handling of task ends of a placer.
+ * @param options - The backend servers, the detector of slow runs and the logs.
+ */
+export function createTaskEnds(options: TaskEndsOptions): TaskEnds {
+	const {timers, events, metrics, pool, runRecorder, slowRunDetector, onJobEnd} = options;
+
+	function handleEnd(job: PlacedJob, task: PlacedTask, end: RunEnd): void {
+		const {session} = task;
+		task.session = undefined;
+		task.state = 'waiting';
+		switch (end) {
+			case 'done': {
+				finishTask(job, task, session!);
+				break;
+			}
+
+			case 'failed': {
+				failTask(job, task, session!);
+				break;
+			}
+
+			case 'unhealthy':
+			case 'no-room': {
+				task.avoidedServerIds.add(session!.getDescription().id);
+				break;
+			}
+
+			case 'unanswered': {
+				task.avoidedServerIds.add(session!.getDescription().id);
+				pool.findServer(session!.getDescription().id)?.health.addUnansweredRequest(job.request.jobId);
+				events.write('task-repeated', {
+					task: task.name, run: task.runNumber, server: session!.getDescription().id, reason: end,
+				});
+				break;
+			}
+
+			case 'old-run':
+			case 'stopped':
+			case 'lapsed':
+			case 'not-started':
+			case 'lost': {
+				events.write('task-repeated', {
+					task: task.name, run: task.runNumber, server: session!.getDescription().id, reason: end,
+				});
+				break;
+			}
+		}
+	}
+
+	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
+		const description = session.getDescription();
+		task.state = 'done';
+		if (!task.isAdopted && session.getColdUntilMs() <= task.startedAtMs) {
+			runRecorder.addRun(job, task, description, timers.getNowMs() - task.startedAtMs);
+		}
+
+		if (slowRunDetector.addEnd(job, task)) {
+			pool.findServer(description.id)?.health.addSuccess();
+		}
+
+		metrics.increment('task-done');
+		if (isDone(job)) {
+			onJobEnd(job, {outcome: 'completed'});
+		}
+	}
+
+	function failTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
+		const serverId = session.getDescription().id;
+		task.failureCount++;
+		task.avoidedServerIds.add(serverId);
+		pool.findServer(serverId)?.health.addFailure(job.request.jobId);
+		metrics.increment('task-error');
+		events.write('task-failed', {
+			task: task.name, run: task.runNumber, server: serverId, failures: task.failureCount, mostAttempts: job.request.mostAttempts,
+		});
+		if (task.failureCount >= job.request.mostAttempts) {
+			onJobEnd(job, {outcome: 'failed', reason: 'attempts-used'});
+		}
+	}
+
+	return {handleEnd};
+}
--- a/packages/placement/src/speed/run-recorder.ts
+++ b/packages/placement/src/speed/run-recorder.ts
@@ -29,7 +29,6 @@
  * @param options - The speeds and the estimates.
  */
 export function createRunRecorder({speeds, intake, remoteRunFactor}: RunRecorderOptions): RunRecorder {
-
 	function findFactor(job: PlacedJob, task: PlacedTask, {labels}: BackendServerDescription): number | undefined {
 		return findDistanceFactor(job.request.steps[task.step]!, labels, remoteRunFactor);
 	}
