Replay loads whose capacity is short, and carry the priority of a queue

Cause: no replay had backend servers that hold about two tasks, bursts of one kind or one entry daemon, and the priority of a queue did not reach the placer.

--- a/packages/placement/src/jobs/job-request.ts
+++ b/packages/placement/src/jobs/job-request.ts
@@ -35,6 +35,8 @@
 	ageMs: z.number().min(0),
 	/** Timeout of the caller, counted from the arrival. */
 	callerTimeoutMs: z.number().min(0),
+	/** The priority of the queue; 0 is the highest. Daemons of earlier versions do not send it. */
+	priority: z.number().optional(),
 });
 
 export type JobStep = z.infer<typeof jobStepSchema>;
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -10,13 +10,14 @@
 	fleet: FakeFleet;
 	placer: Placer;
 	events: RecordingEventLog;
+	metrics: RecordingMetricSink;
 	results: Map<string, JobOutcome>;
 	/** When each result was reported. */
 	endedAtMs: Map<string, number>;
 	/** The sources whose missing registries the placers have requested. */
 	requestedSources: HandoverSource[];
 	/** Submits a job to the placer in use, at first the one that was created with the fleet. */
-	submit(request: Partial<JobRequest> & {jobId: string}, options?: {generation?: number; submissionId?: string; handover?: HandoverSource}): void;
+	submit(request: Partial<JobRequest> & {jobId: string}, options?: {entryId?: string; generation?: number; submissionId?: string; handover?: HandoverSource}): void;
 	/** Submits later jobs to another placer. */
 	usePlacer(next: Placer): void;
 	/** Creates another placer for the same backend servers. Its daemon number is the term unless it is given. */
@@ -83,12 +84,13 @@
 		fleet,
 		placer,
 		events,
+		metrics,
 		results,
 		endedAtMs,
 		createSuccessor,
 		requestedSources,
-		submit(request, {generation = 0, submissionId = 'one', handover} = {}) {
-			placerInUse.submit('entry', {
+		submit(request, {entryId = 'entry', generation = 0, submissionId = 'one', handover} = {}) {
+			placerInUse.submit(entryId, {
 				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0, handover,
 			});
 		},
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -1,6 +1,8 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
-import {createLoadPattern, mixedKinds, type PatternJob} from './load-pattern.js';
+import {
+	createLoadPattern, mixedKinds, smallServerKinds, type LoadPatternOptions, type PatternJob,
+} from './load-pattern.js';
 import {runFor} from './run-for.js';
 
 /** A trouble that begins, or ends, while a load is replayed. */
@@ -10,14 +12,23 @@
 	apply: (test: TestPlacer, openJobs: readonly PatternJob[]) => void;
 };
 
-export type ReplayOptions = {
-	/** The mean load as a multiple of all cores. */
-	load: number;
+export type ReplayOptions = Pick<LoadPatternOptions, 'load' | 'bursts'> & {
+	fleet?: ReplayFleet;
+	/** Priorities of the queues of some kinds. */
+	priorities?: Readonly<Record<string, number>>;
 	seed?: number;
 	durationMs?: number;
 	steps?: readonly ReplayStep[];
 };
 
+/** The backend servers, and the kinds of jobs that they serve. */
+export type ReplayFleet = Pick<LoadPatternOptions, 'kinds' | 'meanMillicores'> & {
+	serverCount: number;
+	cpuMillicores: number;
+	/** Every third backend server is larger than the others. */
+	largeServerMillicores: number;
+};
+
 /** How callers were served. Shares are of worth. */
 export type ReplayResult = {
 	/** Worth of the jobs in time, and a fifth of that of late ones, of all. */
@@ -29,11 +40,17 @@
 	repeatedRuns: number;
 	jobs: readonly PatternJob[];
 	test: TestPlacer;
+	startedAtMs: number;
+};
+
+/** One of four availability zones of a deployment of backend servers that hold about two tasks. */
+export const smallServerFleet: ReplayFleet = {
+	kinds: smallServerKinds, meanMillicores: 8000, serverCount: 62, cpuMillicores: 16_000, largeServerMillicores: 24_000,
 };
 
-const serverCount = 76;
-/** Every third backend server is half as large again as the others. */
-const largeServerMillicores = 96_000;
+const defaultFleet: ReplayFleet = {
+	kinds: mixedKinds, meanMillicores: 32_000, serverCount: 76, cpuMillicores: 64_000, largeServerMillicores: 96_000,
+};
 /** When the replay starts: the placer has claimed all backend servers. */
 export const claimMs = 50;
 const drainMs = 2000;
@@ -47,23 +64,27 @@
  * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
  * @param options - The load and the troubles.
  */
-export async function replayLoad({load, seed = 1, durationMs = 4000, steps = []}: ReplayOptions): Promise<ReplayResult> {
+export async function replayLoad({load, bursts, fleet = defaultFleet, priorities = {}, seed = 1, durationMs = 4000, steps = []}: ReplayOptions): Promise<ReplayResult> {
 	const random = createSeededRandomSource(seed);
 	const durations = new Map<string, number>();
 	const millicores = new Map<string, number>();
 	const test = createTestPlacer({
-		serverCount, getDurationMs: taskName => durations.get(taskName)!, getMillicores: taskName => millicores.get(taskName)!,
+		serverCount: fleet.serverCount, cpuMillicores: fleet.cpuMillicores, getDurationMs: taskName => durations.get(taskName)!, getMillicores: taskName => millicores.get(taskName)!,
 	});
 	for (const [position, server] of test.fleet.servers.entries()) {
-		server.description.cpuMillicores = position % 3 === 2 ? largeServerMillicores : server.description.cpuMillicores;
+		server.description.cpuMillicores = position % 3 === 2 ? fleet.largeServerMillicores : server.description.cpuMillicores;
 	}
 
 	test.placer.setServers(test.fleet.getDescriptions(), 0);
 	await runFor(test.timers, claimMs);
 	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
 	const jobs = createLoadPattern({
-		kinds: mixedKinds, cores, load, durationMs, random,
+		kinds: fleet.kinds, meanMillicores: fleet.meanMillicores, cores, load, bursts, durationMs, random,
 	});
+	for (const {kind, request} of jobs) {
+		request.priority = priorities[kind.name];
+	}
+
 	for (const {request, taskDurationsMs} of jobs) {
 		for (const [index, taskDurationMs] of taskDurationsMs.entries()) {
 			durations.set(`${request.jobId}.0.0.${index}`, taskDurationMs);
@@ -80,7 +101,7 @@
 async function submitJobs(test: TestPlacer, jobs: readonly PatternJob[], steps: readonly ReplayStep[]): Promise<void> {
 	const startedAtMs = test.timers.getNowMs();
 	const remainingSteps = steps.toSorted((left, right) => left.atMs - right.atMs);
-	for (const [position, {request, arrivesAtMs}] of jobs.entries()) {
+	for (const [position, {request, entryId, arrivesAtMs}] of jobs.entries()) {
 		while (remainingSteps[0] !== undefined && remainingSteps[0].atMs <= arrivesAtMs) {
 			const step = remainingSteps.shift()!;
 			// eslint-disable-next-line no-await-in-loop -- Steps and jobs follow each other in time.
@@ -90,7 +111,7 @@
 
 		// eslint-disable-next-line no-await-in-loop -- Steps and jobs follow each other in time.
 		await runFor(test.timers, startedAtMs + arrivesAtMs - test.timers.getNowMs(), stepMs);
-		test.submit(request);
+		test.submit(request, {entryId});
 	}
 }
 
@@ -114,10 +135,12 @@
 		repeatedRuns: Math.max(0, test.fleet.records.length - taskCount),
 		jobs,
 		test,
+		startedAtMs,
 	};
 }
 
-function getServedShare({results, endedAtMs}: TestPlacer, {request: {jobId}, arrivesAtMs, objectiveMs}: PatternJob, startedAtMs: number): number {
+/** Gets the share of a job's worth that its response is worth to the caller. */
+export function getServedShare({results, endedAtMs}: TestPlacer, {request: {jobId}, arrivesAtMs, objectiveMs}: PatternJob, startedAtMs: number): number {
 	const responseMs = (endedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) - startedAtMs - arrivesAtMs + callerLinkMs;
 	if (results.get(jobId)?.outcome !== 'completed' || responseMs > objectiveMs * lateFactor) {
 		return 0;
