Share capacity by queue and caller while it is short

Cause: when capacity is short, only work relative to the queue's mean decides. A burst of one kind takes the capacity of kinds with short objectives, and large jobs are refused. Change: each queue has a guaranteed share from its usual demand, each entry daemon one of its queue; jobs beyond them go later and leave 0.05 of the capacity free. Jobs that would be late by waiting go first, with the priority as a factor on their work. Large jobs that are served too rarely count half of their work. The wait estimate counts free CPU that tasks fit in, and the rate at which running tasks release it. Retry-After follows the wait and is spread by the number of refusals. Counters by reason and group, a gauge of demand, the group in job-ended.

--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -63,6 +63,12 @@
 	'placer-elected': 'Terms in which this daemon became the placer.',
 	'request-rejected': 'Requests rejected before they reached the placer.',
 	'log-lines-left-out': 'Log lines omitted by rate limiting.',
+	'job-refused-overload': 'Jobs that the placer refused because they would end late.',
+	'job-refused-too-late': 'Jobs that the placer refused because their result would be of no use.',
+	'job-refused-within-share': 'Jobs refused while capacity was short although queue and caller were within their usual share.',
+	'job-refused-beyond-queue-share': 'Jobs refused while capacity was short whose queue had used up its share.',
+	'job-refused-beyond-caller-share': 'Jobs refused while capacity was short whose caller sent more than usual.',
+	'placer-demand-percent': 'The CPU that running and waiting tasks demand, in percent of what they can use.',
 	'membership-sent': 'Messages sent by the membership protocol.',
 } as const;
 
--- a/packages/placement/src/placer/capacity-table.ts
+++ b/packages/placement/src/placer/capacity-table.ts
@@ -9,6 +9,8 @@
 	getTotalMillicores(): number;
 	/** Gets the free CPU at the time when the table was created. */
 	getFreeMillicores(): number;
+	/** Gets the part of the free CPU, at the time when the table was created, that tasks of the given size can use. */
+	getUsableFreeMillicores(taskMillicores: number): number;
 };
 
 type Row = Candidate & {
@@ -22,6 +24,7 @@
  */
 export function createCapacityTable(servers: readonly PooledServer[]): CapacityTable {
 	const rows = servers.map(server => createRow(server));
+	const freeMillicoresByRow = rows.map(row => row.freeCapacity.cpuMillicores);
 	const freeMillicores = rows.reduce((sum, row) => sum + row.freeCapacity.cpuMillicores, 0);
 	let largestFreeMillicores = getLargestFree();
 
@@ -71,6 +74,7 @@
 		},
 		getTotalMillicores: () => servers.reduce((sum, {session}) => sum + session.getDescription().cpuMillicores, 0),
 		getFreeMillicores: () => freeMillicores,
+		getUsableFreeMillicores: taskMillicores => freeMillicoresByRow.reduce((sum, free) => sum + (Math.floor(free / taskMillicores) * taskMillicores), 0),
 	};
 }
 
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -4,19 +4,26 @@
 import {
 	getStartableTasks, isDone, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
-import type {JobOutcome, PlacementMessageOf, RefusalReason} from '../messages/placement-messages.js';
+import type {JobOutcome, PlacementMessageOf} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {ServerSources} from '../ports/server-sources.js';
+import {createRefusalCounts} from '../queue/create-refusal-counts.js';
+import {getRetryAfterMs} from '../queue/get-retry-after-ms.js';
+import {getReserveMillicores, type ServiceLoad} from '../queue/create-wait-estimator.js';
+import type {ShareGroup} from '../queue/waiting-job.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createJobTable} from './job-table.js';
 import {createJobIntake} from './job-intake.js';
 import {createJobRecovery} from './job-recovery.js';
 import type {Placer} from './placer.js';
+import {createCapacitySharing} from './create-capacity-sharing.js';
 import {createCapacityTable, type CapacityTable} from './capacity-table.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
-import {findRefusals, getWaitingJobs, type WaitingEntry} from './waiting-jobs.js';
+import {
+	findRefusals, getDemandPercent, getServiceLoads, getWaitingJobs, isBeyondShare, type Refusal, type WaitingEntry,
+} from './waiting-jobs.js';
 
 export type PlacerOptions = {
 	term: number;
@@ -35,8 +42,6 @@
 /** Scheduling passes requested within this interval are combined into one. */
 const minPassIntervalMs = 2;
 const maxPassIntervalMs = 50;
-const minRetryAfterMs = 1000;
-const retryAfterJitterMs = 2000;
 
 /**
  * Creates the placer of a term. It claims each backend server before it uses it, so that it knows exactly which tasks run
@@ -47,6 +52,8 @@
 	const {timers, random, events, metrics, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const intake = createJobIntake(timers);
+	const sharing = createCapacitySharing();
+	const refusalCounts = createRefusalCounts();
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -111,17 +118,29 @@
 	function runPass(): void {
 		recovery.recoverJobs();
 		const nowMs = timers.getNowMs();
-		const waiting = getWaitingJobs(jobTable.getJobs(), nowMs);
-		const tables = createTables(waiting);
-		const {refusals, loadMs: nextLoadMs} = findRefusals(jobTable.getJobs(), waiting, tables, nowMs);
+		const waitingJobs = getWaitingJobs(jobTable.getJobs());
+		const tables = createTables(waitingJobs);
+		const loads = getServiceLoads(jobTable.getJobs(), tables);
+		const waiting = [...loads].flatMap(([service, load]) => sharing.sortJobs(waitingJobs.filter(({job}) => job.request.service === service), load, nowMs));
+		const {refusals, loadMs: nextLoadMs} = findRefusals(waiting, loads, nowMs);
 		loadMs = nextLoadMs;
-		for (const {job, reason, waitMs} of refusals) {
-			refuse(job, reason, waitMs);
+		metrics.setGauge('placer-demand-percent', getDemandPercent(waiting, loads));
+		for (const refusal of refusals) {
+			refuse(refusal);
 		}
 
-		for (const {job} of waiting) {
-			if (!job.isEnded) {
-				placeJob(job, tables.get(job.request.service)!);
+		placeJobs(waiting, tables, loads);
+	}
+
+	/** Places jobs in order. Those beyond their share leave a reserve for jobs within theirs, which may arrive at any time. */
+	function placeJobs(waiting: readonly WaitingEntry[], tables: ReadonlyMap<string, CapacityTable>, loads: ReadonlyMap<string, ServiceLoad>): void {
+		const free = new Map([...loads].map(([service, {freeMillicores}]) => [service, freeMillicores]));
+		for (const {job, waitingJob} of waiting) {
+			const {service} = job.request;
+			const freeAfter = free.get(service)! - waitingJob.waitingMillicores;
+			if (!job.isEnded && (!isBeyondShare(waitingJob) || freeAfter >= getReserveMillicores(loads.get(service)!))) {
+				free.set(service, freeAfter);
+				placeJob(job, tables.get(service)!);
 			}
 		}
 	}
@@ -131,9 +150,14 @@
 		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service))]));
 	}
 
-	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
-		const retryAfterMs = Math.round(Math.max(minRetryAfterMs, waitMs) + (random.getFraction() * retryAfterJitterMs));
-		endJob(job, {outcome: 'refused', reason, retryAfterMs});
+	function refuse({job, reason, drainMs, shareGroup}: Refusal): void {
+		const refusedCount = refusalCounts.addRefusal(job.request.queueName, timers.getNowMs());
+		metrics.increment(`job-refused-${reason}`);
+		if (shareGroup !== undefined) {
+			metrics.increment(`job-refused-${shareGroup}`);
+		}
+
+		endJob(job, {outcome: 'refused', reason, retryAfterMs: getRetryAfterMs({drainMs, refusedCount, fraction: random.getFraction()})}, shareGroup);
 	}
 
 	function placeJob(job: PlacedJob, table: CapacityTable): void {
@@ -169,6 +193,10 @@
 		task.runNumber++;
 		task.isAdopted = false;
 		task.startedAtMs = timers.getNowMs();
+		if (!job.hasStarted) {
+			sharing.addStart(job);
+		}
+
 		job.hasStarted = true;
 		job.serverIds.push(session.getDescription().id);
 		metrics.increment('task-started');
@@ -260,7 +288,8 @@
 		}
 	}
 
-	function endJob(job: PlacedJob, result: JobOutcome): void {
+	function endJob(job: PlacedJob, result: JobOutcome, shareGroup?: ShareGroup): void {
+		sharing.addEnd(job, result.outcome === 'completed', timers.getNowMs());
 		jobTable.endJob(job, result);
 		stopRuns(job);
 		const ageMs = Math.round(timers.getNowMs() - job.arrivedAtMs);
@@ -269,6 +298,7 @@
 			queue: job.request.queueName,
 			outcome: result.outcome,
 			reason: 'reason' in result ? result.reason : undefined,
+			shareGroup,
 			ageMs,
 			objectiveMs: Math.round(job.objectiveMs),
 			tasks: job.tasks.length,
@@ -300,6 +330,7 @@
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		const job = intake.createJob(entryId, message);
 		jobTable.addJob(job);
+		sharing.addJob(job, timers.getNowMs());
 		events.write('job-taken', {
 			job: job.request.jobId,
 			queue: job.request.queueName,
--- a/packages/placement/src/queue/create-wait-estimator.ts
+++ b/packages/placement/src/queue/create-wait-estimator.ts
@@ -5,16 +5,27 @@
 	/** The CPU that tasks of typical size can use. */
 	usableMillicores: number;
 	freeMillicores: number;
-	/** The mean run time of the running tasks, weighted by their CPU. */
+	/** The CPU of the running tasks divided by the rate at which they release it. */
 	meanRunMs: number;
 };
 
+/** Share of the usable CPU that jobs beyond their share leave free while capacity is short. */
+const reserveShare = 0.05;
+
+/**
+ * Gets the CPU that jobs beyond their share leave free while capacity is short.
+ * @param load - The load on the backend servers.
+ */
+export function getReserveMillicores({usableMillicores}: ServiceLoad): number {
+	return usableMillicores * reserveShare;
+}
+
 /** Estimates how long jobs wait behind the jobs ahead of them. */
 export type WaitEstimator = {
 	/** Gets the estimated time until all tasks of a job have started. */
 	getWaitMs(job: Pick<WaitingJob, 'waitingMillicores' | 'criticalPathMs'>): number;
 	/** Adds a job ahead of the jobs that are estimated after it. */
-	addJob(job: WaitingJob): void;
+	addJob(job: Pick<WaitingJob, 'waitingMillicores' | 'criticalPathMs'>): void;
 };
 
 /**
--- a/packages/placement/src/queue/find-refusal.ts
+++ b/packages/placement/src/queue/find-refusal.ts
@@ -9,6 +9,9 @@
  */
 const decisionWindowShare = 0.25;
 
+/** Why a waiting job is refused. */
+export type WaitingRefusalReason = Extract<RefusalReason, 'overload' | 'too-late'>;
+
 export type QueueState = {
 	nowMs: number;
 	/** The estimated wait behind the work ahead of the job. */
@@ -23,7 +26,7 @@
  * @param job - The job.
  * @param state - The time and the queue ahead of the job.
  */
-export function findRefusal(job: WaitingJob, {nowMs, waitAheadMs}: QueueState): RefusalReason | undefined {
+export function findRefusal(job: WaitingJob, {nowMs, waitAheadMs}: QueueState): WaitingRefusalReason | undefined {
 	if (job.hasStarted) {
 		return undefined;
 	}
--- a/packages/placement/test/queue/decisions.test.ts
+++ b/packages/placement/test/queue/decisions.test.ts
@@ -14,6 +14,8 @@
 	waitingMillicores: 54_000,
 	relativeWork: 1,
 	hasStarted: false,
+	priority: 0,
+	standing: undefined,
 };
 
 describe('findRefusal', () => {
