--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -9,7 +9,6 @@
 import type {ServerSources} from '../ports/server-sources.js';
 import {createRefusalCounts} from '../queue/create-refusal-counts.js';
 import {getRetryAfterMs} from '../queue/get-retry-after-ms.js';
-import {getReserveMillicores, type ServiceLoad} from '../queue/create-wait-estimator.js';
 import type {ShareGroup} from '../queue/waiting-job.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
@@ -22,7 +21,7 @@
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
 import {
-	findRefusals, getDemandPercent, getServiceLoads, getWaitingJobs, isBeyondShare, type Refusal, type WaitingEntry,
+	findRefusals, getDemandPercent, getPlaceableJobs, getServiceLoads, getWaitingJobs, type Refusal, type WaitingEntry,
 } from './waiting-jobs.js';
 
 export type PlacerOptions = {
@@ -129,19 +128,8 @@
 			refuse(refusal);
 		}
 
-		placeJobs(waiting, tables, loads);
-	}
-
-	/** Places jobs in order. Those beyond their share leave a reserve for jobs within theirs, which may arrive at any time. */
-	function placeJobs(waiting: readonly WaitingEntry[], tables: ReadonlyMap<string, CapacityTable>, loads: ReadonlyMap<string, ServiceLoad>): void {
-		const free = new Map([...loads].map(([service, {freeMillicores}]) => [service, freeMillicores]));
-		for (const {job, waitingJob} of waiting) {
-			const {service} = job.request;
-			const freeAfter = free.get(service)! - waitingJob.waitingMillicores;
-			if (!job.isEnded && (!isBeyondShare(waitingJob) || freeAfter >= getReserveMillicores(loads.get(service)!))) {
-				free.set(service, freeAfter);
-				placeJob(job, tables.get(service)!);
-			}
+		for (const job of getPlaceableJobs(waiting, loads)) {
+			placeJob(job, tables.get(job.request.service)!);
 		}
 	}
 
--- a/packages/placement/src/placer/waiting-jobs.ts
+++ b/packages/placement/src/placer/waiting-jobs.ts
@@ -124,6 +124,25 @@
 	};
 }
 
+/**
+ * Gets the jobs to place, in order. Those beyond their share leave a reserve for jobs within theirs, which may arrive at any time.
+ * @param waiting - The waiting jobs, in scheduling order.
+ * @param loads - The load of each service.
+ */
+export function getPlaceableJobs(waiting: readonly WaitingEntry[], loads: ReadonlyMap<string, ServiceLoad>): PlacedJob[] {
+	const free = new Map([...loads].map(([service, {freeMillicores}]) => [service, freeMillicores]));
+	return waiting.flatMap(({job, waitingJob}) => {
+		const {service} = job.request;
+		const freeAfter = free.get(service)! - waitingJob.waitingMillicores;
+		if (job.isEnded || (isBeyondShare(waitingJob) && freeAfter < getReserveMillicores(loads.get(service)!))) {
+			return [];
+		}
+
+		free.set(service, freeAfter);
+		return [job];
+	});
+}
+
 /**
  * Gets the CPU that running and waiting tasks demand, in percent of what they can use.
  * @param waiting - The waiting jobs.
@@ -145,7 +164,7 @@
 }
 
 /** Whether a job waits behind all jobs that are within their shares, and leaves them a reserve. */
-export function isBeyondShare({hasStarted, standing}: WaitingJob): boolean {
+function isBeyondShare({hasStarted, standing}: WaitingJob): boolean {
 	return !hasStarted && standing !== undefined && standing.shareGroup !== 'within-share';
 }
 
