--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -12,6 +12,7 @@
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createRunRecorder} from '../speed/run-recorder.js';
 import {createServerSpeeds, type ServerSpeeds} from '../speed/server-speeds.js';
+import {createSpeedReport} from '../speed/speed-report.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
@@ -117,6 +118,9 @@
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, speeds, runRecorder,
 	});
+	const speedReport = createSpeedReport({
+		timers, metrics, speeds, getServers: () => [...pool.getServers()].map(({session}) => session.getDescription()),
+	});
 	const taskEnds = createTaskEnds({
 		timers, events, metrics, pool, runRecorder, slowRunDetector, onJobEnd: endJob,
 	});
@@ -377,6 +381,7 @@
 		stop() {
 			isStopped = true;
 			slowRunDetector.stop();
+			speedReport.stop();
 			passInterval.cancel();
 			logOpenJobs();
 			pool.close();
--- a/packages/placement/test/speed/server-speeds.test.ts
+++ b/packages/placement/test/speed/server-speeds.test.ts
@@ -27,8 +27,8 @@
 
 /** Ends runs at the usual rate; the ratio of each is its backend server's speed with noise. */
 function addRuns({
-				speeds, timers, servers, trueSpeeds,
-			}: Fleet, durationMs: number): void {
+	speeds, timers, servers, trueSpeeds,
+}: Fleet, durationMs: number): void {
 	const random = createSeededRandomSource(1);
 	const intervalMs = 1000 / runsPerSecond / servers.length;
 	for (let passedMs = 0; passedMs < durationMs; passedMs += intervalMs) {
