--- a/packages/placement/src/placer/capacity-table.ts
+++ b/packages/placement/src/placer/capacity-table.ts
@@ -29,7 +29,6 @@
 	allocate(job: PlacedJob, task: PlacedTask): Allocation;
 	/** Gives out far places from now on. */
 	permitFarRuns(): void;
-	/** Gets the CPU of the backend servers, each at its speed. */
 	getTotalMillicores(): number;
 	/** Gets the free CPU at the time when the table was created. */
 	getFreeMillicores(): number;
@@ -204,7 +203,7 @@
 		permitFarRuns() {
 			areFarRunsPermitted = true;
 		},
-		getTotalMillicores: () => rows.reduce((sum, {server, speed}) => sum + (server.session.getDescription().cpuMillicores * speed), 0),
+		getTotalMillicores: () => totalMillicores,
 		getFreeMillicores: () => freeMillicores,
 		getRackLoad(rack) {
 			const {near} = getCandidates(rack);
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -10,9 +10,6 @@
 import type {ServerSources} from '../ports/server-sources.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
-import {createRunRecorder} from '../speed/run-recorder.js';
-import {createServerSpeeds, type ServerSpeeds} from '../speed/server-speeds.js';
-import {createSpeedReport} from '../speed/speed-report.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
@@ -41,8 +38,6 @@
 	serverSources: ServerSources;
 	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
 	remoteRunFactor?: number | undefined;
-	/** The speeds of the backend servers; the placer learns its own unless they are given. */
-	serverSpeeds?: ServerSpeeds | undefined;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -67,9 +62,7 @@
 	const {timers, random, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const intake = createJobIntake(timers);
-	const speeds = options.serverSpeeds ?? createServerSpeeds(timers);
-	const runRecorder = createRunRecorder({speeds, intake, remoteRunFactor});
-	const findExpectedEndMs = createRunExpectations(timers, jobTable, runRecorder);
+	const {getRunFactor, findExpectedEndMs} = createRunExpectations(timers, jobTable, remoteRunFactor);
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -116,13 +109,10 @@
 		},
 	});
 	const slowRunDetector = createSlowRunDetector({
-		timers, events, metrics, jobTable, pool, speeds, runRecorder,
-	});
-	const speedReport = createSpeedReport({
-		timers, metrics, speeds, getServers: () => [...pool.getServers()].map(({session}) => session.getDescription()),
+		timers, events, metrics, jobTable, pool, getRunFactor,
 	});
 	const taskEnds = createTaskEnds({
-		timers, events, metrics, pool, runRecorder, slowRunDetector, onJobEnd: endJob,
+		timers, events, metrics, pool, intake, getRunFactor, onJobEnd: endJob,
 	});
 	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
 	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
@@ -183,7 +173,7 @@
 	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
 		const services = new Set(waiting.map(({job}) => job.request.service));
 		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service), {
-			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs, getSpeed: speeds.getSpeed,
+			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs,
 		})]));
 	}
 
@@ -381,7 +371,6 @@
 		stop() {
 			isStopped = true;
 			slowRunDetector.stop();
-			speedReport.stop();
 			passInterval.cancel();
 			logOpenJobs();
 			pool.close();
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -11,10 +11,8 @@
 /** Turns submissions into jobs, with estimates from what the queues' earlier jobs took. */
 export type JobIntake = {
 	createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob;
-	/** Records how long a task of a queue took, or would have taken at nominal speed. */
+	/** Records how long a task of a queue took. */
 	addRun(queueName: string, durationMs: number): void;
-	/** Gets the expected run time of a task at nominal speed. */
-	getExpectedMs(queueName: string, declaredMs: number): number;
 };
 
 /**
@@ -50,6 +48,5 @@
 			};
 		},
 		addRun: runTimeEstimator.addRun,
-		getExpectedMs: runTimeEstimator.getExpectedMs,
 	};
 }
--- a/packages/placement/src/placer/run-expectations.ts
+++ b/packages/placement/src/placer/run-expectations.ts
@@ -1,32 +1,44 @@
 import type {TimerService} from '@camphortack/core';
+import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
+import {getDistanceFactor} from '../queue/get-distance-factor.js';
 import {getExpectedEndMs} from '../queue/get-expected-end.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import {getReportedRunningMs, type Run} from '../sessions/run.js';
-import type {RunRecorder} from '../speed/run-recorder.js';
 import type {JobTable} from './job-table.js';
 
-/** Finds the time at which a run is expected to end; undefined if nothing is known of its task. */
-export type ExpectedEndFinder = (run: Run, session: BackendSession) => number | undefined;
+/** What is expected of the runs of the open jobs. */
+export type RunExpectations = {
+	/** Gets the factor by which a task takes longer on a backend server than near its data. */
+	getRunFactor(job: PlacedJob, task: PlacedTask, session: BackendSession): number;
+	/** Gets the time at which a run is expected to end; undefined if nothing is known of its task. */
+	findExpectedEndMs(run: Run, session: BackendSession): number | undefined;
+};
 
 /**
- * Creates the finder of expected ends, from the progress of the runs and the speed and distance of their backend servers.
+ * Creates the expectations.
  * @param timers - The clock.
  * @param jobTable - The open jobs.
- * @param runRecorder - Gets the rate of a run.
+ * @param remoteRunFactor - The factor by which tasks run longer far from their data; undefined if it is not known.
  */
-export function createRunExpectations(timers: TimerService, jobTable: JobTable, runRecorder: Pick<RunRecorder, 'getRate'>): ExpectedEndFinder {
-	return (run, session) => {
-		const found = jobTable.findTask(run.taskName);
-		if (found === undefined) {
-			return undefined;
-		}
+export function createRunExpectations(timers: TimerService, jobTable: JobTable, remoteRunFactor: number | undefined): RunExpectations {
+	function getRunFactor(job: PlacedJob, task: PlacedTask, session: BackendSession): number {
+		return getDistanceFactor(job.request.steps[task.step]!.dataRack, session.getDescription().labels, remoteRunFactor);
+	}
 
-		const {job, task} = found;
-		return getExpectedEndMs({
-			startedAtMs: run.startedAtMs,
-			expectedMs: task.expectedMs / runRecorder.getRate(job, task, session.getDescription()),
-			reportedMs: getReportedRunningMs(run),
-			percent: run.percent,
-		}, timers.getNowMs());
+	return {
+		getRunFactor,
+		findExpectedEndMs(run, session) {
+			const found = jobTable.findTask(run.taskName);
+			if (found === undefined) {
+				return undefined;
+			}
+
+			return getExpectedEndMs({
+				startedAtMs: run.startedAtMs,
+				expectedMs: found.task.expectedMs * getRunFactor(found.job, found.task, session),
+				reportedMs: getReportedRunningMs(run),
+				percent: run.percent,
+			}, timers.getNowMs());
+		},
 	};
 }
