Refuse orders to evacuate while a daemon of an earlier version is heard

Placers of the earlier build started tasks in the evacuated zone, two of its keepers ended because they could not read the log, and the withdrawal found no majority. Change: heartbeats always carry the revision, 0 before the first order; while a daemon without it is heard, orders get 503.

--- a/packages/cluster/src/cluster.ts
+++ b/packages/cluster/src/cluster.ts
@@ -38,6 +38,11 @@
 	/** Applies the evacuations that the keepers have agreed on, if their revision is higher, and propagates them to the other daemons. */
 	setEvacuations(evacuations: Evacuations): void;
 	getEvacuations(): Evacuations;
+	/**
+	 * Whether all daemons that are heard are of a version that knows evacuations. Earlier placers start tasks in an evacuated zone,
+	 * and earlier keepers cannot read a log with an order.
+	 */
+	areEvacuationsSupported(): boolean;
 	/** Whether a daemon or a backend server of an availability zone is known. */
 	isZoneKnown(availabilityZone: string): boolean;
 	getStatus(): ClusterStatus;
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -116,7 +116,7 @@
 			hearsPlacer: election.hearsPlacer(),
 			isLeaving: election.isLeaving(),
 			configurationNumber: configuration.getNumber(),
-			evacuationRevision: evacuations.findRevision(),
+			evacuationRevision: evacuations.getRevision(),
 		}),
 	});
 	const registryReplicator = createRegistryReplicator({
@@ -354,6 +354,7 @@
 		getConfiguration: configuration.getDocument,
 		setEvacuations: evacuations.setEvacuations,
 		getEvacuations: evacuations.getEvacuations,
+		areEvacuationsSupported: () => members.getAliveMembers().every(member => member.evacuationRevision !== undefined),
 		isZoneKnown: zone => zone === options.availabilityZone || members.hasZone(zone) || registry.getDescriptions().some(({availabilityZone}) => availabilityZone === zone),
 		getStatus: () => ({
 			...election.getView(),
--- a/packages/cluster/src/evacuations/evacuation-exchange.ts
+++ b/packages/cluster/src/evacuations/evacuation-exchange.ts
@@ -11,8 +11,8 @@
 	isEvacuated(availabilityZone: string): boolean;
 	/** Gets for how long this daemon has known that an availability zone is evacuated; undefined if it is not. */
 	findEvacuatedMs(availabilityZone: string): number | undefined;
-	/** Gets the revision for heartbeats; undefined before the first order. */
-	findRevision(): number | undefined;
+	/** Gets the revision for heartbeats; 0 before the first order. */
+	getRevision(): number;
 	/** Requests the evacuations of a daemon whose heartbeat names a higher revision, at a limited rate. */
 	handleRevision(fromId: string, revision: number | undefined): void;
 	answerRequest(fromId: string, knownRevision: number): void;
@@ -65,7 +65,7 @@
 			const sinceMs = evacuatedSinceMs.get(availabilityZone);
 			return sinceMs === undefined ? undefined : timers.getNowMs() - sinceMs;
 		},
-		findRevision: () => (current.revision === 0 ? undefined : current.revision),
+		getRevision: () => current.revision,
 		handleRevision(fromId, revision = 0) {
 			const nowMs = timers.getNowMs();
 			if (revision > current.revision && nowMs - requestedAtMs >= evacuationRequestIntervalMs) {
--- a/packages/cluster/src/members/heartbeat-sender.ts
+++ b/packages/cluster/src/members/heartbeat-sender.ts
@@ -17,7 +17,7 @@
 	hearsPlacer: boolean;
 	isLeaving: boolean;
 	configurationNumber: number;
-	evacuationRevision: number | undefined;
+	evacuationRevision: number;
 };
 
 /** Sends this daemon's heartbeats, and resets links that fail silently. */
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -28,7 +28,7 @@
 		hearsPlacer: z.boolean(),
 		isLeaving: z.boolean(),
 		configurationNumber: z.int(),
-		/** The revision of the evacuations that the sender knows; omitted before the first order. */
+		/** The revision of the evacuations that the sender knows, 0 before the first order; missing in versions without evacuations. */
 		evacuationRevision: z.int().optional(),
 		/** Time since the sender last received a heartbeat from the receiver; set only if that is long. */
 		silenceMs: z.number().optional(),
