Explain where a job would go now, without sending it

Cause: operators could not ask why a job would wait, or be refused, before it is sent. Change: camphortack where FILE and POST /v1/where on the operators' interface. The dispatcher explains the first task by the checks of admission and placement: refusal, wait, best five backend servers, reasons that exclude the others, other daemons. Limits and trials of ejected servers are not asked, since asking uses them up.

--- a/packages/cli/src/api/api-schemas.ts
+++ b/packages/cli/src/api/api-schemas.ts
@@ -72,11 +72,27 @@
 	limits: z.array(limitStatusSchema),
 });
 
+/** Where a job would go now. */
+export const whereResponseSchema = z.object({
+	refusal: z.string().optional(),
+	pool: z.string().optional(),
+	expectedRunTimeMs: z.number().optional(),
+	expectedWaitMs: z.number().optional(),
+	queuedTasks: z.int(),
+	slots: z.int(),
+	candidates: z.array(z.object({
+		id: z.string(), availabilityZone: z.string(), freeSlots: z.int(), expectedCompletionMs: z.number(), exclusion: z.string().optional(),
+	})),
+	excluded: z.record(z.string(), z.int()),
+	partners: z.array(z.object({id: z.string(), slots: z.number(), room: z.number()})),
+});
+
 export const ticketsResponseSchema = z.object({tickets: z.array(z.string()).min(1)});
 
 /** The body of an error response. */
 export const errorResponseSchema = z.object({code: z.string().optional(), message: z.string().optional(), findings: z.array(z.json()).optional()});
 
+export type WhereResponse = z.infer<typeof whereResponseSchema>;
 export type LimitStatus = z.infer<typeof limitStatusSchema>;
 export type StatusResponse = z.infer<typeof statusResponseSchema>;
 export type ConfigurationResponse = z.infer<typeof configurationResponseSchema>;
--- a/packages/cli/src/run-camphortack.ts
+++ b/packages/cli/src/run-camphortack.ts
@@ -15,6 +15,7 @@
 import {SubmitCommand} from './commands/submit-command.js';
 import {TokenCommand} from './commands/token-command.js';
 import {VersionCommand} from './commands/version-command.js';
+import {WhereCommand} from './commands/where-command.js';
 import {exitCodes} from './exit-codes.js';
 import {getPackageVersion} from './utils/get-package-version.js';
 
@@ -35,6 +36,7 @@
 	SubmitCommand,
 	TokenCommand,
 	VersionCommand,
+	WhereCommand,
 ];
 
 /** Creates the command-line interface with all commands. */
--- a/packages/cli/test/commands/operation-commands.test.ts
+++ b/packages/cli/test/commands/operation-commands.test.ts
@@ -98,6 +98,49 @@
 	assert.deepEqual(JSON.parse(json.stdout), {limits});
 });
 
+it('where shows the decision, the candidates and what excludes others', async context => {
+	const explanation = {
+		pool: 'main',
+		expectedRunTimeMs: 100,
+		expectedWaitMs: 0,
+		queuedTasks: 2,
+		slots: 16,
+		candidates: [{
+			id: 'b1', availabilityZone: 'a', freeSlots: 3, expectedCompletionMs: 100,
+		}],
+		excluded: {leaving: 2},
+		partners: [{id: 'd2', slots: 8, room: -1.2}],
+	};
+	const refused = {
+		refusal: 'unknown-service', queuedTasks: 0, slots: 0, candidates: [], excluded: {}, partners: [],
+	};
+	const daemon = await startFakeDaemon(context, {'POST /v1/where': [{status: 200, body: explanation}, {status: 200, body: refused}, 'lost']});
+	const submission = JSON.stringify({customer: 'chain', service: 'price', payload: 1});
+	const args = ['where', '-', '--operators-url', daemon.url];
+	const accepted = await runCommand(args, {stdin: submission});
+	assert.equal(accepted.stdout, [
+		'decision  accepted',
+		'pool      main: 16 slots of this daemon, 2 tasks queued',
+		'wait      0 ms',
+		'run time  100 ms expected',
+		'',
+		'backend server  zone  free slots  completion  state',
+		'b1              a     3           100 ms      takes it now',
+		'',
+		'excluded now  backend servers',
+		'leaving       2',
+		'',
+		'other daemon  slots  room',
+		'd2            8      -1',
+		'',
+	].join('\n'));
+	const unserved = await runCommand(args, {stdin: submission});
+	assert.deepEqual([accepted.exitCode, unserved.exitCode, unserved.stdout], [0, 4, 'decision  refused (unknown-service)\n']);
+	// A lost response leaves nothing unknown, since the request has no effect.
+	const lost = await runCommand(args, {stdin: submission});
+	assert.equal(lost.exitCode, 3);
+});
+
 it('drain sends one request, for the daemon or a backend server', async context => {
 	const daemon = await startFakeDaemon(context, {'POST /v1/drain': [{status: 200, body: {}}, {status: 503, body: {}}, 'lost']});
 	const first = await runCommand(['drain', '--operators-url', daemon.url]);
--- a/packages/daemon/src/http/callers-server.ts
+++ b/packages/daemon/src/http/callers-server.ts
@@ -6,6 +6,7 @@
 import {z} from 'zod';
 import type {JobService} from '../jobs/job-service.js';
 import {createHttpServer} from './create-http-server.js';
+import {createJobFromRequest} from './create-job-from-request.js';
 import {createRefusal} from './create-refusal.js';
 import {getPathParameter} from './get-path-parameter.js';
 import {parseBody} from './parse-body.js';
@@ -139,10 +140,6 @@
 	}
 }
 
-function createJobFromRequest({payload, declaredRunTimeMs, needs, ...submission}: z.output<typeof requestSubmissionSchema>): JobSubmission {
-	return {...submission, tasks: [{payload, declaredRunTimeMs, needs}]};
-}
-
 function getNotRunScope(id: string | undefined): 'job' | 'this-copy' {
 	return id === undefined ? 'job' : 'this-copy';
 }
--- a/packages/daemon/src/http/operators-server.ts
+++ b/packages/daemon/src/http/operators-server.ts
@@ -1,9 +1,12 @@
 import {configurationObjectsSchema} from '@camphortack/configuration';
-import {nameSchema, type Finding} from '@camphortack/core';
+import {
+	jobSubmissionSchema, nameSchema, requestSubmissionSchema, type Finding, type JobSubmission,
+} from '@camphortack/core';
 import type {Server} from 'restify';
 import {z} from 'zod';
 import type {ConfigurationService, PublishAnswer} from '../configuration/configuration-service.js';
 import {createHttpServer} from './create-http-server.js';
+import {createJobFromRequest} from './create-job-from-request.js';
 import {getPathParameter} from './get-path-parameter.js';
 import {parseBody, sendInputError} from './parse-body.js';
 import {readJsonBody} from './read-json-body.js';
@@ -31,6 +34,8 @@
 	checkObjects: (objects: z.output<typeof configurationObjectsSchema>) => Finding[];
 	getStatus: () => unknown;
 	getLimits: () => unknown[];
+	/** Explains where a job would go now, without running it. */
+	explainJob: (submission: JobSubmission) => unknown;
 	/** Begins a graceful shutdown of this daemon. */
 	onDrain: () => void;
 	/** Stops sending new tasks to a backend server. Returns false if the server is unknown. */
@@ -59,6 +64,13 @@
 	server.get('/v1/limits', async (_request, response) => {
 		sendJson(response, 200, {limits: options.getLimits()});
 	});
+	server.post('/v1/where', async (request, response) => {
+		try {
+			sendJson(response, 200, options.explainJob(parseSubmission(await readJsonBody(request))));
+		} catch (error) {
+			sendInputError(response, error);
+		}
+	});
 	server.post('/v1/drain', async (request, response) => {
 		try {
 			const {backendServerId} = parseBody(drainSchema, await readJsonBody(request));
@@ -77,6 +89,12 @@
 	return server;
 }
 
+/** A job has `tasks`, a single request has a `payload`. */
+function parseSubmission(body: unknown): JobSubmission {
+	const isJob = typeof body === 'object' && body !== null && 'tasks' in body;
+	return isJob ? parseBody(jobSubmissionSchema, body) : createJobFromRequest(parseBody(requestSubmissionSchema, body));
+}
+
 function addConfigurationRoutes(server: Server, options: OperatorsServerOptions): void {
 	const {configuration} = options;
 	server.post('/v1/configuration', async (request, response) => {
--- a/packages/daemon/src/runtime/start-servers.ts
+++ b/packages/daemon/src/runtime/start-servers.ts
@@ -55,6 +55,7 @@
 		checkObjects: objects => checkConfigurationObjects(objects).filter(finding => finding.level === 'error'),
 		getStatus: () => getDaemonStatus(container, isDraining()),
 		getLimits: () => getLimitStatuses(container.get(tokens.limits)),
+		explainJob: submission => dispatcher.explainJob({...submission, id: submission.id ?? 'where'}),
 		onDrain,
 		onDrainBackendServer: dispatcher.drainBackendServer,
 	});
--- a/packages/daemon/test/runtime/start-daemon.test.ts
+++ b/packages/daemon/test/runtime/start-daemon.test.ts
@@ -127,6 +127,19 @@
 		assert.equal(countStarts(system.servers), 0);
 	});
 
+	it('explains where a job would go, without starting it', async () => {
+		const system = await startTestSystem([{}]);
+		const url = `${system.daemon.addresses.operatorsUrl}/v1/where`;
+		const accepted = await sendJson('POST', url, createJobBody(2));
+		const request = await sendJson('POST', url, {customer: 'workshop', service: 'varnish', payload: 1});
+		const invalid = await sendJson('POST', url, {customer: 'workshop'});
+		await system.stop();
+		assert.deepEqual([accepted.status, accepted.body.candidates, request.body.refusal, invalid.status], [200, [{
+			id: 'backend-0', availabilityZone: 'zone-a', freeSlots: 8, expectedCompletionMs: 20,
+		}], 'unknown-service', 400]);
+		assert.equal(countStarts(system.servers), 0);
+	});
+
 	it('sends no new tasks to a backend server that an operator drains', async () => {
 		const system = await startTestSystem([{}, {}]);
 		const url = `${system.daemon.addresses.operatorsUrl}/v1/drain`;
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -1,9 +1,10 @@
 import {createEjectionTracker, createRunTimeEstimator, type LimitRequest} from '@camphortack/policy';
-import type {Member} from '@camphortack/core';
+import type {Job, Member} from '@camphortack/core';
 import {createAdmissionController} from '../admission/admission-controller.js';
 import {checkAdmission} from '../admission/check-admission.js';
 import {createDeadlineCheck} from '../admission/deadline-check.js';
 import {createPlacementRules, type PlacementRules} from '../configuration/placement-rules.js';
+import {explainJob} from '../explaining/explain-job.js';
 import {createPartResultHandler} from '../handover/part-result-handler.js';
 import {createPartReceiver} from '../handover/part-receiver.js';
 import {createPartSender, type HandedOverPart} from '../handover/part-sender.js';
@@ -183,12 +184,13 @@
 		getOwnLoad: getLoad,
 		getMeanRunTimeMs: service => estimator.getExpectedRunTimeMs(service, rules?.findService(service)?.declaredRunTimeMs ?? 0),
 	});
+	const findRefusal = (job: Job) => checkAdmission({
+		job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
+	});
 	const admission = createAdmissionController({
 		metrics,
 		limits,
-		findRefusal: job => checkAdmission({
-			job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
-		}),
+		findRefusal,
 		createJob: (job, onEnd) => intake.createJob(job.id, job, onEnd),
 		onAdmitted(job) {
 			intake.acceptJob(job);
@@ -357,6 +359,9 @@
 			return server !== undefined;
 		},
 		submitJob: admission.submitJob,
+		explainJob: job => explainJob(job, {
+			ownId, nowMs: timers.getNowMs(), rules, table, estimator, ejection, mayUse, findRefusal, getLoad, getCapacities: partners.getCapacities,
+		}),
 		cancelJob(jobId) {
 			if (admission.cancelJob(jobId)) {
 				return true;
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -3,6 +3,7 @@
 	BackendServerAnnouncement, EventLog, Job, JobOutcome, Member, MetricSink, PeerMessage, PeerNetwork, RandomSource, TimerService,
 } from '@camphortack/core';
 import type {Limiter} from '@camphortack/policy';
+import type {JobExplanation} from '../explaining/explain-job.js';
 import type {TaskEvent, TaskStarter} from './task-starter.js';
 
 export type DispatcherOptions = {
@@ -55,6 +56,8 @@
 	drainBackendServer(backendServerId: string): boolean;
 	/** Runs a job. `onEnd` is called exactly once. The caller has checked that the id is new. */
 	submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void;
+	/** Explains where a job would go now, without running it. */
+	explainJob(job: Job): JobExplanation;
 	/** Cancels a job; returns false if it is not open on this daemon. */
 	cancelJob(jobId: string): boolean;
 	handleTaskEvent(event: TaskEvent): void;
