--- a/packages/daemon/test/runtime/start-daemon.test.ts
+++ b/packages/daemon/test/runtime/start-daemon.test.ts
@@ -135,7 +135,7 @@
 		const invalid = await sendJson('POST', url, {customer: 'workshop'});
 		await system.stop();
 		assert.deepEqual([accepted.status, accepted.body.candidates, request.body.refusal, invalid.status], [200, [{
-			id: 'backend-0', availabilityZone: 'zone-a', freeSlots: 8, expectedCompletionMs: 20,
+			id: 'backend-0', availabilityZone: 'zone-1', freeSlots: 8, expectedCompletionMs: 20,
 		}], 'unknown-service', 400]);
 		assert.equal(countStarts(system.servers), 0);
 	});
