Bring evacuations to every daemon of camphortackd

Cause: the keepers agree on evacuated availability zones, but only the users' platform could order them, and daemons without a keeper did not learn of them. Change: digests and updates of the configuration carry the evacuations after the first order, and go out at once when they change. A daemon without a keeper thus has them before its configuration. A keeper whose disk has an earlier order closes its own zone after a start until a barrier confirms it, for at most 3.5 s; one that joins is told by the others. A daemon without a keeper sends an order to all keepers under one request id. Live daemons must first confirm that they know evacuations, since a keeper of an earlier version cannot read the order in the log. A test finds no new message and no new field before an order.

--- /dev/null
+++ b/packages/consensus/src/evacuations/evacuation-client.ts
@@ -0,0 +1,144 @@
+import type {
+	Member, MetricSink, PeerMessage, PeerNetwork, RandomSource, TimerService,
+} from '@camphortack/core';
+import type {ConfigurationFollower} from '../follower/follower-options.js';
+import {evacuationResendMs, evacuationTimeoutMs} from '../follower/follower-timings.js';
+import type {Keeper} from '../keeper/keeper-options.js';
+import type {EvacuationOrder, EvacuationResult} from '../publish/evacuation-schemas.js';
+import {createRequestForwarder} from '../publish/request-forwarder.js';
+import {clientMessageSchema, type ClientMessage, type EvacuationMessage} from './evacuation-messages.js';
+import {createSupportCheck} from './support-check.js';
+
+/** The result of an order that was given to any daemon. */
+export type EvacuationOrderResult
+	= | EvacuationResult
+	/** Live daemons did not confirm that they know evacuations. Nothing was stored. */
+		| {outcome: 'unconfirmed'; daemonIds: string[]};
+
+export type EvacuationClientOptions = {
+	ownId: string;
+	peers: PeerNetwork;
+	timers: TimerService;
+	random: RandomSource;
+	metrics: MetricSink;
+	/** Holds the evacuations of this daemon. */
+	follower: Pick<ConfigurationFollower, 'getEvacuations' | 'setEvacuations'>;
+	/** The keeper in the same process, if there is one. It brings orders to the leader then. */
+	keeper: Pick<Keeper, 'setEvacuation'> | undefined;
+};
+
+/** Lets any daemon give orders to evacuate an availability zone, and exchanges what the keepers' log does not cover. */
+export type EvacuationClient = {
+	/** Handles a peer message whose kind starts with `evacuations.`, and on a daemon without a keeper `consensus.`. */
+	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
+	setMembers(members: readonly Member[]): void;
+	/** Stores an order through the keepers. `onResult` is called once, within a bounded time, unless the client is stopped. */
+	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationOrderResult) => void): void;
+	stop(): void;
+};
+
+/**
+ * Creates the client. Without a keeper in the same process, an order goes to all keepers under one request id: the leader
+ * stores it, and the others ignore it.
+ * @param options - The id of the daemon and its dependencies.
+ */
+export function createEvacuationClient(options: EvacuationClientOptions): EvacuationClient {
+	const {
+		ownId, peers, timers, random, metrics, follower, keeper,
+	} = options;
+	let keepers: readonly Member[] = [];
+
+	function send(peerId: string, message: EvacuationMessage): void {
+		peers.send(peerId, message);
+	}
+
+	const supportCheck = createSupportCheck({ownId, timers, send});
+	const forwarder = createRequestForwarder<Omit<EvacuationOrder, 'requestId'>, EvacuationResult>({
+		timers,
+		random,
+		resendMs: evacuationResendMs,
+		timeoutMs: evacuationTimeoutMs,
+		timeoutResult: {outcome: 'no-majority'},
+		send(requestId, order) {
+			peers.sendToAll(keepers.map(({id}) => id), {kind: 'consensus.set-evacuation', order: {requestId, ...order}});
+		},
+	});
+
+	function store(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void {
+		if (keeper === undefined) {
+			forwarder.submit({availabilityZone, isEvacuated}, onResult);
+		} else {
+			keeper.setEvacuation(availabilityZone, isEvacuated, onResult);
+		}
+	}
+
+	function handle(fromPeerId: string, message: ClientMessage): void {
+		switch (message.kind) {
+			case 'evacuations.support-request': {
+				send(fromPeerId, {kind: 'evacuations.support'});
+				break;
+			}
+
+			case 'evacuations.support': {
+				supportCheck.handleSupport(fromPeerId);
+				break;
+			}
+
+			case 'evacuations.known': {
+				follower.setEvacuations(message.evacuations);
+				break;
+			}
+
+			case 'consensus.set-evacuation-result': {
+				forwarder.handleResult(message.requestId, message.result);
+				break;
+			}
+		}
+	}
+
+	/** A keeper that was down during the first order may serve jobs from its disk before the log has reached it. */
+	function informJoinedKeepers(members: readonly Member[]): void {
+		const incarnations = new Map(keepers.map(({id, incarnation}) => [id, incarnation]));
+		keepers = members.filter(member => member.roles.includes('keeper'));
+		const evacuations = follower.getEvacuations();
+		if (keeper !== undefined && evacuations.revision > 0) {
+			for (const {id} of keepers.filter(other => other.id !== ownId && incarnations.get(other.id) !== other.incarnation)) {
+				send(id, {kind: 'evacuations.known', evacuations});
+			}
+		}
+	}
+
+	return {
+		handlePeerMessage(fromPeerId, message) {
+			const parsed = clientMessageSchema.safeParse(message);
+			if (parsed.success) {
+				handle(fromPeerId, parsed.data);
+			} else {
+				metrics.increment('peer-malformed');
+			}
+		},
+		setMembers(members) {
+			supportCheck.setMembers(members);
+			informJoinedKeepers(members);
+		},
+		setEvacuation(availabilityZone, isEvacuated, onResult) {
+			if (!isEvacuated) {
+				// A withdrawal does no harm beside an earlier version: the log already has the evacuation, which that version does not obey.
+				store(availabilityZone, isEvacuated, onResult);
+				return;
+			}
+
+			supportCheck.check(daemonIds => {
+				if (daemonIds.length > 0) {
+					onResult({outcome: 'unconfirmed', daemonIds});
+				} else {
+					store(availabilityZone, isEvacuated, onResult);
+				}
+			});
+		},
+		stop() {
+			supportCheck.stop();
+			forwarder.stop();
+		},
+	};
+}
--- a/packages/consensus/src/follower/configuration-follower.ts
+++ b/packages/consensus/src/follower/configuration-follower.ts
@@ -7,6 +7,7 @@
 import {createPublishForwarder} from '../publish/publish-forwarder.js';
 import {createContentStore} from './content-store.js';
 import {createDistributor} from './distributor.js';
+import {createEvacuationHolder} from './evacuation-holder.js';
 import {followerMessageSchema, type FollowerMessageOf} from './follower-messages.js';
 import type {ConfigurationFollower, ConfigurationFollowerOptions} from './follower-options.js';
 import {
@@ -14,6 +15,7 @@
 } from './follower-timings.js';
 import {getSources, type Sources} from './get-sources.js';
 import {createRecentSteps} from './recent-steps.js';
+import {createStartCheck} from './start-check.js';
 import {createUpdateReceiver, type ReceivedUpdate} from './update-pieces.js';
 
 const maxStartId = 0xFF_FF_FF;
@@ -54,10 +56,20 @@
 	/** When the keepers were last in contact with a majority, on this daemon's clock. */
 	let lastKeeperContactMs = timers.getNowMs();
 
+	const evacuations = createEvacuationHolder({
+		events,
+		metrics,
+		onChange() {
+			reportClosedZones();
+			distributor.handleNewEvacuations();
+		},
+	});
+	const startCheck = createStartCheck({keeper, timers, onEnd: reportClosedZones});
 	const distributor = createDistributor({
 		timers,
 		getContent: () => content,
 		getKeeperAgeMs,
+		findEvacuations: evacuations.findEvacuations,
 		findChangesSince: version => steps.findChangesSince(version) ?? keeper?.getHistory().findChangesBetween(version, content.version),
 		send(peerId, message) {
 			peers.send(peerId, message);
@@ -85,6 +97,11 @@
 		return keeper === undefined ? timers.getNowMs() - lastKeeperContactMs : keeper.getStatus().quorumAgeMs;
 	}
 
+	function reportClosedZones(): void {
+		const ownZones = startCheck.isPending() ? [availabilityZone] : [];
+		options.onClosedZones?.([...new Set([...evacuations.getEvacuations().availabilityZones, ...ownZones])]);
+	}
+
 	/** Activates a version if it is later than the active one. */
 	function activate(newer: ConfigurationContent, changes: readonly ObjectChange[]): void {
 		if (isStopped || newer.version <= content.version) {
@@ -183,7 +200,13 @@
 		}
 	}
 
-	function handleSourceMessage(fromPeerId: string, keeperAgeMs: number): void {
+	/** Takes the evacuations first: a daemon that can serve jobs because it has a configuration then knows them too. */
+	function handleSourceMessage(fromPeerId: string, message: FollowerMessageOf<'configuration.digest' | 'configuration.update'>): void {
+		if (message.evacuations !== undefined) {
+			evacuations.setEvacuations(message.evacuations);
+		}
+
+		const {keeperAgeMs} = message;
 		lastKeeperContactMs = Math.max(lastKeeperContactMs, timers.getNowMs() - keeperAgeMs);
 		if (fromPeerId === findSourceId()) {
 			responseTimer?.cancel();
@@ -216,10 +239,19 @@
 		}
 	}
 
+	if (startCheck.isPending()) {
+		reportClosedZones();
+	}
+
 	if (received.version > 0) {
 		activate(received, []);
 	}
 
+	keeper?.addEvacuationListener(newer => {
+		if (!isStopped) {
+			evacuations.setEvacuations(newer);
+		}
+	});
 	keeper?.addListener(newer => {
 		activate(newer, getChanges(content.objects, newer.objects));
 	});
@@ -249,12 +281,12 @@
 				}
 
 				case 'configuration.digest': {
-					handleSourceMessage(fromPeerId, parsed.data.keeperAgeMs);
+					handleSourceMessage(fromPeerId, parsed.data);
 					break;
 				}
 
 				case 'configuration.update': {
-					handleSourceMessage(fromPeerId, parsed.data.keeperAgeMs);
+					handleSourceMessage(fromPeerId, parsed.data);
 					const update = receiver.addPiece(fromPeerId, parsed.data);
 					if (update !== undefined) {
 						applyUpdate(update);
@@ -285,6 +317,8 @@
 				keeper.publish(request, onResult);
 			}
 		},
+		getEvacuations: evacuations.getEvacuations,
+		setEvacuations: evacuations.setEvacuations,
 		getStatus: () => ({
 			version: content.version,
 			digest: content.digest,
@@ -297,6 +331,7 @@
 			isStopped = true;
 			subscribeTimer?.cancel();
 			responseTimer?.cancel();
+			startCheck.stop();
 			distributor.stop();
 			forwarder.stop();
 		},
--- a/packages/consensus/src/follower/distributor.ts
+++ b/packages/consensus/src/follower/distributor.ts
@@ -2,6 +2,7 @@
 import {emptyContent, type ConfigurationContent} from '../content/configuration-content.js';
 import {getChanges} from '../content/get-changes.js';
 import type {ObjectChange} from '../content/object-change.js';
+import type {Evacuations} from '../publish/evacuation-schemas.js';
 import type {FollowerMessage} from './follower-messages.js';
 import {updateBatchMs, subscriptionLifetimeMs} from './follower-timings.js';
 import {splitChanges} from './update-pieces.js';
@@ -12,6 +13,8 @@
 	addSubscriber(peerId: string, startId: number, version: number): void;
 	/** Schedules sending a new version, batched with those that follow shortly after. */
 	handleNewVersion(): void;
+	/** Sends changed evacuations to all subscribers immediately. */
+	handleNewEvacuations(): void;
 	getSubscriberCount(): number;
 	stop(): void;
 };
@@ -20,6 +23,8 @@
 	timers: TimerService;
 	getContent: () => ConfigurationContent;
 	getKeeperAgeMs: () => number;
+	/** Finds the evacuations to add to each message; undefined before the first order. */
+	findEvacuations: () => Evacuations | undefined;
 	/** Finds the changes from a version to the active one. */
 	findChangesSince: (version: number) => ObjectChange[] | undefined;
 	send: (peerId: string, message: FollowerMessage) => void;
@@ -33,7 +38,7 @@
  * @param options - The content to send and the function that sends it.
  */
 export function createDistributor(options: DistributorOptions): Distributor {
-	const {timers, getContent, getKeeperAgeMs, findChangesSince, send} = options;
+	const {timers, getContent, getKeeperAgeMs, findEvacuations, findChangesSince, send} = options;
 	const subscribers = new Map<string, Subscriber>();
 	let batchTimer: TimerSubscription | undefined;
 	let updates = new Map<number, Update>();
@@ -73,13 +78,26 @@
 				pieceIndex,
 				pieceCount: pieces.length,
 				changes,
-				keeperAgeMs: Math.round(getKeeperAgeMs()),
+				...getState(),
 			});
 		}
 
 		subscriber.version = version;
 	}
 
+	/** Gets the fields of each message that do not depend on the subscriber. */
+	function getState(): {keeperAgeMs: number; evacuations?: Evacuations} {
+		const evacuations = findEvacuations();
+		return {keeperAgeMs: Math.round(getKeeperAgeMs()), ...(evacuations && {evacuations})};
+	}
+
+	function sendDigest(peerId: string, startId: number): void {
+		const {version, digest} = getContent();
+		send(peerId, {
+			kind: 'configuration.digest', startId, version, digest, ...getState(),
+		});
+	}
+
 	function sendToSubscribers(): void {
 		const nowMs = timers.getNowMs();
 		for (const [peerId, subscriber] of subscribers) {
@@ -99,13 +117,7 @@
 			if (subscriber.version < content.version) {
 				sendUpdate(peerId, subscriber);
 			} else {
-				send(peerId, {
-					kind: 'configuration.digest',
-					startId,
-					version: content.version,
-					digest: content.digest,
-					keeperAgeMs: Math.round(getKeeperAgeMs()),
-				});
+				sendDigest(peerId, startId);
 			}
 		},
 		handleNewVersion() {
@@ -114,6 +126,13 @@
 				sendToSubscribers();
 			});
 		},
+		handleNewEvacuations() {
+			for (const [peerId, {startId, expiresAtMs}] of subscribers) {
+				if (expiresAtMs >= timers.getNowMs()) {
+					sendDigest(peerId, startId);
+				}
+			}
+		},
 		getSubscriberCount: () => subscribers.size,
 		stop() {
 			batchTimer?.cancel();
--- a/packages/consensus/src/follower/follower-options.ts
+++ b/packages/consensus/src/follower/follower-options.ts
@@ -4,6 +4,7 @@
 } from '@camphortack/core';
 import type {RecordLog} from '@camphortack/storage';
 import type {Keeper} from '../keeper/keeper-options.js';
+import type {Evacuations} from '../publish/evacuation-schemas.js';
 import type {PublishRequest, PublishResult} from '../publish/publish-schemas.js';
 
 export type ConfigurationFollowerOptions = {
@@ -20,6 +21,11 @@
 	keeper?: Keeper;
 	/** Called with each version that becomes active. Versions only increase. */
 	onConfiguration: (configuration: Configuration) => void;
+	/**
+	 * Called with the availability zones in which no task may start, on each change, and before the configuration becomes
+	 * active. Includes the zone of this daemon while a keeper that has just started checks whether its evacuations are up to date.
+	 */
+	onClosedZones?: (availabilityZones: readonly string[]) => void;
 };
 
 export type ConfigurationFollowerStatus = {
@@ -44,6 +50,10 @@
 	getConfiguration(): Configuration | undefined;
 	/** Publishes through any keeper. `onResult` is called exactly once, within a bounded time, unless the follower is stopped. */
 	publish(request: PublishRequest, onResult: (result: PublishResult) => void): void;
+	/** Gets the newest evacuations known to this daemon. */
+	getEvacuations(): Evacuations;
+	/** Takes evacuations that another daemon knows, unless their revision is not higher. */
+	setEvacuations(evacuations: Evacuations): void;
 	getStatus(): ConfigurationFollowerStatus;
 	/** Cancels all timers. The log stays open. */
 	stop(): void;
--- a/packages/consensus/src/follower/follower-timings.ts
+++ b/packages/consensus/src/follower/follower-timings.ts
@@ -21,3 +21,11 @@
 export const maxRecentBytes = 262_144;
 /** The number of records after which a daemon with a disk replaces its log with a snapshot. */
 export const maxFollowerRecords = 256;
+/** How long a keeper that has just started starts no tasks while no majority confirms its evacuations: longer than an election. */
+export const maxEvacuationCheckMs = 3500;
+/** How often an order to evacuate is resent to the keepers, and a daemon is asked again whether it knows evacuations. */
+export const evacuationResendMs = 250;
+/** How long it may take to store an order before its outcome is reported as unknown. */
+export const evacuationTimeoutMs = 4000;
+/** How long the daemons have to confirm that they know evacuations. */
+export const evacuationSupportTimeoutMs = 1000;
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -10,5 +10,6 @@
 export * from './publish/publish-schemas.js';
 export type {KeeperTimings} from './keeper/keeper-timings.js';
 export type * from './content/version-history.js';
+export * from './evacuations/evacuation-client.js';
 export * from './follower/configuration-follower.js';
 export type * from './follower/follower-options.js';
--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -4,7 +4,7 @@
 } from '@camphortack/testkit';
 import {createMemoryDisk, createMemoryRecordLog, type MemoryRecordLog} from '@camphortack/storage';
 import {
-	createConfigurationFollower, createKeeper, type ConfigurationFollower, type Keeper,
+	createConfigurationFollower, createEvacuationClient, createKeeper, type ConfigurationFollower, type EvacuationClient, type Keeper,
 } from '../../src/index.js';
 import {addLogFault, type LogFault} from './add-log-fault.js';
 import {CommittedEntries} from './committed-entries.js';
@@ -37,6 +37,11 @@
 	readonly disks = new Map<string, ReturnType<typeof createMemoryDisk>>();
 	readonly logs = new Map<string, MemoryRecordLog>();
 	readonly followers = new Map<string, ConfigurationFollower>();
+	readonly clients = new Map<string, EvacuationClient>();
+	/** What each daemon activated since its start, in order: zones in which no task may start, and versions. */
+	readonly activations = new Map<string, Array<readonly string[] | number>>();
+	/** The daemons that drop messages about evacuations, as an earlier version does. */
+	readonly earlierIds = new Set<string>();
 	/** The versions that became active on each daemon, with their times, across all its restarts. */
 	readonly versions = new Map<string, Array<{version: number; atMs: number}>>();
 	readonly nodeTimers = new Map<string, ProcessTimers>();
@@ -45,6 +50,7 @@
 	/** Called when a version has become active on a daemon. */
 	onActivation?: (id: string, version: number, digest: number | undefined) => void;
 	readonly #options: TestClusterOptions;
+	readonly #startCounts = new Map<string, number>();
 
 	constructor(options: TestClusterOptions = {}) {
 		this.#options = options;
@@ -86,12 +92,15 @@
 		const timers = this.keepers.has(id) ? this.nodeTimers.get(id)! : this.#startTimers(id);
 		const versions = this.versions.get(id) ?? [];
 		this.versions.set(id, versions);
+		const activations: Array<readonly string[] | number> = [];
+		this.activations.set(id, activations);
+		const peers = this.network.addPeer(id, (from, message) => {
+			this.handleMessage(id, from, message);
+		});
 		const follower = createConfigurationFollower({
 			ownId: id,
 			availabilityZone: this.getZone(id),
-			peers: this.network.addPeer(id, (from, message) => {
-				this.handleMessage(id, from, message);
-			}),
+			peers,
 			timers,
 			random: this.random,
 			events: this.events,
@@ -100,10 +109,17 @@
 			keeper,
 			onConfiguration: ({version}) => {
 				versions.push({version, atMs: this.timers.getNowMs()});
+				activations.push(version);
 				this.onActivation?.(id, version, this.followers.get(id)?.getStatus().digest);
 			},
+			onClosedZones(zones) {
+				activations.push(zones);
+			},
 		});
 		this.followers.set(id, follower);
+		this.clients.set(id, createEvacuationClient({
+			ownId: id, peers, timers, random: this.random, metrics: this.metrics, follower, keeper,
+		}));
 		return follower;
 	}
 
@@ -118,14 +134,16 @@
 	/** Gives the list of live daemons to every keeper and follower. */
 	shareMembers(): void {
 		const members = [...new Set([...this.keepers.keys(), ...this.followers.keys()])].map(id => this.getMember(id));
-		for (const part of [...this.keepers.values(), ...this.followers.values()]) {
+		for (const part of [...this.keepers.values(), ...this.followers.values(), ...this.clients.values()]) {
 			part.setMembers(members);
 		}
 	}
 
 	handleMessage(id: string, from: string, message: PeerMessage): void {
-		const part = message.kind.startsWith('consensus.') ? this.keepers.get(id) : this.followers.get(id);
-		this.nodeTimers.get(id)!.run(() => part?.handlePeerMessage(from, message));
+		const [name] = message.kind.split('.', 1);
+		const part = name === 'consensus' ? this.keepers.get(id) ?? this.clients.get(id) : this.followers.get(id);
+		const client = this.earlierIds.has(id) ? undefined : this.clients.get(id);
+		this.nodeTimers.get(id)!.run(() => (name === 'evacuations' ? client : part)?.handlePeerMessage(from, message));
 	}
 
 	crash(id: string): void {
@@ -133,6 +151,8 @@
 		this.keepers.delete(id);
 		this.followers.get(id)?.stop();
 		this.followers.delete(id);
+		this.clients.get(id)?.stop();
+		this.clients.delete(id);
 		this.logs.get(id)?.crash();
 		this.network.removePeer(id);
 	}
@@ -167,7 +187,7 @@
 	getMember(id: string): Member {
 		return {
 			id,
-			incarnation: '1',
+			incarnation: String(this.#startCounts.get(id)),
 			availabilityZone: this.getZone(id),
 			roles: this.keepers.has(id) ? ['entry', 'keeper'] : ['entry'],
 			host: '127.0.0.1',
@@ -187,6 +207,7 @@
 		const driftRatio = this.#options.driftRatio ?? 0;
 		const timers = new ProcessTimers(this.timers, 1 + (driftRatio * ((2 * this.random.getFraction()) - 1)));
 		this.nodeTimers.set(id, timers);
+		this.#startCounts.set(id, (this.#startCounts.get(id) ?? 0) + 1);
 		return timers;
 	}
 
--- a/packages/daemon/src/composition/bind-configuration.ts
+++ b/packages/daemon/src/composition/bind-configuration.ts
@@ -1,10 +1,11 @@
-import {createConfigurationFollower, createKeeper} from '@camphortack/consensus';
+import {createConfigurationFollower, createEvacuationClient, createKeeper} from '@camphortack/consensus';
 import type {Container} from 'inversify';
 import {createConfigurationService} from '../configuration/create-configuration-service.js';
 import {tokens} from './tokens.js';
 
 /**
- * Binds the keeper, if this daemon has the role, the follower that applies new versions, and the configuration service.
+ * Binds the keeper, if this daemon has the role, the follower that applies new versions, the client that gives orders to
+ * evacuate availability zones, and the configuration service.
  * @param container - The container; the infrastructure, peers, storage and dispatcher must be bound.
  */
 export function bindConfiguration(container: Container): void {
@@ -43,6 +44,15 @@
 			},
 		});
 	});
+	container.bind(tokens.evacuationClient).toDynamicValue(context => createEvacuationClient({
+		ownId: context.get(tokens.identity).id,
+		peers: context.get(tokens.peers),
+		timers: context.get(tokens.timers),
+		random: context.get(tokens.random),
+		metrics: context.get(tokens.metrics),
+		follower: context.get(tokens.follower),
+		keeper: context.get(tokens.keeper),
+	}));
 	container.bind(tokens.configurationService).toDynamicValue(context => createConfigurationService({
 		follower: context.get(tokens.follower),
 		keeper: context.get(tokens.keeper),
--- a/packages/daemon/src/composition/tokens.ts
+++ b/packages/daemon/src/composition/tokens.ts
@@ -1,6 +1,6 @@
 import type {EventLog, PeerNetwork, RandomSource} from '@camphortack/core';
 import type {Settings} from '@camphortack/configuration';
-import type {ConfigurationFollower, Keeper} from '@camphortack/consensus';
+import type {ConfigurationFollower, EvacuationClient, Keeper} from '@camphortack/consensus';
 import type {Dispatcher} from '@camphortack/dispatch';
 import type {Membership} from '@camphortack/membership';
 import type {DistributedLimiter} from '@camphortack/policy';
@@ -38,6 +38,7 @@
 	storage: createToken<DaemonStorage | undefined>('storage'),
 	keeper: createToken<Keeper | undefined>('keeper'),
 	follower: createToken<ConfigurationFollower>('follower'),
+	evacuationClient: createToken<EvacuationClient>('evacuation-client'),
 	configurationService: createToken<ConfigurationService>('configuration-service'),
 	assignment: createToken<RegisterAssignment>('register-assignment'),
 	tickets: createToken<TicketTable>('tickets'),
--- a/packages/daemon/src/runtime/start-components.ts
+++ b/packages/daemon/src/runtime/start-components.ts
@@ -31,13 +31,16 @@
 export function startComponents(container: Container, peersPort: number): void {
 	const router = container.get(tokens.peerRouter);
 	const keeper = container.get(tokens.keeper);
+	const evacuationClient = container.get(tokens.evacuationClient);
 	const registerClient = container.get(tokens.registerClient);
 	const register = container.get(tokens.register);
 	const components: Record<string, PeerMessageComponent> = {
 		dispatch: container.get(tokens.dispatcher),
 		limits: container.get(tokens.limits),
 		configuration: container.get(tokens.follower),
-		...(keeper && {consensus: keeper}),
+		evacuations: evacuationClient,
+		// Without a keeper, the results of forwarded orders arrive under this name.
+		consensus: keeper ?? evacuationClient,
 		register: createRegisterRouter(registerClient, register),
 	};
 	for (const [name, component] of Object.entries(components)) {
--- a/packages/daemon/src/runtime/stop-components.ts
+++ b/packages/daemon/src/runtime/stop-components.ts
@@ -72,6 +72,7 @@
 	container.get(tokens.register)?.close();
 	container.get(tokens.tickets).close();
 	container.get(tokens.membership).stop();
+	container.get(tokens.evacuationClient).stop();
 	container.get(tokens.follower).stop();
 	container.get(tokens.keeper)?.stop();
 	container.get(tokens.limits).stop();
