Start no tasks in an evacuated zone and hand waiting ones over

Cause: a daemon that knew of an evacuation went on starting tasks on the backend servers of its availability zone. Change: in a closed zone the dispatcher starts and hedges nothing, announces no slots, and refuses parts of other daemons. Waiting tasks go to daemons of open zones through the existing handover, up to the limit of the message instead of twice. If none of them may have slots, jobs that have not begun are refused with no-backend-server and a Retry-After spread over 1 to 3 s; jobs that have begun end when nothing of them runs, after at most 1 s. Partners in closed zones get no tasks. Loads without slots are forgotten when a zone opens, and asked for again after 1 s by a closed zone, since nobody announces them. task-diverted counts the tasks.

--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -55,6 +55,7 @@
 	'job-outcome-refused': 'Jobs refused before any of their tasks ran.',
 	'job-outcome-unknown': 'Jobs for which it is unknown whether they ran.',
 	'job-diverted': 'Jobs forwarded to another availability zone because theirs is evacuated.',
+	'task-diverted': 'Tasks handed over to another availability zone because this one is evacuated.',
 	'evacuated-zones': 'Availability zones that are evacuated, as far as this daemon knows.',
 	'job-abandoned': 'Jobs stopped because the caller closed the connection.',
 	'placed-job-time': 'Time from arrival to the end of a job at the placer, in milliseconds.',
--- a/packages/daemon/src/composition/bind-configuration.ts
+++ b/packages/daemon/src/composition/bind-configuration.ts
@@ -42,6 +42,7 @@
 				limits.setConfiguration(configuration);
 				dispatcher.setConfiguration(configuration);
 			},
+			onClosedZones: dispatcher.setClosedZones,
 		});
 	});
 	container.bind(tokens.evacuationClient).toDynamicValue(context => createEvacuationClient({
--- a/packages/dispatch/src/admission/admission-controller.ts
+++ b/packages/dispatch/src/admission/admission-controller.ts
@@ -12,6 +12,8 @@
 	limits: Limiter;
 	/** Checks whether a job must be refused before any limit is requested. */
 	findRefusal: (job: Job) => RefusalCode | undefined;
+	/** Finds when to retry after a refusal, if known more precisely than the default for the code. */
+	findRetryAfterMs: (code: RefusalCode) => number | undefined;
 	createJob: (job: Job, onEnd: (end: JobEnd) => void) => OpenJob;
 	/** Called with each job that passed the checks and every limit. */
 	onAdmitted: (job: OpenJob) => void;
@@ -31,7 +33,7 @@
 	function submitJob(job: Job, onEnd: (outcome: JobOutcome) => void): void {
 		const code = options.findRefusal(job);
 		if (code !== undefined) {
-			refuse(job.id, code, onEnd);
+			refuse(job.id, code, onEnd, options.findRetryAfterMs(code));
 			return;
 		}
 
--- a/packages/dispatch/src/admission/check-admission.ts
+++ b/packages/dispatch/src/admission/check-admission.ts
@@ -8,7 +8,7 @@
 	job: Job;
 	rules: PlacementRules | undefined;
 	isDraining: boolean;
-	table: BackendServerTable;
+	table: Pick<BackendServerTable, 'getAll'>;
 	/** Whether the job and the jobs already queued would meet their deadlines; undefined if another daemon checked this. */
 	meetsDeadlines?: (job: Job, pool: string, runTimeMs: number) => boolean;
 	estimator: RunTimeEstimator;
@@ -51,7 +51,7 @@
 	return isDeadlineUnreachable(input, rules, pool) ? 'deadline-unreachable' : undefined;
 }
 
-function isServed(table: BackendServerTable, pool: string, service: string): boolean {
+function isServed(table: AdmissionInput['table'], pool: string, service: string): boolean {
 	for (const server of table.getAll()) {
 		if (!server.isLeaving && server.pools.includes(pool) && server.announcement.services.includes(service)) {
 			return true;
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -1,9 +1,10 @@
 import {createEjectionTracker, createRunTimeEstimator, type LimitRequest} from '@camphortack/policy';
-import type {Member} from '@camphortack/core';
+import type {Job, Member} from '@camphortack/core';
 import {createAdmissionController} from '../admission/admission-controller.js';
 import {checkAdmission} from '../admission/check-admission.js';
 import {createDeadlineCheck} from '../admission/deadline-check.js';
 import {createPlacementRules, type PlacementRules} from '../configuration/placement-rules.js';
+import {createZoneClosure} from '../evacuations/zone-closure.js';
 import {createPartResultHandler} from '../handover/part-result-handler.js';
 import {createPartReceiver} from '../handover/part-receiver.js';
 import {createPartSender, type HandedOverPart} from '../handover/part-sender.js';
@@ -37,6 +38,8 @@
 /** A disconnected daemon may use a backend server for this long after its last announcement to this daemon. */
 const directAnnouncementValidityMs = 2900;
 const maxLoadsPerMessage = 16;
+/** The backend servers that a job may use here while the availability zone is closed. */
+const noServers = {getAll: () => []};
 
 /**
  * Creates the dispatcher of one daemon.
@@ -78,7 +81,7 @@
 		},
 	});
 	const jobs = createJobTable({
-		timers, metrics, limits, onAborted: cancelTasks,
+		timers, metrics, limits, onAborted: cancelTasks, findRetryAfterMs: code => closure.findRetryAfterMs(code),
 	});
 	const runner = createTaskRunner({
 		incarnation,
@@ -136,7 +139,7 @@
 		},
 	});
 	const partners = createPartnerTable({
-		ownId, availabilityZone, timers, findOldestOpenPartSentMs: sender.findOldestOpenSentMs,
+		ownId, availabilityZone, timers, findOldestOpenPartSentMs: sender.findOldestOpenSentMs, isClosed: zone => closure.isClosed(zone),
 	});
 	const partResultHandler = createPartResultHandler({
 		metrics, jobs, queues, partners, retryBudgets, getLoad, placePool,
@@ -155,12 +158,18 @@
 			setPoolSizes(server.pools);
 		},
 	});
+	const closure = createZoneClosure({
+		availabilityZone, timers, random: options.random, queues, jobs, partners, getOwnLoad: getLoad, isConnected: heartbeats.isConnected, placeAll,
+	});
+	const {isOwnZoneClosed} = closure;
 	const placer = createPlacer({
 		timers, metrics, queues, jobs, table, runner, ejection, mayUse,
 	});
-	const router = createTaskRouter({ownId, table, sender});
+	const router = createTaskRouter({
+		ownId, table, sender, isOwnZoneClosed,
+	});
 	const balancer = createBalancer({
-		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad, fitsInZone: router.fitsInZone,
+		ownId, metrics, queues, jobs, partners, sender, getOwnLoad: getLoad, fitsInZone: router.fitsInZone, isOwnZoneClosed,
 	});
 	const intake = createJobIntake({
 		timers,
@@ -187,8 +196,9 @@
 		metrics,
 		limits,
 		findRefusal: job => checkAdmission({
-			job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
+			job, rules, isDraining, table: isOwnZoneClosed() ? noServers : table, estimator, meetsDeadlines, hasPartners: hasPartners(job),
 		}),
+		findRetryAfterMs: closure.findRetryAfterMs,
 		createJob: (job, onEnd) => intake.createJob(job.id, job, onEnd),
 		onAdmitted(job) {
 			intake.acceptJob(job);
@@ -230,11 +240,16 @@
 
 	/** Whether the leases of this daemon are valid, so that it may start tasks on a backend server. */
 	function mayUse(server: BackendServerRecord): boolean {
-		return heartbeats.isConnected() || timers.getNowMs() - server.lastDirectAnnouncementMs <= directAnnouncementValidityMs;
+		const hasLease = heartbeats.isConnected() || timers.getNowMs() - server.lastDirectAnnouncementMs <= directAnnouncementValidityMs;
+		return hasLease && !isOwnZoneClosed();
+	}
+
+	function hasPartners({service, customer}: Job): boolean {
+		return isOwnZoneClosed() ? closure.canRunElsewhere(rules?.getPoolName(service, customer) ?? '') : members.length > 1;
 	}
 
 	function getLoad(pool: string): PoolLoad {
-		const isUsable = heartbeats.isConnected();
+		const isUsable = heartbeats.isConnected() && !isOwnZoneClosed();
 		return {
 			pool,
 			slots: isUsable ? table.getSlotCount(pool) : 0,
@@ -346,6 +361,7 @@
 			directory.setMembers(members);
 			managers.setMembers(members);
 		},
+		setClosedZones: closure.setClosedZones,
 		announceBackendServer: directory.announce,
 		removeBackendServer: directory.remove,
 		drainBackendServer(backendServerId) {
--- a/packages/dispatch/src/dispatcher/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/dispatcher.ts
@@ -48,6 +48,8 @@
 	setConfiguration(configuration: Configuration): void;
 	/** Sets the live daemons of all availability zones, including this daemon. */
 	setMembers(members: readonly Member[]): void;
+	/** Sets the availability zones in which no task may start, because they are evacuated. */
+	setClosedZones(availabilityZones: readonly string[]): void;
 	announceBackendServer(announcement: BackendServerAnnouncement): void;
 	/** Stops placing tasks on a backend server that is leaving. */
 	removeBackendServer(backendServerId: string, incarnation: string): void;
--- a/packages/dispatch/src/jobs/job-table.ts
+++ b/packages/dispatch/src/jobs/job-table.ts
@@ -12,6 +12,8 @@
 	limits: Limiter;
 	/** Called to remove the queued tasks of a job and to stop its running tasks. */
 	onAborted: (job: OpenJob) => void;
+	/** Finds when to retry after a refusal, if known more precisely than the default for the code. */
+	findRetryAfterMs: (code: RefusalCode) => number | undefined;
 };
 
 /** The open jobs and their deadline timers. Each job ends exactly once. */
@@ -100,7 +102,7 @@
 			metrics.increment(`refused-${code}`);
 		}
 
-		reportEnd(job, createRefusedOutcome(job.id, code));
+		reportEnd(job, createRefusedOutcome(job.id, code, options.findRetryAfterMs(code)));
 	}
 
 	function close(entry: Entry): void {
--- a/packages/dispatch/src/peers/partner-table.ts
+++ b/packages/dispatch/src/peers/partner-table.ts
@@ -10,6 +10,8 @@
 	timers: TimerService;
 	/** Finds when the oldest part without an outcome was sent to a daemon. */
 	findOldestOpenPartSentMs: (peerId: string) => number | undefined;
+	/** Whether no task may start in an availability zone. */
+	isClosed: (availabilityZone: string) => boolean;
 };
 
 /** The known loads of the partners: the daemons to which this daemon may hand over tasks. */
@@ -21,6 +23,8 @@
 	/** Excludes a partner for a short time after it refused tasks. */
 	recordRefusal(peerId: string, pool: string): void;
 	recordReceived(peerId: string): void;
+	/** Discards the loads of the partners in availability zones that are open again: they were known without slots. */
+	forgetLoads(availabilityZones: readonly string[]): void;
 	/** Gets the partners that could run tasks of a pool, those of the same availability zone first. */
 	getCapacities(pool: string, ownLoad: PoolLoad): Capacity[];
 	getLastReceivedMs(peerId: string): number;
@@ -44,6 +48,8 @@
 /** A partner with an open part that has sent nothing for this long gets no more tasks. */
 const silenceTimeoutMs = 2500;
 const refusalBackoffMs = 500;
+/** In a closed zone, a partner whose last message showed no slots is asked again after this time: it may have some by now. */
+const slotlessBackoffMs = 1000;
 
 /**
  * Creates the partner table. Loads are never requested: they are piggybacked on other messages.
@@ -98,7 +104,7 @@
 	function getCapacities(pool: string, ownLoad: PoolLoad): Capacity[] {
 		const capacities: Capacity[] = [];
 		for (const [id, partner] of partners) {
-			if (isSilent(id, partner)) {
+			if (isSilent(id, partner) || options.isClosed(partner.member.availabilityZone)) {
 				continue;
 			}
 
@@ -107,7 +113,7 @@
 				continue;
 			}
 
-			capacities.push(load === undefined
+			capacities.push(load === undefined || isOutdated(load)
 				? {id, slots: Math.max(1, ownLoad.slots), room: 0}
 				: {id, slots: load.slots, room: estimateRoom(load)});
 		}
@@ -115,6 +121,10 @@
 		return capacities;
 	}
 
+	function isOutdated(load: KnownLoad): boolean {
+		return load.slots === 0 && options.isClosed(availabilityZone) && timers.getNowMs() - load.updatedAtMs > slotlessBackoffMs;
+	}
+
 	function isSilent(id: string, partner: Partner): boolean {
 		const sentMs = options.findOldestOpenPartSentMs(id);
 		return sentMs !== undefined && timers.getNowMs() - Math.max(sentMs, partner.lastReceivedMs) > silenceTimeoutMs;
@@ -136,6 +146,13 @@
 				partner.lastReceivedMs = timers.getNowMs();
 			}
 		},
+		forgetLoads(availabilityZones) {
+			for (const {member, loads} of partners.values()) {
+				if (availabilityZones.includes(member.availabilityZone)) {
+					loads.clear();
+				}
+			}
+		},
 		getCapacities,
 		getLastReceivedMs: peerId => partners.get(peerId)?.lastReceivedMs ?? Number.NEGATIVE_INFINITY,
 	};
--- a/packages/dispatch/src/placement/balancer.ts
+++ b/packages/dispatch/src/placement/balancer.ts
@@ -1,4 +1,4 @@
-import type {TaskNeeds} from '@camphortack/core';
+import type {MetricSink, TaskNeeds} from '@camphortack/core';
 import type {JobTable} from '../jobs/job-table.js';
 import type {OpenJob, OpenTask} from '../jobs/open-job.js';
 import type {PartSender} from '../handover/part-sender.js';
@@ -10,6 +10,7 @@
 
 export type BalancerOptions = {
 	ownId: string;
+	metrics: MetricSink;
 	queues: TaskQueues;
 	jobs: JobTable;
 	partners: PartnerTable;
@@ -17,6 +18,8 @@
 	getOwnLoad: (pool: string) => PoolLoad;
 	/** Whether any backend server of the zone is large enough for a task, so that the task router has already routed it. */
 	fitsInZone: (pool: string, service: string, needs: TaskNeeds) => boolean;
+	/** Whether no task may start in the availability zone of this daemon. */
+	isOwnZoneClosed: () => boolean;
 };
 
 /** Hands queued tasks over to daemons that can start them sooner. */
@@ -27,11 +30,13 @@
 
 /** The maximum number of times that a task is handed over. */
 export const maxHandovers = 2;
+/** The same for tasks that wait in a closed availability zone; the limit of the message. They never go to a closed zone. */
+export const maxHandoversFromClosedZone = 8;
 /** The room of a partner is reduced by this ratio of its slots, because it may have shrunk since it was reported. */
 const roomMarginRatio = 0.04;
 
 export function createBalancer(options: BalancerOptions): Balancer {
-	const {ownId, queues, jobs, partners, sender} = options;
+	const {ownId, metrics, queues, jobs, partners, sender} = options;
 
 	function balance(pool: string): void {
 		const queuedTasks = queues.getTaskCount(pool);
@@ -57,6 +62,7 @@
 		for (const [job, jobTasks] of groupBy(tasks, task => task.job)) {
 			if (sender.sendPart(peerId, job, jobTasks)) {
 				partners.recordHandover(peerId, pool, jobTasks.length);
+				countDiverted(jobTasks.length);
 			} else {
 				returnTasks(jobTasks);
 			}
@@ -65,6 +71,12 @@
 		return !isExhausted;
 	}
 
+	function countDiverted(taskCount: number): void {
+		if (options.isOwnZoneClosed()) {
+			metrics.increment('task-diverted', taskCount);
+		}
+	}
+
 	/** Takes tasks to hand over. Tasks with needs stay where the task router put them if this daemon manages slots. */
 	function takeTasks(pool: string, count: number, ownLoad: PoolLoad): {tasks: OpenTask[]; isExhausted: boolean} {
 		const tasks: OpenTask[] = [];
@@ -76,7 +88,7 @@
 				return {tasks, isExhausted: true};
 			}
 
-			if (!canBeHandedOver(task.job)) {
+			if (!canBeHandedOver(task.job, options.isOwnZoneClosed())) {
 				queues.returnTask(task);
 				return {tasks, isExhausted: true};
 			}
@@ -103,6 +115,6 @@
 	};
 }
 
-function canBeHandedOver(job: OpenJob): boolean {
-	return job.handovers < maxHandovers;
+function canBeHandedOver(job: OpenJob, isOwnZoneClosed: boolean): boolean {
+	return job.handovers < (isOwnZoneClosed ? maxHandoversFromClosedZone : maxHandovers);
 }
--- a/packages/dispatch/src/placement/task-router.ts
+++ b/packages/dispatch/src/placement/task-router.ts
@@ -10,6 +10,8 @@
 	ownId: string;
 	table: BackendServerTable;
 	sender: PartSender;
+	/** Whether no task may start in the availability zone, so that its daemons would refuse all tasks. */
+	isOwnZoneClosed: () => boolean;
 };
 
 /** Routes tasks that fit none of the backend servers of this daemon to daemons that can run them. */
@@ -23,7 +25,7 @@
 	fitsInZone(pool: string, service: string, needs: TaskNeeds): boolean;
 };
 
-export function createTaskRouter({ownId, table, sender}: TaskRouterOptions): TaskRouter {
+export function createTaskRouter({ownId, table, sender, isOwnZoneClosed}: TaskRouterOptions): TaskRouter {
 	/** Finds the manager of a fitting backend server, preferably this daemon; undefined if no backend server fits. */
 	function findManagerId(pool: string, service: string, needs: TaskNeeds): string | undefined {
 		let managerId: string | undefined;
@@ -41,6 +43,10 @@
 	}
 
 	function route(job: OpenJob): OpenTask[] {
+		if (isOwnZoneClosed()) {
+			return job.tasks;
+		}
+
 		const kept: OpenTask[] = [];
 		for (const tasks of groupBy(job.tasks, task => JSON.stringify(task.needs)).values()) {
 			const managerId = findManagerId(job.pool, job.service, tasks[0]!.needs ?? {}) ?? ownId;
