Add the command evacuate, and evacuations to the status

Cause: operators of camphortackd had no way to evacuate an availability zone. Change: POST and DELETE of /v1/evacuations/ZONE at any daemon, used by `camphortack evacuate [--end] ZONE`. The status has the evacuated zones and the revision, which `camphortack status` shows after the first order.

--- a/packages/cli/src/api/api-schemas.ts
+++ b/packages/cli/src/api/api-schemas.ts
@@ -53,6 +53,8 @@
 		isReady: z.boolean(),
 	}),
 	configuration: z.object({version: z.int().optional(), isStale: z.boolean()}),
+	/** Absent from daemons of earlier versions. */
+	evacuations: z.object({revision: z.int(), availabilityZones: z.array(z.string())}).optional(),
 	members: z.array(z.object({id: z.string(), availabilityZone: z.string(), isAlive: z.boolean()})),
 	zones: z.array(z.object({availabilityZone: z.string(), isReachable: z.boolean(), liveDaemons: z.int()})).optional(),
 	keepers: z.object({
@@ -72,6 +74,9 @@
 	limits: z.array(limitStatusSchema),
 });
 
+/** The answer to an order to evacuate an availability zone, or to the withdrawal of one. */
+export const evacuationResponseSchema = z.object({availabilityZone: z.string(), isEvacuated: z.boolean(), revision: z.int()});
+
 export const ticketsResponseSchema = z.object({tickets: z.array(z.string()).min(1)});
 
 /** The body of an error response. */
--- a/packages/cli/src/commands/status-command.ts
+++ b/packages/cli/src/commands/status-command.ts
@@ -11,7 +11,7 @@
 	static override usage: Usage = {
 		category: 'Operation',
 		description: 'Show the status of the system as seen by one daemon.',
-		details: 'Shows the version in force, problems, availability zones, daemons, backend servers, ejections, and limits with their usage.',
+		details: 'Shows the version in force, evacuated availability zones, problems, availability zones, daemons, backend servers, ejections, and limits with their usage.',
 		examples: [['Show the status', '$0 status --operators-url http://10.1.0.11:7002']],
 	};
 
--- a/packages/cli/src/formatting/format-status.ts
+++ b/packages/cli/src/formatting/format-status.ts
@@ -18,16 +18,22 @@
 	].join('\n\n');
 }
 
-function formatDaemon({daemon, configuration, keepers, dispatcher}: StatusResponse): string {
+function formatDaemon({daemon, configuration, evacuations, keepers, dispatcher}: StatusResponse): string {
 	const state = [daemon.isReady ? 'ready' : 'not ready', ...(daemon.isDraining ? ['draining'] : [])].join(', ');
 	return [
 		`daemon         ${daemon.id} in ${daemon.availabilityZone} (${daemon.roles.join(', ')}): ${state}`,
 		`configuration  ${configuration.version === undefined ? 'none in force' : `version ${configuration.version} in force`}${configuration.isStale ? ', stale' : ''}`,
 		`keepers        ${formatKeepers(keepers)}`,
+		...(evacuations === undefined || evacuations.revision === 0 ? [] : [`evacuated      ${formatEvacuations(evacuations)}`]),
 		`work           ${dispatcher.openJobs} open jobs, ${dispatcher.runningTasks} tasks running, ${dispatcher.queuedTasks} queued (${dispatcher.queuedBytes} bytes)`,
 	].join('\n');
 }
 
+/** The revision shows whether a daemon knows the newest order. Without any order, there is nothing to show. */
+function formatEvacuations({availabilityZones, revision}: NonNullable<StatusResponse['evacuations']>): string {
+	return `${availabilityZones.length === 0 ? 'no availability zone' : availabilityZones.join(', ')} (revision ${revision})`;
+}
+
 function formatKeepers(keepers: StatusResponse['keepers']): string {
 	if (keepers === undefined) {
 		return 'none: standalone daemon';
--- a/packages/cli/src/run-camphortack.ts
+++ b/packages/cli/src/run-camphortack.ts
@@ -4,6 +4,7 @@
 import {CheckCommand} from './commands/check-command.js';
 import {DiffCommand} from './commands/diff-command.js';
 import {DrainCommand} from './commands/drain-command.js';
+import {EvacuateCommand} from './commands/evacuate-command.js';
 import {ExplainCommand} from './commands/explain-command.js';
 import {HistoryCommand} from './commands/history-command.js';
 import {JobCommand} from './commands/job-command.js';
@@ -24,6 +25,7 @@
 	CheckCommand,
 	DiffCommand,
 	DrainCommand,
+	EvacuateCommand,
 	ExplainCommand,
 	HistoryCommand,
 	JobCommand,
--- a/packages/cli/test/commands/operation-commands.test.ts
+++ b/packages/cli/test/commands/operation-commands.test.ts
@@ -90,6 +90,22 @@
 `);
 });
 
+it('status shows the evacuated availability zones once there was an order', async context => {
+	const rows = [
+		{evacuations: {revision: 0, availabilityZones: []}, expected: undefined},
+		{evacuations: {revision: 3, availabilityZones: ['north', 'south']}, expected: 'evacuated      north, south (revision 3)'},
+		{evacuations: {revision: 5, availabilityZones: []}, expected: 'evacuated      no availability zone (revision 5)'},
+	];
+	const daemon = await startFakeDaemon(context, {
+		'GET /v1/status': rows.map(({evacuations}) => ({status: 200, body: {...status, evacuations}})),
+	});
+	for (const {expected} of rows) {
+		// eslint-disable-next-line no-await-in-loop -- The daemon answers in this order.
+		const {stdout} = await runCommand(['status', '--operators-url', daemon.url]);
+		assert.equal(stdout.split('\n').find(line => line.startsWith('evacuated')), expected);
+	}
+});
+
 it('limits prints the shares of the daemon', async context => {
 	const daemon = await startFakeDaemon(context, {'GET /v1/limits': [{status: 200, body: {limits}}]});
 	const {stdout} = await runCommand(['limits', '--operators-url', daemon.url]);
--- a/packages/daemon/src/http/operators-server.ts
+++ b/packages/daemon/src/http/operators-server.ts
@@ -3,7 +3,9 @@
 import type {Server} from 'restify';
 import {z} from 'zod';
 import type {ConfigurationService, PublishAnswer} from '../configuration/configuration-service.js';
+import type {EvacuationService} from '../evacuations/evacuation-service.js';
 import {createHttpServer} from './create-http-server.js';
+import {addEvacuationRoutes} from './evacuation-routes.js';
 import {getPathParameter} from './get-path-parameter.js';
 import {parseBody, sendInputError} from './parse-body.js';
 import {readJsonBody} from './read-json-body.js';
@@ -27,6 +29,7 @@
 export type OperatorsServerOptions = {
 	isAuthorized: (authorization: string | undefined) => boolean;
 	configuration: ConfigurationService;
+	evacuations: EvacuationService;
 	/** Repeats the check of all objects that the command line runs before it publishes them. */
 	checkObjects: (objects: z.output<typeof configurationObjectsSchema>) => Finding[];
 	getStatus: () => unknown;
@@ -53,6 +56,7 @@
 		next(false);
 	});
 	addConfigurationRoutes(server, options);
+	addEvacuationRoutes(server, options.evacuations);
 	server.get('/v1/status', async (_request, response) => {
 		sendJson(response, 200, options.getStatus());
 	});
--- a/packages/daemon/src/runtime/get-daemon-status.ts
+++ b/packages/daemon/src/runtime/get-daemon-status.ts
@@ -21,6 +21,7 @@
 		configuration: {
 			version, isStale, sourceId, keeperAgeMs,
 		},
+		evacuations: container.get(tokens.follower).getEvacuations(),
 		keepers: getKeeperStatus(container),
 		...getMembershipStatus(container),
 		dispatcher: container.get(tokens.dispatcher).getStatus(),
--- a/packages/daemon/src/runtime/start-servers.ts
+++ b/packages/daemon/src/runtime/start-servers.ts
@@ -2,11 +2,13 @@
 import type {Container} from 'inversify';
 import {isTokenAccepted} from '../access/is-token-accepted.js';
 import {tokens} from '../composition/tokens.js';
+import {createEvacuationService} from '../evacuations/evacuation-service.js';
 import {createBackendServersServer} from '../http/backend-servers-server.js';
 import {createCallersServer} from '../http/callers-server.js';
 import {listen, type ListeningServer} from '../http/create-http-server.js';
 import {createOperatorsServer} from '../http/operators-server.js';
 import {getDaemonStatus} from './get-daemon-status.js';
+import {getKnownZones} from './get-known-zones.js';
 import {getLimitStatuses} from './get-limit-statuses.js';
 
 /** The HTTP servers of a daemon. */
@@ -52,6 +54,12 @@
 	const operators = createOperatorsServer({
 		isAuthorized: createTokenCheck(tokenHashes),
 		configuration,
+		evacuations: createEvacuationService({
+			client: container.get(tokens.evacuationClient),
+			events: container.get(tokens.events),
+			getEvacuations: container.get(tokens.follower).getEvacuations,
+			getZones: () => getKnownZones(container),
+		}),
 		checkObjects: objects => checkConfigurationObjects(objects).filter(finding => finding.level === 'error'),
 		getStatus: () => getDaemonStatus(container, isDraining()),
 		getLimits: () => getLimitStatuses(container.get(tokens.limits)),
--- a/packages/daemon/test/support/test-daemons.ts
+++ b/packages/daemon/test/support/test-daemons.ts
@@ -19,7 +19,8 @@
 /** Starts daemons and cleans up after them. */
 export type TestDaemons = {
 	start(id: string, zone: string, seeds: string): Promise<Daemon>;
-	startChild(id: string, zone: string, seeds: string): Promise<ChildDaemon>;
+	/** Starts a daemon in a child process; without the role `keeper` it has no disk. */
+	startChild(id: string, zone: string, seeds: string, roles?: string): Promise<ChildDaemon>;
 	/** Kills the child processes and removes the folders of all daemons. */
 	cleanUp(): Promise<void>;
 };
@@ -36,10 +37,11 @@
  */
 export async function createTestDaemons(keeperIds: string): Promise<TestDaemons> {
 	const folder = await mkdtemp(join(tmpdir(), 'camphortack-test-'));
-	const createSettingsText = (id: string, zone: string, seeds: string) => [
+	const createSettingsText = (id: string, zone: string, seeds: string, roles = 'entry, keeper') => [
 		'[daemon]',
 		`id = ${id}`,
 		`availabilityZone = ${zone}`,
+		`roles = ${roles}`,
 		`dataFolder = ${join(folder, id)}`,
 		'[keepers]',
 		`ids = ${keeperIds}`,
@@ -50,9 +52,9 @@
 
 	const children: ChildDaemon[] = [];
 
-	async function startChild(id: string, zone: string, seeds: string): Promise<ChildDaemon> {
+	async function startChild(id: string, zone: string, seeds: string, roles?: string): Promise<ChildDaemon> {
 		const file = join(folder, `${id}.ini`);
-		await writeFile(file, createSettingsText(id, zone, seeds));
+		await writeFile(file, createSettingsText(id, zone, seeds, roles));
 		const flags = ['--disable-warning=DEP0111', '-C', 'camphortack-source', '--import', 'tsx'];
 		const child = spawn(process.execPath, [...flags, mainPath, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
 		const exited = once(child, 'exit');
