--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -4,6 +4,7 @@
 import {checkAdmission} from '../admission/check-admission.js';
 import {createDeadlineCheck} from '../admission/deadline-check.js';
 import {createPlacementRules, type PlacementRules} from '../configuration/placement-rules.js';
+import {createZoneClosure} from '../evacuations/zone-closure.js';
 import {explainJob} from '../explaining/explain-job.js';
 import {createPartResultHandler} from '../handover/part-result-handler.js';
 import {createPartReceiver} from '../handover/part-receiver.js';
@@ -38,6 +39,8 @@
 /** A disconnected daemon may use a backend server for this long after its last announcement to this daemon. */
 const directAnnouncementValidityMs = 2900;
 const maxLoadsPerMessage = 16;
+/** The backend servers that a job may use here while the availability zone is closed. */
+const noServers = {getAll: () => []};
 
 /**
  * Creates the dispatcher of one daemon.
@@ -79,7 +82,7 @@
 		},
 	});
 	const jobs = createJobTable({
-		timers, metrics, limits, onAborted: cancelTasks,
+		timers, metrics, limits, onAborted: cancelTasks, findRetryAfterMs: code => closure.findRetryAfterMs(code),
 	});
 	const runner = createTaskRunner({
 		incarnation,
@@ -137,7 +140,7 @@
 		},
 	});
 	const partners = createPartnerTable({
-		ownId, availabilityZone, timers, findOldestOpenPartSentMs: sender.findOldestOpenSentMs,
+		ownId, availabilityZone, timers, findOldestOpenPartSentMs: sender.findOldestOpenSentMs, isClosed: zone => closure.isClosed(zone),
 	});
 	const partResultHandler = createPartResultHandler({
 		metrics, jobs, queues, partners, retryBudgets, getLoad, placePool,
@@ -156,12 +159,18 @@
 			setPoolSizes(server.pools);
 		},
 	});
+	const closure = createZoneClosure({
+		availabilityZone, timers, random: options.random, queues, jobs, partners, getOwnLoad: getLoad, isConnected: heartbeats.isConnected, placeAll,
+	});
+	const {isOwnZoneClosed} = closure;
 	const placer = createPlacer({
 		timers, metrics, queues, jobs, table, runner, ejection, mayUse,
 	});
-	const router = createTaskRouter({ownId, table, sender});
+	const router = createTaskRouter({
+		ownId, table, sender, isOwnZoneClosed,
+	});
 	const balancer = createBalancer({
-		ownId, queues, jobs, partners, sender, getOwnLoad: getLoad, fitsInZone: router.fitsInZone,
+		ownId, metrics, queues, jobs, partners, sender, getOwnLoad: getLoad, fitsInZone: router.fitsInZone, isOwnZoneClosed,
 	});
 	const intake = createJobIntake({
 		timers,
@@ -185,12 +194,13 @@
 		getMeanRunTimeMs: service => estimator.getExpectedRunTimeMs(service, rules?.findService(service)?.declaredRunTimeMs ?? 0),
 	});
 	const findRefusal = (job: Job) => checkAdmission({
-		job, rules, isDraining, table, estimator, meetsDeadlines, hasPartners: members.length > 1,
+		job, rules, isDraining, table: isOwnZoneClosed() ? noServers : table, estimator, meetsDeadlines, hasPartners: hasPartners(job),
 	});
 	const admission = createAdmissionController({
 		metrics,
 		limits,
 		findRefusal,
+		findRetryAfterMs: closure.findRetryAfterMs,
 		createJob: (job, onEnd) => intake.createJob(job.id, job, onEnd),
 		onAdmitted(job) {
 			intake.acceptJob(job);
@@ -232,11 +242,16 @@
 
 	/** Whether the leases of this daemon are valid, so that it may start tasks on a backend server. */
 	function mayUse(server: BackendServerRecord): boolean {
-		return heartbeats.isConnected() || timers.getNowMs() - server.lastDirectAnnouncementMs <= directAnnouncementValidityMs;
+		const hasLease = heartbeats.isConnected() || timers.getNowMs() - server.lastDirectAnnouncementMs <= directAnnouncementValidityMs;
+		return hasLease && !isOwnZoneClosed();
+	}
+
+	function hasPartners({service, customer}: Job): boolean {
+		return isOwnZoneClosed() ? closure.canRunElsewhere(rules?.getPoolName(service, customer) ?? '') : members.length > 1;
 	}
 
 	function getLoad(pool: string): PoolLoad {
-		const isUsable = heartbeats.isConnected();
+		const isUsable = heartbeats.isConnected() && !isOwnZoneClosed();
 		return {
 			pool,
 			slots: isUsable ? table.getSlotCount(pool) : 0,
@@ -348,6 +363,7 @@
 			directory.setMembers(members);
 			managers.setMembers(members);
 		},
+		setClosedZones: closure.setClosedZones,
 		announceBackendServer: directory.announce,
 		removeBackendServer: directory.remove,
 		drainBackendServer(backendServerId) {
@@ -360,7 +376,7 @@
 		},
 		submitJob: admission.submitJob,
 		explainJob: job => explainJob(job, {
-			ownId, nowMs: timers.getNowMs(), rules, table, estimator, ejection, mayUse, findRefusal, getLoad, getCapacities: partners.getCapacities,
+			ownId, nowMs: timers.getNowMs(), rules, table, estimator, ejection, mayUse, isOwnZoneClosed, findRefusal, getLoad, getCapacities: partners.getCapacities,
 		}),
 		cancelJob(jobId) {
 			if (admission.cancelJob(jobId)) {
--- a/packages/dispatch/src/explaining/find-server-exclusion.ts
+++ b/packages/dispatch/src/explaining/find-server-exclusion.ts
@@ -8,6 +8,7 @@
 export type ServerExclusion
 	= | 'other-pool'
 		| 'other-service'
+		| 'evacuated'
 		| 'leaving'
 		| 'too-small'
 		| 'other-daemon'
@@ -34,6 +35,8 @@
 	ejection: Pick<EjectionTracker, 'isEjected'>;
 	/** Whether the leases of this daemon are valid for a backend server. */
 	mayUse: (server: BackendServerRecord) => boolean;
+	/** Whether the availability zone of this daemon and its backend servers is evacuated. */
+	isOwnZoneClosed: () => boolean;
 };
 
 /**
@@ -46,7 +49,7 @@
 	return findLastingExclusion(server, task, checks) ?? findHealthExclusion(server, checks) ?? findCapacityExclusion(server, task);
 }
 
-function findLastingExclusion(server: BackendServerRecord, {pool, service, needs}: ExplainedTask, {ownId, nowMs, mayUse}: ServerChecks): ServerExclusion | undefined {
+function findLastingExclusion(server: BackendServerRecord, {pool, service, needs}: ExplainedTask, {ownId, nowMs, mayUse, isOwnZoneClosed}: ServerChecks): ServerExclusion | undefined {
 	if (!server.pools.includes(pool)) {
 		return 'other-pool';
 	}
@@ -55,6 +58,10 @@
 		return 'other-service';
 	}
 
+	if (isOwnZoneClosed()) {
+		return 'evacuated';
+	}
+
 	if (server.isLeaving) {
 		return 'leaving';
 	}
--- a/packages/dispatch/test/explaining/explain-job.test.ts
+++ b/packages/dispatch/test/explaining/explain-job.test.ts
@@ -39,6 +39,13 @@
 			},
 			expected: [undefined, 0, ['server-2 100'], {leaving: 1}],
 		},
+		{
+			title: 'an evacuated availability zone without other daemons',
+			prepare({dispatcher}) {
+				dispatcher.setClosedZones(['zone-a']);
+			},
+			expected: ['no-backend-server', undefined, [], {evacuated: 2}],
+		},
 		{
 			title: 'a backend server of another service',
 			prepare({dispatcher}) {
