--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -19,6 +19,8 @@
 	results: Map<string, JobOutcome>;
 	/** When each result was reported. */
 	endedAtMs: Map<string, number>;
+	/** Called with each result, after it is recorded. */
+	onResult?: ((jobId: string, result: JobOutcome) => void) | undefined;
 	/** The sources whose missing registries the placers have requested. */
 	requestedSources: HandoverSource[];
 	/** Submits a job to the placer in use, at first the one that was created with the fleet. */
@@ -78,14 +80,14 @@
 			onResult(_entryId, jobId, result) {
 				results.set(jobId, result);
 				endedAtMs.set(jobId, timers.getNowMs());
+				test.onResult?.(jobId, result);
 			},
 		});
 	}
 
 	const placer = createSuccessor(1, 'first');
 	let placerInUse = placer;
-	placer.setServers(fleet.getDescriptions(), 0);
-	return {
+	const test: TestPlacer = {
 		timers,
 		fleet,
 		placer,
@@ -104,4 +106,6 @@
 			placerInUse = next;
 		},
 	};
+	placer.setServers(fleet.getDescriptions(), 0);
+	return test;
 }
--- a/packages/placement/test/support/load-pattern.ts
+++ b/packages/placement/test/support/load-pattern.ts
@@ -24,6 +24,30 @@
 	worth: number;
 };
 
+/** Additional jobs during part of a load pattern. */
+export type LoadBurst = {
+	/** The kinds that become more frequent; all of them if not set. */
+	kindNames?: readonly string[];
+	/** The rate of these kinds as a multiple of their usual rate. */
+	factor: number;
+	fromMs: number;
+	toMs: number;
+};
+
+/** What a load pattern consists of. */
+export type LoadPatternOptions = {
+	kinds: readonly JobKind[];
+	/** The mean CPU of a task. */
+	meanMillicores?: number;
+	/** The cores of all backend servers. */
+	cores: number;
+	/** The usual load as a multiple of all cores. */
+	load: number;
+	durationMs: number;
+	bursts?: readonly LoadBurst[];
+	random: RandomSource;
+};
+
 /** Wide short jobs, long jobs, and many small ones, in the shares of a deployment of hundreds of backend servers. */
 export const mixedKinds: readonly JobKind[] = [
 	{
@@ -37,8 +61,15 @@
 	},
 ];
 
-const meanMillicores = 32_000;
-const maxMillicores = 48_000;
+/** The same kinds in the shares and at the worth of a deployment of backend servers of 16 and 24 cores. */
+export const smallServerKinds: readonly JobKind[] = [
+	{...mixedKinds[0]!, weight: 144, worth: 0.004_85},
+	{...mixedKinds[1]!, weight: 26, worth: 0.0267},
+	{...mixedKinds[2]!, weight: 420, worth: 0.001_67},
+];
+
+const defaultMeanMillicores = 32_000;
+const maxMillicoresFactor = 1.5;
 const taskCountSpread = 0.4;
 const cpuSpread = 0.2;
 const runTimeSpread = 0.4;
@@ -56,20 +87,30 @@
  * Draws the jobs of a load pattern.
  * @param options - The length, the load as a multiple of all cores, and the random source.
  */
-export function createLoadPattern({kinds, cores, load, durationMs, random}: {
-	kinds: readonly JobKind[]; cores: number; load: number; durationMs: number; random: RandomSource;
-}): PatternJob[] {
+export function createLoadPattern({kinds, meanMillicores = defaultMeanMillicores, cores, load, durationMs, bursts = [], random}: LoadPatternOptions): PatternJob[] {
 	const totalWeight = kinds.reduce((sum, {weight}) => sum + weight, 0);
-	const meanWork = kinds.reduce((sum, kind) => sum + (kind.weight / totalWeight * getMeanWork(kind)), 0);
+	const meanWork = kinds.reduce((sum, kind) => sum + (kind.weight / totalWeight * getMeanWork(kind, meanMillicores)), 0);
 	const meanIntervalMs = msPerSecond * meanWork / (load * cores);
 	const jobs: PatternJob[] = [];
-	let arrivesAtMs = 0;
-	while (arrivesAtMs < durationMs) {
-		jobs.push(createJob(chooseKind(kinds, random.getFraction() * totalWeight), jobs.length, arrivesAtMs, random));
-		arrivesAtMs += -Math.log(1 - random.getFraction()) * meanIntervalMs;
+
+	function addJobs(addedKinds: readonly JobKind[], {factor, fromMs, toMs}: LoadBurst): void {
+		const weight = addedKinds.reduce((sum, kind) => sum + kind.weight, 0);
+		let arrivesAtMs = fromMs;
+		while (arrivesAtMs < toMs) {
+			const kind = chooseKind(addedKinds, random.getFraction() * weight);
+			jobs.push(createJob({
+				kind, meanMillicores, number: jobs.length, arrivesAtMs, random,
+			}));
+			arrivesAtMs += -Math.log(1 - random.getFraction()) * meanIntervalMs * totalWeight / weight / factor;
+		}
+	}
+
+	addJobs(kinds, {factor: 1, fromMs: 0, toMs: durationMs});
+	for (const burst of bursts) {
+		addJobs(kinds.filter(({name}) => burst.kindNames?.includes(name) ?? true), {...burst, factor: burst.factor - 1});
 	}
 
-	return jobs;
+	return jobs.toSorted((left, right) => left.arrivesAtMs - right.arrivesAtMs);
 }
 
 function chooseKind(kinds: readonly JobKind[], position: number): JobKind {
@@ -80,9 +121,11 @@
 	}) ?? kinds[0]!;
 }
 
-function createJob(kind: JobKind, number: number, arrivesAtMs: number, random: RandomSource): PatternJob {
+function createJob({kind, meanMillicores, number, arrivesAtMs, random}: {
+	kind: JobKind; meanMillicores: number; number: number; arrivesAtMs: number; random: RandomSource;
+}): PatternJob {
 	const taskCount = Math.max(1, Math.round(Math.min(kind.maxTaskCount, getLogNormal(random, kind.meanTaskCount, taskCountSpread))));
-	const cpuMillicores = Math.round(Math.min(maxMillicores, getLogNormal(random, meanMillicores, cpuSpread)));
+	const cpuMillicores = Math.round(Math.min(meanMillicores * maxMillicoresFactor, getLogNormal(random, meanMillicores, cpuSpread)));
 	const runMs = Math.min(kind.meanRunMs * maxRunTimeFactor, getLogNormal(random, kind.meanRunMs, runTimeSpread));
 	const taskDurationsMs = Array.from({length: taskCount}, () => runMs * Math.max(0.3, 1 + (unevenness * getNormal(random))));
 	const work = taskDurationsMs.reduce((sum, durationMs) => sum + durationMs, 0) * cpuMillicores / msPerSecond / millicoresPerCore;
@@ -91,7 +134,7 @@
 		arrivesAtMs,
 		taskDurationsMs,
 		objectiveMs: (stretch * Math.max(...taskDurationsMs)) + slackMs,
-		worth: kind.worth * Math.min(maxWorthFactor, baseWorthShare + ((1 - baseWorthShare) * work / getMeanWork(kind))),
+		worth: kind.worth * Math.min(maxWorthFactor, baseWorthShare + ((1 - baseWorthShare) * work / getMeanWork(kind, meanMillicores))),
 		request: {
 			jobId: `${kind.name}-${number}`,
 			queueName: kind.name,
@@ -110,7 +153,7 @@
 }
 
 /** The mean work of a kind in core-seconds. */
-function getMeanWork({meanTaskCount, meanRunMs}: JobKind): number {
+function getMeanWork({meanTaskCount, meanRunMs}: JobKind, meanMillicores: number): number {
 	return meanTaskCount * meanRunMs / msPerSecond * meanMillicores / millicoresPerCore;
 }
 
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -1,6 +1,8 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
-import {createLoadPattern, mixedKinds, type PatternJob} from './load-pattern.js';
+import {
+	createLoadPattern, mixedKinds, smallServerKinds, type LoadPatternOptions, type PatternJob,
+} from './load-pattern.js';
 import {
 	addDataRacks, getRackRunFactor, setRacks, type RackOptions,
 } from './rack-layout.js';
@@ -13,9 +15,18 @@
 	apply: (test: TestPlacer, openJobs: readonly PatternJob[]) => void;
 };
 
-export type ReplayOptions = {
-	/** The mean load as a multiple of all cores. */
-	load: number;
+/** The backend servers, and the kinds of jobs that they serve. */
+export type ReplayFleet = Pick<LoadPatternOptions, 'kinds' | 'meanMillicores'> & {
+	serverCount: number;
+	cpuMillicores: number;
+	/** Every third backend server is larger than the others. */
+	largeServerMillicores: number;
+};
+
+export type ReplayOptions = Pick<LoadPatternOptions, 'load' | 'bursts'> & {
+	fleet?: ReplayFleet;
+	/** Whether the caller of a refused job submits it once more, as a new job, after the Retry-After. */
+	doCallersReturn?: boolean;
 	seed?: number;
 	durationMs?: number;
 	steps?: readonly ReplayStep[];
@@ -37,13 +48,21 @@
 	/** Runs of tasks beyond one for each. */
 	repeatedRuns: number;
 	jobs: readonly PatternJob[];
+	/** The second attempts of refused jobs, at the time of the return. */
+	returnedJobs: readonly PatternJob[];
 	test: TestPlacer;
+	startedAtMs: number;
 };
 
-const serverCount = 76;
+/** One of four availability zones of a deployment of backend servers that hold about two tasks. */
+export const smallServerFleet: ReplayFleet = {
+	kinds: smallServerKinds, meanMillicores: 8000, serverCount: 62, cpuMillicores: 16_000, largeServerMillicores: 24_000,
+};
+
+const defaultFleet: ReplayFleet = {
+	kinds: mixedKinds, meanMillicores: 32_000, serverCount: 76, cpuMillicores: 64_000, largeServerMillicores: 96_000,
+};
 const dataRackSeedOffset = 1000;
-/** Every third backend server is half as large again as the others. */
-const largeServerMillicores = 96_000;
 /** When the replay starts: the placer has claimed all backend servers. */
 export const claimMs = 50;
 const drainMs = 2000;
@@ -57,20 +76,21 @@
  * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
  * @param options - The load and the troubles.
  */
-export async function replayLoad({load, seed = 1, durationMs = 4000, steps = [], racks}: ReplayOptions): Promise<ReplayResult> {
+export async function replayLoad({load, bursts, fleet = defaultFleet, doCallersReturn = false, seed = 1, durationMs = 4000, steps = [], racks}: ReplayOptions): Promise<ReplayResult> {
 	const random = createSeededRandomSource(seed);
 	const durations = new Map<string, number>();
 	const millicores = new Map<string, number>();
 	const dataRacks = new Map<string, string>();
 	const test = createTestPlacer({
-		serverCount,
+		serverCount: fleet.serverCount,
+		cpuMillicores: fleet.cpuMillicores,
 		getDurationMs: taskName => durations.get(taskName)!,
 		getMillicores: taskName => millicores.get(taskName)!,
 		getRunFactor: (taskName, server) => (racks === undefined ? 1 : getRackRunFactor(racks, server, dataRacks.get(taskName))),
 		remoteRunFactor: racks?.isFactorKnown ? racks.remoteFactor : undefined,
 	});
 	for (const [position, server] of test.fleet.servers.entries()) {
-		server.description.cpuMillicores = position % 3 === 2 ? largeServerMillicores : server.description.cpuMillicores;
+		server.description.cpuMillicores = position % 3 === 2 ? fleet.largeServerMillicores : server.description.cpuMillicores;
 	}
 
 	if (racks !== undefined) {
@@ -81,13 +101,13 @@
 	await runFor(test.timers, claimMs);
 	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
 	const jobs = createLoadPattern({
-		kinds: mixedKinds, cores, load, durationMs, random,
+		kinds: fleet.kinds, meanMillicores: fleet.meanMillicores, cores, load, bursts, durationMs, random,
 	});
 	if (racks !== undefined) {
 		addDataRacks(racks, jobs, createSeededRandomSource(seed + dataRackSeedOffset));
 	}
 
-	for (const {request, taskDurationsMs} of jobs) {
+	function addTasks({request, taskDurationsMs}: PatternJob): void {
 		for (const [index, taskDurationMs] of taskDurationsMs.entries()) {
 			dataRacks.set(`${request.jobId}.0.0.${index}`, request.steps[0]!.dataRack ?? '');
 			durations.set(`${request.jobId}.0.0.${index}`, taskDurationMs);
@@ -95,10 +115,31 @@
 		}
 	}
 
+	for (const job of jobs) {
+		addTasks(job);
+	}
+
 	const startedAtMs = test.timers.getNowMs();
+	const returnedJobs: PatternJob[] = [];
+	if (doCallersReturn) {
+		const jobsById = new Map(jobs.map(job => [job.request.jobId, job]));
+		test.onResult = (jobId, result) => {
+			const job = jobsById.get(jobId);
+			if (job !== undefined && result.outcome === 'refused') {
+				const arrivesAtMs = test.timers.getNowMs() - startedAtMs + result.retryAfterMs;
+				const returned = {...job, arrivesAtMs, request: {...job.request, jobId: `${jobId}-again`}};
+				addTasks(returned);
+				returnedJobs.push(returned);
+				test.timers.addTimer(result.retryAfterMs, () => {
+					test.submit(returned.request);
+				});
+			}
+		};
+	}
+
 	await submitJobs(test, jobs, steps);
 	await runFor(test.timers, drainMs, stepMs);
-	return getResult(test, jobs, startedAtMs);
+	return {...getResult(test, jobs, startedAtMs), returnedJobs};
 }
 
 async function submitJobs(test: TestPlacer, jobs: readonly PatternJob[], steps: readonly ReplayStep[]): Promise<void> {
@@ -118,7 +159,7 @@
 	}
 }
 
-function getResult(test: TestPlacer, jobs: readonly PatternJob[], startedAtMs: number): ReplayResult {
+function getResult(test: TestPlacer, jobs: readonly PatternJob[], startedAtMs: number): Omit<ReplayResult, 'returnedJobs'> {
 	const owed: Record<string, number> = {};
 	const earned: Record<string, number> = {};
 	const outcomes: Record<string, number> = {};
@@ -139,6 +180,7 @@
 		repeatedRuns: Math.max(0, test.fleet.records.length - taskCount),
 		jobs,
 		test,
+		startedAtMs,
 	};
 }
 
@@ -159,7 +201,8 @@
 	};
 }
 
-function getServedShare({results, endedAtMs}: TestPlacer, {request: {jobId}, arrivesAtMs, objectiveMs}: PatternJob, startedAtMs: number): number {
+/** Gets the share of a job's worth that its response is worth to the caller. */
+export function getServedShare({results, endedAtMs}: TestPlacer, {request: {jobId}, arrivesAtMs, objectiveMs}: PatternJob, startedAtMs: number): number {
 	const responseMs = (endedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) - startedAtMs - arrivesAtMs + callerLinkMs;
 	if (results.get(jobId)?.outcome !== 'completed' || responseMs > objectiveMs * lateFactor) {
 		return 0;
