Serve large jobs more often while capacity is short

Change: the placer tracks how often the largest tenth and the fifth below it of each queue are served in time. While a class is served less than half as often as its queue, its jobs are ordered by the work by which they exceed the class, the smallest first, and medium-sized jobs of the same queue give the work back. Two counters; the event job-taken has the field orderedWork. decisions.test.ts: the field relativeWork of a waiting job is now orderedWork; its rows and expectations are the same.

--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -1,3 +1,4 @@
+import type {SizePlace} from '../queue/get-size-place.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {TaskNeeds} from '../sessions/run.js';
 import type {StepEstimate} from './get-step-estimates.js';
@@ -43,6 +44,7 @@
 	readonly criticalPathMs: number;
 	readonly work: number;
 	readonly relativeWork: number;
+	readonly sizePlace: SizePlace;
 	/** Whether this or an earlier placer has sent a start request for a task. */
 	hasStarted: boolean;
 	isEnded: boolean;
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -10,6 +10,7 @@
 import type {ServerSources} from '../ports/server-sources.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
+import {createSizeShares} from '../queue/create-size-shares.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
@@ -61,7 +62,8 @@
 export function createPlacer(options: PlacerOptions): Placer {
 	const {timers, random, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
-	const intake = createJobIntake(timers);
+	const sizeShares = createSizeShares();
+	const intake = createJobIntake(timers, sizeShares);
 	const {getRunFactor, findExpectedEndMs} = createRunExpectations(timers, jobTable, remoteRunFactor);
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
@@ -226,6 +228,10 @@
 		task.runNumber++;
 		task.isAdopted = false;
 		task.startedAtMs = timers.getNowMs();
+		if (!job.hasStarted) {
+			sizeShares.addStart(job.request.queueName, job.relativeWork, job.sizePlace);
+		}
+
 		job.hasStarted = true;
 		job.serverIds.push(session.getDescription().id);
 		metrics.increment('task-started');
@@ -248,6 +254,7 @@
 
 	function endJob(job: PlacedJob, result: JobOutcome): void {
 		jobTable.endJob(job, result);
+		recordService(job, result);
 		stopRuns(job);
 		const ageMs = Math.round(timers.getNowMs() - job.arrivedAtMs);
 		events.write('job-ended', {
@@ -266,6 +273,13 @@
 		onResult(job.entryId, job.request.jobId, result);
 	}
 
+	/** Records whether a job was served in time. Ends that have other causes than the load are left out. */
+	function recordService({request: {queueName}, sizePlace, arrivedAtMs, objectiveMs}: PlacedJob, result: JobOutcome): void {
+		if (result.outcome === 'completed' || (result.outcome === 'refused' && (result.reason === 'overload' || result.reason === 'too-late'))) {
+			sizeShares.addEnd(queueName, sizePlace, result.outcome === 'completed' && timers.getNowMs() <= arrivedAtMs + objectiveMs);
+		}
+	}
+
 	function stopRuns(job: PlacedJob): void {
 		for (const task of job.tasks) {
 			task.session?.stop(task.name);
@@ -286,6 +300,10 @@
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		const job = intake.createJob(entryId, message);
 		jobTable.addJob(job);
+		if (job.sizePlace.standing !== 'usual') {
+			metrics.increment(job.sizePlace.standing === 'preferred' ? 'large-job-preferred' : 'medium-job-deferred');
+		}
+
 		events.write('job-taken', {
 			job: job.request.jobId,
 			queue: job.request.queueName,
@@ -295,6 +313,7 @@
 			expectedMs: Math.round(job.criticalPathMs),
 			objectiveMs: Math.round(job.objectiveMs),
 			relativeWork: Number(job.relativeWork.toFixed(2)),
+			orderedWork: Number(job.sizePlace.orderedWork.toFixed(2)),
 		});
 		schedulePass();
 	}
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -6,6 +6,7 @@
 import type {JobStep} from '../jobs/job-request.js';
 import {createPlacedTasks, type PlacedJob} from '../jobs/placed-job.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
+import type {SizeShares} from '../queue/create-size-shares.js';
 import {recoveryMs} from './job-recovery.js';
 
 /** Turns submissions into jobs, with estimates from what the queues' earlier jobs took. */
@@ -18,8 +19,9 @@
 /**
  * Creates the intake of a placer, which has seen no jobs yet.
  * @param timers - The clock.
+ * @param sizeShares - How often the sizes of each queue's jobs are served.
  */
-export function createJobIntake(timers: TimerService): JobIntake {
+export function createJobIntake(timers: TimerService, sizeShares: SizeShares): JobIntake {
 	const runTimeEstimator = createRunTimeEstimator();
 	const queueWorkMeans = createQueueWorkMeans();
 
@@ -40,6 +42,7 @@
 				criticalPathMs,
 				work,
 				relativeWork,
+				sizePlace: sizeShares.addJob(queueName, relativeWork),
 				hasStarted: mayHaveStarted,
 				isEnded: false,
 				serverIds: [],
--- a/packages/placement/src/placer/waiting-jobs.ts
+++ b/packages/placement/src/placer/waiting-jobs.ts
@@ -49,7 +49,7 @@
 		objectiveMs: job.objectiveMs,
 		callerDeadlineMs: job.arrivedAtMs + job.request.callerTimeoutMs,
 		waitingMillicores: getMillicores(job, 'waiting'),
-		relativeWork: job.relativeWork,
+		orderedWork: job.sizePlace.orderedWork,
 		hasStarted: job.hasStarted,
 	};
 }
--- a/packages/placement/src/queue/compare-waiting-jobs.ts
+++ b/packages/placement/src/queue/compare-waiting-jobs.ts
@@ -1,7 +1,7 @@
 import type {WaitingJob} from './waiting-job.js';
 
-/** Cap on the relative work, so that a large job does not wait behind every smaller one. */
-const maxRelativeWork = 2;
+/** Cap on the work, so that a large job does not wait behind every smaller one. */
+const maxOrderedWork = 2;
 
 /**
  * Compares two waiting jobs; negative if the left one goes first. Started jobs go first, since they hold capacity
@@ -28,6 +28,6 @@
 	return nowMs + job.criticalPathMs > job.arrivedAtMs + job.objectiveMs;
 }
 
-function getCappedWork({relativeWork}: WaitingJob): number {
-	return Math.min(maxRelativeWork, relativeWork);
+function getCappedWork({orderedWork}: WaitingJob): number {
+	return Math.min(maxOrderedWork, orderedWork);
 }
--- a/packages/placement/src/queue/waiting-job.ts
+++ b/packages/placement/src/queue/waiting-job.ts
@@ -9,8 +9,8 @@
 	callerDeadlineMs: number;
 	/** Total CPU of its waiting tasks, in millicores. */
 	waitingMillicores: number;
-	/** Ratio of its work to the mean of its queue. */
-	relativeWork: number;
+	/** The work by which it is ordered: the ratio of its work to the mean of its queue, unless large jobs of the queue are served too rarely. */
+	orderedWork: number;
 	/** Whether a start request for a task has been sent. */
 	hasStarted: boolean;
 };
--- a/packages/placement/test/queue/decisions.test.ts
+++ b/packages/placement/test/queue/decisions.test.ts
@@ -11,7 +11,7 @@
 	objectiveMs: 220,
 	callerDeadlineMs: 1500,
 	waitingMillicores: 54_000,
-	relativeWork: 1,
+	orderedWork: 1,
 	hasStarted: false,
 };
 
@@ -58,16 +58,16 @@
 describe('compareWaitingJobs', () => {
 	const rows: Array<{title: string; first: Partial<WaitingJob>; second: Partial<WaitingJob>; nowMs: number}> = [
 		{
-			title: 'a started job, before a smaller one', first: {hasStarted: true, relativeWork: 3}, second: {relativeWork: 0.1}, nowMs: 0,
+			title: 'a started job, before a smaller one', first: {hasStarted: true, orderedWork: 3}, second: {orderedWork: 0.1}, nowMs: 0,
 		},
 		{
-			title: 'a job in time, before a smaller late one', first: {arrivedAtMs: 100, relativeWork: 3}, second: {relativeWork: 0.1}, nowMs: 130,
+			title: 'a job in time, before a smaller late one', first: {arrivedAtMs: 100, orderedWork: 3}, second: {orderedWork: 0.1}, nowMs: 130,
 		},
 		{
-			title: 'the smaller job relative to its queue\'s mean', first: {relativeWork: 0.5}, second: {relativeWork: 0.8}, nowMs: 0,
+			title: 'the smaller job relative to its queue\'s mean', first: {orderedWork: 0.5}, second: {orderedWork: 0.8}, nowMs: 0,
 		},
 		{
-			title: 'the earlier one of two jobs above the cap', first: {relativeWork: 5}, second: {arrivedAtMs: 1, relativeWork: 2}, nowMs: 0,
+			title: 'the earlier one of two jobs above the cap', first: {orderedWork: 5}, second: {arrivedAtMs: 1, orderedWork: 2}, nowMs: 0,
 		},
 	];
 	for (const {title, first, second, nowMs} of rows) {
