Spread the returns of refused callers by the work that was refused

Cause: every refused caller was told to return after 1 to 3 s, so a third of them returned while the burst lasted, the others just after it, and half were refused again. Change: the placer keeps the refused work of each service whose callers have not returned. It decreases at a tenth of the cores; Retry-After is spread over the time that this takes, 2 s at least and 9 s at most. Refusals for other causes than the load have the spread of 2 s, as before. New metric retry-after-time.

--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -18,6 +18,7 @@
 import type {Placer} from './placer.js';
 import {createCapacityTable, type Allocation, type CapacityTable} from './capacity-table.js';
 import {recordDistance} from './record-distance.js';
+import {createRetryTimes} from './create-retry-times.js';
 import {createRunExpectations} from './run-expectations.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
@@ -51,8 +52,6 @@
 const maxPassIntervalMs = 50;
 /** A longer gap between two passes means that this process was suspended. */
 const maxPassGapMs = 200;
-const minRetryAfterMs = 1000;
-const retryAfterJitterMs = 2000;
 
 /**
  * Creates the placer of a term. It claims each backend server before it uses it, so that it knows exactly which tasks run
@@ -60,7 +59,7 @@
  * @param options - The term and the ports.
  */
 export function createPlacer(options: PlacerOptions): Placer {
-	const {timers, random, events, metrics, remoteRunFactor, onResult} = options;
+	const {timers, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const sizeShares = createSizeShares();
 	const intake = createJobIntake(timers, sizeShares);
@@ -85,6 +84,7 @@
 			}
 		},
 	});
+	const getRetryAfterMs = createRetryTimes({...options, pool});
 	const takeoverLog = createTakeoverLog({...options, getKnowledge: pool.getKnowledge});
 	const recovery = createJobRecovery({
 		timers,
@@ -180,8 +180,7 @@
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
-		const retryAfterMs = Math.round(Math.max(minRetryAfterMs, waitMs) + (random.getFraction() * retryAfterJitterMs));
-		endJob(job, {outcome: 'refused', reason, retryAfterMs});
+		endJob(job, {outcome: 'refused', reason, retryAfterMs: getRetryAfterMs({job, reason, waitMs})});
 	}
 
 	function placeJob(job: PlacedJob, table: CapacityTable, deferred: DeferredStart[]): void {
--- a/packages/placement/test/placer/short-capacity.test.ts
+++ b/packages/placement/test/placer/short-capacity.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {replayLoad} from '../support/load-replay.js';
 import {shortCapacityLoads, type ShortCapacityLoad} from '../support/short-capacity-loads.js';
-import {summarizeReplay} from '../support/summarize-replay.js';
+import {summarizeJobs, summarizeReplay} from '../support/summarize-replay.js';
 
 function getLoad(title: string): ShortCapacityLoad {
 	return shortCapacityLoads.find(load => load.title === title)!;
@@ -28,6 +28,16 @@
 		assert.ok(ratios.small! >= 0.5, `small ${ratios.small}`);
 	});
 
+	// Guards against callers that return while the burst lasts or all just after it: with a Retry-After of 1 to 3 s whatever was
+	// refused, 0.45 of the returning jobs are served in time here, with one that follows the refused work 0.57.
+	it('serves half of the callers that return after a refusal', async () => {
+		const load = getLoad('all x 1.8');
+		const result = await replayLoad({...load, durationMs: 26_000, doCallersReturn: true});
+		assert.ok(result.returnedJobs.length > 500);
+		const {servedShare} = summarizeJobs(result, result.returnedJobs);
+		assert.ok(servedShare >= 0.52, `served ${servedShare}`);
+	});
+
 	// Guards against a changed order where nothing is short.
 	it('orders jobs by their work alone at a load of 0.6', async () => {
 		const load = getLoad('usual load of 0.6');
