Pass on the notice of backend servers that are taken away

Cause: a draining backend server states in its heartbeats for how long it stays at least, and nothing read that. Both remaining times may be absent from a heartbeat. Nothing decides by the notice yet.

--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -73,7 +73,10 @@
 				deleteEntry(serverId);
 			}
 		},
-		findDescription: serverId => entries.get(serverId)?.description,
+		findDescription(serverId) {
+			const entry = entries.get(serverId);
+			return entry === undefined ? undefined : getAgedDescription(entry, timers.getNowMs());
+		},
 		getDescriptions: () => [...entries.values()].map(entry => getAgedDescription(entry, timers.getNowMs())),
 		getDigest(availabilityZone = '') {
 			const digest = digests.get(availabilityZone) ?? computeDigest(availabilityZone);
@@ -105,12 +108,19 @@
 	return JSON.stringify(getComparable(left)) === JSON.stringify(getComparable(right));
 }
 
-/** The remaining cold time differs in each heartbeat; only its begin and end are changes. */
+/** The remaining times differ in each heartbeat; only their begin and end are changes. */
 function getComparable(description: BackendServerDescription): unknown {
-	return {...description, sequence: 0, coldMs: description.coldMs === undefined ? undefined : 0};
+	return {...description, sequence: 0, ...mapRemainingTimes(description, () => 0)};
 }
 
-/** Gets a description in which the remaining cold time is that of now. */
+/** Gets a description in which the remaining times are those of now. */
 function getAgedDescription({description, receivedAtMs}: RegistryEntry, nowMs: number): BackendServerDescription {
-	return description.coldMs === undefined ? description : {...description, coldMs: Math.max(0, description.coldMs - (nowMs - receivedAtMs))};
+	return {...description, ...mapRemainingTimes(description, remainingMs => Math.max(0, remainingMs - (nowMs - receivedAtMs)))};
+}
+
+function mapRemainingTimes({coldMs, noticeMs}: BackendServerDescription, mapTime: (remainingMs: number) => number): Pick<BackendServerDescription, 'coldMs' | 'noticeMs'> {
+	return {
+		...(coldMs === undefined ? {} : {coldMs: mapTime(coldMs)}),
+		...(noticeMs === undefined ? {} : {noticeMs: mapTime(noticeMs)}),
+	};
 }
--- a/packages/placement/src/servers/backend-server-description.ts
+++ b/packages/placement/src/servers/backend-server-description.ts
@@ -22,6 +22,8 @@
 	labels: z.array(z.string()),
 	/** For how long it runs tasks slowly, since it has just been put back into use; omitted if it does not. */
 	coldMs: z.number().min(0).optional(),
+	/** The least time until it is taken away; omitted if it is not known to be taken away. */
+	noticeMs: z.number().min(0).optional(),
 });
 
 export type BackendServerDescription = z.infer<typeof backendServerDescriptionSchema>;
