Move runs away from backend servers that are taken away at short notice

Cause: a run on a backend server that is taken away before the run ends is lost, and its task starts again only when all leases are over. Without a stated notice nothing is chosen or reserved. Event E1205, counter task-moved. The replay has an option for tasks that take longer than others of their kind.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -76,6 +76,9 @@
 	'task-slow': {
 		number: 1204, level: 'info', summary: 'A run was stopped because another backend server was expected to finish the task sooner.', action: 'Check the backend server if this event recurs.',
 	},
+	'task-moved': {
+		number: 1205, level: 'info', summary: 'A run was stopped to start its task elsewhere, since its backend server will be taken away first.', action: 'None.',
+	},
 	'job-taken': {
 		number: 1209, level: 'info', summary: 'The placer has accepted a job.', action: 'None.',
 	},
--- a/packages/placement/src/placer/capacity-table.ts
+++ b/packages/placement/src/placer/capacity-table.ts
@@ -27,6 +27,10 @@
 	readonly contention: number;
 	/** Chooses a backend server for a task and reserves capacity on it, or a time until which the task waits for one near its data. */
 	allocate(job: PlacedJob, task: PlacedTask): Allocation;
+	/** Reserves capacity for a task that cannot start yet, on the free backend server that suits it best now. */
+	reserve(job: PlacedJob, task: PlacedTask): void;
+	/** Gets the backend servers with the capacity that is not reserved. */
+	getCandidates(): readonly PlacementCandidate[];
 	/** Gives out far places from now on. */
 	permitFarRuns(): void;
 	getTotalMillicores(): number;
@@ -153,7 +157,7 @@
 	}
 
 	/** Reserves capacity from now on. */
-	function reserve(row: Row, {needs, expectedMs}: PlacedTask, distanceFactor: number): void {
+	function reserveOn(row: Row, {needs, expectedMs}: PlacedTask, distanceFactor: number): void {
 		row.freeCapacity = {
 			cpuMillicores: row.freeCapacity.cpuMillicores - needs.cpuMillicores,
 			memoryMb: row.freeCapacity.memoryMb - needs.memoryMb,
@@ -186,7 +190,7 @@
 					}
 
 					const {labels, server} = choice.candidate;
-					reserve(choice.candidate, task, getDistanceFactor(job.request.steps[task.step]!.dataRack, labels, remoteRunFactor));
+					reserveOn(choice.candidate, task, getDistanceFactor(job.request.steps[task.step]!.dataRack, labels, remoteRunFactor));
 					return {outcome: 'server', server, isFar: choice.isFar};
 				}
 
@@ -200,6 +204,13 @@
 				}
 			}
 		},
+		reserve(job, task) {
+			const choice = choose(job, task);
+			if (choice.outcome === 'place') {
+				reserveOn(choice.candidate, task, getDistanceFactor(job.request.steps[task.step]!.dataRack, choice.candidate.labels, remoteRunFactor));
+			}
+		},
+		getCandidates: () => rows,
 		permitFarRuns() {
 			areFarRunsPermitted = true;
 		},
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -14,6 +14,7 @@
 import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
 import {createJobRecovery} from './job-recovery.js';
+import {createMovedRuns} from './moved-runs.js';
 import type {Placer} from './placer.js';
 import {createCapacityTable, type Allocation, type CapacityTable} from './capacity-table.js';
 import {recordDistance} from './record-distance.js';
@@ -62,7 +63,8 @@
 	const {timers, random, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const intake = createJobIntake(timers);
-	const {getRunFactor, findExpectedEndMs} = createRunExpectations(timers, jobTable, remoteRunFactor);
+	const expectations = createRunExpectations(timers, jobTable, remoteRunFactor);
+	const {getRunFactor, findExpectedEndMs} = expectations;
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -108,6 +110,9 @@
 			endJob(job, {outcome: 'unknown'});
 		},
 	});
+	const movedRuns = createMovedRuns({
+		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
+	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, getRunFactor,
 	});
@@ -168,13 +173,21 @@
 		for (const start of deferred) {
 			start();
 		}
+
+		movedRuns.moveRuns(service => tables.get(service) ?? createTable(service, waiting));
 	}
 
 	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
 		const services = new Set(waiting.map(({job}) => job.request.service));
-		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service), {
+		return new Map([...services].map(service => [service, createTable(service, waiting)]));
+	}
+
+	function createTable(service: string, waiting: readonly WaitingEntry[]): CapacityTable {
+		const table = createCapacityTable(getUsableServers(service), {
 			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs,
-		})]));
+		});
+		movedRuns.reserveCapacity(service, table);
+		return table;
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -104,7 +104,8 @@
 			return;
 		}
 
-		session.setDescription({...session.getDescription(), state: 'draining'});
+		const description = session.getDescription();
+		session.setDescription({...description, state: 'draining', noticeMs: description.noticeMs === undefined ? undefined : 0});
 		session.expectEnd();
 	}
 
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -30,6 +30,8 @@
 	setDescription(description: BackendServerDescription): void;
 	/** Gets the time until which the backend server runs tasks slowly, since it has just been put back into use. */
 	getColdUntilMs(): number;
+	/** Finds the earliest time at which the backend server is taken away; undefined if there is no notice of that. */
+	findGoneAtMs(): number | undefined;
 	getState(): SessionState;
 	/** Whether the backend server has neither answered the first claim nor left several unanswered. */
 	isFirstClaimPending(): boolean;
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -52,6 +52,7 @@
 	const clock = createLeaseClock(leaseMs);
 	let {description} = options;
 	let coldUntilMs = getColdEndMs();
+	let goneAtMs = findNoticeEndMs();
 	let state: SessionState = 'claiming';
 	let claim = -1;
 	let unansweredClaims = 0;
@@ -63,6 +64,10 @@
 		return description.coldMs === undefined ? Number.NEGATIVE_INFINITY : timers.getNowMs() + description.coldMs;
 	}
 
+	function findNoticeEndMs(): number | undefined {
+		return description.noticeMs === undefined ? undefined : timers.getNowMs() + description.noticeMs;
+	}
+
 	function getTarget(): RequestTarget {
 		return {host: description.host, port: description.port, serverId: description.id};
 	}
@@ -356,8 +361,10 @@
 		setDescription(next) {
 			description = next;
 			coldUntilMs = getColdEndMs();
+			goneAtMs = findNoticeEndMs();
 		},
 		getColdUntilMs: () => coldUntilMs,
+		findGoneAtMs: () => goneAtMs,
 		getState: () => state,
 		isFirstClaimPending: () => state === 'claiming' && claim === 0,
 		// Nothing runs on an incarnation that has ended, but a newer one under the same id is not claimed yet.
--- a/packages/placement/test/support/load-pattern.ts
+++ b/packages/placement/test/support/load-pattern.ts
@@ -72,6 +72,19 @@
 	return jobs;
 }
 
+/**
+ * Lets some tasks take longer than the others of their kind. The objective of their jobs follows; the declared run times do not.
+ * @param jobs - The jobs.
+ * @param longTasks - The share of the tasks, and the factor on their run time.
+ * @param random - The random source.
+ */
+export function lengthenTasks(jobs: readonly PatternJob[], {share, factor}: {share: number; factor: number}, random: RandomSource): void {
+	for (const job of jobs) {
+		job.taskDurationsMs = job.taskDurationsMs.map(durationMs => durationMs * (random.getFraction() < share ? factor : 1));
+		job.objectiveMs = (stretch * Math.max(...job.taskDurationsMs)) + slackMs;
+	}
+}
+
 function chooseKind(kinds: readonly JobKind[], position: number): JobKind {
 	let remaining = position;
 	return kinds.find(({weight}) => {
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -1,6 +1,8 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
-import {createLoadPattern, mixedKinds, type PatternJob} from './load-pattern.js';
+import {
+	createLoadPattern, lengthenTasks, mixedKinds, type PatternJob,
+} from './load-pattern.js';
 import {
 	addDataRacks, getRackRunFactor, setRacks, type RackOptions,
 } from './rack-layout.js';
@@ -21,6 +23,8 @@
 	steps?: readonly ReplayStep[];
 	/** Without it, all backend servers stand in one rack and no job states where its data is. */
 	racks?: RackOptions;
+	/** Tasks that take longer than the others of their kind: their share, and the factor on their run time. The load stays the same. */
+	longTasks?: {share: number; factor: number};
 };
 
 /** How callers were served. Shares are of worth. */
@@ -42,6 +46,7 @@
 
 const serverCount = 76;
 const dataRackSeedOffset = 1000;
+const longTaskSeedOffset = 2000;
 /** Every third backend server is half as large again as the others. */
 const largeServerMillicores = 96_000;
 /** When the replay starts: the placer has claimed all backend servers. */
@@ -57,7 +62,7 @@
  * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
  * @param options - The load and the troubles.
  */
-export async function replayLoad({load, seed = 1, durationMs = 4000, steps = [], racks}: ReplayOptions): Promise<ReplayResult> {
+export async function replayLoad({load, seed = 1, durationMs = 4000, steps = [], racks, longTasks}: ReplayOptions): Promise<ReplayResult> {
 	const random = createSeededRandomSource(seed);
 	const durations = new Map<string, number>();
 	const millicores = new Map<string, number>();
@@ -81,8 +86,12 @@
 	await runFor(test.timers, claimMs);
 	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
 	const jobs = createLoadPattern({
-		kinds: mixedKinds, cores, load, durationMs, random,
+		kinds: mixedKinds, cores, load: longTasks === undefined ? load : load / (1 + (longTasks.share * (longTasks.factor - 1))), durationMs, random,
 	});
+	if (longTasks !== undefined) {
+		lengthenTasks(jobs, longTasks, createSeededRandomSource(seed + longTaskSeedOffset));
+	}
+
 	if (racks !== undefined) {
 		addDataRacks(racks, jobs, createSeededRandomSource(seed + dataRackSeedOffset));
 	}
