--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -60,6 +60,7 @@
 	'job-abandoned': 'Jobs stopped because the caller closed the connection.',
 	'placed-job-time': 'Time from arrival to the end of a job at the placer, in milliseconds.',
 	'task-slow': 'Runs stopped because another backend server was expected to finish the task sooner.',
+	'task-moved': 'Runs stopped because their backend server will be taken away before they would end.',
 	'large-job-preferred': 'Large jobs put ahead because such jobs of their queue were served too rarely.',
 	'medium-job-deferred': 'Medium-sized jobs put behind others in exchange for large ones of their queue.',
 	'retry-after-time': 'Retry-After of refused jobs, in milliseconds.',
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -2,7 +2,7 @@
 	EventLog, MetricSink, RandomSource, TimerService,
 } from '@camphortack/core';
 import {
-	getStartableTasks, isDone, isUnstarted, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
+	getStartableTasks, isDone, isUnstarted, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
@@ -11,10 +11,12 @@
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createSizeShares} from '../queue/create-size-shares.js';
+import {createJobLog} from './job-log.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
 import {createJobRecovery} from './job-recovery.js';
+import {createMovedRuns} from './moved-runs.js';
 import type {Placer} from './placer.js';
 import {createCapacityTable, type Allocation, type CapacityTable} from './capacity-table.js';
 import {recordDistance} from './record-distance.js';
@@ -62,8 +64,12 @@
 	const {timers, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const sizeShares = createSizeShares();
+	const jobLog = createJobLog({
+		timers, events, metrics, sizeShares,
+	});
 	const intake = createJobIntake(timers, sizeShares);
-	const {getRunFactor, findExpectedEndMs} = createRunExpectations(timers, jobTable, remoteRunFactor);
+	const expectations = createRunExpectations(timers, jobTable, remoteRunFactor);
+	const {getRunFactor, findExpectedEndMs} = expectations;
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
@@ -110,6 +116,9 @@
 			endJob(job, {outcome: 'unknown'});
 		},
 	});
+	const movedRuns = createMovedRuns({
+		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
+	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, getRunFactor,
 	});
@@ -170,13 +179,21 @@
 		for (const start of deferred) {
 			start();
 		}
+
+		movedRuns.moveRuns(service => tables.get(service) ?? createTable(service, waiting));
 	}
 
 	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
 		const services = new Set(waiting.map(({job}) => job.request.service));
-		return new Map([...services].map(service => [service, createCapacityTable(getUsableServers(service), {
+		return new Map([...services].map(service => [service, createTable(service, waiting)]));
+	}
+
+	function createTable(service: string, waiting: readonly WaitingEntry[]): CapacityTable {
+		const table = createCapacityTable(getUsableServers(service), {
 			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs,
-		})]));
+		});
+		movedRuns.reserveCapacity(service, table);
+		return table;
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
@@ -253,32 +270,11 @@
 
 	function endJob(job: PlacedJob, result: JobOutcome): void {
 		jobTable.endJob(job, result);
-		recordService(job, result);
 		stopRuns(job);
-		const ageMs = Math.round(timers.getNowMs() - job.arrivedAtMs);
-		events.write('job-ended', {
-			job: job.request.jobId,
-			queue: job.request.queueName,
-			outcome: result.outcome,
-			reason: 'reason' in result ? result.reason : undefined,
-			ageMs,
-			objectiveMs: Math.round(job.objectiveMs),
-			tasks: job.tasks.length,
-			runs: job.tasks.reduce((sum, task) => sum + (task.runNumber % runNumbersPerGeneration), 0),
-			entry: job.entryId,
-			servers: job.serverIds.join(' '),
-		});
-		metrics.addTiming('placed-job-time', ageMs);
+		jobLog.recordEnd(job, result);
 		onResult(job.entryId, job.request.jobId, result);
 	}
 
-	/** Records whether a job was served in time. Ends that have other causes than the load are left out. */
-	function recordService({request: {queueName}, sizePlace, arrivedAtMs, objectiveMs}: PlacedJob, result: JobOutcome): void {
-		if (result.outcome === 'completed' || (result.outcome === 'refused' && (result.reason === 'overload' || result.reason === 'too-late'))) {
-			sizeShares.addEnd(queueName, sizePlace, result.outcome === 'completed' && timers.getNowMs() <= arrivedAtMs + objectiveMs);
-		}
-	}
-
 	function stopRuns(job: PlacedJob): void {
 		for (const task of job.tasks) {
 			task.session?.stop(task.name);
@@ -299,21 +295,7 @@
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		const job = intake.createJob(entryId, message);
 		jobTable.addJob(job);
-		if (job.sizePlace.standing !== 'usual') {
-			metrics.increment(job.sizePlace.standing === 'preferred' ? 'large-job-preferred' : 'medium-job-deferred');
-		}
-
-		events.write('job-taken', {
-			job: job.request.jobId,
-			queue: job.request.queueName,
-			entry: entryId,
-			generation: message.generation,
-			ageMs: Math.round(message.request.ageMs),
-			expectedMs: Math.round(job.criticalPathMs),
-			objectiveMs: Math.round(job.objectiveMs),
-			relativeWork: Number(job.relativeWork.toFixed(2)),
-			orderedWork: Number(job.sizePlace.orderedWork.toFixed(2)),
-		});
+		jobLog.recordArrival(job, message);
 		schedulePass();
 	}
 
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -1,7 +1,7 @@
 import {createSeededRandomSource} from '@camphortack/core';
 import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
 import {
-	createLoadPattern, mixedKinds, smallServerKinds, type LoadPatternOptions, type PatternJob,
+	createLoadPattern, lengthenTasks, mixedKinds, smallServerKinds, type LoadPatternOptions, type PatternJob,
 } from './load-pattern.js';
 import {
 	addDataRacks, getRackRunFactor, setRacks, type RackOptions,
@@ -32,6 +32,8 @@
 	steps?: readonly ReplayStep[];
 	/** Without it, all backend servers stand in one rack and no job states where its data is. */
 	racks?: RackOptions;
+	/** Tasks that take longer than the others of their kind: their share, and the factor on their run time. The load stays the same. */
+	longTasks?: {share: number; factor: number};
 };
 
 /** How callers were served. Shares are of worth. */
@@ -63,6 +65,7 @@
 	kinds: mixedKinds, meanMillicores: 32_000, serverCount: 76, cpuMillicores: 64_000, largeServerMillicores: 96_000,
 };
 const dataRackSeedOffset = 1000;
+const longTaskSeedOffset = 2000;
 /** When the replay starts: the placer has claimed all backend servers. */
 export const claimMs = 50;
 const drainMs = 2000;
@@ -76,7 +79,7 @@
  * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
  * @param options - The load and the troubles.
  */
-export async function replayLoad({load, bursts, fleet = defaultFleet, doCallersReturn = false, seed = 1, durationMs = 4000, steps = [], racks}: ReplayOptions): Promise<ReplayResult> {
+export async function replayLoad({load, bursts, fleet = defaultFleet, doCallersReturn = false, seed = 1, durationMs = 4000, steps = [], racks, longTasks}: ReplayOptions): Promise<ReplayResult> {
 	const random = createSeededRandomSource(seed);
 	const durations = new Map<string, number>();
 	const millicores = new Map<string, number>();
@@ -101,8 +104,18 @@
 	await runFor(test.timers, claimMs);
 	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
 	const jobs = createLoadPattern({
-		kinds: fleet.kinds, meanMillicores: fleet.meanMillicores, cores, load, bursts, durationMs, random,
+		kinds: fleet.kinds,
+		meanMillicores: fleet.meanMillicores,
+		cores,
+		load: longTasks === undefined ? load : load / (1 + (longTasks.share * (longTasks.factor - 1))),
+		bursts,
+		durationMs,
+		random,
 	});
+	if (longTasks !== undefined) {
+		lengthenTasks(jobs, longTasks, createSeededRandomSource(seed + longTaskSeedOffset));
+	}
+
 	if (racks !== undefined) {
 		addDataRacks(racks, jobs, createSeededRandomSource(seed + dataRackSeedOffset));
 	}
