Keep the last notice of a backend server that has deregistered

Cause: each list of backend servers without one that has deregistered set its description again, so that the remaining times in it began anew. Change: the description is set only if the backend server was not draining yet. Measured: without the change, the new test of a deregistered backend server fails.

--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -105,7 +105,10 @@
 		}
 
 		const description = session.getDescription();
-		session.setDescription({...description, state: 'draining', noticeMs: description.noticeMs === undefined ? undefined : 0});
+		if (description.state !== 'draining') {
+			session.setDescription({...description, state: 'draining'});
+		}
+
 		session.expectEnd();
 	}
 
--- a/packages/placement/test/placer/moved-runs.test.ts
+++ b/packages/placement/test/placer/moved-runs.test.ts
@@ -145,6 +145,23 @@
 		assert.deepEqual([...getRuns(test), ...getRuns(test, 'next')], ['done', undefined]);
 	});
 
+	// Guards against a notice that begins anew with each list of the backend servers that no longer contains this one.
+	it('keeps its last notice when it has deregistered', async () => {
+		const test = await runLongJob({getDurationMs: taskName => (taskName.startsWith('other') ? 300 : longMs)});
+		test.submit({jobId: 'other', steps: [{...longStep, estimateMs: 300}]});
+		await runFor(test.timers, 20);
+		setNotice(test, test.leaving, 800);
+		const remaining = test.fleet.getDescriptions().filter(({id}) => id !== test.leaving.description.id);
+		for (let count = 0; count < 4; count++) {
+			test.placer.setServers(remaining, 0);
+			// eslint-disable-next-line no-await-in-loop -- The lists follow each other in time.
+			await runFor(test.timers, 100);
+		}
+
+		assert.equal(countMoves(test), 1);
+		assert.deepEqual(getRuns(test), ['stopped', undefined]);
+	});
+
 	it('can take a task again that was moved away from it', async () => {
 		const test = await runLongJob();
 		setNotice(test, test.leaving, 300);
--- a/packages/placement/test/support/notice-replay.ts
+++ b/packages/placement/test/support/notice-replay.ts
@@ -1,7 +1,7 @@
 import {replayLoad, type ReplayOptions, type ReplayResult} from './load-replay.js';
 
 /** A replay in which backend servers are taken away together. */
-export type NoticeReplayOptions = Omit<ReplayOptions, 'steps'> & {
+export type NoticeReplayOptions = ReplayOptions & {
 	/** The time from the first heartbeat with the state `draining` until the backend servers are gone. */
 	noticeMs: number;
 	/** Whether the heartbeats state the notice. Without it, they only state that the backend servers are draining. */
@@ -23,11 +23,12 @@
  * Replays a load during which 0.15 of the backend servers drain and then end without a further message.
  * @param options - The load and the notice.
  */
-export async function replayNotice({noticeMs, isNoticeStated, ...options}: NoticeReplayOptions): Promise<NoticeReplayResult> {
+export async function replayNotice({noticeMs, isNoticeStated, steps = [], ...options}: NoticeReplayOptions): Promise<NoticeReplayResult> {
 	const result = await replayLoad({
 		durationMs: defaultDurationMs,
 		...options,
 		steps: [
+			...steps,
 			{
 				atMs: drainedAtMs,
 				apply({fleet, placer}) {
