Limit the starts of a placer that is itself behind

Cause: an entry VM that takes over sends starts faster than its processor time allows. They go unanswered, each costs a claim and a connection, and at 10 ms a first request and 0.7 ms a later one nothing was served any more. Change: the placer compares response times with what is usual for each backend server and looks at the lateness of its timers. Above 20 ms it limits the starts in flight in proportion to the lag, refuses at once the jobs that would be late for that reason (entry daemons forward them for overload), and adds the lag to the announced wait. Meanwhile starts have the longest timeout and three claims are in flight. The limit ends a second after it was last needed.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -121,6 +121,15 @@
 		summary: 'A new placer has reached a milestone: half or all of the backend servers claimed, or the first task started.',
 		action: 'If it takes more than a second, check the processor share of the VM.',
 	},
+	'placer-lagging': {
+		number: 1225,
+		level: 'warning',
+		summary: 'The placer is behind with its own work: it limits the starts in flight and refuses the jobs that it cannot start in time.',
+		action: 'Check the processor share of the VM; after a takeover by an entry VM, start the keepers of the availability zone.',
+	},
+	'placer-caught-up': {
+		number: 1226, level: 'info', summary: 'The placer is no longer behind and serves without a limit.', action: 'None.',
+	},
 	'configuration-put': {
 		number: 1302, level: 'info', summary: 'A configuration sent by an operator was processed.', action: 'Read the outcome.',
 	},
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -4,6 +4,7 @@
 import {
 	getStartableTasks, isDone, isUnstarted, runNumbersPerGeneration, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
+import {createStartWindow} from '../lag/create-start-window.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
@@ -67,8 +68,10 @@
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
 	let loadMs = 0;
+	const startWindow = createStartWindow({...options, onOpen: schedulePass});
 	const pool = createServerPool({
 		...options,
+		startWindow,
 		listener: {
 			onRunEnd: handleRunEnd,
 			onHeld() {
@@ -152,9 +155,10 @@
 		const nowMs = timers.getNowMs();
 		const waiting = getWaitingJobs(jobTable.getJobs(), nowMs);
 		const tables = createTables(waiting);
-		const {refusals, loadMs: nextLoadMs} = findRefusals(jobTable.getJobs(), waiting, tables, nowMs);
+		const {refusals, loadMs: nextLoadMs} = findRefusals(jobTable.getJobs(), waiting, {tables, startWindow, nowMs});
 		loadMs = nextLoadMs;
-		for (const {job, reason, waitMs} of refusals) {
+		for (const {job, reason, waitMs, isForLag} of refusals) {
+			metrics.increment('job-refused-lag', Number(isForLag));
 			refuse(job, reason, waitMs);
 		}
 
@@ -201,7 +205,7 @@
 
 	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): Allocation['outcome'] {
 		// A run of an earlier submission of the same job may still be stopping.
-		const allocation: Allocation = pool.findRun(task.name) === undefined ? table.allocate(job, task) : {outcome: 'none'};
+		const allocation: Allocation = pool.findRun(task.name) === undefined && startWindow.isOpen() ? table.allocate(job, task) : {outcome: 'none'};
 		if (allocation.outcome === 'server') {
 			recordDistance(metrics, task, {isFar: allocation.isFar, nowMs: timers.getNowMs()});
 			startTask(job, task, allocation.server);
@@ -371,6 +375,7 @@
 		stop() {
 			isStopped = true;
 			slowRunDetector.stop();
+			startWindow.stop();
 			passInterval.cancel();
 			logOpenJobs();
 			pool.close();
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -1,5 +1,6 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import {createServerHealth, type ServerHealth} from '../health/server-health.js';
+import type {StartWindow} from '../lag/create-start-window.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import {createCallTimeouts} from '../sessions/create-call-timeouts.js';
@@ -48,6 +49,7 @@
 	timers: TimerService;
 	events: EventLog;
 	metrics: MetricSink;
+	startWindow: StartWindow;
 	listener: Omit<SessionListener, 'onRunAdded'>;
 	/** Called with the runs of a backend server that was removed. */
 	onRunsLost: (session: BackendSession, runs: readonly Run[]) => void;
@@ -58,7 +60,7 @@
  * @param options - The placer's term and ports.
  */
 export function createServerPool(options: ServerPoolOptions): ServerPool {
-	const {timers, events, metrics, onRunsLost} = options;
+	const {timers, events, metrics, startWindow, onRunsLost} = options;
 	const servers = new Map<string, PooledServer>();
 	const runIndex = createRunIndex<PooledServer>();
 	const listener: SessionListener = {
@@ -71,8 +73,8 @@
 			options.listener.onRunEnd(session, run, end);
 		},
 	};
-	const callTimeouts = createCallTimeouts(timers);
-	const claimWindow = createClaimWindow();
+	const callTimeouts = createCallTimeouts(timers, startWindow.isLimited);
+	const claimWindow = createClaimWindow(startWindow.isLimited);
 	let unclaimableCount = 0;
 
 	function addServer(description: BackendServerDescription): void {
--- a/packages/placement/src/placer/waiting-jobs.ts
+++ b/packages/placement/src/placer/waiting-jobs.ts
@@ -1,4 +1,5 @@
 import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
+import type {StartWindow} from '../lag/create-start-window.js';
 import type {RefusalReason} from '../messages/job-outcome.js';
 import {compareWaitingJobs} from '../queue/compare-waiting-jobs.js';
 import {createDistanceEstimator} from '../queue/create-distance-estimator.js';
@@ -19,10 +20,20 @@
 	reason: RefusalReason;
 	/** The wait that was estimated for the job. */
 	waitMs: number;
+	/** Whether there is capacity for the job, but the placer is too far behind to start its tasks in time. */
+	isForLag: boolean;
+};
+
+export type RefusalContext = {
+	/** The free capacity of each service. */
+	tables: ReadonlyMap<string, CapacityTable>;
+	startWindow: Pick<StartWindow, 'getWaitMs' | 'getAnnouncedWaitMs'>;
+	nowMs: number;
 };
 
 /** The job of typical size whose estimated wait is reported as the load. */
 const referenceJob: Pick<WaitingJob, 'waitingMillicores' | 'criticalPathMs'> = {waitingMillicores: 100_000, criticalPathMs: 200};
+const referenceTaskCount = 3;
 /** Share of the cores that tasks of typical size can use, given the fragmentation they cause. */
 const packingEfficiency = 0.85;
 
@@ -67,10 +78,9 @@
  * Finds the jobs to refuse now, and estimates the wait of a further job of typical size behind the remaining ones.
  * @param jobs - The open jobs.
  * @param waiting - The waiting jobs, in scheduling order.
- * @param tables - The free capacity of each service.
- * @param nowMs - The current time.
+ * @param context - The capacity, the starts that the placer can send, and the time.
  */
-export function findRefusals(jobs: Iterable<PlacedJob>, waiting: readonly WaitingEntry[], tables: ReadonlyMap<string, CapacityTable>, nowMs: number): {refusals: Refusal[]; loadMs: number} {
+export function findRefusals(jobs: Iterable<PlacedJob>, waiting: readonly WaitingEntry[], {tables, startWindow, nowMs}: RefusalContext): {refusals: Refusal[]; loadMs: number} {
 	const refusals: Refusal[] = [];
 	const openJobs = [...jobs];
 	const estimators = new Map([...tables].map(([service, table]) => [service, {
@@ -78,6 +88,7 @@
 		contention: table.contention,
 		distanceEstimator: createDistanceEstimator(nowMs, table.remoteRunFactor, table.getRackLoad),
 	}]));
+	let startsAhead = 0;
 	for (const {job, waitingJob} of waiting) {
 		const {estimator, distanceEstimator, contention} = estimators.get(job.request.service)!;
 		const distantJob = {...waitingJob, dataRack: findDataRack(job)};
@@ -85,16 +96,21 @@
 		const distance = distanceEstimator.getEstimate(distantJob, waitMs);
 		// Without contention, nothing better can be done with free capacity than to run a job far, even if that is late.
 		const waitAheadMs = contention > 0 ? Math.max(waitMs, distance.delayMs) : waitMs;
-		const reason = findRefusal(waitingJob, {nowMs, waitAheadMs});
+		const startCount = startsAhead + job.tasks.filter(({state}) => state === 'waiting').length;
+		const startWaitMs = startWindow.getWaitMs(startCount);
+		const reason = findRefusal(waitingJob, {nowMs, waitAheadMs, startWaitMs});
 		if (reason === undefined) {
 			distanceEstimator.addJob(distantJob, distance);
 			estimator.addJob(waitingJob);
+			startsAhead = startCount;
 		} else {
-			refusals.push({job, reason, waitMs: waitAheadMs});
+			refusals.push({
+				job, reason, waitMs: Math.max(waitAheadMs, startWaitMs), isForLag: findRefusal(waitingJob, {nowMs, waitAheadMs, startWaitMs: 0}) === undefined,
+			});
 		}
 	}
 
-	const loadMs = Math.max(0, ...[...estimators.values()].map(({estimator}) => estimator.getWaitMs(referenceJob)));
+	const loadMs = Math.max(0, ...[...estimators.values()].map(({estimator}) => estimator.getWaitMs(referenceJob)), startWindow.getAnnouncedWaitMs(startsAhead + referenceTaskCount));
 	return {refusals, loadMs: Math.round(loadMs)};
 }
 
--- a/packages/placement/src/queue/find-refusal.ts
+++ b/packages/placement/src/queue/find-refusal.ts
@@ -13,17 +13,20 @@
 	nowMs: number;
 	/** The estimated wait behind the work ahead of the job. */
 	waitAheadMs: number;
+	/** The estimated wait until the placer, if it is behind, has started the work ahead of the job and the job. */
+	startWaitMs: number;
 };
 
 /**
  * Finds the reason to refuse a waiting job now, if there is one. A started job is never refused. This handles overload
  * that lasts longer than the objectives: a job that cannot be served in time is refused immediately, for any other job the
  * decision is made within a quarter of its objective, and one that has waited in vain is refused as soon as it would be late.
- * While jobs wait ahead, new ones would overtake it again and again, until its result is of no use to the caller.
+ * While jobs wait ahead, new ones would overtake it again and again, until its result is of no use to the caller. A job that a
+ * placer which is itself behind cannot start in time is refused at once, at any age: the placer can start no more by waiting.
  * @param job - The job.
  * @param state - The time and the queue ahead of the job.
  */
-export function findRefusal(job: WaitingJob, {nowMs, waitAheadMs}: QueueState): RefusalReason | undefined {
+export function findRefusal(job: WaitingJob, {nowMs, waitAheadMs, startWaitMs}: QueueState): RefusalReason | undefined {
 	if (job.hasStarted) {
 		return undefined;
 	}
@@ -34,6 +37,10 @@
 		return 'too-late';
 	}
 
+	if (startWaitMs > 0 && earliestEndMs + startWaitMs > job.objectiveMs) {
+		return 'overload';
+	}
+
 	const isInDecisionWindow = ageMs <= job.objectiveMs * decisionWindowShare;
 	const isLate = earliestEndMs > job.objectiveMs;
 	const isQueueTooLong = waitAheadMs > 0 && earliestEndMs + waitAheadMs > job.objectiveMs;
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -1,4 +1,5 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
+import type {StartWindow} from '../lag/create-start-window.js';
 import type {
 	BackendServerClient, StartStopResponse, RequestTarget, RenewResponse,
 } from '../ports/backend-server-client.js';
@@ -30,6 +31,8 @@
 	callTimeouts: CallTimeouts;
 	/** The limit on claims in flight, shared by all sessions of the placer. */
 	claimWindow: ClaimWindow;
+	/** The limit on starts in flight, shared by all sessions of the placer. */
+	startWindow: StartWindow;
 	listener: SessionListener;
 };
 
@@ -40,7 +43,7 @@
  * @param options - The backend server and the ports.
  */
 export function createBackendSession(options: BackendSessionOptions): BackendSession {
-	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, claimWindow, listener} = options;
+	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, claimWindow, startWindow, listener} = options;
 	const runTable = createRunTable(() => timers.getNowMs(), {
 		onRunAdded(run) {
 			listener.onRunAdded(session, run);
@@ -137,7 +140,14 @@
 		metrics.increment('server-claimed');
 		const sentAtMs = timers.getNowMs();
 		const response = await backendServerClient.renew(getTarget(), {token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}, getClaimTimeoutMs());
-		claimWindow.leave(response.outcome === 'unanswered' ? undefined : timers.getNowMs() - sentAtMs);
+		if (response.outcome === 'unanswered') {
+			// The backend server may be gone: its claims say nothing about this VM.
+			claimWindow.leave(undefined);
+		} else {
+			claimWindow.leave(timers.getNowMs() - sentAtMs);
+			startWindow.addResponse(description.id, timers.getNowMs() - sentAtMs);
+		}
+
 		if (isClosed || ownClaim !== claim) {
 			return;
 		}
@@ -267,6 +277,7 @@
 	async function measureResponseTime(request: Promise<StartStopResponse>): Promise<StartStopResponse> {
 		const sentAtMs = timers.getNowMs();
 		const response = await request;
+		startWindow.addResponse(description.id, timers.getNowMs() - sentAtMs);
 		if (response.outcome !== 'unanswered') {
 			callTimeouts.addResponse(timers.getNowMs() - sentAtMs);
 		}
@@ -276,6 +287,7 @@
 
 	async function sendStart(run: Run, payload: string): Promise<void> {
 		const sentClaim = claim;
+		startWindow.addStart();
 		const response = await measureResponseTime(backendServerClient.start(getTarget(), {
 			taskName: run.taskName,
 			runNumber: run.runNumber,
@@ -283,6 +295,7 @@
 			leaseEndMs: getLeaseEndMs()!,
 			token: getToken(),
 		}, callTimeouts.getRequestTimeoutMs()));
+		startWindow.endStart();
 		if (isClosed || !runTable.hasRun(run)) {
 			return;
 		}
--- a/packages/placement/src/sessions/create-call-timeouts.ts
+++ b/packages/placement/src/sessions/create-call-timeouts.ts
@@ -39,16 +39,18 @@
  * request counts as a response that took as long as the timeout, so the timeout grows when calls become slow. After
  * several unanswered calls renewals wait less, so that a lost one is detected before the end of a run that it would have
  * reported is long past. This handles backend servers that leave some requests unanswered or execute them late.
+ * While this VM is behind, an unanswered request proves little, and the claim after it adds to the lag: the timeout is the longest.
  * @param timers - The clock.
+ * @param isBehind - Whether this VM is short of processor time.
  *
  * @example
  * ```ts
- * const callTimeouts = createCallTimeouts(timers);
+ * const callTimeouts = createCallTimeouts(timers, () => false);
  * callTimeouts.addResponse(2);
  * callTimeouts.getRequestTimeoutMs(); // 40
  * ```
  */
-export function createCallTimeouts(timers: TimerService): CallTimeouts {
+export function createCallTimeouts(timers: TimerService, isBehind: () => boolean): CallTimeouts {
 	let meanMs = 0;
 	let deviationMs = maxRequestTimeoutMs / deviationFactor;
 	let timeoutsAtMs: number[] = [];
@@ -59,7 +61,7 @@
 	}
 
 	function getRequestTimeoutMs(): number {
-		const usualMs = meanMs + (deviationMs * deviationFactor);
+		const usualMs = isBehind() ? maxRequestTimeoutMs : meanMs + (deviationMs * deviationFactor);
 		return Math.round(Math.min(maxRequestTimeoutMs, Math.max(minRequestTimeoutMs, usualMs)));
 	}
 
--- a/packages/placement/src/sessions/create-claim-window.ts
+++ b/packages/placement/src/sessions/create-claim-window.ts
@@ -7,6 +7,8 @@
 };
 
 const initialClaimCount = 8;
+/** While this VM is behind: enough that it prepares one claim while another is under way and a third is answered. */
+const behindClaimCount = 3;
 /** A slower answer means that this VM, rather than the backend server, is busy: more claims at once would go unanswered. */
 const quickResponseMs = 40;
 
@@ -15,22 +17,24 @@
  * longer than the timeout of a claim, so claims sent all at once would go unanswered, and be sent again, for seconds. The
  * window starts small and, as in TCP, grows with each quick answer: a fast VM claims everything within a few round
  * trips, a slow one as fast as it can, and the first backend servers are in use meanwhile.
+ * While the VM is behind, claims beyond a few would only make starts wait that are already needed.
+ * @param isBehind - Whether this VM is short of processor time.
  *
  * @example
  * ```ts
- * const window = createClaimWindow();
+ * const window = createClaimWindow(() => false);
  * window.enter(false, sendClaim);
  * window.leave(2); // Room for two more claims.
  * ```
  */
-export function createClaimWindow(): ClaimWindow {
+export function createClaimWindow(isBehind: () => boolean): ClaimWindow {
 	const firstClaims: Array<() => void> = [];
 	const retries: Array<() => void> = [];
 	let size = initialClaimCount;
 	let inFlight = 0;
 
 	function sendNext(): void {
-		while (inFlight < size) {
+		while (inFlight < (isBehind() ? behindClaimCount : size)) {
 			const send = firstClaims.shift() ?? retries.shift();
 			if (send === undefined) {
 				return;
--- a/packages/placement/test/queue/decisions.test.ts
+++ b/packages/placement/test/queue/decisions.test.ts
@@ -16,7 +16,7 @@
 };
 
 describe('findRefusal', () => {
-	const rows: Array<{title: string; job: Partial<WaitingJob>; nowMs: number; waitAheadMs: number; expected: string | undefined}> = [
+	const rows: Array<{title: string; job: Partial<WaitingJob>; nowMs: number; waitAheadMs: number; startWaitMs?: number; expected: string | undefined}> = [
 		{
 			title: 'an empty queue', job: {}, nowMs: 0, waitAheadMs: 0, expected: undefined,
 		},
@@ -29,6 +29,15 @@
 		{
 			title: 'a wait beyond the objective, after a quarter of it', job: {}, nowMs: 60, waitAheadMs: 121, expected: undefined,
 		},
+		{
+			title: 'starts ahead within the objective', job: {}, nowMs: 60, waitAheadMs: 0, startWaitMs: 59, expected: undefined,
+		},
+		{
+			title: 'too many starts ahead of a placer that is behind, after a quarter of the objective', job: {}, nowMs: 60, waitAheadMs: 0, startWaitMs: 61, expected: 'overload',
+		},
+		{
+			title: 'a started job behind too many starts', job: {hasStarted: true}, nowMs: 60, waitAheadMs: 0, startWaitMs: 900, expected: undefined,
+		},
 		{
 			title: 'a late job behind others', job: {}, nowMs: 121, waitAheadMs: 1, expected: 'overload',
 		},
@@ -50,7 +59,7 @@
 	];
 	for (const row of rows) {
 		it(`${row.title} → ${row.expected ?? 'waits'}`, () => {
-			assert.equal(findRefusal({...job, ...row.job}, row), row.expected);
+			assert.equal(findRefusal({...job, ...row.job}, {startWaitMs: 0, ...row}), row.expected);
 		});
 	}
 });
--- a/packages/placement/test/sessions/create-call-timeouts.test.ts
+++ b/packages/placement/test/sessions/create-call-timeouts.test.ts
@@ -10,13 +10,16 @@
 }
 
 describe('createCallTimeouts', () => {
-	const cases: Array<{name: string; calls: Call[]; passedMs?: number; requestTimeoutMs: number; renewWaitMs: number}> = [
+	const cases: Array<{name: string; calls: Call[]; passedMs?: number; isBehind?: boolean; requestTimeoutMs: number; renewWaitMs: number}> = [
 		{
 			name: 'before any response', calls: [], requestTimeoutMs: 150, renewWaitMs: 300,
 		},
 		{
 			name: 'fast responses', calls: repeat(2, 20), requestTimeoutMs: 40, renewWaitMs: 300,
 		},
+		{
+			name: 'fast responses, read by a VM that is behind', calls: repeat(2, 20), isBehind: true, requestTimeoutMs: 150, renewWaitMs: 300,
+		},
 		{
 			name: 'slow responses', calls: repeat(60, 100), requestTimeoutMs: 60, renewWaitMs: 300,
 		},
@@ -39,10 +42,10 @@
 			name: 'unanswered requests outside the window', calls: repeat('unanswered', 5), passedMs: 2000, requestTimeoutMs: 150, renewWaitMs: 300,
 		},
 	];
-	for (const {name, calls, passedMs = 0, requestTimeoutMs, renewWaitMs} of cases) {
+	for (const {name, calls, passedMs = 0, isBehind = false, requestTimeoutMs, renewWaitMs} of cases) {
 		it(`${name} → ${requestTimeoutMs} ms request timeout, ${renewWaitMs} ms renewal wait`, () => {
 			const timers = new VirtualTimers();
-			const callTimeouts = createCallTimeouts(timers);
+			const callTimeouts = createCallTimeouts(timers, () => isBehind);
 			for (const call of calls) {
 				if (call === 'unanswered') {
 					callTimeouts.addUnansweredRequest();
--- a/packages/placement/test/sessions/create-claim-window.test.ts
+++ b/packages/placement/test/sessions/create-claim-window.test.ts
@@ -9,8 +9,8 @@
 	return Array.from({length: count}, () => action);
 }
 
-function getSent(actions: readonly Action[]): string[] {
-	const window = createClaimWindow();
+function getSent(actions: readonly Action[], isBehind = false): string[] {
+	const window = createClaimWindow(() => isBehind);
 	const sent: string[] = [];
 	for (const action of actions) {
 		if (typeof action === 'string') {
@@ -40,6 +40,11 @@
 		});
 	}
 
+	// Guards against starts that wait behind claims for processor time.
+	it('keeps three claims in flight while the VM is behind', () => {
+		assert.equal(getSent([...repeat('claim', 50), {responseMs: 2}, {responseMs: 90}], true).length, 5);
+	});
+
 	it('sends retries after the other claims', () => {
 		const sent = getSent([...repeat('claim', 8), 'retry', 'claim', {responseMs: 90}, {responseMs: 90}]);
 		assert.deepEqual(sent.slice(8), ['claim', 'retry']);
