Take jobs as new whose messages were lost

Cause: a job whose submission was lost on the way to the placer was submitted again as one that the same placer may have started. With one silent backend server the search for its runs cannot succeed, and the job ended in 504 although no backend server had received it. So did a job that a placer which stopped had not begun, if its one word about that was lost. Change: a placer names its term and incarnation with the jobs that it does not know. If both are those of the last submission, and the job is younger than the results that a placer keeps, the same submission is repeated as new; the word of the placer about it counts no more afterwards. A placer that stops repeats once which jobs it has not begun. The new fields are optional. Tests changed: calls of handleUnknownJobs name a placer of an earlier version, with the same expectations; the test of a placer that stops expects the repetition. EntryJob and OpenJob are in a file of their own.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -40,6 +40,8 @@
 export const entryTimeoutMs = 700;
 /** How often an entry daemon sends the placer the ids of its open jobs. */
 export const openJobsIntervalMs = 200;
+/** When a placer that has stopped repeats which jobs it has not begun: after a lost message, and within the search for their runs. */
+export const notBegunRepetitionMs = 200;
 /** How long a new job waits for a placer to become known before it is refused. */
 export const placerWaitTimeoutMs = 300;
 /**
--- a/packages/cluster/src/cluster.ts
+++ b/packages/cluster/src/cluster.ts
@@ -2,7 +2,8 @@
 import type {BackendServerDescription, JobOutcome} from '@camphortack/placement';
 import type {NumberedDocument} from './configuration/latest-document.js';
 import type {Evacuations} from './evacuations/evacuations.js';
-import type {EntryJob, JobSubscription} from './entry/job-submitter.js';
+import type {JobSubscription} from './entry/job-submitter.js';
+import type {EntryJob} from './entry/open-job.js';
 
 /** The state of the cluster as this daemon sees it, for operators. */
 export type ClusterStatus = {
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -53,6 +53,7 @@
 	const relay = createRelay({ownId, peers, members});
 	const localPlacer = createLocalPlacer({
 		...options,
+		ownIncarnation,
 		serverSources: {
 			isCoveredBy: source => registrySources.isCoveredBy(source),
 			requestMissing(source) {
--- a/packages/cluster/src/entry/handle-entry-message.ts
+++ b/packages/cluster/src/entry/handle-entry-message.ts
@@ -20,7 +20,7 @@
 		}
 
 		case 'placement.unknown-jobs': {
-			jobSubmitter.handleUnknownJobs(message.jobIds);
+			jobSubmitter.handleUnknownJobs(message.jobIds, {view: {term: message.term ?? 0, placerId: fromId}, incarnation: message.incarnation ?? ''});
 			return true;
 		}
 
--- a/packages/cluster/src/entry/job-submissions.ts
+++ b/packages/cluster/src/entry/job-submissions.ts
@@ -6,8 +6,12 @@
 	add(view: PlacerView, incarnation: string): void;
 	/** Records that the last submission was sent again. One copy may reach the placer after a restart, the other one before. */
 	repeatLast(): void;
+	/** Whether the last submission is the one to an incarnation of the placer of a term. */
+	isLast(view: PlacerView, incarnation: string): boolean;
 	/** Gets the placers of all submissions, each incarnation once. */
 	getPlacers(): JobHandover['placers'];
+	/** The same without the last submission. */
+	getEarlierPlacers(): JobHandover['placers'];
 	/** Whether there are more submissions than the last one. */
 	hasEarlier(): boolean;
 	/** Whether the only submission is the one to the placer of a term. */
@@ -18,6 +22,12 @@
 	clear(): void;
 };
 
+type Submission = {
+	view: PlacerView;
+	incarnation: string;
+	isRepeated: boolean;
+};
+
 /**
  * Creates the submissions of a job that was not sent to any placer. As long as there are none, the job certainly has not
  * started. If a job was sent to one placer twice in one term, its word may be about either of them and proves nothing.
@@ -31,7 +41,7 @@
  * ```
  */
 export function createJobSubmissions(): JobSubmissions {
-	let submissions: Array<{view: PlacerView; incarnation: string; isRepeated: boolean}> = [];
+	let submissions: Submission[] = [];
 
 	return {
 		add(view, incarnation) {
@@ -40,16 +50,12 @@
 		repeatLast() {
 			submissions.at(-1)!.isRepeated = true;
 		},
-		getPlacers() {
-			const placers: JobHandover['placers'] = [];
-			for (const {view: {placerId}, incarnation} of submissions) {
-				if (!placers.some(placer => placer.placerId === placerId && placer.incarnation === incarnation)) {
-					placers.push({placerId, incarnation});
-				}
-			}
-
-			return placers;
+		isLast(view, incarnation) {
+			const last = submissions.at(-1);
+			return last !== undefined && incarnation !== '' && last.incarnation === incarnation && isSameView(last.view, view);
 		},
+		getPlacers: () => getPlacers(submissions),
+		getEarlierPlacers: () => getPlacers(submissions.slice(0, -1)),
 		hasEarlier: () => submissions.length > 1,
 		isOnly: view => submissions.length === 1 && isSameView(submissions[0]!.view, view),
 		removeNotBegun(view) {
@@ -63,3 +69,14 @@
 		},
 	};
 }
+
+function getPlacers(submissions: readonly Submission[]): JobHandover['placers'] {
+	const placers: JobHandover['placers'] = [];
+	for (const {view: {placerId}, incarnation} of submissions) {
+		if (!placers.some(placer => placer.placerId === placerId && placer.incarnation === incarnation)) {
+			placers.push({placerId, incarnation});
+		}
+	}
+
+	return placers;
+}
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -1,17 +1,15 @@
 import type {
-	EventLog, MetricSink, RandomSource, TimerService, TimerSubscription,
+	EventLog, MetricSink, RandomSource, TimerService,
 } from '@camphortack/core';
 import type {
-	JobHandover, JobOutcome, JobRequest, PlacementMessage,
+	JobHandover, JobOutcome, PlacementMessage,
 } from '@camphortack/placement';
 import {evacuationSettleMs, openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
 import {isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
 import {createJobCancellations} from './job-cancellations.js';
-import {createJobSubmissions, type JobSubmissions} from './job-submissions.js';
-
-/** A job as the callers' server submits it. */
-export type EntryJob = Omit<JobRequest, 'ageMs'>;
+import {createJobSubmissions} from './job-submissions.js';
+import type {EntryJob, OpenJob} from './open-job.js';
 
 /** A caller's subscription to the result of a job. */
 export type JobSubscription = {
@@ -26,8 +24,8 @@
 	cancel(jobId: string, onEnd: (isConfirmed: boolean) => void): void;
 	handleResult(jobId: string, result: JobOutcome): void;
 	handleCancelled(jobId: string): void;
-	/** Resubmits jobs that the placer does not know. */
-	handleUnknownJobs(jobIds: readonly string[]): void;
+	/** Resubmits jobs that an incarnation of the placer of a term does not know; it is empty if the placer does not state it. */
+	handleUnknownJobs(jobIds: readonly string[], source: {view: PlacerView; incarnation: string}): void;
 	/** Handles the word of the placer of a term that it has started none of some jobs. */
 	handleNotBegun(view: PlacerView, jobIds: readonly string[]): void;
 	/** Resubmits every open job whose shard has a new placer. */
@@ -62,28 +60,11 @@
 	sendToPlacer: (shard: string, message: PlacementMessage) => boolean;
 };
 
-type OpenJob = {
-	readonly job: EntryJob;
-	submissionId: string;
-	/** The shard to whose placer the job is submitted. */
-	shard: string;
-	/** Whether the job was forwarded to another shard. */
-	wasForwarded: boolean;
-	/** The shards that the job was forwarded to because an availability zone is evacuated. */
-	readonly divertedTo: Set<string>;
-	readonly arrivedAtMs: number;
-	readonly callers: Set<(result: JobOutcome) => void>;
-	/** The placer to which the job was last submitted. */
-	submittedTo: PlacerView | undefined;
-	/** The submissions to placers that may have started tasks. */
-	readonly submissions: JobSubmissions;
-	generation: number;
-	waitTimer: TimerSubscription | undefined;
-};
-
 /** Why a job is forwarded to another shard. */
 type ForwardReason = 'overload' | 'placer-overdue' | 'evacuated';
 
+/** Less than the time for which a placer keeps results. */
+const maxRepetitionAgeMs = 10_000;
 const retryAfterMs = 1000;
 const retryAfterJitterMs = 2000;
 
@@ -168,6 +149,19 @@
 		}
 	}
 
+	/**
+	 * Submits a job again that its placer does not know. If the placer is still the one that the submission was sent to, it has not
+	 * begun the job, and knows the submission and its result if it arrives after all: the same submission is repeated.
+	 */
+	function resubmit(open: OpenJob, {view, incarnation}: {view: PlacerView; incarnation: string}): void {
+		const isRecent = timers.getNowMs() - open.arrivedAtMs < maxRepetitionAgeMs;
+		if (!isRecent || !isSubmitted(open) || !open.submissions.isLast(view, incarnation)) {
+			sendJob(open);
+		} else if (sendSubmission(open, view, open.generation, open.submissions.getEarlierPlacers())) {
+			open.submissions.repeatLast();
+		}
+	}
+
 	function sendUnsubmittedJobs(): void {
 		for (const open of openJobs.values()) {
 			if (!isSubmitted(open)) {
@@ -351,11 +345,11 @@
 		handleCancelled(jobId) {
 			cancellations.endCancellation(jobId, true);
 		},
-		handleUnknownJobs(jobIds) {
+		handleUnknownJobs(jobIds, source) {
 			for (const jobId of jobIds) {
 				const open = openJobs.get(jobId);
 				if (open !== undefined) {
-					sendJob(open);
+					resubmit(open, source);
 				}
 			}
 		},
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -3,7 +3,7 @@
 	createPlacer, encodeOutcome, type BackendServerDescription, type Placer, type PlacementMessage, type ServerSources,
 } from '@camphortack/placement';
 import type {ClusterOptions} from '../cluster-options.js';
-import {entryTimeoutMs} from '../cluster-timings.js';
+import {entryTimeoutMs, notBegunRepetitionMs} from '../cluster-timings.js';
 
 /** Runs the placer on this daemon during its terms. */
 export type LocalPlacer = {
@@ -30,6 +30,8 @@
 
 export type LocalPlacerOptions = Pick<ClusterOptions, 'daemonNumber' | 'backendServerClient' | 'timers' | 'random' | 'events' | 'metrics' | 'remoteRunFactor'> & {
 	serverSources: ServerSources;
+	/** The start of this process. */
+	ownIncarnation: string;
 	/** Sends a message to a daemon, relayed if necessary. */
 	send: (toId: string, message: PlacementMessage) => void;
 };
@@ -39,7 +41,7 @@
  * @param options - The dependencies of the placer.
  */
 export function createLocalPlacer(options: LocalPlacerOptions): LocalPlacer {
-	const {timers, events, send} = options;
+	const {timers, events, ownIncarnation, send} = options;
 	const entryActivity = createEntryActivityTracker(timers);
 	let placer: Placer | undefined;
 	let evacuatedZones: readonly string[] = [];
@@ -95,7 +97,9 @@
 		}
 
 		if (unknownIds.length > 0) {
-			send(fromId, {kind: 'placement.unknown-jobs', jobIds: unknownIds});
+			send(fromId, {
+				kind: 'placement.unknown-jobs', jobIds: unknownIds, term: placedTerm, incarnation: ownIncarnation,
+			});
 		}
 	}
 
@@ -103,9 +107,14 @@
 	function releaseJobs(jobIds: ReadonlyMap<string, string[]>): void {
 		const term = placedTerm!;
 		placedTerm = undefined;
-		for (const [entryId, ids] of jobIds) {
-			send(entryId, {kind: 'placement.not-begun', term, jobIds: ids});
-		}
+		const sendAll = () => {
+			for (const [entryId, ids] of jobIds) {
+				send(entryId, {kind: 'placement.not-begun', term, jobIds: ids});
+			}
+		};
+
+		sendAll();
+		timers.addTimer(notBegunRepetitionMs, sendAll);
 	}
 
 	return {
--- a/packages/cluster/test/entry/job-submitter-zones.test.ts
+++ b/packages/cluster/test/entry/job-submitter-zones.test.ts
@@ -47,6 +47,15 @@
 			assert.deepEqual(test.results, [{outcome: 'unknown'}]);
 		});
 
+		// Nobody can tell: the placer of all backend servers may have begun the job in any zone.
+		it('reports a job as unknown that was submitted before the deployment was divided', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.shards.divideIfDue(101, false);
+			test.submitter.handleDivision();
+			assert.deepEqual(test.results, [{outcome: 'unknown'}]);
+		});
+
 		it('waits for the result as long as the other zone is heard', () => {
 			const test = createDividedSubmitter();
 			test.submitter.handleResult('job', refusal);
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -4,6 +4,9 @@
 	createTestSubmitter, refusal, submit, type TestSubmitter,
 } from '../support/create-test-submitter.js';
 
+/** The placer that does not know a job, of a version that does not state its term. */
+const earlierVersion = {view: {term: 0, placerId: 'first'}, incarnation: ''};
+
 describe('createJobSubmitter', () => {
 	it('reports the refusal of a job that was submitted once', () => {
 		const test = createTestSubmitter();
@@ -71,7 +74,7 @@
 		it('does not count the word of a placer that got the job twice, since it may be about either submission', () => {
 			const test = createTestSubmitter();
 			submit(test);
-			test.submitter.handleUnknownJobs(['job']);
+			test.submitter.handleUnknownJobs(['job'], earlierVersion);
 			test.submitter.handleNotBegun(first, ['job']);
 			test.setView(second);
 			test.submitter.handlePlacerChange();
@@ -91,6 +94,18 @@
 			assert.deepEqual(getSubmissions(test).at(-1), [3, 2, true]);
 		});
 
+		it('counts a word that is repeated, as after a lost message, once', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.submitter.handleNotBegun(first, ['job']);
+			test.setView(second);
+			test.submitter.handlePlacerChange();
+			test.submitter.handleNotBegun(first, ['job']);
+			assert.deepEqual(getSubmissions(test), [[1, 0, false], [2, 1, false]]);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [refusal]);
+		});
+
 		it('does not count the word of the placer about another term', () => {
 			const test = createTestSubmitter();
 			submit(test);
@@ -107,11 +122,11 @@
 		for (const view of [{term: 1, placerId: 'second'}, {term: 2, placerId: 'first'}]) {
 			test.setView(view);
 			test.submitter.handlePlacerChange();
-			test.submitter.handleUnknownJobs(['job']);
+			test.submitter.handleUnknownJobs(['job'], earlierVersion);
 			test.setIncarnation('two');
 		}
 
-		test.submitter.handleUnknownJobs(['job']);
+		test.submitter.handleUnknownJobs(['job'], earlierVersion);
 		const handovers = test.sent.flatMap(message => (message.kind === 'placement.submit' ? [message.handover?.placers.map(({incarnation}) => incarnation)] : []));
 		assert.deepEqual(handovers, [
 			undefined,
@@ -134,10 +149,74 @@
 	it('resubmits a job that the placer does not know', () => {
 		const test = createTestSubmitter();
 		submit(test);
-		test.submitter.handleUnknownJobs(['job', 'other']);
+		test.submitter.handleUnknownJobs(['job', 'other'], earlierVersion);
 		assert.equal(test.sent.filter(message => message.kind === 'placement.submit').length, 2);
 	});
 
+	describe('with a job that its placer does not know', () => {
+		const first = {view: {term: 1, placerId: 'first'}, incarnation: 'first one'};
+
+		function getSubmissions({sent}: TestSubmitter): Array<[submissionId: string, generation: number, mayHaveStarted: boolean]> {
+			return sent.flatMap(message => (message.kind === 'placement.submit' ? [[message.submissionId, message.generation, message.mayHaveStarted]] : []));
+		}
+
+		// Guards against a 504 for a job whose first message was lost on its way to the placer.
+		it('repeats the submission as one that has not begun, and reports a refusal', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.submitter.handleUnknownJobs(['job'], first);
+			const [original, repetition] = getSubmissions(test);
+			assert.deepEqual(original!.slice(1), [0, false]);
+			assert.deepEqual(repetition, original);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [refusal]);
+		});
+
+		// Guards against a false "not run": the first message may have arrived after the placer had answered.
+		it('counts it as possibly started when it goes to the next placer, whatever this one says of it', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.submitter.handleUnknownJobs(['job'], first);
+			test.submitter.handleNotBegun(first.view, ['job']);
+			test.setView({term: 2, placerId: 'second'});
+			test.submitter.handlePlacerChange();
+			assert.deepEqual(getSubmissions(test).at(-1)!.slice(1), [1, true]);
+			test.submitter.handleResult('job', refusal);
+			assert.deepEqual(test.results, [{outcome: 'unknown'}]);
+		});
+
+		// Guards against a false "not run" by a placer that did not get the job in the term or process that it was sent to.
+		const others: Array<{title: string; source: typeof first; ageMs: number}> = [
+			{title: 'of another term', source: {...first, view: {term: 2, placerId: 'first'}}, ageMs: 0},
+			{title: 'that is another daemon', source: {...first, view: {term: 1, placerId: 'second'}}, ageMs: 0},
+			{title: 'that has restarted', source: {...first, incarnation: 'first two'}, ageMs: 0},
+			{title: 'of an earlier version', source: earlierVersion, ageMs: 0},
+			{title: 'that may have forgotten the result', source: first, ageMs: 10_000},
+		];
+		for (const {title, source, ageMs} of others) {
+			it(`counts it as possibly started after the word of a placer ${title}`, () => {
+				const test = createTestSubmitter();
+				submit(test);
+				test.timers.advance(ageMs);
+				test.submitter.handleUnknownJobs(['job'], source);
+				assert.deepEqual(getSubmissions(test).map(([, generation, mayHaveStarted]) => [generation, mayHaveStarted]), [[0, false], [1, true]]);
+				test.submitter.handleResult('job', refusal);
+				assert.deepEqual(test.results, [{outcome: 'unknown'}]);
+			});
+		}
+
+		it('still names the placers of earlier submissions', () => {
+			const test = createTestSubmitter();
+			submit(test);
+			test.setView({term: 2, placerId: 'second'});
+			test.submitter.handlePlacerChange();
+			test.submitter.handleUnknownJobs(['job'], {view: {term: 2, placerId: 'second'}, incarnation: 'second one'});
+			const last = test.sent.findLast(message => message.kind === 'placement.submit');
+			assert.deepEqual(last?.handover?.placers, [{placerId: 'first', incarnation: 'first one'}]);
+			assert.equal(last?.mayHaveStarted, true);
+		});
+	});
+
 	it('ends a cancellation as unconfirmed if no placer confirms it', () => {
 		const test = createTestSubmitter();
 		const ends: boolean[] = [];
--- a/packages/cluster/test/placing/local-placer.test.ts
+++ b/packages/cluster/test/placing/local-placer.test.ts
@@ -26,6 +26,7 @@
 		random: createSeededRandomSource(1),
 		events: new RecordingEventLog(),
 		metrics: new RecordingMetricSink(),
+		ownIncarnation: 'one',
 		serverSources: {
 			isCoveredBy: () => true,
 			requestMissing() {
@@ -86,11 +87,17 @@
 
 	localPlacer.stop('test');
 	assert.equal(fleet.records.length, 2);
-	assert.deepEqual(sent, [
+	const expected: TestLocalPlacer['sent'] = [
 		['entry-1', {kind: 'placement.not-begun', term: 7, jobIds: ['waiting-1', 'waiting-3']}],
 		['entry-2', {kind: 'placement.not-begun', term: 7, jobIds: ['waiting-2']}],
-	]);
-	await runFor(timers, 200);
+	];
+	assert.deepEqual(sent, expected);
+	await runFor(timers, 199);
+	assert.deepEqual(sent, expected);
+	await runFor(timers, 2);
+	assert.deepEqual(sent, [...expected, ...expected], 'repeated once, in case a message is lost');
+	await runFor(timers, 1000);
+	assert.equal(sent.length, 4);
 	assert.equal(fleet.records.length, 2, 'nothing starts afterwards');
 });
 
@@ -103,3 +110,14 @@
 	localPlacer.handleMessage('entry', getSubmission('own-term', 2));
 	assert.deepEqual(sent, ['before', 'other-term'].map(jobId => ['entry', {kind: 'placement.not-begun', term: 1, jobIds: [jobId]}]));
 });
+
+// Guards against a word about jobs that does not say which placer it is of: another incarnation may have begun them.
+it('names its term and incarnation with the jobs that it does not know', () => {
+	const {localPlacer, sent} = createTestLocalPlacer(1);
+	localPlacer.start(4);
+	localPlacer.handleMessage('entry', getSubmission('known', 4));
+	localPlacer.handleMessage('entry', {kind: 'placement.open-jobs', jobIds: ['known', 'lost']});
+	assert.deepEqual(sent, [['entry', {
+		kind: 'placement.unknown-jobs', jobIds: ['lost'], term: 4, incarnation: 'one',
+	}]]);
+});
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -30,7 +30,14 @@
 	/** The jobs whose results a daemon waits for. The placer replies with the results of those that have ended. */
 	z.object({kind: z.literal('placement.open-jobs'), jobIds: z.array(z.string())}),
 	/** The jobs of that list that the placer does not know. */
-	z.object({kind: z.literal('placement.unknown-jobs'), jobIds: z.array(z.string())}),
+	z.object({
+		kind: z.literal('placement.unknown-jobs'),
+		jobIds: z.array(z.string()),
+		/** The term of the placer, which has begun none of these jobs in it so far. */
+		term: z.int().optional(),
+		/** The start of the placer's process. */
+		incarnation: z.string().optional(),
+	}),
 ]);
 
 export type PlacementMessage = z.infer<typeof placementMessageSchema>;
