Test the return of the keepers of an availability zone

Cause: no test had the bound that a zone is served again within 1 s after its keepers have been up for 1 s, nor a return after an entry VM that is behind. Change: tests only. Both keepers of a zone restart while an entry VM places, with and without a cost of requests; and a keeper takes over under load from an entry VM that refuses jobs because it is behind.

--- a/packages/cluster/test/create-cluster-without-keepers.test.ts
+++ b/packages/cluster/test/create-cluster-without-keepers.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {RequestCost} from '../../placement/test/support/slow-client.js';
 import {runFor} from '../../placement/test/support/run-for.js';
 import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
 import {countOutcomes, startAndWaitUntilServing} from './support/drive-cluster.js';
@@ -9,13 +10,14 @@
 const largeId = 'entry-a3';
 
 /** Creates a divided deployment with two keepers and five entry VMs a zone, of which the third one is the largest. */
-async function startDivided(): Promise<TestCluster> {
+async function startDivided(getRequestCost?: (id: string) => RequestCost | undefined): Promise<TestCluster> {
 	const test = createTestCluster({
 		serverCount: 105,
 		entriesPerZone: 5,
 		hasSecondKeepers: true,
 		getCpuMillicores: id => id === largeId ? largeMillicores : smallMillicores,
 		getDurationMs: () => 60,
+		getRequestCost,
 	});
 	await startAndWaitUntilServing(test);
 	await runFor(test.timers, 2500);
@@ -43,6 +45,49 @@
 	return {id, delayMs: Math.round(test.timers.getNowMs() - startMs)};
 }
 
+describe('createCluster, when the keepers of a zone return', () => {
+	const zoneKeepers = ['keeper-a', 'keeper-a2'];
+	const upMs = 1000;
+	const maxReturnMs = 1000;
+
+	// Guards against a zone that is not served while its placing moves back from an entry VM, and against a return that takes long.
+	const rows = [
+		{title: 'an entry VM that kept up', entryCost: undefined},
+		{title: 'an entry VM that was short of processor time', entryCost: {firstMs: 10, laterMs: 0.7}},
+	];
+	for (const {title, entryCost} of rows) {
+		it(`a keeper places and serves everything from ${upMs + maxReturnMs} ms after their start on, after ${title}`, async () => {
+			const test = await startDivided(id => (id.startsWith('entry') ? entryCost : undefined));
+			for (const id of zoneKeepers) {
+				test.kill(id);
+			}
+
+			await waitForEntryPlacer(test);
+			await runFor(test.timers, 1500);
+			for (const id of zoneKeepers) {
+				test.restart(id);
+			}
+
+			await submitToZone(test, 'during', upMs + maxReturnMs);
+			assert.match(test.find('entry-a1').cluster.getStatus().placerId, /^keeper-a/v);
+			await submitToZone(test, 'after', 1000);
+			await runFor(test.timers, 1500);
+			assert.deepEqual(countOutcomes(test, 'after'), {completed: 100});
+			assert.deepEqual(countOutcomes(test, 'during'), {completed: 200});
+			assert.deepEqual(test.fleet.findOverlaps(), []);
+		});
+	}
+});
+
+/** Submits a job every 10 ms to the entry daemons of zone a in turn. */
+async function submitToZone(test: TestCluster, prefix: string, durationMs: number): Promise<void> {
+	for (let passedMs = 0; passedMs < durationMs; passedMs += 10) {
+		test.submit(`entry-a${(passedMs / 10 % 5) + 1}`, `${prefix}-${passedMs}`);
+		// eslint-disable-next-line no-await-in-loop -- Jobs are submitted over time.
+		await runFor(test.timers, 10);
+	}
+}
+
 describe('createCluster, when all keepers are lost', () => {
 	// Guards against a takeover by a VM that is too small to place, only because its id is smaller.
 	it('the largest entry VM takes over within 1 s', async () => {
--- a/packages/placement/test/placer/takeover-under-load.test.ts
+++ b/packages/placement/test/placer/takeover-under-load.test.ts
@@ -155,6 +155,44 @@
 		assert.equal(successor!.getLoadMs(), 0);
 	});
 
+	// Guards against a return of the keepers that loses what the entry VM had, or that takes long since it was behind.
+	for (const seed of [1, 2]) {
+		it(`hands over to a keeper that has been up for 1 s, which serves everything within 1 s, seed ${seed}`, async () => {
+			const keeperAtMs = 4000;
+			const cost = {firstMs: 10, laterMs: 1.4};
+			let successor: Placer | undefined;
+			const result = await replayLoad({
+				load: 0.5,
+				seed,
+				durationMs,
+				steps: [...getTakeover(cost, placer => {
+					successor = placer;
+				}), {
+					atMs: keeperAtMs,
+					apply(test, openJobs) {
+						const unstartedIds = new Set([...successor!.getUnstartedJobIds().values()].flat());
+						successor!.stop();
+						const keeper = test.createSuccessor(3, 'third');
+						keeper.setServers(test.fleet.getDescriptions(), 0);
+						test.usePlacer(keeper);
+						for (const {request, arrivesAtMs} of openJobs) {
+							const isNew = unstartedIds.has(request.jobId);
+							test.submit({...request, ageMs: keeperAtMs - arrivesAtMs, callerTimeoutMs}, {
+								generation: isNew ? 0 : 2,
+								handover: isNew ? undefined : {entryId: 'entry', registryDigest: '', placers: [{placerId: 'second', incarnation: 'two'}]},
+							});
+						}
+					},
+				}],
+			});
+			const served = getArrivals({...result, cost}, keeperAtMs + msPerSecond, durationMs);
+			assert.ok(served.completedShare >= minCalmShare, `${served.completedShare} completed`);
+			const handedOver = getArrivals({...result, cost}, replacedAtMs, durationMs);
+			assert.deepEqual([handedOver.unknown, handedOver.unanswered], [[], []]);
+			assert.deepEqual(result.test.fleet.findOverlaps(), []);
+		});
+	}
+
 	// Guards against a limit on a VM that keeps up, whatever its load.
 	for (const load of [0.9, 2.1]) {
 		it(`never limits the starts of a placer that keeps up at a load of ${load}`, async () => {
