Do not count unanswered starts as lag of a placer that keeps up

Cause: while a rack with most of the starts is cut off, its unanswered starts are most of the last requests, and a placer that keeps up would be limited. Change: a start or stop that goes unanswered counts only while there is a limit. With 20 of 76 backend servers cut off, 13 slow, or one request in ten unanswered, at load 0.9: no limit (new test).

--- a/packages/placement/src/lag/create-response-log.ts
+++ b/packages/placement/src/lag/create-response-log.ts
@@ -3,7 +3,7 @@
 
 /** The response times of the last requests to all backend servers. */
 export type ResponseLog = {
-	/** Adds a response; an unanswered request counts as one that took as long as its timeout. */
+	/** Adds the response time of a request to a backend server. */
 	addResponse(serverId: string, durationMs: number): void;
 	/** Gets the last responses and by how much each took longer than usual. */
 	getSamples(): ResponseSample[];
--- a/packages/placement/src/lag/create-start-window.ts
+++ b/packages/placement/src/lag/create-start-window.ts
@@ -7,8 +7,13 @@
 
 /** Limits how many starts of a placer are in flight while it is itself behind. */
 export type StartWindow = {
-	/** Records a response, or an unanswered request as one that took as long as its timeout. */
+	/** Records a response to a request that the backend server answers immediately. */
 	addResponse(serverId: string, durationMs: number): void;
+	/**
+	 * Records a start or stop that went unanswered. While there is a limit, it counts as a response that took as long as the
+	 * timeout. At other times it says nothing about this VM: a rack with most of the starts may be cut off.
+	 */
+	addUnanswered(serverId: string, durationMs: number): void;
 	addStart(): void;
 	/** Records that a start was answered, or went unanswered. */
 	endStart(): void;
@@ -98,10 +103,17 @@
 		}
 	}
 
+	function addResponse(serverId: string, durationMs: number): void {
+		responseLog.addResponse(serverId, durationMs);
+		update();
+	}
+
 	return {
-		addResponse(serverId, durationMs) {
-			responseLog.addResponse(serverId, durationMs);
-			update();
+		addResponse,
+		addUnanswered(serverId, durationMs) {
+			if (isLimited()) {
+				addResponse(serverId, durationMs);
+			}
 		},
 		addStart() {
 			startsInFlight++;
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -140,12 +140,10 @@
 		metrics.increment('server-claimed');
 		const sentAtMs = timers.getNowMs();
 		const response = await backendServerClient.renew(getTarget(), {token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}, getClaimTimeoutMs());
-		if (response.outcome === 'unanswered') {
-			// The backend server may be gone: its claims say nothing about this VM.
-			claimWindow.leave(undefined);
-		} else {
-			claimWindow.leave(timers.getNowMs() - sentAtMs);
-			startWindow.addResponse(description.id, timers.getNowMs() - sentAtMs);
+		const responseMs = response.outcome === 'unanswered' ? undefined : timers.getNowMs() - sentAtMs;
+		claimWindow.leave(responseMs);
+		if (responseMs !== undefined) {
+			startWindow.addResponse(description.id, responseMs);
 		}
 
 		if (isClosed || ownClaim !== claim) {
@@ -277,9 +275,12 @@
 	async function measureResponseTime(request: Promise<StartStopResponse>): Promise<StartStopResponse> {
 		const sentAtMs = timers.getNowMs();
 		const response = await request;
-		startWindow.addResponse(description.id, timers.getNowMs() - sentAtMs);
-		if (response.outcome !== 'unanswered') {
-			callTimeouts.addResponse(timers.getNowMs() - sentAtMs);
+		const durationMs = timers.getNowMs() - sentAtMs;
+		if (response.outcome === 'unanswered') {
+			startWindow.addUnanswered(description.id, durationMs);
+		} else {
+			callTimeouts.addResponse(durationMs);
+			startWindow.addResponse(description.id, durationMs);
 		}
 
 		return response;
--- a/packages/placement/test/lag/create-start-window.test.ts
+++ b/packages/placement/test/lag/create-start-window.test.ts
@@ -73,6 +73,29 @@
 		assert.deepEqual(getNames(events), []);
 	});
 
+	// Guards against a limit on a VM that keeps up while a rack with most of the starts is cut off.
+	it('does not count starts that go unanswered as lag, unless there is a limit', () => {
+		const {events, window} = createTestWindow();
+		for (let index = 0; index < 20; index++) {
+			window.addUnanswered(`server-${index}`, 150);
+		}
+
+		assert.deepEqual(getNames(events), []);
+		window.addResponse('server-0', 2);
+		for (let index = 0; index < 10; index++) {
+			window.addResponse(`server-${index}`, 80);
+		}
+
+		assert.equal(window.isLimited(), true);
+		window.addStart();
+		const waitMs = window.getWaitMs(100);
+		for (let index = 0; index < 11; index++) {
+			window.addUnanswered(`server-${index}`, 150);
+		}
+
+		assert.ok(window.getWaitMs(100) > waitMs);
+	});
+
 	// Guards against starts that wait although earlier ones have been answered, and against a limit of a placer that was stopped.
 	it('reports that a start may be sent, and nothing once it is stopped', () => {
 		const {events, window, getOpenCount} = createTestWindow();
--- a/packages/placement/test/placer/takeover-under-load.test.ts
+++ b/packages/placement/test/placer/takeover-under-load.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createSeededRandomSource} from '@camphortack/core';
 import type {Placer} from '../../src/index.js';
+import type {FakeFault} from '../support/fake-fleet.js';
 import {replayLoad, type ReplayResult, type ReplayStep} from '../support/load-replay.js';
 import {SlowClient, type RequestCost} from '../support/slow-client.js';
 
@@ -193,10 +195,38 @@
 		});
 	}
 
-	// Guards against a limit on a VM that keeps up, whatever its load.
-	for (const load of [0.9, 2.1]) {
-		it(`never limits the starts of a placer that keeps up at a load of ${load}`, async () => {
-			const {test} = await replayLoad({load});
+	// Guards against a limit on a VM that keeps up, whatever its load and the faults of backend servers.
+	const random = createSeededRandomSource(1);
+	const troubles: Array<{title: string; load: number; serverCount: number; fault: FakeFault}> = [
+		{
+			title: 'a load of 0.9', load: 0.9, serverCount: 0, fault: {},
+		},
+		{
+			title: 'a load of 2.1', load: 2.1, serverCount: 0, fault: {},
+		},
+		{
+			title: '20 of 76 backend servers that are cut off', load: 0.9, serverCount: 20, fault: {isUnreachableFrom: () => true},
+		},
+		{
+			title: '13 of 76 backend servers that are slow', load: 0.9, serverCount: 13, fault: {slowdownFactor: 8},
+		},
+		{
+			title: 'one request in ten without a response', load: 0.9, serverCount: 76, fault: {isRequestDelayed: () => random.getFraction() < 0.1},
+		},
+	];
+	for (const {title, load, serverCount, fault} of troubles) {
+		it(`never limits the starts of a placer that keeps up, with ${title}`, async () => {
+			const {test} = await replayLoad({
+				load,
+				steps: [{
+					atMs: 1000,
+					apply({fleet}) {
+						for (const server of fleet.servers.slice(0, serverCount)) {
+							server.fault = fault;
+						}
+					},
+				}],
+			});
 			assert.deepEqual(test.events.events.filter(({name}) => name === 'placer-lagging'), []);
 			assert.equal(test.metrics.getCount('job-refused-lag'), 0);
 		});
