--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -11,6 +11,7 @@
 import {createLeaseClock} from './lease-clock.js';
 import {getRejectedStartEnd} from './get-run-end.js';
 import type {Run} from './run.js';
+import {createRemainingTimes} from './remaining-times.js';
 import {createRunTable} from './run-table.js';
 import {
 	unansweredClaimsUntilSilent, leaseMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
@@ -54,8 +55,7 @@
 	});
 	const clock = createLeaseClock(leaseMs);
 	let {description} = options;
-	let coldUntilMs = getColdEndMs();
-	let goneAtMs = findNoticeEndMs();
+	const remainingTimes = createRemainingTimes(timers, description);
 	let state: SessionState = 'claiming';
 	let claim = -1;
 	let unansweredClaims = 0;
@@ -63,14 +63,6 @@
 	let isEndExpected = false;
 	let isClosed = false;
 
-	function getColdEndMs(): number {
-		return description.coldMs === undefined ? Number.NEGATIVE_INFINITY : timers.getNowMs() + description.coldMs;
-	}
-
-	function findNoticeEndMs(): number | undefined {
-		return description.noticeMs === undefined ? undefined : timers.getNowMs() + description.noticeMs;
-	}
-
 	function getTarget(): RequestTarget {
 		return {host: description.host, port: description.port, serverId: description.id};
 	}
@@ -374,11 +366,10 @@
 		getDescription: () => description,
 		setDescription(next) {
 			description = next;
-			coldUntilMs = getColdEndMs();
-			goneAtMs = findNoticeEndMs();
+			remainingTimes.setDescription(next);
 		},
-		getColdUntilMs: () => coldUntilMs,
-		findGoneAtMs: () => goneAtMs,
+		getColdUntilMs: remainingTimes.getColdUntilMs,
+		findGoneAtMs: remainingTimes.findGoneAtMs,
 		getState: () => state,
 		isFirstClaimPending: () => state === 'claiming' && claim === 0,
 		// Nothing runs on an incarnation that has ended, but a newer one under the same id is not claimed yet.
