Use learned speeds of backend servers in the check for slow runs

Cause: on backend servers of speeds 0.7, 0.7 and 1.7 with 3% long tasks the check stops sound runs and ejects healthy backend servers. Runs on suspected backend servers are no evidence of speed, so that a lasting fault is not learned as a speed.

--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -59,6 +59,8 @@
 	'job-abandoned': 'Jobs stopped because the caller closed the connection.',
 	'placed-job-time': 'Time from arrival to the end of a job at the placer, in milliseconds.',
 	'task-slow': 'Runs stopped because another backend server was expected to finish the task sooner.',
+	'server-speed-lowest': 'The lowest learned speed of the backend servers of the placer; 1 is nominal.',
+	'server-speed-highest': 'The highest learned speed of the backend servers of the placer; 1 is nominal.',
 	'near-wait': 'Tasks that waited for a backend server near their data.',
 	'near-wait-time': 'Time that a started task had waited for a backend server near its data, in milliseconds.',
 	'far-run': 'Runs started far from their data although their rack is known.',
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -1,10 +1,21 @@
 import type {BackendSession} from '../sessions/backend-session.js';
+import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {TaskNeeds} from '../sessions/run.js';
 import type {StepEstimate} from './get-step-estimates.js';
 import type {HandoverSource} from './job-handover.js';
 import type {JobRequest, JobStep} from './job-request.js';
 import {getTaskName} from './task-name.js';
 
+/** A successful run that this placer started on a backend server that was not cold. */
+export type FinishedRun = {
+	server: BackendServerDescription;
+	durationMs: number;
+	/** The time that it would have taken at nominal speed near its data. */
+	nominalMs: number;
+	/** Whether the backend server was suspected of a fault, so that the run does not show its usual speed. */
+	isSuspect: boolean;
+};
+
 export type PlacedTask = {
 	readonly name: string;
 	readonly step: number;
@@ -21,8 +32,8 @@
 	/** Backend servers that the task is not placed on again, because it failed, was too slow or could not start there. */
 	readonly avoidedServerIds: Set<string>;
 	startedAtMs: number;
-	/** Duration of the successful run, without what the distance to the data added. */
-	durationMs: number | undefined;
+	/** The successful run, if its duration can be compared with others. */
+	finishedRun: FinishedRun | undefined;
 	/** Whether an earlier placer started the run, so that its start time is not known. */
 	isAdopted: boolean;
 	/** Number of runs that were stopped because they were slow. */
@@ -77,7 +88,7 @@
 		failureCount: 0,
 		avoidedServerIds: new Set(),
 		startedAtMs: 0,
-		durationMs: undefined,
+		finishedRun: undefined,
 		isAdopted: false,
 		slowRunCount: 0,
 		nearWaitSinceMs: undefined,
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -10,6 +10,9 @@
 import type {ServerSources} from '../ports/server-sources.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
+import {createRunRecorder} from '../speed/run-recorder.js';
+import {createServerSpeeds, type ServerSpeeds} from '../speed/server-speeds.js';
+import {createSpeedReport} from '../speed/speed-report.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
 import {createJobIntake} from './job-intake.js';
@@ -38,6 +41,8 @@
 	serverSources: ServerSources;
 	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
 	remoteRunFactor?: number | undefined;
+	/** The speeds of the backend servers; the placer learns its own unless they are given. */
+	serverSpeeds?: ServerSpeeds | undefined;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -62,6 +67,8 @@
 	const {timers, random, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const intake = createJobIntake(timers);
+	const speeds = options.serverSpeeds ?? createServerSpeeds(timers);
+	const runRecorder = createRunRecorder({speeds, intake, remoteRunFactor});
 	const {getRunFactor, findExpectedEndMs} = createRunExpectations(timers, jobTable, remoteRunFactor);
 	let isPassScheduled = false;
 	let lastPassAtMs = Number.NEGATIVE_INFINITY;
@@ -109,10 +116,13 @@
 		},
 	});
 	const slowRunDetector = createSlowRunDetector({
-		timers, events, metrics, jobTable, pool, getRunFactor,
+		timers, events, metrics, jobTable, pool, speeds, runRecorder,
+	});
+	const speedReport = createSpeedReport({
+		timers, events, metrics, speeds, getServers: () => [...pool.getServers()].map(({session}) => session.getDescription()),
 	});
 	const taskEnds = createTaskEnds({
-		timers, events, metrics, pool, intake, getRunFactor, onJobEnd: endJob,
+		timers, events, metrics, pool, intake, runRecorder, slowRunDetector, getRunFactor, onJobEnd: endJob,
 	});
 	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
 	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
@@ -371,6 +381,7 @@
 		stop() {
 			isStopped = true;
 			slowRunDetector.stop();
+			speedReport.stop();
 			passInterval.cancel();
 			logOpenJobs();
 			pool.close();
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -13,6 +13,8 @@
 	createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob;
 	/** Records how long a task of a queue took. */
 	addRun(queueName: string, durationMs: number): void;
+	/** Gets the expected run time of a task near its data, on whatever backend server. */
+	getExpectedMs(queueName: string, declaredMs: number): number;
 };
 
 /**
@@ -48,5 +50,6 @@
 			};
 		},
 		addRun: runTimeEstimator.addRun,
+		getExpectedMs: runTimeEstimator.getExpectedMs,
 	};
 }
--- a/packages/placement/src/placer/task-ends.ts
+++ b/packages/placement/src/placer/task-ends.ts
@@ -3,9 +3,11 @@
 import type {JobOutcome} from '../messages/job-outcome.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {RunEnd} from '../sessions/run.js';
+import type {RunRecorder} from '../speed/run-recorder.js';
 import type {JobIntake} from './job-intake.js';
 import type {RunExpectations} from './run-expectations.js';
 import type {ServerPool} from './server-pool.js';
+import type {SlowRunDetector} from './slow-run-detector.js';
 
 /** Updates tasks whose runs have ended, and ends the jobs that are done or have failed. */
 export type TaskEnds = {
@@ -19,16 +21,18 @@
 	metrics: MetricSink;
 	pool: ServerPool;
 	intake: Pick<JobIntake, 'addRun'>;
+	runRecorder: Pick<RunRecorder, 'addRun' | 'compareStepIfDone'>;
+	slowRunDetector: Pick<SlowRunDetector, 'addEnd'>;
 	/** Called with each job that is done, or of which a task has failed too often. */
 	onJobEnd: (job: PlacedJob, result: JobOutcome) => void;
 };
 
 /**
  * Creates the handling of task ends of a placer.
- * @param options - The backend servers, the estimates and the logs.
+ * @param options - The backend servers, the estimates, the detector of slow runs and the logs.
  */
 export function createTaskEnds(options: TaskEndsOptions): TaskEnds {
-	const {timers, events, metrics, pool, intake, getRunFactor, onJobEnd} = options;
+	const {timers, events, metrics, pool, intake, runRecorder, slowRunDetector, getRunFactor, onJobEnd} = options;
 
 	function handleEnd(job: PlacedJob, task: PlacedTask, end: RunEnd): void {
 		const {session} = task;
@@ -74,16 +78,19 @@
 	}
 
 	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
-		const durationMs = (timers.getNowMs() - task.startedAtMs) / getRunFactor(job, task, session);
+		const description = session.getDescription();
 		task.state = 'done';
-		if (!task.isAdopted) {
-			task.durationMs = durationMs;
-			if (session.getColdUntilMs() <= task.startedAtMs) {
-				intake.addRun(job.request.queueName, durationMs);
-			}
+		if (!task.isAdopted && session.getColdUntilMs() <= task.startedAtMs) {
+			const durationMs = timers.getNowMs() - task.startedAtMs;
+			intake.addRun(job.request.queueName, durationMs / getRunFactor(job, task, session));
+			runRecorder.addRun(job, task, description, durationMs);
+		}
+
+		if (slowRunDetector.addEnd(job, task)) {
+			pool.findServer(description.id)?.health.addSuccess();
 		}
 
-		pool.findServer(session.getDescription().id)?.health.addSuccess();
+		runRecorder.compareStepIfDone(job, task.step);
 		metrics.increment('task-done');
 		if (isDone(job)) {
 			onJobEnd(job, {outcome: 'completed'});
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -1,4 +1,6 @@
-import {createSeededRandomSource, type TimerService} from '@camphortack/core';
+import {
+	createSeededRandomSource, type EventFields, type EventName, type TimerService,
+} from '@camphortack/core';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {
 	createPlacer, type BackendServerClient, type HandoverSource, type JobOutcome, type JobRequest, type Placer, type PlacerOptions,
@@ -19,6 +21,8 @@
 	results: Map<string, JobOutcome>;
 	/** When each result was reported. */
 	endedAtMs: Map<string, number>;
+	/** When each backend server was ejected first. */
+	ejectedAtMs: Map<string, number>;
 	/** The sources whose missing registries the placers have requested. */
 	requestedSources: HandoverSource[];
 	/** Submits a job to the placer in use, at first the one that was created with the fleet. */
@@ -48,12 +52,20 @@
 
 /**
  * Creates a placer for a fake fleet.
- * @param options - Options of the fleet.
+ * @param options - Options of the fleet, and the speeds that the first placer and its successors know.
  */
-export function createTestPlacer(options: Partial<FakeFleetOptions> & Pick<PlacerOptions, 'remoteRunFactor'> = {}): TestPlacer {
+export function createTestPlacer({serverSpeeds, remoteRunFactor, ...options}: Partial<FakeFleetOptions> & Pick<PlacerOptions, 'remoteRunFactor' | 'serverSpeeds'> = {}): TestPlacer {
 	const timers = new VirtualTimers();
 	const fleet = createFakeFleet({timers, serverCount: 4, ...options});
-	const events = new RecordingEventLog();
+	const ejectedAtMs = new Map<string, number>();
+	const events = new class extends RecordingEventLog {
+		override write(name: EventName, fields: EventFields = {}): void {
+			super.write(name, fields);
+			if (name === 'backend-server-ejected' && !ejectedAtMs.has(String(fields.server))) {
+				ejectedAtMs.set(String(fields.server), timers.getNowMs());
+			}
+		}
+	}();
 	const metrics = new RecordingMetricSink();
 	const results = new Map<string, JobOutcome>();
 	const endedAtMs = new Map<string, number>();
@@ -68,7 +80,8 @@
 			random: createSeededRandomSource(term),
 			events,
 			metrics,
-			remoteRunFactor: options.remoteRunFactor,
+			remoteRunFactor,
+			serverSpeeds,
 			serverSources: {
 				isCoveredBy: ({placers}) => placers.every(({placerId}) => placerId !== unknownPlacerId),
 				requestMissing(source) {
@@ -93,6 +106,7 @@
 		metrics,
 		results,
 		endedAtMs,
+		ejectedAtMs,
 		createSuccessor,
 		requestedSources,
 		submit(request, {generation = 0, submissionId = 'one', handover} = {}) {
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -35,6 +35,8 @@
 
 export type FakeServer = {
 	description: BackendServerDescription;
+	/** Multiple of the nominal speed. */
+	speed: number;
 	fault: FakeFault;
 	runs: Map<string, FakeRun>;
 	ends: EndedRun[];
@@ -108,6 +110,7 @@
 			gpuCount: 0,
 			labels: ['a', 'rack-1'],
 		},
+		speed: 1,
 		fault: {},
 		runs: new Map(),
 		ends: [],
@@ -179,7 +182,7 @@
 		const record: RunRecord = {
 			taskName, runNumber, serverId: server.description.id, startedAtMs: timers.getNowMs(), endedAtMs: undefined, outcome: undefined, daemonId,
 		};
-		const durationMs = getDurationMs(taskName, payload) * getRunFactor(taskName, server.description) * (server.fault.slowdownFactor ?? 1);
+		const durationMs = getDurationMs(taskName, payload) * getRunFactor(taskName, server.description) * (server.fault.slowdownFactor ?? 1) / server.speed;
 		records.push(record);
 		server.runs.set(taskName, {record, durationMs});
 		server.highestRuns.set(taskName, runNumber);
--- a/packages/placement/test/support/load-pattern.ts
+++ b/packages/placement/test/support/load-pattern.ts
@@ -45,6 +45,8 @@
 const unevenness = 0.15;
 const declaredSpread = 0.4;
 const maxRunTimeFactor = 4;
+/** How much longer a long task takes than the others of its step. */
+const longTaskFactor = 7;
 const stretch = 1.6;
 const slackMs = 60;
 const millicoresPerCore = 1000;
@@ -56,16 +58,22 @@
  * Draws the jobs of a load pattern.
  * @param options - The length, the load as a multiple of all cores, and the random source.
  */
-export function createLoadPattern({kinds, cores, load, durationMs, random}: {
-	kinds: readonly JobKind[]; cores: number; load: number; durationMs: number; random: RandomSource;
+export function createLoadPattern({kinds, cores, load, durationMs, random, longTaskShare = 0}: {
+	kinds: readonly JobKind[];
+	cores: number;
+	load: number;
+	durationMs: number;
+	random: RandomSource;
+	/** The share of the tasks that take several times as long by themselves; they are part of the load. */
+	longTaskShare?: number;
 }): PatternJob[] {
 	const totalWeight = kinds.reduce((sum, {weight}) => sum + weight, 0);
 	const meanWork = kinds.reduce((sum, kind) => sum + (kind.weight / totalWeight * getMeanWork(kind)), 0);
-	const meanIntervalMs = msPerSecond * meanWork / (load * cores);
+	const meanIntervalMs = msPerSecond * meanWork * (1 + (longTaskShare * (longTaskFactor - 1))) / (load * cores);
 	const jobs: PatternJob[] = [];
 	let arrivesAtMs = 0;
 	while (arrivesAtMs < durationMs) {
-		jobs.push(createJob(chooseKind(kinds, random.getFraction() * totalWeight), jobs.length, arrivesAtMs, random));
+		jobs.push(createJob(chooseKind(kinds, random.getFraction() * totalWeight), jobs.length, arrivesAtMs, {random, longTaskShare}));
 		arrivesAtMs += -Math.log(1 - random.getFraction()) * meanIntervalMs;
 	}
 
@@ -80,11 +88,11 @@
 	}) ?? kinds[0]!;
 }
 
-function createJob(kind: JobKind, number: number, arrivesAtMs: number, random: RandomSource): PatternJob {
+function createJob(kind: JobKind, number: number, arrivesAtMs: number, {random, longTaskShare}: {random: RandomSource; longTaskShare: number}): PatternJob {
 	const taskCount = Math.max(1, Math.round(Math.min(kind.maxTaskCount, getLogNormal(random, kind.meanTaskCount, taskCountSpread))));
 	const cpuMillicores = Math.round(Math.min(maxMillicores, getLogNormal(random, meanMillicores, cpuSpread)));
 	const runMs = Math.min(kind.meanRunMs * maxRunTimeFactor, getLogNormal(random, kind.meanRunMs, runTimeSpread));
-	const taskDurationsMs = Array.from({length: taskCount}, () => runMs * Math.max(0.3, 1 + (unevenness * getNormal(random))));
+	const taskDurationsMs = Array.from({length: taskCount}, () => runMs * Math.max(0.3, 1 + (unevenness * getNormal(random))) * getLength(random, longTaskShare));
 	const work = taskDurationsMs.reduce((sum, durationMs) => sum + durationMs, 0) * cpuMillicores / msPerSecond / millicoresPerCore;
 	return {
 		kind,
@@ -109,6 +117,11 @@
 	};
 }
 
+/** Draws nothing if no task is long, so that such patterns do not depend on the share. */
+function getLength(random: RandomSource, longTaskShare: number): number {
+	return longTaskShare > 0 && random.getFraction() < longTaskShare ? longTaskFactor : 1;
+}
+
 /** The mean work of a kind in core-seconds. */
 function getMeanWork({meanTaskCount, meanRunMs}: JobKind): number {
 	return meanTaskCount * meanRunMs / msPerSecond * meanMillicores / millicoresPerCore;
--- a/packages/placement/test/support/load-replay.ts
+++ b/packages/placement/test/support/load-replay.ts
@@ -1,4 +1,5 @@
 import {createSeededRandomSource} from '@camphortack/core';
+import type {ServerSpeeds} from '../../src/index.js';
 import {createTestPlacer, type TestPlacer} from './create-test-placer.js';
 import {createLoadPattern, mixedKinds, type PatternJob} from './load-pattern.js';
 import {
@@ -21,6 +22,12 @@
 	steps?: readonly ReplayStep[];
 	/** Without it, all backend servers stand in one rack and no job states where its data is. */
 	racks?: RackOptions;
+	/** The speeds of the backend servers, each for three in turn, of which one is large. */
+	speeds?: readonly number[];
+	/** The share of the tasks that take several times as long by themselves. */
+	longTaskShare?: number;
+	/** The speeds that the placer knows; it learns them unless they are given. */
+	serverSpeeds?: ServerSpeeds;
 };
 
 /** How callers were served. Shares are of worth. */
@@ -44,9 +51,12 @@
 const dataRackSeedOffset = 1000;
 /** Every third backend server is half as large again as the others. */
 const largeServerMillicores = 96_000;
+const speedGroupSize = 3;
 /** When the replay starts: the placer has claimed all backend servers. */
 export const claimMs = 50;
 const drainMs = 2000;
+/** Time for the longest tasks that take several times as long by themselves. */
+const longDrainMs = 20_000;
 const stepMs = 2;
 const callerLinkMs = 6;
 const lateShare = 0.2;
@@ -57,12 +67,14 @@
  * Replays a load on one zone of a large deployment in virtual time and measures how callers are served.
  * @param options - The load and the troubles.
  */
-export async function replayLoad({load, seed = 1, durationMs = 4000, steps = [], racks}: ReplayOptions): Promise<ReplayResult> {
+export async function replayLoad(options: ReplayOptions): Promise<ReplayResult> {
+	const {load, seed = 1, durationMs = 4000, steps = [], racks, speeds = [1], longTaskShare = 0, serverSpeeds} = options;
 	const random = createSeededRandomSource(seed);
 	const durations = new Map<string, number>();
 	const millicores = new Map<string, number>();
 	const dataRacks = new Map<string, string>();
 	const test = createTestPlacer({
+		serverSpeeds,
 		serverCount,
 		getDurationMs: taskName => durations.get(taskName)!,
 		getMillicores: taskName => millicores.get(taskName)!,
@@ -70,7 +82,8 @@
 		remoteRunFactor: racks?.isFactorKnown ? racks.remoteFactor : undefined,
 	});
 	for (const [position, server] of test.fleet.servers.entries()) {
-		server.description.cpuMillicores = position % 3 === 2 ? largeServerMillicores : server.description.cpuMillicores;
+		server.speed = speeds[Math.floor(position / speedGroupSize) % speeds.length]!;
+		server.description.cpuMillicores = position % speedGroupSize === 2 ? largeServerMillicores : server.description.cpuMillicores;
 	}
 
 	if (racks !== undefined) {
@@ -81,7 +94,7 @@
 	await runFor(test.timers, claimMs);
 	const cores = test.fleet.getDescriptions().reduce((sum, {cpuMillicores}) => sum + (cpuMillicores / millicoresPerCore), 0);
 	const jobs = createLoadPattern({
-		kinds: mixedKinds, cores, load, durationMs, random,
+		kinds: mixedKinds, cores, load, durationMs, random, longTaskShare,
 	});
 	if (racks !== undefined) {
 		addDataRacks(racks, jobs, createSeededRandomSource(seed + dataRackSeedOffset));
@@ -97,7 +110,7 @@
 
 	const startedAtMs = test.timers.getNowMs();
 	await submitJobs(test, jobs, steps);
-	await runFor(test.timers, drainMs, stepMs);
+	await runFor(test.timers, longTaskShare > 0 ? longDrainMs : drainMs, stepMs);
 	return getResult(test, jobs, startedAtMs);
 }
 
