--- a/packages/cluster/src/entry/handle-entry-message.ts
+++ b/packages/cluster/src/entry/handle-entry-message.ts
@@ -10,7 +10,7 @@
 export function handleEntryMessage(jobSubmitter: JobSubmitter, fromId: string, message: PlacementMessage): boolean {
 	switch (message.kind) {
 		case 'placement.result': {
-			jobSubmitter.handleResult(message.jobId, decodeOutcome(message.result));
+			jobSubmitter.handleResult(message.jobId, decodeOutcome(message.result), fromId);
 			return true;
 		}
 
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -22,7 +22,7 @@
 	submit(job: EntryJob, onResult: (result: JobOutcome) => void): JobSubscription;
 	/** Cancels a job, whether or not its callers wait here; calls back with whether a placer confirmed it in time. */
 	cancel(jobId: string, onEnd: (isConfirmed: boolean) => void): void;
-	handleResult(jobId: string, result: JobOutcome): void;
+	handleResult(jobId: string, result: JobOutcome, placerId: string): void;
 	handleCancelled(jobId: string): void;
 	/** Resubmits jobs that an incarnation of the placer of a term does not know; it is empty if the placer does not state it. */
 	handleUnknownJobs(jobIds: readonly string[], source: {view: PlacerView; incarnation: string}): void;
@@ -104,6 +104,11 @@
 		return submittedTo !== undefined && isSameView(submittedTo, getPlacerView(shard));
 	}
 
+	/** Whether a job was last submitted to a placer. The word of another one crossed a forwarding, and says nothing about the job there. */
+	function isOfCurrentPlacer({submittedTo}: OpenJob, placerId: string): boolean {
+		return submittedTo?.placerId === placerId;
+	}
+
 	/** Whether a forwarded job can no longer be asked about: the shard that may have started it is not heard. */
 	function isCutOff({wasForwarded, shard}: OpenJob): boolean {
 		return wasForwarded && !shards.isHeard(shard);
@@ -336,8 +341,12 @@
 				sendToPlacer(shard, {kind: 'placement.cancel', jobId});
 			}, onEnd);
 		},
-		handleResult(jobId, result) {
+		handleResult(jobId, result, placerId) {
 			const open = openJobs.get(jobId);
+			if (open !== undefined && result.outcome === 'refused' && !isOfCurrentPlacer(open, placerId)) {
+				return;
+			}
+
 			if (open === undefined || !forwardRefused(open, result)) {
 				endJob(jobId, result);
 			}
@@ -348,7 +357,7 @@
 		handleUnknownJobs(jobIds, source) {
 			for (const jobId of jobIds) {
 				const open = openJobs.get(jobId);
-				if (open !== undefined) {
+				if (open !== undefined && isOfCurrentPlacer(open, source.view.placerId)) {
 					resubmit(open, source);
 				}
 			}
--- a/packages/placement/src/health/slow-run-evidence.ts
+++ b/packages/placement/src/health/slow-run-evidence.ts
@@ -3,6 +3,7 @@
 /** A run of a task, as evidence on the backend server that it runs on. */
 export type AssessedRun = {
 	serverId: string;
+	taskName: string;
 	/** What is slow if not the backend server: the task, or its job if there is nothing to compare the task with. */
 	key: string;
 	startedAtMs: number;
@@ -28,8 +29,8 @@
 export type Suspicion = 'none' | 'likely' | 'certain';
 
 type ServerRuns = {
-	/** When the slow runs were last seen, by key. */
-	slowRuns: Map<string, {startedAtMs: number; seenAtMs: number}>;
+	/** When the slow runs were last seen, by task. */
+	slowRuns: Map<string, {key: string; startedAtMs: number; seenAtMs: number}>;
 	/** The latest start of a run that was near its expected pace. */
 	normalStartMs: number;
 	seenAtMs: number;
@@ -58,8 +59,8 @@
  *
  * @example
  * ```ts
- * evidence.addSlowRun({serverId: 'server-1', key: 'task-1', startedAtMs: 0});
- * evidence.addSlowRun({serverId: 'server-1', key: 'task-2', startedAtMs: 50});
+ * evidence.addSlowRun({serverId: 'server-1', taskName: 'task-1', key: 'task-1', startedAtMs: 0});
+ * evidence.addSlowRun({serverId: 'server-1', taskName: 'task-2', key: 'task-2', startedAtMs: 50});
  * evidence.getSuspicion('server-1'); // 'likely'
  * ```
  */
@@ -96,22 +97,23 @@
 	}
 
 	return {
-		addSlowRun({serverId, key, startedAtMs}) {
+		addSlowRun({serverId, taskName, key, startedAtMs}) {
 			const {slowRuns, normalStartMs} = getRuns(serverId);
 			if (startedAtMs >= normalStartMs) {
-				slowRuns.set(key, {startedAtMs, seenAtMs: timers.getNowMs()});
+				slowRuns.set(taskName, {key, startedAtMs, seenAtMs: timers.getNowMs()});
 			}
 		},
-		addNormalRun({serverId, startedAtMs}) {
+		addNormalRun({serverId, taskName, startedAtMs}) {
 			const runs = getRuns(serverId);
 			runs.normalStartMs = Math.max(runs.normalStartMs, startedAtMs);
 			if (runs.slowRuns.size === 0) {
 				return;
 			}
 
-			for (const [key, run] of runs.slowRuns) {
+			runs.slowRuns.delete(taskName);
+			for (const [otherName, run] of runs.slowRuns) {
 				if (run.startedAtMs < startedAtMs) {
-					runs.slowRuns.delete(key);
+					runs.slowRuns.delete(otherName);
 					addLength(true);
 				}
 			}
@@ -127,17 +129,18 @@
 			}
 
 			const oldestMs = timers.getNowMs() - retentionMs;
-			for (const [key, {seenAtMs}] of slowRuns) {
+			for (const [taskName, {seenAtMs}] of slowRuns) {
 				if (seenAtMs < oldestMs) {
-					slowRuns.delete(key);
+					slowRuns.delete(taskName);
 				}
 			}
 
-			if (slowRuns.size >= getNeededRuns(longShare, maxFalseEjectionShare)) {
+			const count = new Set([...slowRuns.values()].map(({key}) => key)).size;
+			if (count >= getNeededRuns(longShare, maxFalseEjectionShare)) {
 				return 'certain';
 			}
 
-			return slowRuns.size >= getNeededRuns(longShare, maxFalseStopShare) ? 'likely' : 'none';
+			return count > 0 && count >= getNeededRuns(longShare, maxFalseStopShare) ? 'likely' : 'none';
 		},
 	};
 }
--- a/packages/placement/src/lag/create-start-window.ts
+++ b/packages/placement/src/lag/create-start-window.ts
@@ -119,8 +119,9 @@
 			startsInFlight++;
 		},
 		endStart() {
+			const wasAtLimit = isAtLimit({startLimit, startsInFlight});
 			startsInFlight--;
-			if (isLimited()) {
+			if (wasAtLimit) {
 				onOpen();
 			}
 		},
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -194,7 +194,10 @@
 			start();
 		}
 
-		movedRuns.moveRuns(service => tables.get(service) ?? createTable(service, waiting));
+		// A placer that is itself behind could not start the tasks of stopped runs soon.
+		if (!startWindow.isLimited()) {
+			movedRuns.moveRuns(service => tables.get(service) ?? createTable(service, waiting));
+		}
 	}
 
 	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
@@ -328,6 +331,7 @@
 			const result = jobTable.findResult(jobId, message.submissionId);
 			if (known !== undefined) {
 				known.entryId = entryId;
+				jobTable.addSubmission(known, message.submissionId);
 				recovery.handleResubmission(known, message);
 				schedulePass();
 			} else if (result === undefined) {
--- a/packages/placement/src/placer/create-retry-times.ts
+++ b/packages/placement/src/placer/create-retry-times.ts
@@ -1,7 +1,9 @@
 import type {MetricSink, RandomSource, TimerService} from '@camphortack/core';
 import type {PlacedJob} from '../jobs/placed-job.js';
 import type {RefusalReason} from '../messages/job-outcome.js';
-import {getRetryAfterMs, getReturnBacklog, type ReturnBacklog} from '../queue/get-retry-after-ms.js';
+import {
+	addReturnWork, getRetryAfterMs, getReturnBacklog, type ReturnBacklog,
+} from '../queue/get-retry-after-ms.js';
 import type {ServerPool} from './server-pool.js';
 
 /** The job, why it is refused, and the wait that was estimated for it. */
@@ -43,10 +45,10 @@
 		const backlog = getReturnBacklog(backlogs.get(service) ?? {work: 0, atMs: nowMs}, cores, nowMs);
 		// Refusals for other causes than the load say nothing about when their callers can be served.
 		const isForLoad = reason === 'overload' || reason === 'too-late';
-		const returnWork = isForLoad ? backlog.work + work : 0;
-		backlogs.set(service, {...backlog, work: Math.max(backlog.work, returnWork)});
+		const next = isForLoad ? addReturnWork(backlog, work, cores) : backlog;
+		backlogs.set(service, next);
 		const retryAfterMs = getRetryAfterMs({
-			returnWork, cores, waitMs, fraction: random.getFraction(),
+			returnWork: isForLoad ? next.work : 0, cores, waitMs, fraction: random.getFraction(),
 		});
 		metrics.addTiming('retry-after-time', retryAfterMs);
 		return retryAfterMs;
--- a/packages/placement/src/placer/slow-run-detector.ts
+++ b/packages/placement/src/placer/slow-run-detector.ts
@@ -204,5 +204,7 @@
 }
 
 function getAssessedRun({job, task, progress, serverId}: {job: PlacedJob; task: PlacedTask; progress: RunProgress; serverId: string}): AssessedRun {
-	return {serverId, key: progress.siblingMs.length === 0 ? job.request.jobId : task.name, startedAtMs: task.startedAtMs};
+	return {
+		serverId, taskName: task.name, key: progress.siblingMs.length === 0 ? job.request.jobId : task.name, startedAtMs: task.startedAtMs,
+	};
 }
--- a/packages/placement/src/queue/get-retry-after-ms.ts
+++ b/packages/placement/src/queue/get-retry-after-ms.ts
@@ -23,6 +23,17 @@
 	return {work: Math.max(0, work - ((nowMs - atMs) * cores * returningShare)), atMs: nowMs};
 }
 
+/**
+ * Adds the work of a refused job to a backlog. More than the longest Retry-After covers is not kept, since callers that are
+ * refused again would be counted each time.
+ * @param backlog - The backlog.
+ * @param work - The work of the job, in core-milliseconds.
+ * @param cores - The cores that serve the jobs.
+ */
+export function addReturnWork(backlog: ReturnBacklog, work: number, cores: number): ReturnBacklog {
+	return {...backlog, work: Math.min(maxSpreadMs * cores * returningShare, backlog.work + work)};
+}
+
 /**
  * Gets the time after which a refused caller may return. This handles bursts, whose refused callers would otherwise return
  * together while the burst lasts or just after it, and be refused again: the returns are spread over the time that
--- a/packages/placement/test/placer/create-placer.test.ts
+++ b/packages/placement/test/placer/create-placer.test.ts
@@ -144,6 +144,28 @@
 		assert.deepEqual(results.get('job'), {outcome: 'completed'});
 	});
 
+	// Guards against a job that is taken as new, and refused as not run, although the runs of an earlier submission were stopped.
+	it('knows the submissions that were joined in a job, and those of earlier jobs of the same id', async () => {
+		const {timers, fleet, submit, placer, results} = createTestPlacer({getDurationMs: () => 500});
+		await runFor(timers, 10);
+		submit({jobId: 'job'}, {submissionId: 'first'});
+		await runFor(timers, 50);
+		submit({jobId: 'job'}, {submissionId: 'joined'});
+		placer.cancel('job');
+		await runFor(timers, 200);
+		const runCount = fleet.records.length;
+		results.clear();
+		submit({jobId: 'job'}, {submissionId: 'joined'});
+		assert.deepEqual(results.get('job'), {outcome: 'failed', reason: 'cancelled'});
+		submit({jobId: 'job', ageMs: 1400}, {submissionId: 'later'});
+		await runFor(timers, 5);
+		assert.equal(results.get('job')?.outcome, 'refused');
+		submit({jobId: 'job'}, {submissionId: 'first'});
+		assert.deepEqual(results.get('job'), {outcome: 'unknown'});
+		await runFor(timers, 200);
+		assert.equal(fleet.records.length, runCount);
+	});
+
 	it('stops the runs of a cancelled job', async () => {
 		const {timers, fleet, submit, placer} = createTestPlacer({getDurationMs: () => 2000});
 		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, estimateMs: 900}]});
--- a/packages/placement/test/queue/get-retry-after-ms.test.ts
+++ b/packages/placement/test/queue/get-retry-after-ms.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {getRetryAfterMs, getReturnBacklog} from '../../src/queue/get-retry-after-ms.js';
+import {addReturnWork, getRetryAfterMs, getReturnBacklog} from '../../src/queue/get-retry-after-ms.js';
 
 describe('getRetryAfterMs', () => {
 	const rows = [
@@ -28,6 +28,15 @@
 	}
 });
 
+describe('addReturnWork', () => {
+	// Guards against long Retry-Afters for a minute after an overload, in which returning callers were refused again and again.
+	it('keeps no more work than the longest Retry-After covers', () => {
+		const backlog = {work: 899_000, atMs: 0};
+		assert.equal(addReturnWork(backlog, 500, 1000).work, 899_500);
+		assert.equal(addReturnWork(backlog, 5000, 1000).work, 900_000);
+	});
+});
+
 describe('getReturnBacklog', () => {
 	const rows = [
 		{nowMs: 1000, expectedWork: 500_000},
