--- a/packages/cli/src/explaining/find-timeline.ts
+++ b/packages/cli/src/explaining/find-timeline.ts
@@ -1,7 +1,7 @@
 import type {LogRecord} from './log-record.js';
 
 const placerEvents = new Set(['placer-elected', 'placer-stopped', 'placer-followed']);
-const serverEvents = new Set(['backend-session-changed', 'backend-server-ejected', 'backend-server-changed', 'backend-server-speed-changed', 'backend-server-left', 'backend-server-announced']);
+const serverEvents = new Set(['backend-session-changed', 'backend-server-ejected', 'backend-server-changed', 'backend-server-left', 'backend-server-announced']);
 const daemonEvents = new Set(['daemon-started', 'daemon-draining', 'daemon-stopped', 'daemon-failed', 'entry-silent', 'log-lines-left-out']);
 /** Events shortly before the arrival of a job can have affected it. */
 const contextBeforeMs = 1000;
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -64,12 +64,6 @@
 	'backend-session-changed': {
 		number: 1107, level: 'info', summary: 'The session between the placer and a backend server changed state.', action: 'If it stays unresponsive, check the backend server and the link to it.',
 	},
-	'backend-server-speed-changed': {
-		number: 1109,
-		level: 'info',
-		summary: 'The learned speed of a backend server differs from the one last reported, at first 1, by a quarter or more.',
-		action: 'None if its hardware explains the speed; otherwise check the backend server.',
-	},
 	'start-rejected': {
 		number: 1201, level: 'info', summary: 'A backend server rejected the start of a task; the task did not run.', action: 'Read the reason.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -64,8 +64,6 @@
 	'large-job-preferred': 'Large jobs put ahead because such jobs of their queue were served too rarely.',
 	'medium-job-deferred': 'Medium-sized jobs put behind others in exchange for large ones of their queue.',
 	'retry-after-time': 'Retry-After of refused jobs, in milliseconds.',
-	'server-speed-lowest': 'The lowest learned speed of the backend servers of the placer; 1 is nominal.',
-	'server-speed-highest': 'The highest learned speed of the backend servers of the placer; 1 is nominal.',
 	'near-wait': 'Tasks that waited for a backend server near their data.',
 	'near-wait-time': 'Time that a started task had waited for a backend server near its data, in milliseconds.',
 	'far-run': 'Runs started far from their data although their rack is known.',
--- a/packages/placement/src/health/server-health.ts
+++ b/packages/placement/src/health/server-health.ts
@@ -12,11 +12,8 @@
 	addSuccess(): void;
 	/** Records that a task of a job failed on the backend server. */
 	addFailure(jobId: string): void;
-	/**
-	 * Records that a task hung or was far slower than on other backend servers. Unless the backend server is certainly the
-	 * cause, it gets one task at a time until one succeeds or the cause is certain.
-	 */
-	addSlowness(jobId: string, isCertain: boolean): void;
+	/** Records that a task hung or was far slower than on other backend servers. */
+	addSlowness(jobId: string): void;
 	/** Records that a request for a job went unanswered. */
 	addUnansweredRequest(jobId: string): void;
 	getGrade(runCount: number): ServerGrade;
@@ -42,7 +39,6 @@
 	let ejectedUntilMs = Number.NEGATIVE_INFINITY;
 	let nextEjectionMs = minEjectionMs;
 	let isOnProbation = false;
-	let isOnTrial = false;
 
 	function recordProblem(jobId: string): void {
 		const nowMs = timers.getNowMs();
@@ -59,7 +55,6 @@
 	return {
 		addSuccess() {
 			problemJobIds.clear();
-			isOnTrial = false;
 			if (timers.getNowMs() >= ejectedUntilMs) {
 				isOnProbation = false;
 				suspectUntilMs = Number.NEGATIVE_INFINITY;
@@ -67,18 +62,11 @@
 			}
 		},
 		addFailure: recordProblem,
-		addSlowness(jobId, isCertain) {
-			if (isCertain) {
-				recordProblem(jobId);
-			} else {
-				problemJobIds.add(jobId);
-				isOnTrial = true;
-			}
-		},
+		addSlowness: recordProblem,
 		addUnansweredRequest: recordProblem,
 		getGrade(runCount) {
 			const nowMs = timers.getNowMs();
-			if (nowMs < ejectedUntilMs || ((isOnProbation || isOnTrial) && runCount > 0)) {
+			if (nowMs < ejectedUntilMs || (isOnProbation && runCount > 0)) {
 				return 'ejected';
 			}
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -7,4 +7,3 @@
 export * from './ports/backend-server-client.js';
 export type * from './ports/server-sources.js';
 export * from './servers/backend-server-description.js';
-export * from './speed/server-speeds.js';
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -1,22 +1,11 @@
 import type {SizePlace} from '../queue/get-size-place.js';
 import type {BackendSession} from '../sessions/backend-session.js';
-import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {TaskNeeds} from '../sessions/run.js';
 import type {StepEstimate} from './get-step-estimates.js';
 import type {HandoverSource} from './job-handover.js';
 import type {JobRequest, JobStep} from './job-request.js';
 import {getTaskName} from './task-name.js';
 
-/** A successful run that this placer started on a backend server that was not cold. */
-export type FinishedRun = {
-	server: BackendServerDescription;
-	durationMs: number;
-	/** The time that it would have taken at nominal speed near its data. */
-	nominalMs: number;
-	/** Whether the backend server was suspected of a fault, so that the run does not show its usual speed. */
-	isSuspect: boolean;
-};
-
 export type PlacedTask = {
 	readonly name: string;
 	readonly step: number;
@@ -33,8 +22,8 @@
 	/** Backend servers that the task is not placed on again, because it failed, was too slow or could not start there. */
 	readonly avoidedServerIds: Set<string>;
 	startedAtMs: number;
-	/** The successful run, if its duration can be compared with others. */
-	finishedRun: FinishedRun | undefined;
+	/** Duration of the successful run, without what the distance to the data added. */
+	durationMs: number | undefined;
 	/** Whether an earlier placer started the run, so that its start time is not known. */
 	isAdopted: boolean;
 	/** Number of runs that were stopped because they were slow. */
@@ -90,7 +79,7 @@
 		failureCount: 0,
 		avoidedServerIds: new Set(),
 		startedAtMs: 0,
-		finishedRun: undefined,
+		durationMs: undefined,
 		isAdopted: false,
 		slowRunCount: 0,
 		nearWaitSinceMs: undefined,
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -12,9 +12,6 @@
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createSizeShares} from '../queue/create-size-shares.js';
-import {createRunRecorder} from '../speed/run-recorder.js';
-import {createServerSpeeds, type ServerSpeeds} from '../speed/server-speeds.js';
-import {createSpeedReport} from '../speed/speed-report.js';
 import {createJobLog} from './job-log.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
@@ -46,8 +43,6 @@
 	serverSources: ServerSources;
 	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
 	remoteRunFactor?: number | undefined;
-	/** The speeds of the backend servers; the placer learns its own unless they are given. */
-	serverSpeeds?: ServerSpeeds | undefined;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -74,8 +69,6 @@
 		timers, events, metrics, sizeShares,
 	});
 	const intake = createJobIntake(timers, sizeShares);
-	const speeds = options.serverSpeeds ?? createServerSpeeds(timers);
-	const runRecorder = createRunRecorder({speeds, intake, remoteRunFactor});
 	const expectations = createRunExpectations(timers, jobTable, remoteRunFactor);
 	const {getRunFactor, findExpectedEndMs} = expectations;
 	let isPassScheduled = false;
@@ -130,13 +123,10 @@
 		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
 	});
 	const slowRunDetector = createSlowRunDetector({
-		timers, events, metrics, jobTable, pool, speeds, runRecorder,
-	});
-	const speedReport = createSpeedReport({
-		timers, events, metrics, speeds, getServers: () => [...pool.getServers()].map(({session}) => session.getDescription()),
+		timers, events, metrics, jobTable, pool, getRunFactor,
 	});
 	const taskEnds = createTaskEnds({
-		timers, events, metrics, pool, intake, runRecorder, slowRunDetector, getRunFactor, onJobEnd: endJob,
+		timers, events, metrics, pool, intake, getRunFactor, onJobEnd: endJob,
 	});
 	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
 	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
@@ -390,7 +380,6 @@
 			isStopped = true;
 			slowRunDetector.stop();
 			startWindow.stop();
-			speedReport.stop();
 			passInterval.cancel();
 			logOpenJobs();
 			pool.close();
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -14,8 +14,6 @@
 	createJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): PlacedJob;
 	/** Records how long a task of a queue took. */
 	addRun(queueName: string, durationMs: number): void;
-	/** Gets the expected run time of a task near its data, on whatever backend server. */
-	getExpectedMs(queueName: string, declaredMs: number): number;
 };
 
 /**
@@ -53,6 +51,5 @@
 			};
 		},
 		addRun: runTimeEstimator.addRun,
-		getExpectedMs: runTimeEstimator.getExpectedMs,
 	};
 }
--- a/packages/placement/src/placer/task-ends.ts
+++ b/packages/placement/src/placer/task-ends.ts
@@ -3,11 +3,9 @@
 import type {JobOutcome} from '../messages/job-outcome.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {RunEnd} from '../sessions/run.js';
-import type {RunRecorder} from '../speed/run-recorder.js';
 import type {JobIntake} from './job-intake.js';
 import type {RunExpectations} from './run-expectations.js';
 import type {ServerPool} from './server-pool.js';
-import type {SlowRunDetector} from './slow-run-detector.js';
 
 /** Updates tasks whose runs have ended, and ends the jobs that are done or have failed. */
 export type TaskEnds = {
@@ -21,18 +19,16 @@
 	metrics: MetricSink;
 	pool: ServerPool;
 	intake: Pick<JobIntake, 'addRun'>;
-	runRecorder: Pick<RunRecorder, 'addRun' | 'compareStepIfDone'>;
-	slowRunDetector: Pick<SlowRunDetector, 'addEnd'>;
 	/** Called with each job that is done, or of which a task has failed too often. */
 	onJobEnd: (job: PlacedJob, result: JobOutcome) => void;
 };
 
 /**
  * Creates the handling of task ends of a placer.
- * @param options - The backend servers, the estimates, the detector of slow runs and the logs.
+ * @param options - The backend servers, the estimates and the logs.
  */
 export function createTaskEnds(options: TaskEndsOptions): TaskEnds {
-	const {timers, events, metrics, pool, intake, runRecorder, slowRunDetector, getRunFactor, onJobEnd} = options;
+	const {timers, events, metrics, pool, intake, getRunFactor, onJobEnd} = options;
 
 	function handleEnd(job: PlacedJob, task: PlacedTask, end: RunEnd): void {
 		const {session} = task;
@@ -78,19 +74,16 @@
 	}
 
 	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
-		const description = session.getDescription();
+		const durationMs = (timers.getNowMs() - task.startedAtMs) / getRunFactor(job, task, session);
 		task.state = 'done';
-		if (!task.isAdopted && session.getColdUntilMs() <= task.startedAtMs) {
-			const durationMs = timers.getNowMs() - task.startedAtMs;
-			intake.addRun(job.request.queueName, durationMs / getRunFactor(job, task, session));
-			runRecorder.addRun(job, task, description, durationMs);
-		}
-
-		if (slowRunDetector.addEnd(job, task)) {
-			pool.findServer(description.id)?.health.addSuccess();
+		if (!task.isAdopted) {
+			task.durationMs = durationMs;
+			if (session.getColdUntilMs() <= task.startedAtMs) {
+				intake.addRun(job.request.queueName, durationMs);
+			}
 		}
 
-		runRecorder.compareStepIfDone(job, task.step);
+		pool.findServer(session.getDescription().id)?.health.addSuccess();
 		metrics.increment('task-done');
 		if (isDone(job)) {
 			onJobEnd(job, {outcome: 'completed'});
