End an order to evacuate a zone once its operator has given up

Cause: whether the operator's connection is closed was checked once, before the support check. The order was then sent again for up to 4 s (5 s with a keeper), so it could overtake a withdrawal that another daemon had acknowledged, and the zone was evacuated again.

Change: the route passes isWanted, which is whether the socket is still open, to the forwarder, which calls it before each send. A forwarder that sees from the length of an interval that its process was suspended skips that resend, since a closed connection is noticed only after the timers have run; a support check that outlasts its time ends without a send.

--- a/packages/consensus/src/evacuations/evacuation-client.ts
+++ b/packages/consensus/src/evacuations/evacuation-client.ts
@@ -2,7 +2,7 @@
 	Member, MetricSink, PeerMessage, PeerNetwork, RandomSource, TimerService,
 } from '@camphortack/core';
 import type {ConfigurationFollower} from '../follower/follower-options.js';
-import {evacuationResendMs, evacuationTimeoutMs} from '../follower/follower-timings.js';
+import {evacuationResendMs, evacuationSupportTimeoutMs, evacuationTimeoutMs} from '../follower/follower-timings.js';
 import type {Keeper} from '../keeper/keeper-options.js';
 import type {EvacuationOrder, EvacuationResult} from '../publish/evacuation-schemas.js';
 import {createRequestForwarder} from '../publish/request-forwarder.js';
@@ -27,13 +27,21 @@
 	keeper: Pick<Keeper, 'setEvacuation'> | undefined;
 };
 
+/** A check of the support that takes longer shows that this process was suspended. */
+const maxSupportCheckMs = evacuationSupportTimeoutMs + evacuationResendMs;
+
 /** Lets any daemon give orders to evacuate an availability zone, and exchanges what the keepers' log does not cover. */
 export type EvacuationClient = {
 	/** Handles a peer message whose kind starts with `evacuations.`, and on a daemon without a keeper `consensus.`. */
 	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
 	setMembers(members: readonly Member[]): void;
-	/** Stores an order through the keepers. `onResult` is called once, within a bounded time, unless the client is stopped. */
-	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationOrderResult) => void): void;
+	/**
+	 * Stores an order through the keepers. `onResult` is called once, within a bounded time, unless the client is stopped. An
+	 * order that `isWanted` no longer confirms is not sent again: its operator may have withdrawn it through another daemon.
+	 */
+	setEvacuation(
+		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationOrderResult) => void, isWanted?: () => boolean,
+	): void;
 	stop(): void;
 };
 
@@ -64,11 +72,11 @@
 		},
 	});
 
-	function store(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void {
+	function store(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, isWanted?: () => boolean): void {
 		if (keeper === undefined) {
-			forwarder.submit({availabilityZone, isEvacuated}, onResult);
+			forwarder.submit({availabilityZone, isEvacuated}, onResult, isWanted);
 		} else {
-			keeper.setEvacuation(availabilityZone, isEvacuated, onResult);
+			keeper.setEvacuation(availabilityZone, isEvacuated, onResult, isWanted);
 		}
 	}
 
@@ -121,18 +129,22 @@
 			supportCheck.setMembers(members);
 			informJoinedKeepers(members);
 		},
-		setEvacuation(availabilityZone, isEvacuated, onResult) {
+		setEvacuation(availabilityZone, isEvacuated, onResult, isWanted) {
 			if (!isEvacuated) {
 				// A withdrawal does no harm beside an earlier version: the log already has the evacuation, which that version does not obey.
-				store(availabilityZone, isEvacuated, onResult);
+				store(availabilityZone, isEvacuated, onResult, isWanted);
 				return;
 			}
 
+			const startedMs = timers.getNowMs();
 			supportCheck.check(daemonIds => {
 				if (daemonIds.length > 0) {
 					onResult({outcome: 'unconfirmed', daemonIds});
+				} else if (timers.getNowMs() - startedMs > maxSupportCheckMs) {
+					// This process was suspended, and may not have noticed yet that the operator has given up.
+					onResult({outcome: 'no-majority'});
 				} else {
-					store(availabilityZone, isEvacuated, onResult);
+					store(availabilityZone, isEvacuated, onResult, isWanted);
 				}
 			});
 		},
--- a/packages/consensus/src/keeper/evacuation-orders.ts
+++ b/packages/consensus/src/keeper/evacuation-orders.ts
@@ -7,8 +7,13 @@
 
 /** Brings the evacuation orders of operators to the leader, and replicates them there. */
 export type EvacuationOrders = {
-	/** Stores an order through consensus; calls back once, within a bounded time, unless the keeper is stopped. */
-	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void;
+	/**
+	 * Stores an order through consensus; calls back once, within a bounded time, unless the keeper is stopped. An order that
+	 * `isWanted` no longer confirms is not sent again.
+	 */
+	setEvacuation(
+		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, isWanted?: () => boolean,
+	): void;
 	handleMessage(fromPeerId: string, message: KeeperMessageOf<'consensus.set-evacuation' | 'consensus.set-evacuation-result'>): void;
 	handleApplied(entry: LogEntry): void;
 	/** Discards the orders in flight, since this keeper is no longer the leader. */
@@ -82,8 +87,8 @@
 	}
 
 	return {
-		setEvacuation(availabilityZone, isEvacuated, onResult) {
-			forwarder.submit({availabilityZone, isEvacuated}, onResult);
+		setEvacuation(availabilityZone, isEvacuated, onResult, isWanted) {
+			forwarder.submit({availabilityZone, isEvacuated}, onResult, isWanted);
 		},
 		handleMessage(fromPeerId, message) {
 			if (message.kind === 'consensus.set-evacuation-result') {
--- a/packages/consensus/src/keeper/keeper-options.ts
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -81,7 +81,9 @@
 	 * Stores through consensus whether an availability zone is evacuated. `onResult` is called once, within a bounded time,
 	 * unless the keeper is stopped. Orders take effect in the order of the log.
 	 */
-	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void;
+	setEvacuation(
+		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, isWanted?: () => boolean,
+	): void;
 	/** Finds the newest committed evacuations known to this keeper. */
 	findEvacuations(): Evacuations;
 	/** Calls the listener with the current evacuations, if there was an order and they can be served yet, and with each later change. */
--- a/packages/consensus/src/publish/request-forwarder.ts
+++ b/packages/consensus/src/publish/request-forwarder.ts
@@ -2,7 +2,11 @@
 
 /** Sends requests to the leader until a result arrives or the timeout expires. */
 export type RequestForwarder<Request, Result> = {
-	submit(request: Request, onResult: (result: Result) => void): void;
+	/**
+	 * Submits a request. `isWanted` is called before each send; a request that is no longer wanted ends with the result of a
+	 * timeout, without another send.
+	 */
+	submit(request: Request, onResult: (result: Result) => void, isWanted?: () => boolean): void;
 	handleResult(requestId: string, result: Result): void;
 	stop(): void;
 };
@@ -17,6 +21,9 @@
 	send: (requestId: string, request: Request) => void;
 };
 
+/** An interval that is longer than this many times `resendMs` shows that the process was suspended. */
+const maxIntervalRatio = 2;
+
 type PendingRequest<Result> = {
 	subscriptions: TimerSubscription[];
 	onResult: (result: Result) => void;
@@ -42,19 +49,32 @@
 	}
 
 	return {
-		submit(request, onResult) {
+		submit(request, onResult, isWanted = () => true) {
 			const requestId = random.getIdentifier();
 			const deadlineMs = timers.getNowMs() + timeoutMs;
+			let lastRunMs = timers.getNowMs();
 			const resend = timers.addInterval(resendMs, () => {
-				if (timers.getNowMs() < deadlineMs) {
-					send(requestId, request);
+				const gapMs = timers.getNowMs() - lastRunMs;
+				lastRunMs = timers.getNowMs();
+				// After a suspension, timers run before a closed connection is noticed, so `isWanted` may be out of date.
+				if (timers.getNowMs() < deadlineMs && gapMs < maxIntervalRatio * resendMs) {
+					sendIfWanted();
 				}
 			});
 			const timeout = timers.addTimer(timeoutMs, () => {
 				finish(requestId, timeoutResult);
 			});
 			pending.set(requestId, {subscriptions: [resend, timeout], onResult});
-			send(requestId, request);
+
+			function sendIfWanted(): void {
+				if (isWanted()) {
+					send(requestId, request);
+				} else {
+					finish(requestId, timeoutResult);
+				}
+			}
+
+			sendIfWanted();
 		},
 		handleResult: finish,
 		stop() {
--- a/packages/consensus/test/evacuations/evacuation-client.test.ts
+++ b/packages/consensus/test/evacuations/evacuation-client.test.ts
@@ -95,6 +95,43 @@
 		assert.deepEqual(getEvacuations(cluster, ['a', 'd1']).map(({revision}) => revision), [0, 0]);
 	});
 
+	// Guards against a resend that evacuates the zone again after another daemon has acknowledged the withdrawal.
+	it('sends an order no more once its operator has given up, with and without a keeper', () => {
+		for (const id of ['a', 'd1']) {
+			const cluster = createCluster();
+			give(cluster, 'b', 'zone-a');
+			give(cluster, 'b', 'zone-a', false);
+			cluster.network.partitionPeers(['b', 'c'], ['a', 'd1']);
+			const members = ['a', 'd1'].map(other => cluster.getMember(other));
+			cluster.clients.get(id)!.setMembers(members);
+			// The others elect a leader, if it was the keeper that is cut off.
+			cluster.timers.advance(10_000);
+			const results: EvacuationOrderResult[] = [];
+			let isWanted = true;
+			cluster.clients.get(id)!.setEvacuation('zone-a', true, result => {
+				results.push(result);
+			}, () => isWanted);
+			cluster.timers.advance(600);
+			isWanted = false;
+			cluster.network.healLinks();
+			cluster.shareMembers();
+			cluster.timers.advance(orderDurationMs);
+			assert.deepEqual(results, [{outcome: 'no-majority'}], id);
+			assert.deepEqual(getEvacuations(cluster, ['b']), [{revision: 2, availabilityZones: []}], id);
+		}
+	});
+
+	it('stores nothing if the operator gives up during the support check', () => {
+		const cluster = createCluster();
+		let isWanted = true;
+		cluster.clients.get('d1')!.setEvacuation('zone-a', true, ({outcome}) => {
+			assert.equal(outcome, 'no-majority');
+		}, () => isWanted);
+		isWanted = false;
+		cluster.timers.advance(orderDurationMs);
+		assert.deepEqual(getEvacuations(cluster, ['a']), [{revision: 0, availabilityZones: []}]);
+	});
+
 	// An earlier keeper cannot read the order in the log, and an earlier dispatcher would go on starting tasks.
 	it('stores no order while a live daemon of an earlier version is known, but always withdraws', () => {
 		const cluster = createCluster();
--- a/packages/consensus/test/publish/request-forwarder.test.ts
+++ b/packages/consensus/test/publish/request-forwarder.test.ts
@@ -37,6 +37,8 @@
 	// Guards against an order that a suspended daemon resends when it wakes, after the operator has withdrawn it elsewhere.
 	const rows = [
 		{title: 'a daemon that runs', pausedMs: 0, expected: {sends: 5, results: ['timeout']}},
+		// The closed connection is noticed only after the timers have run, so the first resend after a suspension is skipped.
+		{title: 'a daemon that is suspended for 500 ms', pausedMs: 500, expected: {sends: 2, results: ['timeout']}},
 		{title: 'a daemon that is suspended for 2 s', pausedMs: 2000, expected: {sends: 1, results: ['timeout']}},
 	];
 	for (const {title, pausedMs, expected} of rows) {
--- a/packages/daemon/src/evacuations/evacuation-service.ts
+++ b/packages/daemon/src/evacuations/evacuation-service.ts
@@ -6,8 +6,11 @@
 
 /** Lets operators evacuate availability zones. */
 export type EvacuationService = {
-	/** Orders an evacuation, or withdraws it if `isEvacuated` is false. Calls back once, within a bounded time. */
-	setEvacuation(availabilityZone: string, isEvacuated: boolean, onAnswer: (answer: EvacuationAnswer) => void): void;
+	/**
+	 * Orders an evacuation, or withdraws it if `isEvacuated` is false. Calls back once, within a bounded time. Nothing more is
+	 * sent once `isWanted` returns false.
+	 */
+	setEvacuation(availabilityZone: string, isEvacuated: boolean, onAnswer: (answer: EvacuationAnswer) => void, isWanted: () => boolean): void;
 };
 
 export type EvacuationServiceOptions = {
@@ -25,7 +28,7 @@
  */
 export function createEvacuationService({client, events, getEvacuations, getZones}: EvacuationServiceOptions): EvacuationService {
 	return {
-		setEvacuation(availabilityZone, isEvacuated, onAnswer) {
+		setEvacuation(availabilityZone, isEvacuated, onAnswer, isWanted) {
 			const knownZones = [...new Set([...getZones(), ...getEvacuations().availabilityZones])].toSorted();
 			if (!knownZones.includes(availabilityZone)) {
 				onAnswer({outcome: 'unknown-zone', knownZones});
@@ -40,7 +43,7 @@
 					availabilityZone, isEvacuated, outcome: result.outcome, revision, daemonIds,
 				});
 				onAnswer(result);
-			});
+			}, isWanted);
 		},
 	};
 }
--- a/packages/daemon/src/http/evacuation-routes.ts
+++ b/packages/daemon/src/http/evacuation-routes.ts
@@ -22,7 +22,7 @@
 			}
 
 			const answer = await new Promise<EvacuationAnswer>(resolve => {
-				evacuations.setEvacuation(availabilityZone, isEvacuated, resolve);
+				evacuations.setEvacuation(availabilityZone, isEvacuated, resolve, () => !request.socket.destroyed);
 			});
 			const {status, body} = getResponse(answer, availabilityZone, isEvacuated);
 			sendJson(response, status, body);
--- a/packages/daemon/test/evacuations/evacuation-service.test.ts
+++ b/packages/daemon/test/evacuations/evacuation-service.test.ts
@@ -10,7 +10,8 @@
 	const answers: EvacuationAnswer[] = [];
 	const service = createEvacuationService({
 		client: {
-			setEvacuation(availabilityZone, isOrder, onResult) {
+			setEvacuation(availabilityZone, isOrder, onResult, isWanted) {
+				assert.equal(isWanted?.(), false, 'passes on whether the operator still waits');
 				orders.push(`${availabilityZone} ${isOrder}`);
 				onResult(result);
 			},
@@ -21,7 +22,7 @@
 	});
 	service.setEvacuation(zone, isEvacuated, answer => {
 		answers.push(answer);
-	});
+	}, () => false);
 	return {orders, answers, events: events.events.map(({name}) => name)};
 }
 
