Exclude a partner that refuses tasks before its load is known

Cause: a refusal was recorded on the known load of a pool. A daemon without a configuration announces no load, so its refusals had no effect, and a closed zone handed it the same tasks again at once.

Change: the end of the exclusion is kept by pool on the partner, and is tested before the branch for an unknown load.

--- a/packages/dispatch/src/peers/partner-table.ts
+++ b/packages/dispatch/src/peers/partner-table.ts
@@ -35,10 +35,15 @@
 	room: number;
 	meanRoom: number;
 	updatedAtMs: number;
-	refusedUntilMs: number;
 };
 
-type Partner = {member: Member; loads: Map<string, KnownLoad>; lastReceivedMs: number};
+type Partner = {
+	member: Member;
+	loads: Map<string, KnownLoad>;
+	/** Until when the partner is excluded, by pool. A partner without a configuration refuses tasks before any load of it is known. */
+	refusedUntilMs: Map<string, number>;
+	lastReceivedMs: number;
+};
 
 const maxZonePartners = 12;
 const maxOtherZonePartners = 12;
@@ -68,6 +73,7 @@
 			partners.set(member.id, {
 				member,
 				loads: isSame ? previous.loads : new Map<string, KnownLoad>(),
+				refusedUntilMs: isSame ? previous.refusedUntilMs : new Map<string, number>(),
 				lastReceivedMs: isSame ? previous.lastReceivedMs : timers.getNowMs(),
 			});
 		}
@@ -83,8 +89,8 @@
 				room,
 				meanRoom: meanRoom + (meanRoomWeight * (room - meanRoom)),
 				updatedAtMs: timers.getNowMs(),
-				refusedUntilMs: Number.NEGATIVE_INFINITY,
 			});
+			partner?.refusedUntilMs.delete(load.pool);
 		}
 	}
 
@@ -104,15 +110,12 @@
 	function getCapacities(pool: string, ownLoad: PoolLoad): Capacity[] {
 		const capacities: Capacity[] = [];
 		for (const [id, partner] of partners) {
-			if (isSilent(id, partner) || options.isClosed(partner.member.availabilityZone)) {
+			const isRefusing = (partner.refusedUntilMs.get(pool) ?? Number.NEGATIVE_INFINITY) > timers.getNowMs();
+			if (isRefusing || isSilent(id, partner) || options.isClosed(partner.member.availabilityZone)) {
 				continue;
 			}
 
 			const load = partner.loads.get(pool);
-			if (load !== undefined && load.refusedUntilMs > timers.getNowMs()) {
-				continue;
-			}
-
 			capacities.push(load === undefined || isOutdated(load)
 				? {id, slots: Math.max(1, ownLoad.slots), room: 0}
 				: {id, slots: load.slots, room: estimateRoom(load)});
@@ -135,10 +138,7 @@
 		updateLoads,
 		recordHandover,
 		recordRefusal(peerId, pool) {
-			const load = partners.get(peerId)?.loads.get(pool);
-			if (load !== undefined) {
-				load.refusedUntilMs = timers.getNowMs() + refusalBackoffMs;
-			}
+			partners.get(peerId)?.refusedUntilMs.set(pool, timers.getNowMs() + refusalBackoffMs);
 		},
 		recordReceived(peerId) {
 			const partner = partners.get(peerId);
@@ -147,9 +147,10 @@
 			}
 		},
 		forgetLoads(availabilityZones) {
-			for (const {member, loads} of partners.values()) {
+			for (const {member, loads, refusedUntilMs} of partners.values()) {
 				if (availabilityZones.includes(member.availabilityZone)) {
 					loads.clear();
+					refusedUntilMs.clear();
 				}
 			}
 		},
--- a/packages/dispatch/test/evacuations/zone-closure.test.ts
+++ b/packages/dispatch/test/evacuations/zone-closure.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createTestAnnouncement, createTestDispatcher} from '../support/create-test-dispatcher.js';
+import {createTestAnnouncement, createTestConfiguration, createTestDispatcher} from '../support/create-test-dispatcher.js';
+import {createTestDispatchers} from '../support/create-test-dispatchers.js';
 
 const taskMs = 400;
 
@@ -69,3 +70,19 @@
 		assert.equal(starter.batches.length, started);
 	});
 });
+
+describe('a closed availability zone with a daemon elsewhere', () => {
+	// Guards against tasks that go back and forth without a pause: such a daemon has announced no load that a refusal could mark.
+	it('does not hand tasks again at once to a daemon without a configuration', () => {
+		const {timers, dispatchers, messageCounts, submit} = createTestDispatchers({a1: 'zone-a', b1: 'zone-b'});
+		const closed = dispatchers.get('a1')!;
+		closed.setConfiguration(createTestConfiguration());
+		closed.announceBackendServer(createTestAnnouncement('server-1'));
+		timers.advance(1000);
+		closed.setClosedZones(['zone-a']);
+		submit('a1', {id: 'job', tasks: [{payload: 0}, {payload: 1}, {payload: 2}]});
+		timers.advance(3000);
+		const count = messageCounts.get('a1>b1 dispatch.job') ?? 0;
+		assert.ok(count > 0 && count <= 10, `${count} messages`);
+	});
+});
--- a/packages/dispatch/test/support/create-test-dispatcher.ts
+++ b/packages/dispatch/test/support/create-test-dispatcher.ts
@@ -88,7 +88,7 @@
 	};
 }
 
-function createRecordingLimiter(calls: string[], mayExtend: () => boolean): Limiter {
+export function createRecordingLimiter(calls: string[], mayExtend: () => boolean): Limiter {
 	return {
 		admitJob({jobId}) {
 			calls.push(`admit ${jobId}`);
