Confirm no evacuation before another member is known

Cause: a daemon that has just started knows no other member, so the check whether all daemons know evacuations ended at once, and the order was stored although daemons of an earlier version were about to join.

All members are checked again before each resend of an evacuation.

--- a/packages/consensus/src/evacuations/evacuation-client.ts
+++ b/packages/consensus/src/evacuations/evacuation-client.ts
@@ -5,7 +5,7 @@
 import {evacuationResendMs, evacuationSupportTimeoutMs, evacuationTimeoutMs} from '../follower/follower-timings.js';
 import type {Keeper} from '../keeper/keeper-options.js';
 import type {EvacuationOrder, EvacuationResult} from '../publish/evacuation-schemas.js';
-import {createRequestForwarder} from '../publish/request-forwarder.js';
+import {createRequestForwarder, type SendDecision} from '../publish/request-forwarder.js';
 import {clientMessageSchema, type ClientMessage, type EvacuationMessage} from './evacuation-messages.js';
 import {createSupportCheck} from './support-check.js';
 
@@ -17,6 +17,8 @@
 
 export type EvacuationClientOptions = {
 	ownId: string;
+	/** The ids of the daemons that the settings name, with or without this one. */
+	seedIds?: readonly string[];
 	peers: PeerNetwork;
 	timers: TimerService;
 	random: RandomSource;
@@ -60,7 +62,9 @@
 		peers.send(peerId, message);
 	}
 
-	const supportCheck = createSupportCheck({ownId, timers, send});
+	const supportCheck = createSupportCheck({
+		ownId, seedIds: options.seedIds ?? [], timers, send,
+	});
 	const forwarder = createRequestForwarder<Omit<EvacuationOrder, 'requestId'>, EvacuationResult>({
 		timers,
 		random,
@@ -72,11 +76,21 @@
 		},
 	});
 
-	function store(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, isWanted?: () => boolean): void {
+	/** A daemon of an earlier version may have joined since the check, so an evacuation waits until all have confirmed again. */
+	function decideSendOf(isEvacuated: boolean, isWanted: () => boolean): SendDecision {
+		if (!isWanted()) {
+			return 'end';
+		}
+
+		return isEvacuated && !supportCheck.recheck() ? 'wait' : 'send';
+	}
+
+	function store(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, isWanted = () => true): void {
+		const decideSend = () => decideSendOf(isEvacuated, isWanted);
 		if (keeper === undefined) {
-			forwarder.submit({availabilityZone, isEvacuated}, onResult, isWanted);
+			forwarder.submit({availabilityZone, isEvacuated}, onResult, decideSend);
 		} else {
-			keeper.setEvacuation(availabilityZone, isEvacuated, onResult, isWanted);
+			keeper.setEvacuation(availabilityZone, isEvacuated, onResult, decideSend);
 		}
 	}
 
--- a/packages/consensus/src/evacuations/support-check.ts
+++ b/packages/consensus/src/evacuations/support-check.ts
@@ -7,12 +7,16 @@
 	setMembers(members: readonly Member[]): void;
 	/** Calls back with the ids of the live daemons that have not confirmed that they know evacuations. */
 	check(onEnd: (unconfirmedIds: string[]) => void): void;
+	/** Whether all live daemons have confirmed by now. Asks those that have not. */
+	recheck(): boolean;
 	handleSupport(fromPeerId: string): void;
 	stop(): void;
 };
 
 export type SupportCheckOptions = {
 	ownId: string;
+	/** The ids of the daemons that the settings name. While no other member is known, they count as not confirmed. */
+	seedIds: readonly string[];
 	timers: TimerService;
 	send: (peerId: string, message: EvacuationMessage) => void;
 };
@@ -22,19 +26,28 @@
 /**
  * Creates the check. It covers rolling upgrades: a keeper of an earlier version cannot read an order in the log, and an
  * earlier dispatcher would not obey it. Each process is asked until it has confirmed once.
- * @param options - The id of the daemon, the timers and the function that sends a message.
+ * A daemon that has just started knows no other member yet, so it does not take their absence for a confirmation.
+ * @param options - The ids of the daemon and its seeds, the timers and the function that sends a message.
  */
-export function createSupportCheck({ownId, timers, send}: SupportCheckOptions): SupportCheck {
+export function createSupportCheck({
+	ownId, seedIds, timers, send,
+}: SupportCheckOptions): SupportCheck {
 	const confirmedIncarnations = new Map<string, string>();
 	const checks = new Set<Check>();
 	let members: readonly Member[] = [];
 
 	function getUnconfirmedIds(): string[] {
-		return members.filter(({id, incarnation}) => id !== ownId && confirmedIncarnations.get(id) !== incarnation).map(({id}) => id);
+		const others = members.filter(({id}) => id !== ownId);
+		if (others.length === 0) {
+			return seedIds.filter(id => id !== ownId);
+		}
+
+		return others.filter(({id, incarnation}) => confirmedIncarnations.get(id) !== incarnation).map(({id}) => id);
 	}
 
 	function sendRequests(): void {
-		for (const id of getUnconfirmedIds()) {
+		const unconfirmedIds = new Set(getUnconfirmedIds());
+		for (const {id} of members.filter(member => unconfirmedIds.has(member.id))) {
 			send(id, {kind: 'evacuations.support-request'});
 		}
 	}
@@ -75,6 +88,10 @@
 			sendRequests();
 			endIfConfirmed();
 		},
+		recheck() {
+			sendRequests();
+			return getUnconfirmedIds().length === 0;
+		},
 		handleSupport(fromPeerId) {
 			const member = members.find(({id}) => id === fromPeerId);
 			if (member !== undefined) {
--- a/packages/consensus/src/keeper/evacuation-orders.ts
+++ b/packages/consensus/src/keeper/evacuation-orders.ts
@@ -1,5 +1,5 @@
 import type {EvacuationOrder, EvacuationResult} from '../publish/evacuation-schemas.js';
-import {createRequestForwarder} from '../publish/request-forwarder.js';
+import {createRequestForwarder, type SendDecision} from '../publish/request-forwarder.js';
 import type {KeeperCore} from './keeper-core.js';
 import type {KeeperMessageOf} from './keeper-messages.js';
 import type {LogEntry} from './log-entry.js';
@@ -8,11 +8,11 @@
 /** Brings the evacuation orders of operators to the leader, and replicates them there. */
 export type EvacuationOrders = {
 	/**
-	 * Stores an order through consensus; calls back once, within a bounded time, unless the keeper is stopped. An order that
-	 * `isWanted` no longer confirms is not sent again.
+	 * Stores an order through consensus; calls back once, within a bounded time, unless the keeper is stopped. `decideSend`
+	 * is called before each send.
 	 */
 	setEvacuation(
-		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, isWanted?: () => boolean,
+		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, decideSend?: () => SendDecision,
 	): void;
 	handleMessage(fromPeerId: string, message: KeeperMessageOf<'consensus.set-evacuation' | 'consensus.set-evacuation-result'>): void;
 	handleApplied(entry: LogEntry): void;
@@ -87,8 +87,8 @@
 	}
 
 	return {
-		setEvacuation(availabilityZone, isEvacuated, onResult, isWanted) {
-			forwarder.submit({availabilityZone, isEvacuated}, onResult, isWanted);
+		setEvacuation(availabilityZone, isEvacuated, onResult, decideSend) {
+			forwarder.submit({availabilityZone, isEvacuated}, onResult, decideSend);
 		},
 		handleMessage(fromPeerId, message) {
 			if (message.kind === 'consensus.set-evacuation-result') {
--- a/packages/consensus/src/keeper/keeper-options.ts
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -7,6 +7,7 @@
 import type {DocumentResult, NumberedDocument} from '../publish/document-schemas.js';
 import type {EvacuationResult, Evacuations} from '../publish/evacuation-schemas.js';
 import type {PublishRequest, PublishResult} from '../publish/publish-schemas.js';
+import type {SendDecision} from '../publish/request-forwarder.js';
 import type {KeeperRecord} from './keeper-set.js';
 import type {KeeperTimings} from './keeper-timings.js';
 
@@ -82,7 +83,7 @@
 	 * unless the keeper is stopped. Orders take effect in the order of the log.
 	 */
 	setEvacuation(
-		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, isWanted?: () => boolean,
+		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, decideSend?: () => SendDecision,
 	): void;
 	/** Finds the newest committed evacuations known to this keeper. */
 	findEvacuations(): Evacuations;
--- a/packages/consensus/src/publish/request-forwarder.ts
+++ b/packages/consensus/src/publish/request-forwarder.ts
@@ -1,12 +1,14 @@
 import type {RandomSource, TimerService, TimerSubscription} from '@camphortack/core';
 
+/** Whether to send a request now, to wait for the next interval, or to end the request without another send. */
+export type SendDecision = 'send' | 'wait' | 'end';
+
 /** Sends requests to the leader until a result arrives or the timeout expires. */
 export type RequestForwarder<Request, Result> = {
 	/**
-	 * Submits a request. `isWanted` is called before each send; a request that is no longer wanted ends with the result of a
-	 * timeout, without another send.
+	 * Submits a request. `decideSend` is called before each send; a request that it ends has the result of a timeout.
 	 */
-	submit(request: Request, onResult: (result: Result) => void, isWanted?: () => boolean): void;
+	submit(request: Request, onResult: (result: Result) => void, decideSend?: () => SendDecision): void;
 	handleResult(requestId: string, result: Result): void;
 	stop(): void;
 };
@@ -49,16 +51,16 @@
 	}
 
 	return {
-		submit(request, onResult, isWanted = () => true) {
+		submit(request, onResult, decideSend = () => 'send') {
 			const requestId = random.getIdentifier();
 			const deadlineMs = timers.getNowMs() + timeoutMs;
 			let lastRunMs = timers.getNowMs();
 			const resend = timers.addInterval(resendMs, () => {
 				const gapMs = timers.getNowMs() - lastRunMs;
 				lastRunMs = timers.getNowMs();
-				// After a suspension, timers run before a closed connection is noticed, so `isWanted` may be out of date.
+				// After a suspension, timers run before a closed connection is noticed, so `decideSend` may be out of date.
 				if (timers.getNowMs() < deadlineMs && gapMs < maxIntervalRatio * resendMs) {
-					sendIfWanted();
+					sendOrEnd();
 				}
 			});
 			const timeout = timers.addTimer(timeoutMs, () => {
@@ -66,15 +68,16 @@
 			});
 			pending.set(requestId, {subscriptions: [resend, timeout], onResult});
 
-			function sendIfWanted(): void {
-				if (isWanted()) {
+			function sendOrEnd(): void {
+				const decision = decideSend();
+				if (decision === 'send') {
 					send(requestId, request);
-				} else {
+				} else if (decision === 'end') {
 					finish(requestId, timeoutResult);
 				}
 			}
 
-			sendIfWanted();
+			sendOrEnd();
 		},
 		handleResult: finish,
 		stop() {
--- a/packages/consensus/test/evacuations/evacuation-client.test.ts
+++ b/packages/consensus/test/evacuations/evacuation-client.test.ts
@@ -185,6 +185,46 @@
 	});
 });
 
+describe('a daemon that has just started', () => {
+	// Guards against an order that is stored since no other member is known yet, shortly before an earlier version joins.
+	it('does not take the absence of other members for a confirmation if it has seeds', () => {
+		const cluster = new TestCluster({keeperIds: ['a'], seedIds: ['a', 'b']});
+		cluster.startFollower('a');
+		cluster.shareMembers();
+		cluster.timers.advance(5000);
+		assert.deepEqual(give(cluster, 'a', 'zone-a'), [{outcome: 'unconfirmed', daemonIds: ['b']}]);
+		assert.deepEqual(getEvacuations(cluster), [{revision: 0, availabilityZones: []}]);
+		cluster.startFollower('b');
+		cluster.shareMembers();
+		assert.deepEqual(give(cluster, 'a', 'zone-a'), [{outcome: 'stored', revision: 1}]);
+	});
+
+	it('with a single daemon and no other seed stores an order at once', () => {
+		const cluster = new TestCluster({keeperIds: ['a'], seedIds: ['a']});
+		cluster.startFollower('a');
+		cluster.shareMembers();
+		cluster.timers.advance(5000);
+		assert.deepEqual(give(cluster, 'a', 'zone-a'), [{outcome: 'stored', revision: 1}]);
+	});
+
+	it('does not send an order again while a daemon that has joined since has not confirmed', () => {
+		const cluster = createCluster();
+		cluster.network.partitionPeers(['d1'], ['a', 'b', 'c']);
+		const members = ['d1', 'd2'].map(id => cluster.getMember(id));
+		cluster.clients.get('d1')!.setMembers(members);
+		cluster.clients.get('d1')!.setEvacuation('zone-a', true, ({outcome}) => {
+			assert.equal(outcome, 'no-majority');
+		});
+		cluster.timers.advance(600);
+		cluster.startFollower('d3');
+		cluster.earlierIds.add('d3');
+		cluster.network.healLinks();
+		cluster.shareMembers();
+		cluster.timers.advance(orderDurationMs);
+		assert.deepEqual(getEvacuations(cluster, ['a']), [{revision: 0, availabilityZones: []}]);
+	});
+});
+
 describe('a daemon that starts late', () => {
 	it('knows the evacuations before it has a configuration, and so before it starts a task', () => {
 		const cluster = createCluster();
--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -22,6 +22,8 @@
 	fault?: ClusterFault;
 	/** The maximum clock drift, as a fraction. */
 	driftRatio?: number;
+	/** The ids of the seeds of every daemon. */
+	seedIds?: readonly string[];
 };
 
 /** Injected faults, which the tests must detect. */
@@ -118,7 +120,7 @@
 		});
 		this.followers.set(id, follower);
 		this.clients.set(id, createEvacuationClient({
-			ownId: id, peers, timers, random: this.random, metrics: this.metrics, follower, keeper,
+			ownId: id, seedIds: this.#options.seedIds, peers, timers, random: this.random, metrics: this.metrics, follower, keeper,
 		}));
 		return follower;
 	}
--- a/packages/daemon/src/composition/bind-configuration.ts
+++ b/packages/daemon/src/composition/bind-configuration.ts
@@ -47,6 +47,7 @@
 	});
 	container.bind(tokens.evacuationClient).toDynamicValue(context => createEvacuationClient({
 		ownId: context.get(tokens.identity).id,
+		seedIds: context.get(tokens.settings).peers.seeds.map(({id}) => id),
 		peers: context.get(tokens.peers),
 		timers: context.get(tokens.timers),
 		random: context.get(tokens.random),
