Limit the ids of redundant orders that a leader remembers

Cause: the ids of orders that changed nothing were kept for the whole term of a leader, so its memory grew with each repeated order.

Change: it keeps the newest 128, as many as the state keeps of the others.

Result: the tests of the consensus package pass, with a new one for the limit.

--- a/packages/consensus/src/keeper/evacuation-orders.ts
+++ b/packages/consensus/src/keeper/evacuation-orders.ts
@@ -3,6 +3,7 @@
 import type {KeeperCore} from './keeper-core.js';
 import type {KeeperMessageOf} from './keeper-messages.js';
 import type {LogEntry} from './log-entry.js';
+import {createRecentIds} from './recent-ids.js';
 import type {Replication} from './replication.js';
 
 /** Brings the evacuation orders of operators to the leader, and replicates them there. */
@@ -21,6 +22,9 @@
 	stop(): void;
 };
 
+/** As many as the state keeps of the orders that changed something. */
+const maxRedundantIds = 128;
+
 type InFlightOrder = {
 	order: EvacuationOrder;
 	callbacks: Array<(result: EvacuationResult) => void>;
@@ -37,7 +41,7 @@
 	const {evacuations} = core.machine;
 	const inFlight = new Map<number, InFlightOrder>();
 	/** Orders that changed nothing when they arrived. A delayed duplicate must not take effect after a later opposite order. */
-	const redundantIds = new Set<string>();
+	const redundantIds = createRecentIds(maxRedundantIds);
 	const forwarder = createRequestForwarder<Omit<EvacuationOrder, 'requestId'>, EvacuationResult>({
 		timers,
 		random,
