--- a/packages/consensus/src/keeper/evacuation-orders.ts
+++ b/packages/consensus/src/keeper/evacuation-orders.ts
@@ -1,14 +1,20 @@
 import type {EvacuationOrder, EvacuationResult} from '../publish/evacuation-schemas.js';
-import {createRequestForwarder} from '../publish/request-forwarder.js';
+import {createRequestForwarder, type SendDecision} from '../publish/request-forwarder.js';
 import type {KeeperCore} from './keeper-core.js';
 import type {KeeperMessageOf} from './keeper-messages.js';
 import type {LogEntry} from './log-entry.js';
+import {createRecentIds} from './recent-ids.js';
 import type {Replication} from './replication.js';
 
 /** Brings the evacuation orders of operators to the leader, and replicates them there. */
 export type EvacuationOrders = {
-	/** Stores an order through consensus; calls back once, within a bounded time, unless the keeper is stopped. */
-	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void;
+	/**
+	 * Stores an order through consensus; calls back once, within a bounded time, unless the keeper is stopped. `decideSend`
+	 * is called before each send.
+	 */
+	setEvacuation(
+		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, decideSend?: () => SendDecision,
+	): void;
 	handleMessage(fromPeerId: string, message: KeeperMessageOf<'consensus.set-evacuation' | 'consensus.set-evacuation-result'>): void;
 	handleApplied(entry: LogEntry): void;
 	/** Discards the orders in flight, since this keeper is no longer the leader. */
@@ -16,6 +22,9 @@
 	stop(): void;
 };
 
+/** As many as the state keeps of the orders that changed something. */
+const maxRedundantIds = 128;
+
 type InFlightOrder = {
 	order: EvacuationOrder;
 	callbacks: Array<(result: EvacuationResult) => void>;
@@ -32,7 +41,7 @@
 	const {evacuations} = core.machine;
 	const inFlight = new Map<number, InFlightOrder>();
 	/** Orders that changed nothing when they arrived. A delayed duplicate must not take effect after a later opposite order. */
-	const redundantIds = new Set<string>();
+	const redundantIds = createRecentIds(maxRedundantIds);
 	const forwarder = createRequestForwarder<Omit<EvacuationOrder, 'requestId'>, EvacuationResult>({
 		timers,
 		random,
@@ -82,8 +91,8 @@
 	}
 
 	return {
-		setEvacuation(availabilityZone, isEvacuated, onResult) {
-			forwarder.submit({availabilityZone, isEvacuated}, onResult);
+		setEvacuation(availabilityZone, isEvacuated, onResult, decideSend) {
+			forwarder.submit({availabilityZone, isEvacuated}, onResult, decideSend);
 		},
 		handleMessage(fromPeerId, message) {
 			if (message.kind === 'consensus.set-evacuation-result') {
--- a/packages/consensus/src/keeper/keeper-options.ts
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -7,6 +7,7 @@
 import type {DocumentResult, NumberedDocument} from '../publish/document-schemas.js';
 import type {EvacuationResult, Evacuations} from '../publish/evacuation-schemas.js';
 import type {PublishRequest, PublishResult} from '../publish/publish-schemas.js';
+import type {SendDecision} from '../publish/request-forwarder.js';
 import type {KeeperRecord} from './keeper-set.js';
 import type {KeeperTimings} from './keeper-timings.js';
 
@@ -81,7 +82,9 @@
 	 * Stores through consensus whether an availability zone is evacuated. `onResult` is called once, within a bounded time,
 	 * unless the keeper is stopped. Orders take effect in the order of the log.
 	 */
-	setEvacuation(availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void): void;
+	setEvacuation(
+		availabilityZone: string, isEvacuated: boolean, onResult: (result: EvacuationResult) => void, decideSend?: () => SendDecision,
+	): void;
 	/** Finds the newest committed evacuations known to this keeper. */
 	findEvacuations(): Evacuations;
 	/** Calls the listener with the current evacuations, if there was an order and they can be served yet, and with each later change. */
--- a/packages/consensus/src/publish/request-forwarder.ts
+++ b/packages/consensus/src/publish/request-forwarder.ts
@@ -1,8 +1,14 @@
 import type {RandomSource, TimerService, TimerSubscription} from '@camphortack/core';
 
+/** Whether to send a request now, to wait for the next interval, or to end the request without another send. */
+export type SendDecision = 'send' | 'wait' | 'end';
+
 /** Sends requests to the leader until a result arrives or the timeout expires. */
 export type RequestForwarder<Request, Result> = {
-	submit(request: Request, onResult: (result: Result) => void): void;
+	/**
+	 * Submits a request. `decideSend` is called before each send; a request that it ends has the result of a timeout.
+	 */
+	submit(request: Request, onResult: (result: Result) => void, decideSend?: () => SendDecision): void;
 	handleResult(requestId: string, result: Result): void;
 	stop(): void;
 };
@@ -17,6 +23,9 @@
 	send: (requestId: string, request: Request) => void;
 };
 
+/** An interval that is longer than this many times `resendMs` shows that the process was suspended. */
+const maxIntervalRatio = 2;
+
 type PendingRequest<Result> = {
 	subscriptions: TimerSubscription[];
 	onResult: (result: Result) => void;
@@ -42,19 +51,33 @@
 	}
 
 	return {
-		submit(request, onResult) {
+		submit(request, onResult, decideSend = () => 'send') {
 			const requestId = random.getIdentifier();
 			const deadlineMs = timers.getNowMs() + timeoutMs;
+			let lastRunMs = timers.getNowMs();
 			const resend = timers.addInterval(resendMs, () => {
-				if (timers.getNowMs() < deadlineMs) {
-					send(requestId, request);
+				const gapMs = timers.getNowMs() - lastRunMs;
+				lastRunMs = timers.getNowMs();
+				// After a suspension, timers run before a closed connection is noticed, so `decideSend` may be out of date.
+				if (timers.getNowMs() < deadlineMs && gapMs < maxIntervalRatio * resendMs) {
+					sendOrEnd();
 				}
 			});
 			const timeout = timers.addTimer(timeoutMs, () => {
 				finish(requestId, timeoutResult);
 			});
 			pending.set(requestId, {subscriptions: [resend, timeout], onResult});
-			send(requestId, request);
+
+			function sendOrEnd(): void {
+				const decision = decideSend();
+				if (decision === 'send') {
+					send(requestId, request);
+				} else if (decision === 'end') {
+					finish(requestId, timeoutResult);
+				}
+			}
+
+			sendOrEnd();
 		},
 		handleResult: finish,
 		stop() {
