--- a/packages/placement/test/placer/successor-placer.test.ts
+++ b/packages/placement/test/placer/successor-placer.test.ts
@@ -33,6 +33,26 @@
 		assert.ok(placer.isSuperseded());
 	});
 
+	// Guards against two runs at once: the caller has come again through another entry daemon, whose submission says nothing of the first.
+	it('starts no second run of a job that reaches it as new before its handover', {todo: 'KNOWN-RED.txt'}, async () => {
+		const {timers, fleet, submit, placer, createSuccessor} = createTestPlacer({getDurationMs: () => 700});
+		await runFor(timers, 10);
+		submit({jobId: 'job'});
+		await runFor(timers, 100);
+		const usedIds = new Set(fleet.records.map(({serverId}) => serverId));
+		placer.stop();
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions().filter(({id}) => !usedIds.has(id)), usedIds.size);
+		await runFor(timers, 20);
+		successor.submit('other', {
+			kind: 'placement.submit', request: {...defaultRequest, jobId: 'job'}, generation: 0, submissionId: 'two', mayHaveStarted: false,
+		});
+		await runFor(timers, 20);
+		resubmit(successor, {jobId: 'job', ageMs: 150}, getHandover('first'));
+		await runFor(timers, 100);
+		assert.deepEqual(fleet.findOverlaps(), []);
+	});
+
 	it('logs what its predecessor left open, and how much it knows when it looks for the runs', async () => {
 		const {timers, fleet, submit, placer, events, createSuccessor} = createTestPlacer({getDurationMs: () => 900});
 		await runFor(timers, 10);
