Split the start and stop requests from the session of a backend server

Change: start and stop requests with their responses are a module of their own; the reasons of rejections and the unanswered response have names. No behaviour changes.

--- a/packages/placement/src/ports/backend-server-client.ts
+++ b/packages/placement/src/ports/backend-server-client.ts
@@ -47,18 +47,28 @@
 	outcome: 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
 };
 
+/** Why a backend server rejects a start or stop request. */
+export type RejectionReason = 'fenced' | 'old-run' | 'lease-over' | 'no-room' | 'unhealthy' | 'other-incarnation' | 'malformed';
+
+/** There was no response; the request may still take effect later. */
+export type UnansweredResponse = {
+	outcome: 'unanswered';
+	reason: string;
+	/** Whether the connection was refused: no process listens at the address, so the backend server has probably crashed. */
+	isRefused?: boolean;
+};
+
 /** The response of a backend server to a start or stop request. */
 export type StartStopResponse
 	= {outcome: 'accepted'; clockMs: number | undefined}
 		/** The request had no effect and will have none. */
-		| {outcome: 'rejected'; reason: 'fenced' | 'old-run' | 'lease-over' | 'no-room' | 'unhealthy' | 'other-incarnation' | 'malformed'; clockMs: number | undefined}
-		/** There was no response; the request may still take effect later. */
-		| {outcome: 'unanswered'; reason: string};
+		| {outcome: 'rejected'; reason: RejectionReason; clockMs: number | undefined}
+		| UnansweredResponse;
 
 export type RenewResponse
 	= {outcome: 'accepted'; clockMs: number; bornMs: number | undefined; activeRuns: ActiveRun[]; endedRuns: EndedRun[]}
 		| {outcome: 'rejected'; reason: 'fenced' | 'unhealthy' | 'other-incarnation' | 'malformed'}
-		| {outcome: 'unanswered'; reason: string};
+		| UnansweredResponse;
 
 /** Sends requests to backend servers. Responses may arrive out of order; each request gets at most one. */
 export abstract class BackendServerClient {
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -1,17 +1,14 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import type {StartWindow} from '../lag/create-start-window.js';
-import type {
-	BackendServerClient, StartStopResponse, RequestTarget, RenewResponse,
-} from '../ports/backend-server-client.js';
+import type {BackendServerClient, RequestTarget, RenewResponse} from '../ports/backend-server-client.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {BackendSession, SessionListener, SessionState} from './backend-session.js';
 import {getFencingToken, maxClaimNumber} from './fencing-token.js';
 import type {CallTimeouts} from './create-call-timeouts.js';
 import type {ClaimWindow} from './create-claim-window.js';
 import {createLeaseClock} from './lease-clock.js';
-import {getRejectedStartEnd} from './get-run-end.js';
-import type {Run} from './run.js';
 import {createRemainingTimes} from './remaining-times.js';
+import {createRunRequests} from './create-run-requests.js';
 import {createRunTable} from './run-table.js';
 import {
 	unansweredClaimsUntilSilent, leaseMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
@@ -54,6 +51,18 @@
 		},
 	});
 	const clock = createLeaseClock(leaseMs);
+	const requests = createRunRequests({
+		...options,
+		runTable,
+		getTarget,
+		getToken,
+		getLeaseEndMs: () => getLeaseEndMs()!,
+		getClaim: () => claim,
+		getState: () => state,
+		isClosed: () => isClosed,
+		onClaimNeeded: startClaim,
+		onRejected: handleRejection,
+	});
 	let {description} = options;
 	const remainingTimes = createRemainingTimes(timers, description);
 	let state: SessionState = 'claiming';
@@ -218,7 +227,7 @@
 
 	function resendStops(): void {
 		for (const run of runTable.getStoppingRuns()) {
-			void sendStop(run);
+			requests.sendStop(run);
 		}
 	}
 
@@ -229,7 +238,7 @@
 
 		timers.addTimer(unknownRunGraceMs, () => {
 			for (const run of runTable.getUnknownRuns()) {
-				stop(run.taskName);
+				requests.stop(run.taskName);
 			}
 		});
 	}
@@ -268,100 +277,6 @@
 		runTable.setProgress(response.activeRuns, response.clockMs);
 	}
 
-	/** Records the response time of a request that the backend server answers immediately. */
-	async function measureResponseTime(request: Promise<StartStopResponse>): Promise<StartStopResponse> {
-		const sentAtMs = timers.getNowMs();
-		const response = await request;
-		const durationMs = timers.getNowMs() - sentAtMs;
-		if (response.outcome === 'unanswered') {
-			startWindow.addUnanswered(description.id, durationMs);
-		} else {
-			callTimeouts.addResponse(durationMs);
-			startWindow.addResponse(description.id, durationMs);
-		}
-
-		return response;
-	}
-
-	async function sendStart(run: Run, payload: string): Promise<void> {
-		const sentClaim = claim;
-		startWindow.addStart();
-		const response = await measureResponseTime(backendServerClient.start(getTarget(), {
-			taskName: run.taskName,
-			runNumber: run.runNumber,
-			payload,
-			leaseEndMs: getLeaseEndMs()!,
-			token: getToken(),
-		}, callTimeouts.getRequestTimeoutMs()));
-		startWindow.endStart();
-		if (isClosed || !runTable.hasRun(run)) {
-			return;
-		}
-
-		handleStartResponse(run, response, sentClaim);
-	}
-
-	function handleStartResponse(run: Run, response: StartStopResponse, sentClaim: number): void {
-		if (response.outcome === 'accepted') {
-			run.state = run.state === 'starting' ? 'running' : run.state;
-			run.serverStartMs = response.clockMs;
-			return;
-		}
-
-		if (response.outcome === 'unanswered') {
-			metrics.increment('start-unanswered');
-			callTimeouts.addUnansweredRequest();
-			if (sentClaim === claim) {
-				startClaim(`a start went unanswered: ${response.reason}`);
-			}
-
-			return;
-		}
-
-		handleStartRejection(run, response.reason, sentClaim);
-	}
-
-	function handleStartRejection(run: Run, reason: Extract<StartStopResponse, {outcome: 'rejected'}>['reason'], sentClaim: number): void {
-		events.write('start-rejected', {
-			task: run.taskName, run: run.runNumber, server: description.id, reason, claim: sentClaim,
-		});
-		runTable.endRun(run, getRejectedStartEnd(reason));
-		if (reason === 'fenced' && sentClaim === claim) {
-			setState('fenced', 'another placer holds a higher token');
-		} else if (reason === 'other-incarnation') {
-			endIncarnation();
-		} else if (reason === 'lease-over') {
-			startClaim('the estimate of the backend server clock is too inaccurate');
-		}
-	}
-
-	async function sendStop(run: Run): Promise<void> {
-		const sentClaim = claim;
-		const request = {taskName: run.taskName, runNumber: run.runNumber, token: getToken()};
-		const response = await measureResponseTime(backendServerClient.stop(getTarget(), request, callTimeouts.getRequestTimeoutMs()));
-		if (isClosed || !runTable.hasRun(run) || sentClaim !== claim) {
-			return;
-		}
-
-		if (response.outcome === 'unanswered') {
-			startClaim(`a stop went unanswered: ${response.reason}`);
-		} else if (response.outcome === 'rejected') {
-			startClaim(`a stop was rejected: ${response.reason}`);
-		}
-	}
-
-	function stop(taskName: string): void {
-		const run = runTable.getRuns().get(taskName);
-		if (run === undefined || run.state === 'stopping') {
-			return;
-		}
-
-		run.state = 'stopping';
-		if (state === 'held') {
-			void sendStop(run);
-		}
-	}
-
 	const session: BackendSession = {
 		getDescription: () => description,
 		setDescription(next) {
@@ -379,9 +294,9 @@
 		findRun: taskName => runTable.getRuns().get(taskName),
 		getFreeCapacity: () => getFreeCapacity(description, runTable.getRuns().values()),
 		start({payload, ...start}) {
-			void sendStart(runTable.addRun(start), payload);
+			requests.sendStart(runTable.addRun(start), payload);
 		},
-		stop,
+		stop: requests.stop,
 		expectEnd() {
 			isEndExpected = true;
 			if (state === 'silent') {
--- /dev/null
+++ b/packages/placement/src/sessions/create-run-requests.ts
@@ -0,0 +1,156 @@
+import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
+import type {StartWindow} from '../lag/create-start-window.js';
+import type {
+	BackendServerClient, RejectionReason, RequestTarget, StartStopResponse,
+} from '../ports/backend-server-client.js';
+import type {SessionState} from './backend-session.js';
+import type {CallTimeouts} from './create-call-timeouts.js';
+import {getRejectedStartEnd} from './get-run-end.js';
+import type {Run} from './run.js';
+import type {RunTable} from './run-table.js';
+
+/** Sends the start and stop requests of a session, and handles their responses. */
+export type RunRequests = {
+	/** Requests the start of a run that the table contains. */
+	sendStart(run: Run, payload: string): void;
+	/** Requests the stop of a run again, whose stop was requested before. */
+	sendStop(run: Run): void;
+	/** Stops the run of a task, if there is one that is not being stopped. */
+	stop(taskName: string): void;
+};
+
+export type RunRequestsOptions = {
+	backendServerClient: BackendServerClient;
+	timers: TimerService;
+	events: EventLog;
+	metrics: MetricSink;
+	callTimeouts: CallTimeouts;
+	startWindow: StartWindow;
+	runTable: RunTable;
+	getTarget: () => RequestTarget;
+	getToken: () => number;
+	/** Gets the end of the lease that a start requests, on the backend server's clock. */
+	getLeaseEndMs: () => number;
+	/** Gets the number of the current claim. A response to a request of an earlier claim says nothing about the current one. */
+	getClaim: () => number;
+	getState: () => SessionState;
+	isClosed: () => boolean;
+	/** Called when only a further claim can determine the effect of a request. */
+	onClaimNeeded: (reason: string) => void;
+	/** Called when the backend server no longer serves this session. */
+	onRejected: (reason: 'fenced' | 'other-incarnation') => void;
+};
+
+/**
+ * Creates the requests of a session.
+ * @param options - The state of the session and the ports.
+ *
+ * @example
+ * ```ts
+ * const requests = createRunRequests(options);
+ * requests.sendStart(runTable.addRun({taskName: 'job.0.0.0', runNumber: 1, needs}), payload);
+ * requests.stop('job.0.0.0');
+ * ```
+ */
+export function createRunRequests(options: RunRequestsOptions): RunRequests {
+	const {backendServerClient, timers, events, metrics, callTimeouts, startWindow, runTable, getTarget, getToken, getClaim, isClosed} = options;
+
+	/** Records the response time of a request that the backend server answers immediately. */
+	async function measureResponseTime(request: Promise<StartStopResponse>): Promise<StartStopResponse> {
+		const {serverId} = getTarget();
+		const sentAtMs = timers.getNowMs();
+		const response = await request;
+		const durationMs = timers.getNowMs() - sentAtMs;
+		if (response.outcome === 'unanswered') {
+			startWindow.addUnanswered(serverId, durationMs);
+		} else {
+			callTimeouts.addResponse(durationMs);
+			startWindow.addResponse(serverId, durationMs);
+		}
+
+		return response;
+	}
+
+	async function start(run: Run, payload: string): Promise<void> {
+		const sentClaim = getClaim();
+		startWindow.addStart();
+		const response = await measureResponseTime(backendServerClient.start(getTarget(), {
+			taskName: run.taskName,
+			runNumber: run.runNumber,
+			payload,
+			leaseEndMs: options.getLeaseEndMs(),
+			token: getToken(),
+		}, callTimeouts.getRequestTimeoutMs()));
+		startWindow.endStart();
+		if (!isClosed() && runTable.hasRun(run)) {
+			handleStartResponse(run, response, sentClaim);
+		}
+	}
+
+	function handleStartResponse(run: Run, response: StartStopResponse, sentClaim: number): void {
+		if (response.outcome === 'accepted') {
+			run.state = run.state === 'starting' ? 'running' : run.state;
+			run.serverStartMs = response.clockMs;
+			return;
+		}
+
+		if (response.outcome === 'unanswered') {
+			metrics.increment('start-unanswered');
+			callTimeouts.addUnansweredRequest();
+			if (sentClaim === getClaim()) {
+				options.onClaimNeeded(`a start went unanswered: ${response.reason}`);
+			}
+
+			return;
+		}
+
+		handleStartRejection(run, response.reason, sentClaim);
+	}
+
+	function handleStartRejection(run: Run, reason: RejectionReason, sentClaim: number): void {
+		events.write('start-rejected', {
+			task: run.taskName, run: run.runNumber, server: getTarget().serverId, reason, claim: sentClaim,
+		});
+		runTable.endRun(run, getRejectedStartEnd(reason));
+		if ((reason === 'fenced' && sentClaim === getClaim()) || reason === 'other-incarnation') {
+			options.onRejected(reason);
+		} else if (reason === 'lease-over') {
+			options.onClaimNeeded('the estimate of the backend server clock is too inaccurate');
+		}
+	}
+
+	async function requestStop(run: Run): Promise<void> {
+		const sentClaim = getClaim();
+		const request = {taskName: run.taskName, runNumber: run.runNumber, token: getToken()};
+		const response = await measureResponseTime(backendServerClient.stop(getTarget(), request, callTimeouts.getRequestTimeoutMs()));
+		if (isClosed() || !runTable.hasRun(run) || sentClaim !== getClaim()) {
+			return;
+		}
+
+		if (response.outcome === 'unanswered') {
+			options.onClaimNeeded(`a stop went unanswered: ${response.reason}`);
+		} else if (response.outcome === 'rejected') {
+			options.onClaimNeeded(`a stop was rejected: ${response.reason}`);
+		}
+	}
+
+	return {
+		sendStart(run, payload) {
+			void start(run, payload);
+		},
+		sendStop(run) {
+			void requestStop(run);
+		},
+		stop(taskName) {
+			const run = runTable.getRuns().get(taskName);
+			if (run === undefined || run.state === 'stopping') {
+				return;
+			}
+
+			run.state = 'stopping';
+			if (options.getState() === 'held') {
+				void requestStop(run);
+			}
+		},
+	};
+}
