Log which runs a backend server had when it crashed

Cause: no event told a crashed backend server from a silent one, or which runs it had and how old they were, so the hypotheses of the incident could not be told apart. Change: a refused connection is marked as such; event E1109 and a counter. The fake fleet can crash processes by the start of a task. No decision changes. Tests of placement's crash log, the client and the pages pass.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -64,6 +64,12 @@
 		summary: 'A deregistration arrived for a backend server that does not drain; it may be of an earlier incarnation.',
 		action: 'If it does not respond, check why it stopped.',
 	},
+	'backend-server-crashed': {
+		number: 1109,
+		level: 'warning',
+		summary: 'A backend server on which tasks may run refuses connections. Its runs are listed with their ages, the newest first.',
+		action: 'Compare the queues and tasks of several such events: a task, or the tasks of one queue, may crash what starts them.',
+	},
 	'backend-session-changed': {
 		number: 1107, level: 'info', summary: 'The session between the placer and a backend server changed state.', action: 'If it stays unresponsive, check the backend server and the link to it.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -27,6 +27,7 @@
 	'backend-server-announced': 'Announcements received from backend servers.',
 	'backend-server-expired': 'Backend servers whose announcement expired.',
 	'backend-server-ejected': 'Backend servers ejected because tasks of several jobs failed on them.',
+	'backend-server-crashed': 'Backend servers that refused connections while tasks might run on them.',
 	'backend-server-trial': 'Single tasks sent to an ejected backend server as a trial.',
 	'peer-sent': 'Messages sent to other daemons.',
 	'peer-received': 'Messages received from other daemons.',
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -4,6 +4,7 @@
 import {
 	getStartableTasks, isDone, isUnstarted, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
+import {createCrashLog} from '../crashes/crash-log.js';
 import {createStartWindow} from '../lag/create-start-window.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
@@ -68,6 +69,9 @@
 	const jobLog = createJobLog({
 		timers, events, metrics, sizeShares,
 	});
+	const crashLog = createCrashLog({
+		timers, events, metrics, jobTable,
+	});
 	const intake = createJobIntake(timers, sizeShares);
 	const expectations = createRunExpectations(timers, jobTable, remoteRunFactor);
 	const {getRunFactor, findExpectedEndMs} = expectations;
@@ -85,6 +89,9 @@
 				takeoverLog.handleClaim();
 				schedulePass();
 			},
+			onCrashSuspected(session) {
+				crashLog.recordCrash(session);
+			},
 			onStateChange: schedulePass,
 		},
 		onRunsLost(session, runs) {
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -20,6 +20,8 @@
 	onRunEnd(session: BackendSession, run: Run, end: RunEnd): void;
 	/** A claim was accepted; every run on the backend server is known. */
 	onHeld(session: BackendSession): void;
+	/** The backend server refuses connections; its runs have probably ended with its process. */
+	onCrashSuspected(session: BackendSession): void;
 	/** The session state has changed. */
 	onStateChange(session: BackendSession): void;
 };
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -1,6 +1,8 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import type {StartWindow} from '../lag/create-start-window.js';
-import type {BackendServerClient, RequestTarget, RenewResponse} from '../ports/backend-server-client.js';
+import type {
+	BackendServerClient, RequestTarget, RenewResponse, UnansweredResponse,
+} from '../ports/backend-server-client.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {BackendSession, SessionListener, SessionState} from './backend-session.js';
 import {getFencingToken, maxClaimNumber} from './fencing-token.js';
@@ -68,6 +70,7 @@
 	let state: SessionState = 'claiming';
 	let claim = -1;
 	let unansweredClaims = 0;
+	let isCrashSuspected = false;
 	let hasNewerIncarnation = false;
 	let isEndExpected = false;
 	let isClosed = false;
@@ -161,10 +164,19 @@
 		} else if (response.outcome === 'rejected') {
 			handleRejection(response.reason);
 		} else {
+			suspectCrashIfRefused(response);
 			handleClaimUnanswered(ownClaim, reason, response.reason);
 		}
 	}
 
+	/** A backend server that deregistered, or was never held, ends without a crash as far as this placer knows. */
+	function suspectCrashIfRefused({isRefused}: UnansweredResponse): void {
+		if (isRefused === true && !isCrashSuspected && !isEndExpected && clock.findServerTimeMs(timers.getNowMs()) !== undefined) {
+			isCrashSuspected = true;
+			listener.onCrashSuspected(session);
+		}
+	}
+
 	function handleClaimUnanswered(ownClaim: number, reason: string, failureReason: string): void {
 		unansweredClaims++;
 		if (unansweredClaims >= unansweredClaimsUntilSilent) {
@@ -215,6 +227,7 @@
 		}
 
 		unansweredClaims = 0;
+		isCrashSuspected = false;
 		clock.addReading(response.clockMs, timers.getNowMs());
 		runTable.addEnds(response.endedRuns);
 		runTable.reconcile(response.activeRuns, response.clockMs);
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -54,7 +54,14 @@
  */
 export function createTestPlacer(options: Partial<FakeFleetOptions> & Pick<PlacerOptions, 'remoteRunFactor'> = {}): TestPlacer {
 	const timers = new VirtualTimers();
-	const fleet = createFakeFleet({timers, serverCount: 4, ...options});
+	const fleet = createFakeFleet({
+		timers,
+		serverCount: 4,
+		onRestart() {
+			placerInUse.setServers(fleet.getDescriptions(), 0);
+		},
+		...options,
+	});
 	const events = new RecordingEventLog();
 	const metrics = new RecordingMetricSink();
 	const results = new Map<string, JobOutcome>();
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -1,7 +1,7 @@
 import type {TimerService} from '@camphortack/core';
 import {
 	BackendServerClient, type BackendServerDescription, type EndedRun, type StartStopResponse, type RequestTarget, type RenewResponse,
-	type RenewRequest, type StartRequest, type StopRequest,
+	type RenewRequest, type StartRequest, type StopRequest, type UnansweredResponse,
 } from '../../src/index.js';
 
 /** One run on the fleet, for assertions. */
@@ -31,6 +31,8 @@
 	startDelayMs?: number;
 	/** Decides for each request of any kind whether it gets no response and takes effect two seconds later. */
 	isRequestDelayed?: () => boolean;
+	/** Whether no process listens, so that connections are refused. */
+	isRefusing?: boolean;
 };
 
 export type FakeServer = {
@@ -43,6 +45,8 @@
 	highestRuns: Map<string, number>;
 	leaseEndMs: number;
 	pendingRenewals: Set<() => void>;
+	/** Breaks the connections on which responses are awaited. */
+	breakConnections: Set<() => void>;
 };
 
 export type FakeFleetOptions = {
@@ -58,17 +62,27 @@
 	getMillicores?: (taskName: string) => number;
 	delayMs?: number;
 	stopMs?: number;
+	/** Whether a task crashes each backend server that starts it. */
+	isDeadly?: (taskName: string) => boolean;
+	/** Called with each incarnation that has started in place of a crashed one. */
+	onRestart?: (server: FakeServer) => void;
 };
 
+/** The time between the start of a task that crashes its backend server and the crash. */
+const crashDelayMs = 8;
+/** The time after which a crashed backend server is back. */
+const restartMs = 3000;
+
 const delayedRequestMs = 2000;
 
-type Unanswered = {outcome: 'unanswered'; reason: string};
 type Handler<T> = (server: FakeServer, respond: (value: T) => void) => void;
 
 /** Backend servers in virtual time that implement the platform's protocol: fencing tokens, leases and numbered ends. */
 export type FakeFleet = {
 	servers: FakeServer[];
 	records: RunRecord[];
+	/** The crashes of processes, and the tasks that caused them. */
+	crashes: Array<{serverId: string; taskName: string | undefined; atMs: number}>;
 	/** Gets the client that a daemon uses. */
 	getClient(daemonId: string): BackendServerClient;
 	getDescriptions(): BackendServerDescription[];
@@ -76,6 +90,8 @@
 	findOverlaps(): Array<[RunRecord, RunRecord]>;
 	/** Ends a backend server without a word: its runs are gone, and it no longer responds. */
 	crash(serverId: string): void;
+	/** Ends the process of a backend server, so that connections to it are refused. */
+	crashProcess(serverId: string): void;
 	/** Gets the highest ratio of used to available CPU that any backend server has reached. */
 	getPeakUtilization(): number;
 };
@@ -90,6 +106,7 @@
 	const getDurationMs = options.getDurationMs ?? (() => 100);
 	const getRunFactor = options.getRunFactor ?? (() => 1);
 	const records: RunRecord[] = [];
+	const crashes: FakeFleet['crashes'] = [];
 	let peakUtilization = 0;
 
 	const servers = Array.from({length: serverCount}, (_, position): FakeServer => ({
@@ -116,6 +133,7 @@
 		highestRuns: new Map(),
 		leaseEndMs: 0,
 		pendingRenewals: new Set(),
+		breakConnections: new Set(),
 	}));
 
 	function getServer({serverId}: RequestTarget): FakeServer {
@@ -184,6 +202,14 @@
 		server.runs.set(taskName, {record, durationMs});
 		server.highestRuns.set(taskName, runNumber);
 		recordUsage(server);
+		if (options.isDeadly?.(taskName)) {
+			timers.addTimer(crashDelayMs, () => {
+				if (server.runs.get(taskName)?.record === record) {
+					crashProcess(server, taskName);
+				}
+			});
+		}
+
 		if (Number.isFinite(durationMs)) {
 			timers.addTimer(durationMs, () => {
 				if (server.runs.get(taskName)?.record === record) {
@@ -202,6 +228,27 @@
 		peakUtilization = Math.max(peakUtilization, use / server.description.cpuMillicores);
 	}
 
+	/** Ends the runs of a backend server and its process; a new incarnation starts some seconds later at the same address. */
+	function crashProcess(server: FakeServer, taskName?: string): void {
+		crashes.push({serverId: server.description.id, taskName, atMs: timers.getNowMs()});
+		for (const {record} of server.runs.values()) {
+			record.endedAtMs = timers.getNowMs();
+		}
+
+		server.runs.clear();
+		server.fault = {isRefusing: true};
+		for (const breakConnection of server.breakConnections) {
+			breakConnection();
+		}
+
+		timers.addTimer(restartMs, () => {
+			Object.assign(server, {
+				description: {...server.description, bornMs: server.description.bornMs + 1, sequence: 1}, fault: {}, ends: [], endCount: 0, highestToken: 0, highestRuns: new Map(), leaseEndMs: 0,
+			});
+			options.onRestart?.(server);
+		});
+	}
+
 	function stop(server: FakeServer, {taskName, runNumber, token}: StopRequest): StartStopResponse {
 		const clockMs = timers.getNowMs();
 		if (token < server.highestToken) {
@@ -264,14 +311,26 @@
 	 * Delivers a request and its response. If the backend server is unreachable or the request delayed, the call times
 	 * out.
 	 */
-	async function call<T>(daemonId: string, target: RequestTarget, timeoutMs: number, handler: Handler<T>): Promise<T | Unanswered> {
+	async function call<T>(daemonId: string, target: RequestTarget, timeoutMs: number, handler: Handler<T>): Promise<T | UnansweredResponse> {
 		const server = getServer(target);
 		const isUnreachable = () => server.fault.isUnreachableFrom?.(daemonId) ?? false;
 		return new Promise(resolve => {
+			const breakConnection = () => {
+				server.breakConnections.delete(breakConnection);
+				resolve({outcome: 'unanswered', reason: 'the connection was closed'});
+			};
+
 			timers.addTimer(timeoutMs, () => {
+				server.breakConnections.delete(breakConnection);
 				resolve({outcome: 'unanswered', reason: 'no response in time'});
 			});
 			timers.addTimer(delayMs, () => {
+				if (server.fault.isRefusing) {
+					resolve({outcome: 'unanswered', reason: 'the connection was refused', isRefused: true});
+					return;
+				}
+
+				server.breakConnections.add(breakConnection);
 				if (server.fault.isRequestDelayed?.()) {
 					timers.addTimer(delayedRequestMs, () => {
 						handler(server, () => {
@@ -282,6 +341,7 @@
 					handler(server, value => {
 						timers.addTimer(delayMs, () => {
 							if (!isUnreachable()) {
+								server.breakConnections.delete(breakConnection);
 								resolve(value);
 							}
 						});
@@ -338,6 +398,10 @@
 
 			server.runs.clear();
 		},
+		crashProcess(serverId) {
+			crashProcess(servers.find(({description}) => description.id === serverId)!);
+		},
+		crashes,
 		getPeakUtilization: () => peakUtilization,
 	};
 }
