Give tasks up under which backend servers have crashed

Callers saw: backend server after backend server taken away by one task, for as long as its caller waited. Cause: only runs that end as failed counted as attempts; a run lost with its backend server did not, and all counts ended with the placer or submission. Change: each daemon keeps a register of runs that ended with the process of their backend server; daemons exchange the records, also with daemons that join. A task with two crashes just after its start, or three of any kind, is given up: its job fails, also when submitted again.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -1,11 +1,12 @@
 import type {PeerMessage} from '@camphortack/core';
-import {placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
+import {createCrashRegister, placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
 import {
 	electionIntervalMs, reportIntervalMs, serverRefreshIntervalMs,
 } from './cluster-timings.js';
 import {createConfigurationExchange} from './configuration/configuration-exchange.js';
+import {createCrashExchange} from './crashes/crash-exchange.js';
 import {createPlacerElection} from './election/placer-election.js';
 import type {PlacerView} from './election/placer-view.js';
 import {handleEntryMessage} from './entry/handle-entry-message.js';
@@ -51,8 +52,12 @@
 	const hints = options.hintStore?.findHints() ?? {term: 0, isDivided: false};
 	const shards = createShardMap({...options, wasDivided: hints.isDivided, isEvacuated: evacuations.isEvacuated});
 	const relay = createRelay({ownId, peers, members});
+	const crashRegister = createCrashRegister(timers);
+	const crashes = createCrashExchange({...options, register: crashRegister, members});
 	const localPlacer = createLocalPlacer({
 		...options,
+		crashRegister,
+		onCrashRecord: crashes.broadcast,
 		ownIncarnation,
 		serverSources: {
 			isCoveredBy: source => registrySources.isCoveredBy(source),
@@ -199,6 +204,7 @@
 			events.write('member-joined', {member: fromId, availabilityZone: heartbeat.availabilityZone, upMs: heartbeat.upMs});
 			heartbeatSender.replyToNewMember(fromId);
 			registryExchange.requestRegistry(fromId, heartbeat);
+			crashes.sendAll(fromId);
 		} else {
 			heartbeatSender.replyIfDue(fromId);
 			registryExchange.sendMissedReports(fromId, silenceMs);
@@ -282,6 +288,11 @@
 				break;
 			}
 
+			case 'cluster.crashes': {
+				crashes.handleRecords(fromId, message.records);
+				break;
+			}
+
 			case 'cluster.relay': {
 				relay.forward(fromId, message);
 				break;
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {peerMessageSchema} from '@camphortack/core';
-import {backendServerDescriptionSchema} from '@camphortack/placement';
+import {backendServerDescriptionSchema, crashRecordSchema} from '@camphortack/placement';
 import {evacuationsSchema} from '../evacuations/evacuations.js';
 
 /** Messages between the daemons of a deployment. */
@@ -54,6 +54,8 @@
 	z.object({kind: z.literal('cluster.configuration'), number: z.int(), content: z.string()}),
 	z.object({kind: z.literal('cluster.evacuations-request'), knownRevision: z.int()}),
 	z.object({kind: z.literal('cluster.evacuations'), ...evacuationsSchema.shape}),
+	/** Runs that ended with the processes of their backend servers, which the receiver may not know of. */
+	z.object({kind: z.literal('cluster.crashes'), records: z.array(crashRecordSchema)}),
 	/** Asks the receiver to forward a message to a daemon that the sender does not hear. */
 	z.object({kind: z.literal('cluster.relay'), toId: z.string(), message: peerMessageSchema}),
 	z.object({kind: z.literal('cluster.relayed'), fromId: z.string(), message: peerMessageSchema}),
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@camphortack/core';
 import {
-	createPlacer, encodeOutcome, type BackendServerDescription, type Placer, type PlacementMessage, type ServerSources,
+	createPlacer, encodeOutcome, type BackendServerDescription, type CrashRecord, type CrashRegister, type Placer, type PlacementMessage, type ServerSources,
 } from '@camphortack/placement';
 import type {ClusterOptions} from '../cluster-options.js';
 import {entryTimeoutMs, notBegunRepetitionMs} from '../cluster-timings.js';
@@ -30,6 +30,9 @@
 
 export type LocalPlacerOptions = Pick<ClusterOptions, 'daemonNumber' | 'backendServerClient' | 'timers' | 'random' | 'events' | 'metrics' | 'remoteRunFactor'> & {
 	serverSources: ServerSources;
+	crashRegister: CrashRegister;
+	/** Called with each crash that the placer has noticed first. */
+	onCrashRecord: (record: CrashRecord) => void;
 	/** The start of this process. */
 	ownIncarnation: string;
 	/** Sends a message to a daemon, relayed if necessary. */
--- a/packages/cluster/test/create-cluster-crashes.test.ts
+++ b/packages/cluster/test/create-cluster-crashes.test.ts
@@ -34,7 +34,7 @@
 
 describe('createCluster, with a task that crashes the backend servers that start it', () => {
 	// Guards against a task whose runs are lost with their backend servers and that is started again without a limit.
-	it('gives the task up after two crashes', {todo: 'KNOWN-RED.txt'}, async () => {
+	it('gives the task up after two crashes', async () => {
 		const test = createCrashingCluster();
 		await startAndWaitUntilServing(test);
 		submitDeadlyJob(test, 'entry-a1');
@@ -43,7 +43,7 @@
 	});
 
 	// Guards against counts that are lost with a submission: the caller comes again, through another entry daemon each time.
-	it('gives the task up after two crashes, each in another submission', {todo: 'KNOWN-RED.txt'}, async () => {
+	it('gives the task up after two crashes, each in another submission', async () => {
 		const test = createCrashingCluster();
 		await startAndWaitUntilServing(test);
 		for (const entryId of ['entry-a1', 'entry-b1', 'entry-c1', 'entry-a2', 'entry-b2']) {
@@ -59,7 +59,7 @@
 	});
 
 	// Guards against a second submission through another entry daemon that reaches a new placer, which knows neither.
-	it('gives the task up after two crashes, each in another submission and under another placer', {todo: 'KNOWN-RED.txt'}, async () => {
+	it('gives the task up after two crashes, each in another submission and under another placer', async () => {
 		const test = createCrashingCluster();
 		await startAndWaitUntilServing(test);
 		for (const entryId of ['entry-a1', 'entry-b1', 'entry-c1', 'entry-a2']) {
--- a/packages/cluster/test/placing/local-placer.test.ts
+++ b/packages/cluster/test/placing/local-placer.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {it} from 'node:test';
 import {createSeededRandomSource} from '@camphortack/core';
-import type {PlacementMessage} from '@camphortack/placement';
+import {createCrashRegister, type PlacementMessage} from '@camphortack/placement';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {createFakeFleet, type FakeFleet} from '../../../placement/test/support/fake-fleet.js';
 import {defaultRequest} from '../../../placement/test/support/create-test-placer.js';
@@ -27,6 +27,10 @@
 		events: new RecordingEventLog(),
 		metrics: new RecordingMetricSink(),
 		ownIncarnation: 'one',
+		crashRegister: createCrashRegister(timers),
+		onCrashRecord() {
+			// There is no other daemon.
+		},
 		serverSources: {
 			isCoveredBy: () => true,
 			requestMissing() {
--- a/packages/cluster/test/support/replay-zones.ts
+++ b/packages/cluster/test/support/replay-zones.ts
@@ -1,5 +1,5 @@
 import {createSeededRandomSource} from '@camphortack/core';
-import {createPlacer, type Placer} from '@camphortack/placement';
+import {createCrashRegister, createPlacer, type Placer} from '@camphortack/placement';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {createFakeFleet} from '../../../placement/test/support/fake-fleet.js';
 import {createLoadPattern, mixedKinds, type PatternJob} from '../../../placement/test/support/load-pattern.js';
@@ -71,6 +71,10 @@
 			random: createSeededRandomSource(position),
 			events: new RecordingEventLog(),
 			metrics: new RecordingMetricSink(),
+			crashRegister: createCrashRegister(timers),
+			onCrashRecord() {
+				// Each zone has one daemon.
+			},
 			serverSources: {
 				isCoveredBy: () => true,
 				requestMissing() {
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -88,6 +88,12 @@
 	'task-moved': {
 		number: 1205, level: 'info', summary: 'A run was stopped to start its task elsewhere, since its backend server will be taken away first.', action: 'None.',
 	},
+	'task-given-up': {
+		number: 1206,
+		level: 'warning',
+		summary: 'Backend servers have crashed under a task, so its job has failed and the task is not started again.',
+		action: 'Check the job; look up the task in the events 1109.',
+	},
 	'job-taken': {
 		number: 1209, level: 'info', summary: 'The placer has accepted a job.', action: 'None.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -13,6 +13,7 @@
 	'task-lost': 'Tasks that were sent and whose result is unknown.',
 	'task-queue-time': 'Time that a task spent in the queue, in milliseconds.',
 	'task-queued': 'Tasks waiting for a slot.',
+	'task-given-up': 'Tasks that were given up because backend servers had crashed under them.',
 	'task-stopped': 'Running tasks that were asked to stop.',
 	'answer-discarded-late': 'Task responses that arrived after the task was abandoned.',
 	'answer-discarded-doubled': 'Duplicate task responses.',
--- /dev/null
+++ b/packages/placement/src/crashes/find-suspect-run.ts
@@ -0,0 +1,28 @@
+/** A run on a backend server that has crashed. */
+export type CrashedRun = {
+	taskName: string;
+	queueName: string;
+	/** The time since its start; undefined if this placer did not start it. */
+	ageMs: number | undefined;
+};
+
+/** A crash that a task causes follows its start within this time, including what the placer needs to notice it. */
+const maxSuspectAgeMs = 40;
+
+/**
+ * Finds the run whose task probably crashed a backend server: one that had only just started. Of several, the one whose queue
+ * has more suspect runs before, else the newest.
+ * @param runs - The runs that were on the backend server.
+ * @param getSuspectCount - Gets how many recent suspect runs a queue has.
+ *
+ * @example
+ * ```ts
+ * findSuspectRun([{taskName: 'a.0.0.0', queueName: 'estimates', ageMs: 12}], () => 0)?.taskName; // 'a.0.0.0'
+ * ```
+ */
+export function findSuspectRun(runs: readonly CrashedRun[], getSuspectCount: (queueName: string) => number): CrashedRun | undefined {
+	const [first] = runs
+		.filter(({ageMs}) => ageMs !== undefined && ageMs <= maxSuspectAgeMs)
+		.toSorted((left, right) => getSuspectCount(right.queueName) - getSuspectCount(left.queueName) || left.ageMs! - right.ageMs!);
+	return first;
+}
--- /dev/null
+++ b/packages/placement/src/crashes/given-up-jobs.ts
@@ -0,0 +1,37 @@
+import type {EventLog, MetricSink} from '@camphortack/core';
+import type {PlacedJob} from '../jobs/placed-job.js';
+import type {JobOutcome} from '../messages/job-outcome.js';
+import type {JobTable} from '../placer/job-table.js';
+import type {CrashRegister} from './crash-register.js';
+
+/** Ends the jobs of tasks that crash the backend servers that start them. */
+export type GivenUpJobs = {
+	endJobs(): void;
+};
+
+export type GivenUpJobsOptions = {
+	events: EventLog;
+	metrics: MetricSink;
+	jobTable: JobTable;
+	crashRegister: CrashRegister;
+	onGivenUp: (job: PlacedJob, result: JobOutcome) => void;
+};
+
+/**
+ * Creates the component. A job that is submitted again after its end is ended again, before any of its tasks starts.
+ * @param options - The open jobs and the known crashes.
+ */
+export function createGivenUpJobs({events, metrics, jobTable, crashRegister, onGivenUp}: GivenUpJobsOptions): GivenUpJobs {
+	return {
+		endJobs() {
+			for (const taskName of crashRegister.getGivenUpTasks()) {
+				const found = jobTable.findTask(taskName);
+				if (found !== undefined) {
+					metrics.increment('task-given-up');
+					events.write('task-given-up', {task: taskName, queue: found.job.request.queueName, runs: found.task.runNumber});
+					onGivenUp(found.job, {outcome: 'failed', reason: 'attempts-used'});
+				}
+			}
+		},
+	};
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,3 +1,5 @@
+export * from './crashes/crash-record.js';
+export * from './crashes/crash-register.js';
 export type * from './jobs/job-handover.js';
 export * from './jobs/job-request.js';
 export * from './messages/job-outcome.js';
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -4,7 +4,10 @@
 import {
 	getStartableTasks, isDone, isUnstarted, type PlacedJob, type PlacedTask,
 } from '../jobs/placed-job.js';
-import {createCrashLog} from '../crashes/crash-log.js';
+import {createCrashMonitor} from '../crashes/crash-monitor.js';
+import type {CrashRecord} from '../crashes/crash-record.js';
+import type {CrashRegister} from '../crashes/crash-register.js';
+import {createGivenUpJobs} from '../crashes/given-up-jobs.js';
 import {createStartWindow} from '../lag/create-start-window.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
@@ -13,6 +16,7 @@
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run, RunEnd} from '../sessions/run.js';
 import {createSizeShares} from '../queue/create-size-shares.js';
+import {createPassScheduler} from './create-pass-scheduler.js';
 import {createJobLog} from './job-log.js';
 import {createJobTable} from './job-table.js';
 import {createEvacuatedJobs} from './evacuated-jobs.js';
@@ -44,6 +48,10 @@
 	serverSources: ServerSources;
 	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
 	remoteRunFactor?: number | undefined;
+	/** The crashes that this daemon knows of, which outlive its terms. */
+	crashRegister: CrashRegister;
+	/** Called with each crash that this placer has noticed first. */
+	onCrashRecord: (record: CrashRecord) => void;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
@@ -51,12 +59,6 @@
 /** Offers far places to a task, after all tasks of the pass have been offered near ones. */
 type DeferredStart = () => void;
 
-/** Scheduling passes requested within this interval are combined into one. */
-const minPassIntervalMs = 2;
-const maxPassIntervalMs = 50;
-/** A longer gap between two passes means that this process was suspended. */
-const maxPassGapMs = 200;
-
 /**
  * Creates the placer of a term. It claims each backend server before it uses it, so that it knows exactly which tasks run
  * there, whatever an earlier placer did.
@@ -69,16 +71,14 @@
 	const jobLog = createJobLog({
 		timers, events, metrics, sizeShares,
 	});
-	const crashLog = createCrashLog({
-		timers, events, metrics, jobTable,
-	});
+	const crashMonitor = createCrashMonitor({...options, jobTable});
+	const givenUpJobs = createGivenUpJobs({...options, jobTable, onGivenUp: endJob});
 	const intake = createJobIntake(timers, sizeShares);
 	const expectations = createRunExpectations(timers, jobTable, remoteRunFactor);
 	const {getRunFactor, findExpectedEndMs} = expectations;
-	let isPassScheduled = false;
-	let lastPassAtMs = Number.NEGATIVE_INFINITY;
-	let isStopped = false;
 	let loadMs = 0;
+	const passes = createPassScheduler(timers, runPass);
+	const {schedulePass} = passes;
 	const startWindow = createStartWindow({...options, onOpen: schedulePass});
 	const pool = createServerPool({
 		...options,
@@ -90,7 +90,8 @@
 				schedulePass();
 			},
 			onCrashSuspected(session) {
-				crashLog.recordCrash(session);
+				crashMonitor.handleCrash(session);
+				schedulePass();
 			},
 			onStateChange: schedulePass,
 		},
@@ -135,41 +136,10 @@
 	const taskEnds = createTaskEnds({
 		timers, events, metrics, pool, intake, getRunFactor, onJobEnd: endJob,
 	});
-	/** Passes also run periodically: grades of backend servers change and jobs become too late without any event. */
-	const passInterval = timers.addInterval(maxPassIntervalMs, schedulePass);
-
-	/**
-	 * Schedules a pass over the waiting jobs: immediately, or after a short delay if one has just run, so that runs
-	 * that end together cause only one pass.
-	 */
-	function schedulePass(): void {
-		if (isPassScheduled || isStopped) {
-			return;
-		}
-
-		isPassScheduled = true;
-		if (timers.getNowMs() - lastPassAtMs < minPassIntervalMs) {
-			timers.addTimer(minPassIntervalMs, runScheduledPass);
-		} else {
-			queueMicrotask(runScheduledPass);
-		}
-	}
-
-	function runScheduledPass(): void {
-		isPassScheduled = false;
-		const gapMs = timers.getNowMs() - lastPassAtMs;
-		lastPassAtMs = timers.getNowMs();
-		if (Number.isFinite(gapMs) && gapMs > maxPassGapMs) {
-			// The messages received meanwhile, such as an evacuation, are handled before any decision.
-			schedulePass();
-		} else if (!isStopped) {
-			runPass();
-		}
-	}
-
 	function runPass(): void {
 		recovery.recoverJobs();
 		evacuatedJobs.endJobs();
+		givenUpJobs.endJobs();
 		const nowMs = timers.getNowMs();
 		const waiting = getWaitingJobs(jobTable.getJobs(), nowMs);
 		const tables = createTables(waiting);
@@ -272,6 +242,10 @@
 	}
 
 	function handleRunEnd(session: BackendSession, run: Run, end: RunEnd): void {
+		if (end === 'lost') {
+			crashMonitor.handleLostRun(session, run);
+		}
+
 		const found = jobTable.findTask(run.taskName);
 		if (found?.task.session === session && found.task.runNumber === run.runNumber) {
 			taskEnds.handleEnd(found.job, found.task, end);
@@ -384,10 +358,9 @@
 			return states.filter(state => state === 'fenced').length * 2 > states.length;
 		},
 		stop() {
-			isStopped = true;
+			passes.stop();
 			slowRunDetector.stop();
 			startWindow.stop();
-			passInterval.cancel();
 			logOpenJobs();
 			pool.close();
 		},
--- a/packages/placement/test/crashes/crash-log.test.ts
+++ b/packages/placement/test/crashes/crash-monitor.test.ts
@@ -3,7 +3,7 @@
 import {createTestPlacer, defaultRequest} from '../support/create-test-placer.js';
 import {runFor} from '../support/run-for.js';
 
-describe('createCrashLog', () => {
+describe('createCrashMonitor', () => {
 	it('lists the runs of a backend server that refuses connections, the newest first, with queue and age', async () => {
 		const {timers, fleet, submit, events, metrics} = createTestPlacer({serverCount: 1, getDurationMs: () => 900});
 		const steps = [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}];
@@ -15,7 +15,9 @@
 		fleet.crashProcess('server-0');
 		await runFor(timers, 100);
 		assert.deepEqual(events.events.filter(({name}) => name === 'backend-server-crashed').map(({fields}) => fields), [
-			{server: 'server-0', runCount: 2, runs: 'new.0.0.0 other 9 ms, old.0.0.0 estimates 51 ms'},
+			{
+				server: 'server-0', runCount: 2, suspect: 'new.0.0.0', runs: 'new.0.0.0 other 9 ms, old.0.0.0 estimates 51 ms',
+			},
 		]);
 		assert.equal(metrics.getCount('backend-server-crashed'), 1);
 	});
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -1,7 +1,7 @@
 import {createSeededRandomSource, type TimerService} from '@camphortack/core';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {
-	createPlacer, type BackendServerClient, type HandoverSource, type JobOutcome, type JobRequest, type Placer, type PlacerOptions,
+	createCrashRegister, createPlacer, type BackendServerClient, type HandoverSource, type JobOutcome, type JobRequest, type Placer, type PlacerOptions,
 } from '../../src/index.js';
 import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from './fake-fleet.js';
 
@@ -67,6 +67,7 @@
 	const results = new Map<string, JobOutcome>();
 	const endedAtMs = new Map<string, number>();
 	const requestedSources: HandoverSource[] = [];
+	const crashRegister = createCrashRegister(timers);
 
 	function createSuccessor(term: number, daemonId: string, daemonNumber = term, {wrapClient = client => client, placerTimers = timers}: SuccessorOptions = {}): Placer {
 		return createPlacer({
@@ -78,6 +79,10 @@
 			events,
 			metrics,
 			remoteRunFactor: options.remoteRunFactor,
+			crashRegister,
+			onCrashRecord() {
+				// The placers of a test share one register.
+			},
 			serverSources: {
 				isCoveredBy: ({placers}) => placers.every(({placerId}) => placerId !== unknownPlacerId),
 				requestMissing(source) {
