Keep queues whose tasks crash backend servers apart from the others

Callers of other queues saw: most of their worth gone for eight seconds while half of one queue's jobs crashed backend servers. Cause: each such job is new and crashes one backend server before anything is known of it; a dozen a second took more away than came back, with the tasks of others that ran there. Change: a queue with three separate crashes just after a start within 3 s (or of 5% of the backend servers) gets backend servers of its own, and none while its tasks keep a tenth of all down; its jobs are then refused at once. A new placer continues that from the register.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -118,6 +118,15 @@
 		summary: 'The placer stopped before a job of which it had started tasks ended.',
 		action: 'Look up the job in the log of the next placer; `servers` says where its tasks ran.',
 	},
+	'queue-quarantined': {
+		number: 1216,
+		level: 'warning',
+		summary: 'Tasks of a queue crash backend servers; the queue now has a few backend servers of its own, or none while too many are down.',
+		action: 'Find what the jobs of the suspect tasks in the events 1109 have in common, and stop their callers.',
+	},
+	'queue-released': {
+		number: 1217, level: 'info', summary: 'Tasks of a queue have crashed no backend server for some seconds; the queue uses all of them again.', action: 'None.',
+	},
 	'deployment-divided': {
 		number: 1219, level: 'info', summary: 'There are many backend servers, so each availability zone now has its own placer.', action: 'None.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -13,6 +13,8 @@
 	'task-lost': 'Tasks that were sent and whose result is unknown.',
 	'task-queue-time': 'Time that a task spent in the queue, in milliseconds.',
 	'task-queued': 'Tasks waiting for a slot.',
+	'queue-quarantined': 'Times that a queue was kept apart because its tasks crashed backend servers.',
+	'job-refused-quarantine': 'Jobs refused because tasks of their queue had crashed too many backend servers.',
 	'task-given-up': 'Tasks that were given up because backend servers had crashed under them.',
 	'task-stopped': 'Running tasks that were asked to stop.',
 	'answer-discarded-late': 'Task responses that arrived after the task was abandoned.',
--- a/packages/placement/src/crashes/crash-register.ts
+++ b/packages/placement/src/crashes/crash-register.ts
@@ -35,7 +35,7 @@
 const retentionMs = 120_000;
 const maxRecords = 4096;
 /** How long a crash counts against the queue of the suspect run. */
-const suspicionMs = 10_000;
+const suspicionMs = 30_000;
 
 /**
  * Creates an empty register. It belongs to a daemon and outlives the terms of its placers; daemons exchange the records, so
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -7,6 +7,7 @@
 import {createCrashMonitor} from '../crashes/crash-monitor.js';
 import type {CrashRecord} from '../crashes/crash-record.js';
 import type {CrashRegister} from '../crashes/crash-register.js';
+import {createQueueQuarantine} from '../crashes/queue-quarantine.js';
 import {createGivenUpJobs} from '../crashes/given-up-jobs.js';
 import {createStartWindow} from '../lag/create-start-window.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
@@ -24,7 +25,8 @@
 import {createJobRecovery} from './job-recovery.js';
 import {createMovedRuns} from './moved-runs.js';
 import type {Placer} from './placer.js';
-import {createCapacityTable, type Allocation, type CapacityTable} from './capacity-table.js';
+import type {Allocation, CapacityTable} from './capacity-table.js';
+import {createJobGroups} from './job-groups.js';
 import {recordDistance} from './record-distance.js';
 import {createRetryTimes} from './create-retry-times.js';
 import {createRunExpectations} from './run-expectations.js';
@@ -33,7 +35,7 @@
 import {createTakeoverLog} from './takeover-log.js';
 import {createTaskEnds} from './task-ends.js';
 import {
-	findRefusals, getWaitingJobs, getWaitingMillicores, type WaitingEntry,
+	findRefusals, getWaitingJobs,
 } from './waiting-jobs.js';
 
 export type PlacerOptions = {
@@ -56,6 +58,9 @@
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
 
+/** The time that a crashed backend server takes to come back. */
+const restartMs = 3000;
+
 /** Offers far places to a task, after all tasks of the pass have been offered near ones. */
 type DeferredStart = () => void;
 
@@ -101,6 +106,9 @@
 			}
 		},
 	});
+	const quarantine = createQueueQuarantine({
+		...options, jobTable, pool, getUsableServers,
+	});
 	const getRetryAfterMs = createRetryTimes({...options, pool});
 	const takeoverLog = createTakeoverLog({...options, getKnowledge: pool.getKnowledge});
 	const recovery = createJobRecovery({
@@ -130,6 +138,9 @@
 	const movedRuns = createMovedRuns({
 		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
 	});
+	const groups = createJobGroups({
+		timers, quarantine, movedRuns, remoteRunFactor, findExpectedEndMs, getUsableServers,
+	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, getRunFactor,
 	});
@@ -140,10 +151,14 @@
 		recovery.recoverJobs();
 		evacuatedJobs.endJobs();
 		givenUpJobs.endJobs();
+		quarantine.update();
+		refuseSuspendedJobs();
 		const nowMs = timers.getNowMs();
 		const waiting = getWaitingJobs(jobTable.getJobs(), nowMs);
-		const tables = createTables(waiting);
-		const {refusals, loadMs: nextLoadMs} = findRefusals(jobTable.getJobs(), waiting, {tables, startWindow, nowMs});
+		const tables = groups.createTables(waiting);
+		const {refusals, loadMs: nextLoadMs} = findRefusals(jobTable.getJobs(), waiting, {
+			tables, getGroup: groups.getGroup, startWindow, nowMs,
+		});
 		loadMs = nextLoadMs;
 		for (const {job, reason, waitMs, isForLag} of refusals) {
 			metrics.increment('job-refused-lag', Number(isForLag));
@@ -153,7 +168,7 @@
 		const deferred: DeferredStart[] = [];
 		for (const {job} of waiting) {
 			if (!job.isEnded) {
-				placeJob(job, tables.get(job.request.service)!, deferred);
+				placeJob(job, tables.get(groups.getGroup(job).key)!, deferred);
 			}
 		}
 
@@ -163,21 +178,18 @@
 
 		// A placer that is itself behind could not start the tasks of stopped runs soon.
 		if (!startWindow.isLimited()) {
-			movedRuns.moveRuns(service => tables.get(service) ?? createTable(service, waiting));
+			movedRuns.moveRuns(service => tables.get(service) ?? groups.createSharedTable(service, waiting));
 		}
 	}
 
-	function createTables(waiting: readonly WaitingEntry[]): Map<string, CapacityTable> {
-		const services = new Set(waiting.map(({job}) => job.request.service));
-		return new Map([...services].map(service => [service, createTable(service, waiting)]));
-	}
-
-	function createTable(service: string, waiting: readonly WaitingEntry[]): CapacityTable {
-		const table = createCapacityTable(getUsableServers(service), {
-			nowMs: timers.getNowMs(), remoteRunFactor, waitingMillicores: getWaitingMillicores(waiting, service), findExpectedEndMs,
-		});
-		movedRuns.reserveCapacity(service, table);
-		return table;
+	/** Until a crashed backend server is back, nothing can be known of the jobs of a suspended queue, and none can start. */
+	function refuseSuspendedJobs(): void {
+		for (const job of jobTable.getJobs()) {
+			if (!job.hasStarted && quarantine.isSuspended(job.request.queueName)) {
+				metrics.increment('job-refused-quarantine');
+				refuse(job, 'no-capacity', restartMs);
+			}
+		}
 	}
 
 	function refuse(job: PlacedJob, reason: RefusalReason, waitMs: number): void {
--- a/packages/placement/src/placer/waiting-jobs.ts
+++ b/packages/placement/src/placer/waiting-jobs.ts
@@ -14,6 +14,12 @@
 	waitingJob: WaitingJob;
 };
 
+/** The jobs that share backend servers: those of a service, or of one of its queues in quarantine. */
+export type JobGroup = {
+	key: string;
+	isQuarantined: boolean;
+};
+
 /** A job to refuse. */
 export type Refusal = {
 	job: PlacedJob;
@@ -25,8 +31,10 @@
 };
 
 export type RefusalContext = {
-	/** The free capacity of each service. */
+	/** The free capacity of each group of jobs that share backend servers. */
 	tables: ReadonlyMap<string, CapacityTable>;
+	/** Gets the group of a job. */
+	getGroup: (job: PlacedJob) => JobGroup;
 	startWindow: Pick<StartWindow, 'getWaitMs' | 'getAnnouncedWaitMs'>;
 	nowMs: number;
 };
@@ -66,12 +74,12 @@
 }
 
 /**
- * Gets the CPU that the waiting tasks of a service need.
+ * Gets the CPU that the waiting tasks of some jobs need.
  * @param waiting - The waiting jobs.
- * @param service - The service.
+ * @param isIncluded - Whether a job is one of them.
  */
-export function getWaitingMillicores(waiting: readonly WaitingEntry[], service: string): number {
-	return waiting.reduce((sum, {job, waitingJob}) => sum + (job.request.service === service ? waitingJob.waitingMillicores : 0), 0);
+export function getWaitingMillicores(waiting: readonly WaitingEntry[], isIncluded: (job: PlacedJob) => boolean): number {
+	return waiting.reduce((sum, {job, waitingJob}) => sum + (isIncluded(job) ? waitingJob.waitingMillicores : 0), 0);
 }
 
 /**
@@ -80,17 +88,18 @@
  * @param waiting - The waiting jobs, in scheduling order.
  * @param context - The capacity, the starts that the placer can send, and the time.
  */
-export function findRefusals(jobs: Iterable<PlacedJob>, waiting: readonly WaitingEntry[], {tables, startWindow, nowMs}: RefusalContext): {refusals: Refusal[]; loadMs: number} {
+export function findRefusals(jobs: Iterable<PlacedJob>, waiting: readonly WaitingEntry[], {tables, getGroup, startWindow, nowMs}: RefusalContext): {refusals: Refusal[]; loadMs: number} {
 	const refusals: Refusal[] = [];
 	const openJobs = [...jobs];
-	const estimators = new Map([...tables].map(([service, table]) => [service, {
-		estimator: createWaitEstimator(getServiceLoad(openJobs, service, table)),
+	const estimators = new Map([...tables].map(([key, table]) => [key, {
+		estimator: createWaitEstimator(getServiceLoad(openJobs.filter(job => getGroup(job).key === key), table)),
 		contention: table.contention,
 		distanceEstimator: createDistanceEstimator(nowMs, table.remoteRunFactor, table.getRackLoad),
 	}]));
+	const sharedKeys = new Set(openJobs.map(job => getGroup(job)).filter(({isQuarantined}) => !isQuarantined).map(({key}) => key));
 	let startsAhead = 0;
 	for (const {job, waitingJob} of waiting) {
-		const {estimator, distanceEstimator, contention} = estimators.get(job.request.service)!;
+		const {estimator, distanceEstimator, contention} = estimators.get(getGroup(job).key)!;
 		const distantJob = {...waitingJob, dataRack: findDataRack(job)};
 		const waitMs = estimator.getWaitMs(waitingJob);
 		const distance = distanceEstimator.getEstimate(distantJob, waitMs);
@@ -110,7 +119,8 @@
 		}
 	}
 
-	const loadMs = Math.max(0, ...[...estimators.values()].map(({estimator}) => estimator.getWaitMs(referenceJob)), startWindow.getAnnouncedWaitMs(startsAhead + referenceTaskCount));
+	const shared = [...estimators].filter(([key]) => sharedKeys.has(key));
+	const loadMs = Math.max(0, ...shared.map(([, {estimator}]) => estimator.getWaitMs(referenceJob)), startWindow.getAnnouncedWaitMs(startsAhead + referenceTaskCount));
 	return {refusals, loadMs: Math.round(loadMs)};
 }
 
@@ -119,15 +129,13 @@
 	return request.steps.find(({dataRack}) => dataRack !== undefined)?.dataRack;
 }
 
-function getServiceLoad(jobs: readonly PlacedJob[], service: string, table: CapacityTable): ServiceLoad {
+function getServiceLoad(jobs: readonly PlacedJob[], table: CapacityTable): ServiceLoad {
 	let runningMillicores = 0;
 	let runningWork = 0;
 	for (const job of jobs) {
-		if (job.request.service === service) {
-			const millicores = getMillicores(job, 'running');
-			runningMillicores += millicores;
-			runningWork += millicores * job.criticalPathMs;
-		}
+		const millicores = getMillicores(job, 'running');
+		runningMillicores += millicores;
+		runningWork += millicores * job.criticalPathMs;
 	}
 
 	return {
--- a/packages/placement/test/crashes/crash-register.test.ts
+++ b/packages/placement/test/crashes/crash-register.test.ts
@@ -43,7 +43,7 @@
 
 		assert.ok(second.getGivenUpTasks().has('job.0.0.0'));
 		assert.deepEqual(second.getSuspectQueues(), []);
-		timers.advance(30_000);
+		timers.advance(30_001);
 		second.addRecord(createRecord({taskName: 'other.0.0.0'}));
 		assert.deepEqual([...second.getGivenUpTasks()], []);
 		assert.deepEqual(second.getRecords().map(({taskName}) => taskName), ['other.0.0.0']);
