Give idempotent tasks up under which two backend servers were lost

Change: a task counts the backend servers that were lost under it, also in the message that hands it over (optional, for earlier versions); at two its job fails.

--- a/packages/dispatch/src/dispatcher/job-intake.ts
+++ b/packages/dispatch/src/dispatcher/job-intake.ts
@@ -45,6 +45,7 @@
 			key,
 			job,
 			indexes: message?.indexes,
+			lostServers: message?.lostServers,
 			handovers: message?.handovers,
 			pool: rules.getPoolName(job.service, job.customer),
 			declaredRunTimeMs: rules.findService(job.service)!.declaredRunTimeMs,
--- a/packages/dispatch/src/handover/part-sender.ts
+++ b/packages/dispatch/src/handover/part-sender.ts
@@ -113,6 +113,7 @@
 			deadlineMs,
 			idempotent: job.idempotent,
 			indexes: tasks.map(task => task.index),
+			lostServers: tasks.map(task => task.lostServers),
 			tasks: tasks.map(task => ({payload: task.payload, declaredRunTimeMs: task.declaredRunTimeMs, needs: task.needs})),
 			loads: options.getLoads(job.pool),
 		});
--- a/packages/dispatch/src/jobs/open-job.ts
+++ b/packages/dispatch/src/jobs/open-job.ts
@@ -20,6 +20,8 @@
 	state: OpenTaskState;
 	/** The number of times the task was sent to a backend server. */
 	placements: number;
+	/** The number of backend servers that were lost while they ran the task, on this daemon or those it came from. */
+	lostServers: number;
 	/** Whether an earlier attempt may have run the task. */
 	mayHaveRun: boolean;
 	/** The ids of the running attempts; two while the task is hedged. */
@@ -66,6 +68,8 @@
 	job: Job;
 	/** For each task, its index in the job as the caller submitted it. */
 	indexes?: readonly number[];
+	/** For each task, how many backend servers were lost while they ran it. */
+	lostServers?: readonly number[];
 	pool: string;
 	declaredRunTimeMs: number;
 	getExpectedRunTimeMs: (declaredRunTimeMs: number) => number;
@@ -126,6 +130,7 @@
 		},
 		state: 'queued',
 		placements: 0,
+		lostServers: options.lostServers?.[position] ?? 0,
 		mayHaveRun: false,
 		attempts: new Set(),
 		result: undefined,
--- a/packages/dispatch/src/messages/dispatch-messages.ts
+++ b/packages/dispatch/src/messages/dispatch-messages.ts
@@ -35,6 +35,8 @@
 	deadlineMs: z.number().positive(),
 	idempotent: z.boolean(),
 	indexes: z.array(z.int().min(0)).min(1).max(maxTasksPerJob),
+	/** For each task, how many backend servers were lost while they ran it; missing in earlier versions. */
+	lostServers: z.array(z.int().min(0)).max(maxTasksPerJob).optional(),
 	tasks: z.array(taskSchema).min(1).max(maxTasksPerJob),
 	loads: loadsSchema,
 });
--- a/packages/dispatch/src/tasks/task-runner.ts
+++ b/packages/dispatch/src/tasks/task-runner.ts
@@ -41,6 +41,8 @@
 
 /** A task that was sent to a backend server this many times is not placed again; its job is aborted instead. */
 const maxPlacements = 8;
+/** A task under which this many backend servers were lost is given up: it may crash whatever starts it. */
+const maxLostServers = 2;
 
 export function createTaskRunner(options: TaskRunnerOptions): TaskRunner {
 	const {incarnation, timers, metrics, events, table} = options;
@@ -212,7 +214,11 @@
 		metrics.increment('task-lost');
 		events.write('task-lost', {job: task.job.id, index: task.index, backendServer: server.id});
 		task.mayHaveRun = true;
-		if (mayRetryIdempotent(task)) {
+		task.lostServers++;
+		if (task.lostServers >= maxLostServers) {
+			metrics.increment('task-given-up');
+			events.write('task-given-up', {task: `${task.job.id}/${task.index}`, runs: task.placements});
+		} else if (mayRetryIdempotent(task)) {
 			requeueTask(task, 'retry-idempotent');
 			return;
 		}
--- a/packages/dispatch/test/dispatcher/one-daemon.test.ts
+++ b/packages/dispatch/test/dispatcher/one-daemon.test.ts
@@ -69,7 +69,7 @@
 	});
 
 	// Guards against an idempotent task that is sent to one backend server after the other and crashes each of them.
-	it('gives an idempotent task up under which two backend servers were lost', {todo: 'KNOWN-RED.txt'}, () => {
+	it('gives an idempotent task up under which two backend servers were lost', () => {
 		const {submit, timers, starter} = createTestDispatcher(({job}) => job === 'job' ? {kind: 'connection-lost'} : {kind: 'done', afterMs: 10}, {retryBudgetRatio: 1});
 		submit({id: 'successes'}, 10);
 		timers.advance(100);
