--- a/packages/placement/src/crashes/crash-register.ts
+++ b/packages/placement/src/crashes/crash-register.ts
@@ -54,6 +54,8 @@
 	const records = new Map<string, StoredRecord>();
 	const recordsByTask = new Map<string, StoredRecord[]>();
 	const givenUpTasks = new Set<string>();
+	/** The recent suspect runs by queue, oldest first. They are read in each pass of the placer. */
+	const suspects = new Map<string, SuspectRun[]>();
 
 	function removeRecord(key: string, record: StoredRecord): void {
 		records.delete(key);
@@ -86,9 +88,25 @@
 		}
 	}
 
-	function getRecentSuspects(): StoredRecord[] {
+	function removeExpiredSuspects(): void {
+		for (const queueName of suspects.keys()) {
+			if (getSuspects(queueName).length === 0) {
+				suspects.delete(queueName);
+			}
+		}
+	}
+
+	function addSuspect({queueName, taskName, serverId, bornMs, atMs}: StoredRecord): void {
+		const ofQueue = [...getSuspects(queueName), {
+			taskName, serverId, bornMs, atMs,
+		}];
+		suspects.set(queueName, ofQueue.toSorted((left, right) => left.atMs - right.atMs));
+		removeExpiredSuspects();
+	}
+
+	function getSuspects(queueName: string): SuspectRun[] {
 		const oldestMs = timers.getNowMs() - suspicionMs;
-		return [...records.values()].filter(({isSuspect, atMs}) => isSuspect && atMs > oldestMs);
+		return (suspects.get(queueName) ?? []).filter(({atMs}) => atMs > oldestMs);
 	}
 
 	return {
@@ -101,12 +119,16 @@
 			const stored = {...record, atMs: timers.getNowMs() - ageMs};
 			records.set(key, stored);
 			setRecordsOfTask(record.taskName, [...(recordsByTask.get(record.taskName) ?? []), stored]);
+			if (stored.isSuspect) {
+				addSuspect(stored);
+			}
+
 			removeExpired();
 			return true;
 		},
 		getRecords: () => [...records.values()].map(({atMs, ...record}) => ({...record, ageMs: timers.getNowMs() - atMs})),
 		getGivenUpTasks: () => givenUpTasks,
-		getSuspects: queueName => getRecentSuspects().filter(record => record.queueName === queueName).toSorted((left, right) => left.atMs - right.atMs),
-		getSuspectQueues: () => [...new Set(getRecentSuspects().map(({queueName}) => queueName))],
+		getSuspects,
+		getSuspectQueues: () => [...suspects.keys()].filter(queueName => getSuspects(queueName).length > 0),
 	};
 }
