Keep the backend servers of a queue in quarantine for its next jobs

Callers of the queue in quarantine saw: most of its good jobs refused. Cause: between two of its jobs the queue had no open job, so its service and need were not known; it lost its backend servers to others, and one crashed server counted as too many. Change: a quarantine knows its service and keeps what it needed within the last second.

--- a/packages/placement/src/crashes/queue-quarantine.ts
+++ b/packages/placement/src/crashes/queue-quarantine.ts
@@ -28,8 +28,12 @@
 };
 
 type Quarantine = {
+	service: string;
 	serverIds: Set<string>;
 	isSuspended: boolean;
+	/** The number of backend servers that the queue needs, and when it last needed that many. */
+	neededServers: number;
+	neededAtMs: number;
 };
 
 /** A queue is put into quarantine after this many separate crashes within the detection time, or after a share of all backend servers. */
@@ -44,6 +48,8 @@
 const maxServerShare = 0.25;
 /** Backend servers hold less than their capacity, since tasks do not fill them completely. */
 const packingFactor = 1.3;
+/** How long backend servers are kept for the next jobs of a queue. */
+const neededServersRetentionMs = 1000;
 
 /**
  * Creates the quarantine of a placer, without any queue. Each job of a bad queue may crash a backend server before anything
@@ -89,38 +95,58 @@
 		return [...quarantines].some(([name, {serverIds}]) => name !== queueName && serverIds.has(serverId));
 	}
 
+	/** Gets how many backend servers the open tasks of a queue need. */
+	function getNeededServers(jobs: readonly PlacedJob[], usable: readonly PooledServer[]): number {
+		const usableMillicores = usable.reduce((sum, {session}) => sum + session.getDescription().cpuMillicores, 0);
+		return usableMillicores === 0 ? 0 : Math.ceil(getMillicores(jobs) * packingFactor * usable.length / usableMillicores);
+	}
+
 	/** Keeps the backend servers that the queue has, and adds or removes those that cost the other queues least. */
-	function chooseServers(queueName: string, serverIds: ReadonlySet<string>, jobs: readonly PlacedJob[], serverCount: number): Set<string> {
-		const usable = getUsableServers(jobs[0]?.request.service ?? '').filter(({session}) => !isInOtherQuarantine(queueName, session.getDescription().id));
-		const meanMillicores = usable.reduce((sum, {session}) => sum + session.getDescription().cpuMillicores, 0) / usable.length;
-		const wanted = Math.ceil(getMillicores(jobs) * packingFactor / meanMillicores);
-		const size = Math.max(1, Math.min(Math.floor(serverCount * maxServerShare), wanted));
+	function chooseServers(queueName: string, {serverIds}: Quarantine, usable: readonly PooledServer[], count: number): Set<string> {
 		const byCost = usable
 			.map(server => ({id: server.session.getDescription().id, otherRuns: countOtherRuns(queueName, server)}))
 			.toSorted((left, right) => Number(serverIds.has(right.id)) - Number(serverIds.has(left.id)) || left.otherRuns - right.otherRuns);
-		return new Set(byCost.slice(0, size).map(({id}) => id));
+		return new Set(byCost.slice(0, count).map(({id}) => id));
+	}
+
+	function createQuarantine(queueName: string, service: string, suspects: readonly SuspectRun[]): Quarantine {
+		metrics.increment('queue-quarantined');
+		events.write('queue-quarantined', {
+			queue: queueName, crashes: suspects.length, down: countCrashedServers(suspects), servers: countServers(service),
+		});
+		return {
+			service, serverIds: new Set(), isSuspended: false, neededServers: 0, neededAtMs: timers.getNowMs(),
+		};
+	}
+
+	function updateServers(queueName: string, quarantine: Quarantine, jobs: readonly PlacedJob[]): void {
+		const serverCount = countServers(quarantine.service);
+		const usable = getUsableServers(quarantine.service).filter(({session}) => !isInOtherQuarantine(queueName, session.getDescription().id));
+		const neededServers = getNeededServers(jobs, usable);
+		const nowMs = timers.getNowMs();
+		if (neededServers >= quarantine.neededServers || nowMs - quarantine.neededAtMs >= neededServersRetentionMs) {
+			quarantine.neededServers = neededServers;
+			quarantine.neededAtMs = nowMs;
+		}
+
+		const maxServers = Math.floor(serverCount * maxServerShare);
+		quarantine.isSuspended = countCrashedServers(crashRegister.getSuspects(queueName)) >= Math.max(1, Math.floor(serverCount * maxCrashedShare));
+		quarantine.serverIds = chooseServers(queueName, quarantine, usable, Math.max(1, Math.min(maxServers, quarantine.neededServers)));
 	}
 
 	function updateQueue(queueName: string): void {
 		const suspects = crashRegister.getSuspects(queueName);
 		const jobs = getJobs(queueName);
-		const serverCount = countServers(jobs[0]?.request.service ?? '');
-		if (!isDue(queueName, suspects, serverCount)) {
+		const known = quarantines.get(queueName);
+		const service = known?.service ?? jobs[0]?.request.service;
+		if (service === undefined || !isDue(queueName, suspects, countServers(service))) {
 			release(queueName);
 			return;
 		}
 
-		const known = quarantines.get(queueName);
-		const crashedCount = countCrashedServers(suspects);
-		const isSuspended = crashedCount >= Math.max(1, Math.floor(serverCount * maxCrashedShare));
-		const serverIds = isSuspended ? new Set<string>() : chooseServers(queueName, known?.serverIds ?? new Set(), jobs, serverCount);
-		quarantines.set(queueName, {serverIds, isSuspended});
-		if (known === undefined) {
-			metrics.increment('queue-quarantined');
-			events.write('queue-quarantined', {
-				queue: queueName, crashes: suspects.length, down: crashedCount, servers: serverCount,
-			});
-		}
+		const quarantine = known ?? createQuarantine(queueName, service, suspects);
+		quarantines.set(queueName, quarantine);
+		updateServers(queueName, quarantine, jobs);
 	}
 
 	function release(queueName: string): void {
@@ -140,7 +166,7 @@
 		mayUse(queueName, server) {
 			const {id} = server.session.getDescription();
 			const own = quarantines.get(queueName);
-			return own === undefined ? !isInOtherQuarantine(queueName, id) : own.serverIds.has(id) && countOtherRuns(queueName, server) === 0;
+			return own === undefined ? !isInOtherQuarantine(queueName, id) : !own.isSuspended && own.serverIds.has(id) && countOtherRuns(queueName, server) === 0;
 		},
 	};
 }
--- a/packages/placement/test/placer/moved-runs.test.ts
+++ b/packages/placement/test/placer/moved-runs.test.ts
@@ -3,7 +3,8 @@
 import {
 	createTestPlacer, defaultRequest, unknownPlacerId, type TestPlacer,
 } from '../support/create-test-placer.js';
-import type {FakeFleetOptions, FakeServer} from '../support/fake-fleet.js';
+import type {FakeFleetOptions} from '../support/fake-fleet.js';
+import type {FakeServer} from '../support/fake-server.js';
 import {runFor} from '../support/run-for.js';
 
 const longMs = 1000;
--- a/packages/placement/test/placer/takeover-under-load.test.ts
+++ b/packages/placement/test/placer/takeover-under-load.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {createSeededRandomSource} from '@camphortack/core';
 import type {Placer} from '../../src/index.js';
-import type {FakeFault} from '../support/fake-fleet.js';
+import type {FakeFault} from '../support/fake-server.js';
 import {replayLoad, type ReplayResult, type ReplayStep} from '../support/load-replay.js';
 import {SlowClient, type RequestCost} from '../support/slow-client.js';
 
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -3,51 +3,7 @@
 	BackendServerClient, type BackendServerDescription, type EndedRun, type StartStopResponse, type RequestTarget, type RenewResponse,
 	type RenewRequest, type StartRequest, type StopRequest, type UnansweredResponse,
 } from '../../src/index.js';
-
-/** One run on the fleet, for assertions. */
-export type RunRecord = {
-	taskName: string;
-	runNumber: number;
-	serverId: string;
-	startedAtMs: number;
-	endedAtMs: number | undefined;
-	outcome: EndedRun['outcome'] | undefined;
-	daemonId: string;
-};
-
-type FakeRun = {
-	record: RunRecord;
-	durationMs: number;
-};
-
-/** The faults injected into a fake backend server. */
-export type FakeFault = {
-	/** Whether the backend server is unreachable from a daemon; requests and responses are lost. */
-	isUnreachableFrom?: (daemonId: string) => boolean;
-	/** Factor on run times; if infinite, tasks hang. */
-	slowdownFactor?: number;
-	failsAllTasks?: boolean;
-	/** Start requests get no response and take effect after this time. */
-	startDelayMs?: number;
-	/** Decides for each request of any kind whether it gets no response and takes effect two seconds later. */
-	isRequestDelayed?: () => boolean;
-	/** Whether no process listens, so that connections are refused. */
-	isRefusing?: boolean;
-};
-
-export type FakeServer = {
-	description: BackendServerDescription;
-	fault: FakeFault;
-	runs: Map<string, FakeRun>;
-	ends: EndedRun[];
-	endCount: number;
-	highestToken: number;
-	highestRuns: Map<string, number>;
-	leaseEndMs: number;
-	pendingRenewals: Set<() => void>;
-	/** Breaks the connections on which responses are awaited. */
-	breakConnections: Set<() => void>;
-};
+import type {FakeServer, RunRecord} from './fake-server.js';
 
 export type FakeFleetOptions = {
 	timers: TimerService;
--- a/packages/placement/test/support/rack-layout.ts
+++ b/packages/placement/test/support/rack-layout.ts
@@ -1,6 +1,6 @@
 import type {RandomSource} from '@camphortack/core';
 import type {BackendServerDescription} from '../../src/index.js';
-import type {FakeServer} from './fake-fleet.js';
+import type {FakeServer} from './fake-server.js';
 import type {PatternJob} from './load-pattern.js';
 
 /** Racks of a replayed load, and where the data of its jobs is. */
