--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -59,8 +59,8 @@
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
 
-/** The time that a crashed backend server takes to come back. */
-const restartMs = 3000;
+/** The wait to announce to callers of a queue that has no backend servers until a crashed one is back. */
+const suspendedWaitMs = 3000;
 
 /** Offers far places to a task, after all tasks of the pass have been offered near ones. */
 type DeferredStart = () => void;
@@ -148,6 +148,7 @@
 	const taskEnds = createTaskEnds({
 		timers, events, metrics, pool, intake, getRunFactor, onJobEnd: endJob,
 	});
+
 	function runPass(): void {
 		recovery.recoverJobs();
 		evacuatedJobs.endJobs();
@@ -183,12 +184,12 @@
 		}
 	}
 
-	/** Until a crashed backend server is back, nothing can be known of the jobs of a suspended queue, and none can start. */
+	/** None of the jobs of a suspended queue can start before a crashed backend server is back, so they are refused at once. */
 	function refuseSuspendedJobs(): void {
 		for (const job of jobTable.getJobs()) {
 			if (!job.hasStarted && quarantine.isSuspended(job.request.queueName)) {
 				metrics.increment('job-refused-quarantine');
-				refuse(job, 'no-capacity', restartMs);
+				refuse(job, 'no-capacity', suspendedWaitMs);
 			}
 		}
 	}
