Send unanswered orders again instead of claiming the backend server

Cause: an order without a response was followed by a claim, which voids all other orders on their way to the same backend server and may go unanswered itself.

Change: starts, stops and renewals are idempotent by task, run number and token, so they are sent again, as often as the measured loss calls for, before a claim. Losses on many backend servers eject none of them. Not while this VM is behind.

--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -73,6 +73,7 @@
 	'far-run': 'Runs started far from their data although their rack is known.',
 	'server-claimed': 'Claims sent to backend servers.',
 	'server-renewal-unanswered': 'Lease renewals that got no response.',
+	'request-resent': 'Further copies of unanswered requests to backend servers.',
 	'start-unanswered': 'Requests to start a task that got no response.',
 	'placer-elected': 'Terms in which this daemon became the placer.',
 	'placer-half-claimed-time': 'Time from the start of a term until the placer held half of its backend servers, in milliseconds.',
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -5,6 +5,8 @@
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import {createCallTimeouts} from '../sessions/create-call-timeouts.js';
 import {createClaimWindow} from '../sessions/create-claim-window.js';
+import {createRequestResender} from '../sessions/create-request-resender.js';
+import {createLossEstimator} from '../sessions/loss-estimator.js';
 import type {BackendSession, SessionListener} from '../sessions/backend-session.js';
 import {createBackendSession} from '../sessions/create-backend-session.js';
 import type {Run} from '../sessions/run.js';
@@ -39,6 +41,8 @@
 	getKnowledge(): ServerKnowledge;
 	/** Finds the run of a task on any backend server. */
 	findRun(taskName: string): {server: PooledServer; run: Run} | undefined;
+	/** Whether so many requests go unanswered that single backend servers are not to blame. */
+	isLossWidespread(): boolean;
 	close(): void;
 };
 
@@ -75,6 +79,10 @@
 	};
 	const callTimeouts = createCallTimeouts(timers, startWindow.isLimited);
 	const claimWindow = createClaimWindow(startWindow.isLimited);
+	const lossEstimator = createLossEstimator(timers, callTimeouts.areResponsesSlow);
+	const resender = createRequestResender({
+		timers, metrics, callTimeouts, lossEstimator,
+	});
 	let unclaimableCount = 0;
 
 	function addServer(description: BackendServerDescription): void {
@@ -84,7 +92,7 @@
 		});
 		servers.set(description.id, {
 			session: createBackendSession({
-				...options, listener, callTimeouts, claimWindow, description,
+				...options, listener, callTimeouts, resender, lossEstimator, claimWindow, description,
 			}), health,
 		});
 	}
@@ -95,6 +103,7 @@
 		runIndex.removeServer(server);
 		const runs = [...session.getRuns().values()];
 		session.close();
+		lossEstimator.removeServer(serverId);
 		onRunsLost(session, runs);
 	}
 
@@ -153,6 +162,7 @@
 			unclaimableServers: unclaimableCount,
 		}),
 		findRun: runIndex.findRun,
+		isLossWidespread: lossEstimator.isWidespread,
 		close() {
 			for (const {session} of servers.values()) {
 				session.close();
--- a/packages/placement/src/placer/task-ends.ts
+++ b/packages/placement/src/placer/task-ends.ts
@@ -52,11 +52,8 @@
 			}
 
 			case 'unanswered': {
-				task.avoidedServerIds.add(session!.getDescription().id);
-				pool.findServer(session!.getDescription().id)?.health.addUnansweredRequest(job.request.jobId);
-				events.write('task-repeated', {
-					task: task.name, run: task.runNumber, server: session!.getDescription().id, reason: end,
-				});
+				avoidUnanswered(job, task, session!);
+				recordRepeated(task, session!, end);
 				break;
 			}
 
@@ -65,14 +62,27 @@
 			case 'lapsed':
 			case 'not-started':
 			case 'lost': {
-				events.write('task-repeated', {
-					task: task.name, run: task.runNumber, server: session!.getDescription().id, reason: end,
-				});
+				recordRepeated(task, session!, end);
 				break;
 			}
 		}
 	}
 
+	/** While requests to many backend servers go unanswered, the one that a request was sent to is not to blame. */
+	function avoidUnanswered(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
+		const serverId = session.getDescription().id;
+		task.avoidedServerIds.add(serverId);
+		if (!pool.isLossWidespread()) {
+			pool.findServer(serverId)?.health.addUnansweredRequest(job.request.jobId);
+		}
+	}
+
+	function recordRepeated(task: PlacedTask, session: BackendSession, reason: RunEnd): void {
+		events.write('task-repeated', {
+			task: task.name, run: task.runNumber, server: session.getDescription().id, reason,
+		});
+	}
+
 	function finishTask(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
 		const durationMs = (timers.getNowMs() - task.startedAtMs) / getRunFactor(job, task, session);
 		task.state = 'done';
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -7,13 +7,16 @@
 import type {BackendSession, SessionListener, SessionState} from './backend-session.js';
 import {getFencingToken, maxClaimNumber} from './fencing-token.js';
 import type {CallTimeouts} from './create-call-timeouts.js';
+import type {RequestResender} from './create-request-resender.js';
 import type {ClaimWindow} from './create-claim-window.js';
+import type {LossEstimator} from './loss-estimator.js';
+import {getRenewalCount} from './get-renewal-count.js';
 import {createLeaseClock} from './lease-clock.js';
 import {createRemainingTimes} from './remaining-times.js';
 import {createRunRequests} from './create-run-requests.js';
 import {createRunTable} from './run-table.js';
 import {
-	unansweredClaimsUntilSilent, leaseMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
+	unansweredClaimsUntilSilent, leaseMs, minRenewalCopyCount, parallelRenewWaitMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
 	unknownRunGraceMs,
 } from './session-timings.js';
 import {getFreeCapacity} from './get-free-capacity.js';
@@ -29,6 +32,10 @@
 	metrics: MetricSink;
 	/** The timeouts, shared by all sessions of the placer. */
 	callTimeouts: CallTimeouts;
+	/** Sends copies of unanswered requests, for all sessions of the placer. */
+	resender: RequestResender;
+	/** The share of lost requests, measured over all sessions of the placer. */
+	lossEstimator: LossEstimator;
 	/** The limit on claims in flight, shared by all sessions of the placer. */
 	claimWindow: ClaimWindow;
 	/** The limit on starts in flight, shared by all sessions of the placer. */
@@ -43,7 +50,7 @@
  * @param options - The backend server and the ports.
  */
 export function createBackendSession(options: BackendSessionOptions): BackendSession {
-	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, claimWindow, startWindow, listener} = options;
+	const {term, daemonNumber, backendServerClient, timers, events, metrics, callTimeouts, resender, lossEstimator, claimWindow, startWindow, listener} = options;
 	const runTable = createRunTable(() => timers.getNowMs(), {
 		onRunAdded(run) {
 			listener.onRunAdded(session, run);
@@ -70,6 +77,7 @@
 	let state: SessionState = 'claiming';
 	let claim = -1;
 	let unansweredClaims = 0;
+	let renewalsInFlight = 0;
 	let isCrashSuspected = false;
 	let hasNewerIncarnation = false;
 	let isEndExpected = false;
@@ -118,6 +126,7 @@
 		}
 
 		claim++;
+		renewalsInFlight = 0;
 		if (state === 'held') {
 			setState('claiming', reason);
 		}
@@ -147,11 +156,15 @@
 	/** Sends a claim. It does not extend the lease, so that earlier leases expire while claims go unanswered. */
 	async function sendClaim(ownClaim: number, reason: string): Promise<void> {
 		metrics.increment('server-claimed');
-		const sentAtMs = timers.getNowMs();
-		const response = await backendServerClient.renew(getTarget(), {token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}, getClaimTimeoutMs());
-		const responseMs = response.outcome === 'unanswered' ? undefined : timers.getNowMs() - sentAtMs;
+		const {response, responseMs} = await resender.send<RenewResponse>({
+			serverId: description.id,
+			send: async () => backendServerClient.renew(getTarget(), {token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}, getClaimTimeoutMs()),
+			isNeeded: () => isCurrent(ownClaim),
+			minCopyCount: 1,
+		});
 		claimWindow.leave(responseMs);
 		if (responseMs !== undefined) {
+			callTimeouts.addClaimResponse(responseMs);
 			startWindow.addResponse(description.id, responseMs);
 		}
 
@@ -235,7 +248,7 @@
 		setState('held', 'claim accepted');
 		listener.onHeld(session);
 		stopUnknownRunsLater();
-		void renewOnce(claim);
+		startRenewals(claim);
 	}
 
 	function resendStops(): void {
@@ -256,20 +269,57 @@
 		});
 	}
 
+	/** Starts as many renewals at once as the loss of requests calls for. One is enough while nothing runs. */
+	function startRenewals(ownClaim: number): void {
+		if (state !== 'held' || ownClaim !== claim) {
+			return;
+		}
+
+		const count = runTable.getRuns().size === 0 ? 1 : getRenewalCount(lossEstimator.getLossShare());
+		while (renewalsInFlight < count) {
+			renewalsInFlight++;
+			void renewOnce(ownClaim);
+		}
+	}
+
 	/** Each renewal acknowledges the ends that the previous one returned and waits for further ones. */
 	async function renewOnce(ownClaim: number): Promise<void> {
-		const waitMs = callTimeouts.getRenewWaitMs();
-		const response = await backendServerClient.renew(getTarget(), {
-			token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber(), leaseEndMs: getLeaseEndMs(), waitMs,
-		}, waitMs + callTimeouts.getRequestTimeoutMs());
+		const waitMs = renewalsInFlight > 1 ? parallelRenewWaitMs : callTimeouts.getRenewWaitMs();
+		let response = await sendRenewal(waitMs, waitMs + callTimeouts.getRequestTimeoutMs());
 		if (isClosed || ownClaim !== claim) {
 			return;
 		}
 
-		handleRenewed(response);
-		if (state === 'held') {
-			void renewOnce(ownClaim);
+		if (response.outcome === 'unanswered') {
+			metrics.increment('server-renewal-unanswered');
+			callTimeouts.addUnansweredRenewal();
+			lossEstimator.addUnanswered(description.id);
+			response = await renewImmediately(ownClaim);
+			if (isClosed || ownClaim !== claim) {
+				return;
+			}
 		}
+
+		renewalsInFlight--;
+		handleRenewed(response);
+		startRenewals(ownClaim);
+	}
+
+	async function sendRenewal(waitMs: number | undefined, timeoutMs: number): Promise<RenewResponse> {
+		return backendServerClient.renew(getTarget(), {
+			token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber(), leaseEndMs: getLeaseEndMs(), waitMs,
+		}, timeoutMs);
+	}
+
+	/** Replaces an unanswered renewal by one without a wait: its response lists the ends that the lost one should have reported. */
+	async function renewImmediately(ownClaim: number): Promise<RenewResponse> {
+		const {response} = await resender.send<RenewResponse>({
+			serverId: description.id,
+			send: async timeoutMs => sendRenewal(undefined, timeoutMs),
+			isNeeded: () => !isClosed && ownClaim === claim,
+			minCopyCount: minRenewalCopyCount,
+		});
+		return response;
 	}
 
 	function handleRenewed(response: RenewResponse): void {
@@ -279,8 +329,10 @@
 		}
 
 		if (response.outcome !== 'accepted') {
-			metrics.increment('server-renewal-unanswered');
-			callTimeouts.addUnansweredRenewal();
+			if (response.outcome === 'unanswered') {
+				suspectCrashIfRefused(response);
+			}
+
 			startClaim(`a renewal went unanswered: ${response.reason}`);
 			return;
 		}
@@ -308,6 +360,7 @@
 		getFreeCapacity: () => getFreeCapacity(description, runTable.getRuns().values()),
 		start({payload, ...start}) {
 			requests.sendStart(runTable.addRun(start), payload);
+			startRenewals(claim);
 		},
 		stop: requests.stop,
 		expectEnd() {
--- a/packages/placement/src/sessions/create-run-requests.ts
+++ b/packages/placement/src/sessions/create-run-requests.ts
@@ -5,10 +5,14 @@
 } from '../ports/backend-server-client.js';
 import type {SessionState} from './backend-session.js';
 import type {CallTimeouts} from './create-call-timeouts.js';
+import type {CopiedResponse, RequestResender} from './create-request-resender.js';
 import {getRejectedStartEnd} from './get-run-end.js';
 import type {Run} from './run.js';
 import type {RunTable} from './run-table.js';
 
+/** Copies of a start or stop that are sent before a claim determines its effect. */
+const minCopyCount = 3;
+
 /** Sends the start and stop requests of a session, and handles their responses. */
 export type RunRequests = {
 	/** Requests the start of a run that the table contains. */
@@ -25,6 +29,7 @@
 	events: EventLog;
 	metrics: MetricSink;
 	callTimeouts: CallTimeouts;
+	resender: RequestResender;
 	startWindow: StartWindow;
 	runTable: RunTable;
 	getTarget: () => RequestTarget;
@@ -53,7 +58,7 @@
  * ```
  */
 export function createRunRequests(options: RunRequestsOptions): RunRequests {
-	const {backendServerClient, timers, events, metrics, callTimeouts, startWindow, runTable, getTarget, getToken, getClaim, isClosed} = options;
+	const {backendServerClient, timers, events, metrics, callTimeouts, resender, startWindow, runTable, getTarget, getToken, getClaim, isClosed} = options;
 
 	/** Records the response time of a request that the backend server answers immediately. */
 	async function measureResponseTime(request: Promise<StartStopResponse>): Promise<StartStopResponse> {
@@ -74,20 +79,25 @@
 	async function start(run: Run, payload: string): Promise<void> {
 		const sentClaim = getClaim();
 		startWindow.addStart();
-		const response = await measureResponseTime(backendServerClient.start(getTarget(), {
-			taskName: run.taskName,
-			runNumber: run.runNumber,
-			payload,
-			leaseEndMs: options.getLeaseEndMs(),
-			token: getToken(),
-		}, callTimeouts.getRequestTimeoutMs()));
+		const copied = await resender.send<StartStopResponse>({
+			serverId: getTarget().serverId,
+			send: async timeoutMs => measureResponseTime(backendServerClient.start(getTarget(), {
+				taskName: run.taskName,
+				runNumber: run.runNumber,
+				payload,
+				leaseEndMs: options.getLeaseEndMs(),
+				token: getToken(),
+			}, timeoutMs)),
+			isNeeded: () => !isClosed() && runTable.hasRun(run) && run.state === 'starting' && sentClaim === getClaim(),
+			minCopyCount,
+		});
 		startWindow.endStart();
 		if (!isClosed() && runTable.hasRun(run)) {
-			handleStartResponse(run, response, sentClaim);
+			handleStartResponse(run, copied, sentClaim);
 		}
 	}
 
-	function handleStartResponse(run: Run, response: StartStopResponse, sentClaim: number): void {
+	function handleStartResponse(run: Run, {response, isRepeated}: CopiedResponse<StartStopResponse>, sentClaim: number): void {
 		if (response.outcome === 'accepted') {
 			run.state = run.state === 'starting' ? 'running' : run.state;
 			run.serverStartMs = response.clockMs;
@@ -104,7 +114,24 @@
 			return;
 		}
 
-		handleStartRejection(run, response.reason, sentClaim);
+		if (isRepeated && response.reason !== 'other-incarnation') {
+			handleRepeatedStartRejection(run, response.reason, sentClaim);
+		} else {
+			handleStartRejection(run, response.reason, sentClaim);
+		}
+	}
+
+	/** The rejection of one copy does not tell whether another one has started the run. */
+	function handleRepeatedStartRejection(run: Run, reason: RejectionReason, sentClaim: number): void {
+		if (sentClaim !== getClaim()) {
+			return;
+		}
+
+		if (reason === 'fenced') {
+			options.onRejected(reason);
+		} else {
+			options.onClaimNeeded(`a copy of the start of ${run.taskName} was rejected: ${reason}`);
+		}
 	}
 
 	function handleStartRejection(run: Run, reason: RejectionReason, sentClaim: number): void {
@@ -122,7 +149,12 @@
 	async function requestStop(run: Run): Promise<void> {
 		const sentClaim = getClaim();
 		const request = {taskName: run.taskName, runNumber: run.runNumber, token: getToken()};
-		const response = await measureResponseTime(backendServerClient.stop(getTarget(), request, callTimeouts.getRequestTimeoutMs()));
+		const {response} = await resender.send<StartStopResponse>({
+			serverId: getTarget().serverId,
+			send: async timeoutMs => measureResponseTime(backendServerClient.stop(getTarget(), request, timeoutMs)),
+			isNeeded: () => !isClosed() && runTable.hasRun(run) && sentClaim === getClaim(),
+			minCopyCount,
+		});
 		if (isClosed() || !runTable.hasRun(run) || sentClaim !== getClaim()) {
 			return;
 		}
--- a/packages/placement/src/sessions/run-table.ts
+++ b/packages/placement/src/sessions/run-table.ts
@@ -99,10 +99,15 @@
 		},
 		getAcknowledgedEndNumber: () => acknowledgedEndNumber,
 		setProgress(activeRuns, clockMs) {
-			for (const {taskName, percent} of activeRuns) {
+			for (const {taskName, runNumber, percent} of activeRuns) {
 				const run = runs.get(taskName);
-				if (run !== undefined) {
-					setRunProgress(run, percent, clockMs);
+				if (run === undefined) {
+					continue;
+				}
+
+				setRunProgress(run, percent, clockMs);
+				if (run.runNumber === runNumber && run.state === 'starting') {
+					run.state = 'running';
 				}
 			}
 		},
--- a/packages/placement/src/sessions/session-timings.ts
+++ b/packages/placement/src/sessions/session-timings.ts
@@ -14,3 +14,7 @@
  * server grants its own lease until it has found that the jobs of these runs are not submitted to it and has stopped them.
  */
 export const takeoverMarginMs = 500;
+/** Copies of a renewal without a wait that are sent in place of an unanswered one before the backend server is claimed anew. */
+export const minRenewalCopyCount = 2;
+/** How long each of several parallel renewals waits: a lost one costs a connection, so they are not repeated more often than needed. */
+export const parallelRenewWaitMs = 100;
--- a/packages/placement/test/support/fake-server.ts
+++ b/packages/placement/test/support/fake-server.ts
@@ -40,6 +40,8 @@
 	highestToken: number;
 	highestRuns: Map<string, number>;
 	leaseEndMs: number;
+	/** The time at which the backend server's clock was 0. */
+	clockOriginMs: number;
 	pendingRenewals: Set<() => void>;
 	/** Breaks the connections on which responses are awaited. */
 	breakConnections: Set<() => void>;
