Claim a new incarnation with a higher token than the earlier one had

Cause: the session of a backend server that came back under its id began at claim 0, so orders of the earlier session that arrived late had a higher token: they started runs beside the new ones, beyond the capacity. Change: the claims go on counting from one incarnation to the next.

--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -85,14 +85,14 @@
 	});
 	let unclaimableCount = 0;
 
-	function addServer(description: BackendServerDescription): void {
+	function addServer(description: BackendServerDescription, firstClaim = 0): void {
 		const health = createServerHealth(timers, pauseMs => {
 			metrics.increment('backend-server-ejected');
 			events.write('backend-server-ejected', {server: description.id, pauseMs});
 		});
 		servers.set(description.id, {
 			session: createBackendSession({
-				...options, listener, callTimeouts, resender, lossEstimator, claimWindow, description,
+				...options, listener, callTimeouts, resender, lossEstimator, claimWindow, description, firstClaim,
 			}), health,
 		});
 	}
@@ -129,8 +129,9 @@
 			return;
 		}
 
+		const firstClaim = known.session.getNextClaim();
 		removeServer(description.id, known);
-		addServer(description);
+		addServer(description, firstClaim);
 	}
 
 	return {
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -41,6 +41,8 @@
 	areRunsKnown(): boolean;
 	/** Whether the term has no fencing token left for another claim. */
 	hasExhaustedClaims(): boolean;
+	/** Gets the number that the next claim would have. */
+	getNextClaim(): number;
 	getRuns(): ReadonlyMap<string, Run>;
 	findRun(taskName: string): Run | undefined;
 	/** Gets the free capacity; none while the needs of a run are not known. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -26,6 +26,8 @@
 	/** The term of the placer and the number of its daemon, for the fencing tokens. */
 	term: number;
 	daemonNumber: number;
+	/** The number of the first claim: above those of the session of an earlier incarnation, whose orders may still arrive. */
+	firstClaim: number;
 	backendServerClient: BackendServerClient;
 	timers: TimerService;
 	events: EventLog;
@@ -75,7 +77,8 @@
 	let {description} = options;
 	const remainingTimes = createRemainingTimes(timers, description);
 	let state: SessionState = 'claiming';
-	let claim = -1;
+	const {firstClaim} = options;
+	let claim = firstClaim - 1;
 	let unansweredClaims = 0;
 	let renewalsInFlight = 0;
 	let isCrashSuspected = false;
@@ -351,10 +354,11 @@
 		getColdUntilMs: remainingTimes.getColdUntilMs,
 		findGoneAtMs: remainingTimes.findGoneAtMs,
 		getState: () => state,
-		isFirstClaimPending: () => state === 'claiming' && claim === 0,
+		isFirstClaimPending: () => state === 'claiming' && claim === firstClaim,
 		// Nothing runs on an incarnation that has ended, but a newer one under the same id is not claimed yet.
 		areRunsKnown: () => state === 'held' || (state === 'closed' && !hasNewerIncarnation),
 		hasExhaustedClaims: () => claim >= maxClaimNumber && state === 'silent',
+		getNextClaim: () => claim + 1,
 		getRuns: runTable.getRuns,
 		findRun: taskName => runTable.getRuns().get(taskName),
 		getFreeCapacity: () => getFreeCapacity(description, runTable.getRuns().values()),
--- a/packages/placement/test/placer/late-orders.test.ts
+++ b/packages/placement/test/placer/late-orders.test.ts
@@ -43,6 +43,14 @@
 			// Only the late orders.
 		},
 	},
+	{
+		title: 'backend servers that crash and come back under the same id',
+		apply({fleet}, number) {
+			if (number % 25 === 24) {
+				fleet.crashProcess(`server-${Math.floor(number / 25)}`);
+			}
+		},
+	},
 	{
 		title: 'backend servers that are cut off until their leases have ended',
 		apply({fleet}, number) {
