Claim a silent backend server at once while no requests are lost elsewhere

Cause: an unanswered renewal was always repeated before a claim. A backend server that had ended was therefore found 50 to 160 ms later, and its tasks were started again later: one cluster test (restart of runs after a deregistration), one of the local placer and the comparison of the short notice failed. Change: renewals are repeated only while at least 2% of the requests to responsive backend servers go unanswered.

--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -297,7 +297,7 @@
 			metrics.increment('server-renewal-unanswered');
 			callTimeouts.addUnansweredRenewal();
 			lossEstimator.addUnanswered(description.id);
-			response = await renewImmediately(ownClaim);
+			response = lossEstimator.hasLosses() ? await renewImmediately(ownClaim) : response;
 			if (isClosed || ownClaim !== claim) {
 				return;
 			}
@@ -314,7 +314,10 @@
 		}, timeoutMs);
 	}
 
-	/** Replaces an unanswered renewal by one without a wait: its response lists the ends that the lost one should have reported. */
+	/**
+	 * Replaces an unanswered renewal by one without a wait: its response lists the ends that the lost one should have reported. Only
+	 * while requests are lost elsewhere too. Otherwise the backend server has probably ended, and the claim that shows it comes first.
+	 */
 	async function renewImmediately(ownClaim: number): Promise<RenewResponse> {
 		const {response} = await resender.send<RenewResponse>({
 			serverId: description.id,
--- a/packages/placement/src/sessions/loss-estimator.ts
+++ b/packages/placement/src/sessions/loss-estimator.ts
@@ -9,6 +9,8 @@
 	removeServer(serverId: string): void;
 	/** Gets the share of the recent requests that went unanswered; 0 while responses are slow, since those may only be late. */
 	getLossShare(): number;
+	/** Whether requests to responsive backend servers go unanswered at all. */
+	hasLosses(): boolean;
 	/** Whether requests to so many backend servers go unanswered that this is not the fault of single ones. */
 	isWidespread(): boolean;
 };
@@ -17,6 +19,8 @@
 const decayMs = 1000;
 /** Answered requests assumed before any was sent, so that a single loss is not taken for a pattern. */
 const priorCount = 10;
+/** A single loss among many requests is no pattern. */
+const minLossShare = 0.02;
 /** From this share of the responsive backend servers on, losses are not the fault of single ones. */
 const minLossyServerShare = 0.25;
 const minLossyServerCount = 3;
@@ -96,6 +100,7 @@
 			lossTimesMs.delete(serverId);
 		},
 		getLossShare,
+		hasLosses: () => getLossShare() >= minLossShare,
 		isWidespread() {
 			const lossyCount = countRecent(lossTimesMs);
 			return lossyCount >= Math.max(minLossyServerCount, minLossyServerShare * countRecent(responseTimesMs));
