Do not wait for a successor that is lost together with the placer

Cause: when both keepers of an availability zone lose power or are cut off, the others waited until the preferred successor had been silent for 700 ms. Change: a daemon whose last heartbeat is more than 350 ms old comes after all others in the order of the candidates.

--- a/packages/cluster/src/cluster-timings.ts
+++ b/packages/cluster/src/cluster-timings.ts
@@ -20,6 +20,8 @@
  * takes that shard to replace its placer, which then takes the jobs over.
  */
 export const shardTimeoutMs = 1000;
+/** Time without a heartbeat after which the others do not wait for a daemon to become the placer: one heartbeat is missing. */
+export const candidateTimeoutMs = 350;
 /** How long a silent daemon still counts towards the majority of its availability zone. */
 export const memberRetentionMs = 20_000;
 /** Minimum uptime of a daemon that becomes the placer, so that it discovers the other daemons first. */
--- a/packages/cluster/src/election/find-claim-reason.ts
+++ b/packages/cluster/src/election/find-claim-reason.ts
@@ -7,6 +7,8 @@
 	isLeaving: boolean;
 	/** Whether it has been up long enough to have discovered the other daemons. */
 	isWarmedUp: boolean;
+	/** Whether its last heartbeat is overdue: it may have been lost together with the placer, as when an availability zone is cut off. */
+	isSilent: boolean;
 	/** Whether it receives heartbeats from the placer that this daemon follows. */
 	hearsPlacer: boolean;
 };
@@ -71,10 +73,11 @@
 
 /**
  * Prefers keepers, since their VMs are larger and serve no callers, then the larger class of processor share, then the smallest
- * id. A daemon that can start at once comes before larger ones that leave or have just started.
+ * id. A daemon that can start at once comes before larger ones that are silent, leave or have just started.
  */
 function compareCandidates(left: ElectionParticipant, right: ElectionParticipant): number {
-	return Number(right.isWarmedUp) - Number(left.isWarmedUp)
+	return Number(left.isSilent) - Number(right.isSilent)
+		|| Number(right.isWarmedUp) - Number(left.isWarmedUp)
 		|| Number(left.isLeaving) - Number(right.isLeaving)
 		|| Number(right.isKeeper) - Number(left.isKeeper)
 		|| getShareClass(right) - getShareClass(left)
--- a/packages/cluster/src/election/placer-election.ts
+++ b/packages/cluster/src/election/placer-election.ts
@@ -1,5 +1,5 @@
 import {
-	keeperPreferenceDelayMs, maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs,
+	candidateTimeoutMs, keeperPreferenceDelayMs, maxElectionGapMs, memberTimeoutMs, minCandidateUptimeMs, minCandidateUptimeWithAllSeedsMs, nonKeeperDelayMs,
 	placerOverdueMs, placerTimeoutMs, startTimeToleranceMs, supersededDelayMs, supersededInMinorityDelayMs, termIncrement,
 } from '../cluster-timings.js';
 import type {ClusterOptions} from '../cluster-options.js';
@@ -117,12 +117,14 @@
 	}
 
 	function getParticipant(member: ClusterMember): ElectionParticipant {
+		const silenceMs = members.getSilenceMs(member.id);
 		return {
 			id: member.id,
 			isKeeper: member.isKeeper,
 			cpuMillicores: member.cpuMillicores,
 			isLeaving: member.isLeaving,
-			isWarmedUp: isWarmedUp(member.upMs + members.getSilenceMs(member.id) + startTimeToleranceMs, member.isKeeper),
+			isWarmedUp: isWarmedUp(member.upMs + silenceMs + startTimeToleranceMs, member.isKeeper),
+			isSilent: silenceMs >= candidateTimeoutMs,
 			hearsPlacer: member.hearsPlacer && member.placerId === view.placerId,
 		};
 	}
@@ -147,6 +149,7 @@
 			cpuMillicores: options.cpuMillicores,
 			isLeaving,
 			isWarmedUp: isWarmedUp(nowMs - startedAtMs, isKeeper),
+			isSilent: false,
 			hearsPlacer: hearsPlacer(),
 		};
 		const others = members.getAliveMembers().filter(member => member.shard === shards.getOwnShard()).map(member => getParticipant(member));
--- a/packages/cluster/test/create-cluster-takeovers.test.ts
+++ b/packages/cluster/test/create-cluster-takeovers.test.ts
@@ -229,27 +229,39 @@
 	});
 
 	// Guards against daemons that report late that they do not hear the placer, whose majority the next placer needs.
-	it('replaces a silent placer within 600 ms, whenever it became silent', async () => {
-		const delays: number[] = [];
-		for (let phaseMs = 0; phaseMs < 250; phaseMs += 50) {
-			const test = createTestCluster();
-			// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
-			await startAndWaitUntilServing(test);
-			// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
-			await runFor(test.timers, 500 + phaseMs);
-			const {id} = test.getPlacer();
-			const killedAtMs = test.timers.getNowMs();
-			test.kill(id);
-			while (test.find('entry-a1').cluster.getStatus().placerId === id) {
+	const losses = [
+		{title: 'a silent placer', isSuccessorLost: false},
+		// Guards against a wait for a successor that was lost together with the placer, as both keepers of an availability zone are.
+		{title: 'a silent placer whose preferred successor is lost too', isSuccessorLost: true},
+	];
+	for (const {title, isSuccessorLost} of losses) {
+		it(`replaces ${title} within 600 ms, whenever it became silent`, async () => {
+			const delays: number[] = [];
+			for (let phaseMs = 0; phaseMs < 250; phaseMs += 50) {
+				const test = createTestCluster();
 				// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
-				await runFor(test.timers, 10);
-			}
+				await startAndWaitUntilServing(test);
+				// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
+				await runFor(test.timers, 500 + phaseMs);
+				const {id} = test.getPlacer();
+				const [successorId] = test.daemons.map(daemon => daemon.id).filter(other => other.startsWith('keeper') && other !== id).toSorted();
+				const killedAtMs = test.timers.getNowMs();
+				test.kill(id);
+				if (isSuccessorLost) {
+					test.kill(successorId!);
+				}
 
-			delays.push(Math.round(test.timers.getNowMs() - killedAtMs));
-		}
+				while (test.find('entry-a1').cluster.getStatus().placerId === id) {
+					// eslint-disable-next-line no-await-in-loop -- The moments are tested one after the other.
+					await runFor(test.timers, 10);
+				}
 
-		assert.ok(Math.max(...delays) <= 600, delays.join(' '));
-	});
+				delays.push(Math.round(test.timers.getNowMs() - killedAtMs));
+			}
+
+			assert.ok(Math.max(...delays) <= 600, delays.join(' '));
+		});
+	}
 
 	// Guards against a placer that acts on a term which ended while its process was paused.
 	it('accepts no start of a placer that was paused with waiting jobs, and runs none of them twice', async () => {
--- a/packages/cluster/test/election/find-claim-reason.test.ts
+++ b/packages/cluster/test/election/find-claim-reason.test.ts
@@ -4,7 +4,7 @@
 import {getClaimableZones} from '../../src/election/get-claimable-zones.js';
 
 const getParticipant = (id: string, rest: Partial<ElectionParticipant> = {}): ElectionParticipant => ({
-	id, isKeeper: false, isLeaving: false, isWarmedUp: true, hearsPlacer: false, ...rest,
+	id, isKeeper: false, isLeaving: false, isWarmedUp: true, isSilent: false, hearsPlacer: false, ...rest,
 });
 
 describe('findClaimReason', () => {
@@ -25,6 +25,13 @@
 			placerId: '',
 			expected: 'no-placer',
 		},
+		{
+			title: 'a keeper is silent',
+			own: getParticipant('a'),
+			others: [getParticipant('b', {isKeeper: true, isSilent: true})],
+			placerId: 'p',
+			expected: 'placer-silent',
+		},
 		{
 			title: 'not warmed up itself', own: getParticipant('a', {isWarmedUp: false}), others: [getParticipant('b')], placerId: '', expected: undefined,
 		},
