Move the renewals of a session into a module of their own

Change: create-renewals.ts decides how many renewals wait at a backend server and what follows an unanswered one; the session only handles the responses.

--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -10,13 +10,13 @@
 import type {RequestResender} from './create-request-resender.js';
 import type {ClaimWindow} from './create-claim-window.js';
 import type {LossEstimator} from './loss-estimator.js';
-import {getRenewalCount} from './get-renewal-count.js';
+import {createRenewals} from './create-renewals.js';
 import {createLeaseClock} from './lease-clock.js';
 import {createRemainingTimes} from './remaining-times.js';
 import {createRunRequests} from './create-run-requests.js';
 import {createRunTable} from './run-table.js';
 import {
-	unansweredClaimsUntilSilent, leaseMs, minRenewalCopyCount, parallelRenewWaitMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
+	unansweredClaimsUntilSilent, leaseMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
 	unknownRunGraceMs,
 } from './session-timings.js';
 import {getFreeCapacity} from './get-free-capacity.js';
@@ -74,13 +74,21 @@
 		onClaimNeeded: startClaim,
 		onRejected: handleRejection,
 	});
+	const renewals = createRenewals({
+		...options,
+		serverId: options.description.id,
+		sendRenewal,
+		hasRuns: () => runTable.getRuns().size > 0,
+		isHeld: () => !isClosed && state === 'held',
+		getClaim: () => claim,
+		onResponse: handleRenewed,
+	});
 	let {description} = options;
 	const remainingTimes = createRemainingTimes(timers, description);
 	let state: SessionState = 'claiming';
 	const {firstClaim} = options;
 	let claim = firstClaim - 1;
 	let unansweredClaims = 0;
-	let renewalsInFlight = 0;
 	let isCrashSuspected = false;
 	let hasNewerIncarnation = false;
 	let isEndExpected = false;
@@ -129,7 +137,6 @@
 		}
 
 		claim++;
-		renewalsInFlight = 0;
 		if (state === 'held') {
 			setState('claiming', reason);
 		}
@@ -251,7 +258,7 @@
 		setState('held', 'claim accepted');
 		listener.onHeld(session);
 		stopUnknownRunsLater();
-		startRenewals(claim);
+		renewals.startClaim();
 	}
 
 	function resendStops(): void {
@@ -272,62 +279,12 @@
 		});
 	}
 
-	/** Starts as many renewals at once as the loss of requests calls for. One is enough while nothing runs. */
-	function startRenewals(ownClaim: number): void {
-		if (state !== 'held' || ownClaim !== claim) {
-			return;
-		}
-
-		const count = runTable.getRuns().size === 0 ? 1 : getRenewalCount(lossEstimator.getLossShare());
-		while (renewalsInFlight < count) {
-			renewalsInFlight++;
-			void renewOnce(ownClaim);
-		}
-	}
-
-	/** Each renewal acknowledges the ends that the previous one returned and waits for further ones. */
-	async function renewOnce(ownClaim: number): Promise<void> {
-		const waitMs = renewalsInFlight > 1 ? parallelRenewWaitMs : callTimeouts.getRenewWaitMs();
-		let response = await sendRenewal(waitMs, waitMs + callTimeouts.getRequestTimeoutMs());
-		if (isClosed || ownClaim !== claim) {
-			return;
-		}
-
-		if (response.outcome === 'unanswered') {
-			metrics.increment('server-renewal-unanswered');
-			callTimeouts.addUnansweredRenewal();
-			lossEstimator.addUnanswered(description.id);
-			response = lossEstimator.hasLosses() ? await renewImmediately(ownClaim) : response;
-			if (isClosed || ownClaim !== claim) {
-				return;
-			}
-		}
-
-		renewalsInFlight--;
-		handleRenewed(response);
-		startRenewals(ownClaim);
-	}
-
 	async function sendRenewal(waitMs: number | undefined, timeoutMs: number): Promise<RenewResponse> {
 		return backendServerClient.renew(getTarget(), {
 			token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber(), leaseEndMs: getLeaseEndMs(), waitMs,
 		}, timeoutMs);
 	}
 
-	/**
-	 * Replaces an unanswered renewal by one without a wait: its response lists the ends that the lost one should have reported. Only
-	 * while requests are lost elsewhere too. Otherwise the backend server has probably ended, and the claim that shows it comes first.
-	 */
-	async function renewImmediately(ownClaim: number): Promise<RenewResponse> {
-		const {response} = await resender.send<RenewResponse>({
-			serverId: description.id,
-			send: async timeoutMs => sendRenewal(undefined, timeoutMs),
-			isNeeded: () => !isClosed && ownClaim === claim,
-			minCopyCount: minRenewalCopyCount,
-		});
-		return response;
-	}
-
 	function handleRenewed(response: RenewResponse): void {
 		if (response.outcome === 'rejected' && response.reason !== 'unhealthy') {
 			handleRejection(response.reason);
@@ -367,7 +324,7 @@
 		getFreeCapacity: () => getFreeCapacity(description, runTable.getRuns().values()),
 		start({payload, ...start}) {
 			requests.sendStart(runTable.addRun(start), payload);
-			startRenewals(claim);
+			renewals.startMissing();
 		},
 		stop: requests.stop,
 		expectEnd() {
