Log whether a suspected backend server has crashed

Cause: jobs were shown as failed although no task had failed so often, and the logs could not tell why. E1109 is written for each refused connection, whether or not the backend server has crashed, and does not tell a run whose start was never answered from one that ran; E1206 does not tell which crashes counted.

Change: E1110 tells, once a backend server that did not respond is known to have crashed or not, which of the two it was: another incarnation responds, or the same one. E1109 gives the state of each run, E1206 the crashes that counted. No decision changes.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -67,9 +67,15 @@
 	'backend-server-crashed': {
 		number: 1109,
 		level: 'warning',
-		summary: 'A backend server on which tasks may run refuses connections. Its runs are listed with their ages, the newest first.',
+		summary: 'A backend server on which tasks may run refuses connections. Its runs are listed with their ages and states, the newest first.',
 		action: 'Compare the queues and tasks of several such events: a task, or the tasks of one queue, may crash what starts them.',
 	},
+	'backend-server-crash-resolved': {
+		number: 1110,
+		level: 'info',
+		summary: 'It is known whether a backend server that refused connections or did not respond has crashed: another incarnation has, the same one has not.',
+		action: 'If most have not crashed, check the network between the placer and the backend servers.',
+	},
 	'backend-session-changed': {
 		number: 1107, level: 'info', summary: 'The session between the placer and a backend server changed state.', action: 'If it stays unresponsive, check the backend server and the link to it.',
 	},
@@ -91,8 +97,8 @@
 	'task-given-up': {
 		number: 1206,
 		level: 'warning',
-		summary: 'Backend servers have crashed under a task, so its job has failed and the task is not started again.',
-		action: 'Check the job; look up the task in the events 1109.',
+		summary: 'Backend servers have crashed under a task, so its job has failed and the task is not started again. The crashes are listed.',
+		action: 'Check the job; look up the crashes in the events 1109 and 1110.',
 	},
 	'job-taken': {
 		number: 1209, level: 'info', summary: 'The placer has accepted a job.', action: 'None.',
--- a/packages/placement/src/crashes/crash-monitor.ts
+++ b/packages/placement/src/crashes/crash-monitor.ts
@@ -12,6 +12,8 @@
 	handleCrash(session: BackendSession): void;
 	/** Records a run that was lost with a backend server that had ceased to respond. */
 	handleLostRun(session: BackendSession, run: Run): void;
+	/** Handles that a backend server which did not respond has responded again, or that another incarnation has: it has crashed. */
+	handleResolution(session: BackendSession, hasCrashed: boolean): void;
 };
 
 export type CrashMonitorOptions = {
@@ -31,11 +33,19 @@
  * @param options - The open jobs and where to record.
  */
 export function createCrashMonitor({timers, events, metrics, jobTable, crashRegister, onCrashRecord}: CrashMonitorOptions): CrashMonitor {
-	function getCrashedRun({taskName, startedAtMs}: Run): CrashedRun {
+	/** When backend servers with runs were first suspected. */
+	const suspectedAtMs = new WeakMap<BackendSession, number>();
+
+	function recordSuspicion(session: BackendSession): void {
+		suspectedAtMs.set(session, suspectedAtMs.get(session) ?? timers.getNowMs());
+	}
+
+	function getCrashedRun({taskName, startedAtMs, state}: Run): CrashedRun {
 		const found = jobTable.findTask(taskName);
 		return {
 			taskName,
 			queueName: found?.job.request.queueName ?? unknownQueueName,
+			state,
 			ageMs: found === undefined || found.task.isAdopted ? undefined : timers.getNowMs() - startedAtMs,
 		};
 	}
@@ -54,6 +64,7 @@
 		handleCrash(session) {
 			const runs = [...session.getRuns().values()].map(run => getCrashedRun(run)).toSorted((left, right) => (left.ageMs ?? Infinity) - (right.ageMs ?? Infinity));
 			const suspect = findSuspectRun(runs, queueName => crashRegister.getSuspects(queueName).length);
+			recordSuspicion(session);
 			for (const run of runs) {
 				addRecord(session, run, run === suspect);
 			}
@@ -66,12 +77,22 @@
 		handleLostRun(session, run) {
 			// A backend server that drains ends in good order.
 			if (session.getDescription().state === 'ready') {
+				recordSuspicion(session);
 				addRecord(session, getCrashedRun(run), false);
 			}
 		},
+		handleResolution(session, hasCrashed) {
+			const sinceMs = suspectedAtMs.get(session);
+			if (sinceMs !== undefined) {
+				suspectedAtMs.delete(session);
+				events.write('backend-server-crash-resolved', {
+					server: session.getDescription().id, hasCrashed, afterMs: Math.round(timers.getNowMs() - sinceMs),
+				});
+			}
+		},
 	};
 }
 
-function describeRun({taskName, queueName, ageMs}: CrashedRun): string {
-	return `${taskName} ${queueName || 'unknown'} ${ageMs === undefined ? 'unknown' : `${Math.round(ageMs)} ms`}`;
+function describeRun({taskName, queueName, state, ageMs}: CrashedRun): string {
+	return `${taskName} ${queueName || 'unknown'} ${ageMs === undefined ? 'unknown' : `${Math.round(ageMs)} ms`} ${state}`;
 }
--- a/packages/placement/src/crashes/crash-register.ts
+++ b/packages/placement/src/crashes/crash-register.ts
@@ -9,6 +9,8 @@
 	getRecords(): CrashRecord[];
 	/** Gets the tasks under which so many backend servers have crashed that they must not be started again. */
 	getGivenUpTasks(): ReadonlySet<string>;
+	/** Gets the records of a task, oldest first. */
+	getRecordsOfTask(taskName: string): CrashRecord[];
 	/** Gets the recent suspect runs of a queue, oldest first. */
 	getSuspects(queueName: string): readonly SuspectRun[];
 	/** Gets the queues with recent suspect runs. */
@@ -57,6 +59,10 @@
 	/** The recent suspect runs by queue, oldest first. They are read in each pass of the placer. */
 	const suspects = new Map<string, SuspectRun[]>();
 
+	function toCrashRecord({atMs, ...record}: StoredRecord): CrashRecord {
+		return {...record, ageMs: timers.getNowMs() - atMs};
+	}
+
 	function removeRecord(key: string, record: StoredRecord): void {
 		records.delete(key);
 		const remaining = recordsByTask.get(record.taskName)!.filter(other => other !== record);
@@ -126,7 +132,8 @@
 			removeExpired();
 			return true;
 		},
-		getRecords: () => [...records.values()].map(({atMs, ...record}) => ({...record, ageMs: timers.getNowMs() - atMs})),
+		getRecords: () => [...records.values()].map(record => toCrashRecord(record)),
+		getRecordsOfTask: taskName => (recordsByTask.get(taskName) ?? []).map(record => toCrashRecord(record)),
 		getGivenUpTasks: () => givenUpTasks,
 		getSuspects,
 		getSuspectQueues: () => [...suspects.keys()].filter(queueName => getSuspects(queueName).length > 0),
--- a/packages/placement/src/crashes/find-suspect-run.ts
+++ b/packages/placement/src/crashes/find-suspect-run.ts
@@ -1,9 +1,13 @@
+import type {Run} from '../sessions/run.js';
+
 /** A run on a backend server that has crashed. */
 export type CrashedRun = {
 	taskName: string;
 	queueName: string;
 	/** The time since its start; undefined if this placer did not start it. */
 	ageMs: number | undefined;
+	/** Without a response to its start request, a run is `starting`. */
+	state: Run['state'];
 };
 
 /** A crash that a task causes follows its start within this time, including what the placer needs to notice it. */
@@ -17,7 +21,7 @@
  *
  * @example
  * ```ts
- * findSuspectRun([{taskName: 'a.0.0.0', queueName: 'estimates', ageMs: 12}], () => 0)?.taskName; // 'a.0.0.0'
+ * findSuspectRun([{taskName: 'a.0.0.0', queueName: 'estimates', ageMs: 12, state: 'running'}], () => 0)?.taskName; // 'a.0.0.0'
  * ```
  */
 export function findSuspectRun(runs: readonly CrashedRun[], getSuspectCount: (queueName: string) => number): CrashedRun | undefined {
--- a/packages/placement/src/crashes/given-up-jobs.ts
+++ b/packages/placement/src/crashes/given-up-jobs.ts
@@ -2,6 +2,7 @@
 import type {PlacedJob} from '../jobs/placed-job.js';
 import type {JobOutcome} from '../messages/job-outcome.js';
 import type {JobTable} from '../placer/job-table.js';
+import type {CrashRecord} from './crash-record.js';
 import type {CrashRegister} from './crash-register.js';
 
 /** Ends the jobs of tasks that crash the backend servers that start them. */
@@ -28,10 +29,19 @@
 				const found = jobTable.findTask(taskName);
 				if (found !== undefined) {
 					metrics.increment('task-given-up');
-					events.write('task-given-up', {task: taskName, queue: found.job.request.queueName, runs: found.task.runNumber});
+					events.write('task-given-up', {
+						task: taskName,
+						queue: found.job.request.queueName,
+						runs: found.task.runNumber,
+						crashes: crashRegister.getRecordsOfTask(taskName).map(record => describeCrash(record)).join(', '),
+					});
 					onGivenUp(found.job, {outcome: 'failed', reason: 'attempts-used'});
 				}
 			}
 		},
 	};
 }
+
+function describeCrash({serverId, ageMs, isSuspect}: CrashRecord): string {
+	return `${serverId} ${Math.round(ageMs)} ms ago${isSuspect ? ' suspect' : ''}`;
+}
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -99,6 +99,10 @@
 				crashMonitor.handleCrash(session);
 				schedulePass();
 			},
+			onCrashResolved(session, hasCrashed) {
+				crashMonitor.handleResolution(session, hasCrashed);
+				schedulePass();
+			},
 			onStateChange: schedulePass,
 		},
 		onRunsLost(session, runs) {
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -131,6 +131,7 @@
 
 		const firstClaim = known.session.getNextClaim();
 		removeServer(description.id, known);
+		listener.onCrashResolved(known.session, true);
 		addServer(description, firstClaim);
 	}
 
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -240,6 +240,7 @@
 	function endIncarnation(): void {
 		runTable.endAllRuns('lost');
 		setState('closed', 'another incarnation responded');
+		listener.onCrashResolved(session, true);
 	}
 
 	function handleClaimAccepted(response: Extract<RenewResponse, {outcome: 'accepted'}>): void {
@@ -249,6 +250,10 @@
 			return;
 		}
 
+		if (unansweredClaims > 0) {
+			listener.onCrashResolved(session, false);
+		}
+
 		unansweredClaims = 0;
 		isCrashSuspected = false;
 		clock.addReading(response.clockMs, timers.getNowMs());
--- a/packages/placement/test/crashes/crash-monitor.test.ts
+++ b/packages/placement/test/crashes/crash-monitor.test.ts
@@ -16,12 +16,36 @@
 		await runFor(timers, 100);
 		assert.deepEqual(events.events.filter(({name}) => name === 'backend-server-crashed').map(({fields}) => fields), [
 			{
-				server: 'server-0', runCount: 2, suspect: 'new.0.0.0', runs: 'new.0.0.0 other 9 ms, old.0.0.0 estimates 51 ms',
+				server: 'server-0', runCount: 2, suspect: 'new.0.0.0', runs: 'new.0.0.0 other 9 ms running, old.0.0.0 estimates 51 ms running',
 			},
 		]);
 		assert.equal(metrics.getCount('backend-server-crashed'), 1);
 	});
 
+	const resolutions = [
+		{title: 'the same incarnation responds again', restart: false, hasCrashed: false},
+		{title: 'another incarnation responds', restart: true, hasCrashed: true},
+	];
+	for (const {title, restart, hasCrashed} of resolutions) {
+		it(`logs that a backend server has ${hasCrashed ? '' : 'not '}crashed when ${title}`, async () => {
+			const {timers, fleet, submit, events} = createTestPlacer({serverCount: 1, getDurationMs: () => 900});
+			await runFor(timers, 10);
+			submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}]});
+			await runFor(timers, 10);
+			if (restart) {
+				fleet.crashProcess('server-0');
+			} else {
+				fleet.servers[0]!.fault = {isRefusing: true};
+			}
+
+			await runFor(timers, 1500);
+			fleet.servers[0]!.fault = {...fleet.servers[0]!.fault, isRefusing: restart};
+			await runFor(timers, 2500);
+			const resolved = events.events.filter(({name}) => name === 'backend-server-crash-resolved');
+			assert.deepEqual(resolved.map(({fields}) => [fields.server, fields.hasCrashed]), [['server-0', hasCrashed]]);
+		});
+	}
+
 	it('records no crash of a backend server that does not answer', async () => {
 		const {timers, fleet, submit, events} = createTestPlacer({serverCount: 1, getDurationMs: () => 900});
 		await runFor(timers, 10);
--- a/packages/placement/test/crashes/find-suspect-run.test.ts
+++ b/packages/placement/test/crashes/find-suspect-run.test.ts
@@ -3,7 +3,9 @@
 import {findSuspectRun, type CrashedRun} from '../../src/crashes/find-suspect-run.js';
 
 function createRun(taskName: string, queueName: string, ageMs: number | undefined): CrashedRun {
-	return {taskName, queueName, ageMs};
+	return {
+		taskName, queueName, ageMs, state: 'running',
+	};
 }
 
 describe('findSuspectRun', () => {
