Let tests crash backend servers silently and refuse connections for a while

Cause: the fake fleet had one kind of crash, back after 3 s, and no way to refuse connections while the process and its runs go on, so no test could tell a crash from a cut. Change: options for the restart time, for crashes without a refused connection and for a hook on start requests; refuseConnections; a delayed request does not outlive a crash.

--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -26,12 +26,16 @@
 	isDeadly?: (taskName: string) => boolean;
 	/** Called with each incarnation that has started in place of a crashed one. */
 	onRestart?: (server: FakeServer) => void;
+	/** The time after which a crashed backend server is back. */
+	restartMs?: number;
+	/** Whether a crashed backend server does not respond until it is back, as when its VM loses power, in place of refusing connections. */
+	isCrashSilent?: boolean;
+	/** Called with each start request, copies included, when it is sent. */
+	onStartRequest?: (server: FakeServer, taskName: string) => void;
 };
 
 /** The time between the start of a task that crashes its backend server and the crash. */
 const crashDelayMs = 8;
-/** The time after which a crashed backend server is back. */
-const restartMs = 3000;
 
 const delayedRequestMs = 2000;
 
@@ -52,6 +56,8 @@
 	crash(serverId: string): void;
 	/** Ends the process of a backend server, so that connections to it are refused. */
 	crashProcess(serverId: string): void;
+	/** Refuses connections to a backend server for some time and breaks those that exist; its process and its runs go on. */
+	refuseConnections(serverId: string, durationMs: number): void;
 	/** Gets the highest ratio of used to available CPU that any backend server has reached. */
 	getPeakUtilization(): number;
 };
@@ -61,7 +67,7 @@
  * @param options - The clock and the size of the fleet.
  */
 export function createFakeFleet(options: FakeFleetOptions): FakeFleet {
-	const {timers, serverCount, cpuMillicores = 64_000, availabilityZones = ['north'], delayMs = 0.5, stopMs = 20} = options;
+	const {timers, serverCount, cpuMillicores = 64_000, availabilityZones = ['north'], delayMs = 0.5, stopMs = 20, restartMs = 3000} = options;
 	const getMillicores = options.getMillicores ?? (() => 27_000);
 	const getDurationMs = options.getDurationMs ?? (() => 100);
 	const getRunFactor = options.getRunFactor ?? (() => 1);
@@ -193,6 +199,17 @@
 		peakUtilization = Math.max(peakUtilization, use / server.description.cpuMillicores);
 	}
 
+	function breakConnections(server: FakeServer): void {
+		for (const breakConnection of server.breakConnections) {
+			breakConnection();
+		}
+	}
+
+	/** Counts the crashes of a backend server, so that a delayed request does not reach a later incarnation. */
+	function countCrashes({description}: FakeServer): number {
+		return crashes.filter(({serverId}) => serverId === description.id).length;
+	}
+
 	/** Ends the runs of a backend server and its process; a new incarnation starts some seconds later at the same address. */
 	function crashProcess(server: FakeServer, taskName?: string): void {
 		crashes.push({serverId: server.description.id, taskName, atMs: timers.getNowMs()});
@@ -201,15 +218,18 @@
 		}
 
 		server.runs.clear();
-		server.fault = {...server.fault, isRefusing: true};
-		for (const breakConnection of server.breakConnections) {
-			breakConnection();
+		const {fault} = server;
+		if (options.isCrashSilent) {
+			server.fault = {...fault, isUnreachableFrom: () => true};
+		} else {
+			server.fault = {...fault, isRefusing: true};
+			breakConnections(server);
 		}
 
 		timers.addTimer(restartMs, () => {
 			Object.assign(server, {
 				description: {...server.description, bornMs: server.description.bornMs + 1, sequence: 1},
-				fault: {...server.fault, isRefusing: false},
+				fault: options.isCrashSilent ? fault : {...server.fault, isRefusing: false},
 				ends: [],
 				endCount: 0,
 				highestToken: 0,
@@ -304,10 +324,13 @@
 
 				server.breakConnections.add(breakConnection);
 				if (server.fault.isRequestDelayed?.()) {
+					const crashCount = countCrashes(server);
 					timers.addTimer(options.getRequestDelayMs?.() ?? delayedRequestMs, () => {
-						handler(server, () => {
-							// The call has timed out.
-						});
+						if (countCrashes(server) === crashCount) {
+							handler(server, () => {
+								// The call has timed out.
+							});
+						}
 					});
 				} else if (!isUnreachable()) {
 					handler(server, value => {
@@ -326,6 +349,7 @@
 	function getClient(daemonId: string): BackendServerClient {
 		return new class extends BackendServerClient {
 			override async start(target: RequestTarget, request: StartRequest, timeoutMs: number): Promise<StartStopResponse> {
+				options.onStartRequest?.(getServer(target), request.taskName);
 				return call<StartStopResponse>(daemonId, target, timeoutMs, (server, respond) => {
 					if (server.fault.startDelayMs === undefined) {
 						respond(start(server, request, daemonId));
@@ -373,6 +397,15 @@
 		crashProcess(serverId) {
 			crashProcess(servers.find(({description}) => description.id === serverId)!);
 		},
+		refuseConnections(serverId, durationMs) {
+			const server = servers.find(({description}) => description.id === serverId)!;
+			const {fault} = server;
+			server.fault = {...fault, isRefusing: true};
+			breakConnections(server);
+			timers.addTimer(durationMs, () => {
+				server.fault = fault;
+			});
+		},
 		crashes,
 		getPeakUtilization: () => peakUtilization,
 	};
