End the run of a start request that was refused a connection

Cause: a start whose connection was refused stayed a run until a claim could tell its effect. While the backend server refused connections, that was when all leases were over, 1.85 s later; and the run, 1 to 3 ms old, was recorded as the suspect of a crash although it had never begun.

Change: if the only copy of a start was refused a connection, the run ends as not started and its task is placed elsewhere. An earlier copy may have arrived, so that then the claim decides as before.

--- a/packages/placement/src/sessions/create-run-requests.ts
+++ b/packages/placement/src/sessions/create-run-requests.ts
@@ -1,7 +1,7 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import type {StartWindow} from '../lag/create-start-window.js';
 import type {
-	BackendServerClient, RejectionReason, RequestTarget, StartStopResponse,
+	BackendServerClient, RejectionReason, RequestTarget, StartStopResponse, UnansweredResponse,
 } from '../ports/backend-server-client.js';
 import type {SessionState} from './backend-session.js';
 import type {CallTimeouts} from './create-call-timeouts.js';
@@ -105,12 +105,7 @@
 		}
 
 		if (response.outcome === 'unanswered') {
-			metrics.increment('start-unanswered');
-			callTimeouts.addUnansweredRequest();
-			if (sentClaim === getClaim()) {
-				options.onClaimNeeded(`a start went unanswered: ${response.reason}`);
-			}
-
+			handleUnansweredStart(run, {response, isRepeated}, sentClaim);
 			return;
 		}
 
@@ -121,6 +116,19 @@
 		}
 	}
 
+	/** A request of which each copy was refused a connection never reached the backend server, so that nothing has started. */
+	function handleUnansweredStart(run: Run, {response, isRepeated}: {response: UnansweredResponse; isRepeated: boolean}, sentClaim: number): void {
+		metrics.increment('start-unanswered');
+		callTimeouts.addUnansweredRequest();
+		if (sentClaim === getClaim()) {
+			options.onClaimNeeded(`a start went unanswered: ${response.reason}`);
+		}
+
+		if (response.isRefused === true && !isRepeated) {
+			runTable.endRun(run, 'not-started');
+		}
+	}
+
 	/** The rejection of one copy does not tell whether another one has started the run. */
 	function handleRepeatedStartRejection(run: Run, reason: RejectionReason, sentClaim: number): void {
 		if (sentClaim !== getClaim()) {
