Tell runs that are no longer listed from runs that were lost

Cause: a run that the same incarnation of a backend server does not list any more ended as lost, as one whose backend server has gone, and counted as one of the crashes after which a task is given up. Nothing has crashed.

Change: such a run ends as `unlisted`. Its task is repeated as before; the crash monitor sees only runs that are lost.

--- a/packages/placement/src/placer/task-ends.ts
+++ b/packages/placement/src/placer/task-ends.ts
@@ -61,6 +61,7 @@
 			case 'stopped':
 			case 'lapsed':
 			case 'not-started':
+			case 'unlisted':
 			case 'lost': {
 				recordRepeated(task, session!, end);
 				break;
--- a/packages/placement/src/sessions/run-table.ts
+++ b/packages/placement/src/sessions/run-table.ts
@@ -119,7 +119,7 @@
 					setRunProgress(run, found.percent, clockMs);
 					run.state = run.state === 'starting' ? 'running' : run.state;
 				} else {
-					endRun(run, run.state === 'starting' ? 'unanswered' : 'lost');
+					endRun(run, run.state === 'starting' ? 'unanswered' : 'unlisted');
 				}
 			}
 
--- a/packages/placement/src/sessions/run.ts
+++ b/packages/placement/src/sessions/run.ts
@@ -38,5 +38,8 @@
 	return serverStartMs === undefined || serverReportMs === undefined ? 0 : serverReportMs - serverStartMs;
 }
 
-/** How a run ended, as the placer sees it. */
-export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'not-started' | 'unanswered' | 'no-room' | 'unhealthy' | 'old-run' | 'lost';
+/**
+ * How a run ended, as the placer sees it. It is `lost` with a backend server that does not respond or whose incarnation has
+ * ended, and `unlisted` if the same incarnation responds without listing it.
+ */
+export type RunEnd = 'done' | 'failed' | 'stopped' | 'lapsed' | 'not-started' | 'unanswered' | 'no-room' | 'unhealthy' | 'old-run' | 'unlisted' | 'lost';
