End an abandoned job only when no other submission waits for it

What callers saw: a caller whose connection had broken, and who had come again with the same job through another entry daemon, was answered `failed` although no task had failed. The same could happen to a caller that came again at once through the same daemon.

Cause: an entry daemon whose last caller has left sends the same cancellation as for a DELETE. The placer ended the job as failed (cancelled) for every submission that had joined it, reported that to the latest entry daemon, and stored it for the earlier ones. The report of the end also reached the next submission of the daemon that had just sent the cancellation.

Why this works: the cancellation names the submission whose callers have left (an optional field, which earlier versions ignore and never set). The placer keeps the submissions that wait and removes that one; the result goes to the latest that is left. Only the last one ends the job, with no report, since nobody waits, and with an unknown result for a submission that asks after all. A cancellation without a submission still ends the job for all. A daemon that times out ends only those jobs for which no submission of another one waits.

--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -13,7 +13,7 @@
 
 /** A caller's subscription to the result of a job. */
 export type JobSubscription = {
-	/** Ends the subscription. When the last caller unsubscribes, the job is stopped. */
+	/** Ends the subscription. When the last caller unsubscribes, the job is stopped, unless callers of other daemons wait for it. */
 	unsubscribe(): void;
 };
 
@@ -317,7 +317,7 @@
 		open.waitTimer?.cancel();
 		metrics.increment('job-abandoned');
 		events.write('job-abandoned', {job: jobId, queue: queueName, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs)});
-		sendToPlacer(open.shard, {kind: 'placement.cancel', jobId});
+		sendToPlacer(open.shard, {kind: 'placement.cancel', jobId, submissionId: open.submissionId});
 	}
 
 	return {
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@camphortack/core';
 import {
-	createPlacer, encodeOutcome, type BackendServerDescription, type CrashRecord, type CrashRegister, type Placer, type PlacementMessage, type ServerSources,
+	createPlacer, encodeOutcome, type BackendServerDescription, type CrashRecord, type CrashRegister, type Placer, type PlacementMessage, type PlacementMessageOf, type ServerSources,
 } from '@camphortack/placement';
 import type {ClusterOptions} from '../cluster-options.js';
 import {entryTimeoutMs, notBegunRepetitionMs} from '../cluster-timings.js';
@@ -69,8 +69,7 @@
 			}
 
 			case 'placement.cancel': {
-				active.cancel(message.jobId);
-				send(fromId, {kind: 'placement.cancelled', jobId: message.jobId});
+				handleCancel(fromId, message, active);
 				break;
 			}
 
@@ -88,6 +87,15 @@
 		}
 	}
 
+	function handleCancel(fromId: string, {jobId, submissionId}: PlacementMessageOf<'placement.cancel'>, active: Placer): void {
+		if (submissionId === undefined) {
+			active.cancel(jobId);
+			send(fromId, {kind: 'placement.cancelled', jobId});
+		} else {
+			active.withdraw(jobId, submissionId);
+		}
+	}
+
 	function answerOpenJobs(fromId: string, jobIds: readonly string[], active: Placer): void {
 		const unknownIds: string[] = [];
 		for (const jobId of jobIds) {
--- a/packages/cluster/test/entry/job-submitter.test.ts
+++ b/packages/cluster/test/entry/job-submitter.test.ts
@@ -226,6 +226,21 @@
 		});
 	});
 
+	// Guards against a cancellation by one daemon's caller that has left for all others who wait for the same job.
+	it('names its submission when the last caller of a job has left, and none in a cancellation', () => {
+		const test = createTestSubmitter();
+		const callers = [submit(test), submit(test)];
+		const submission = test.sent.find(message => message.kind === 'placement.submit');
+		for (const caller of callers) {
+			caller.unsubscribe();
+		}
+
+		test.submitter.cancel('job', () => {
+			// Nobody confirms it.
+		});
+		assert.deepEqual(test.sent.filter(message => message.kind === 'placement.cancel').map(message => message.submissionId), [submission?.submissionId, undefined]);
+	});
+
 	it('ends a cancellation as unconfirmed if no placer confirms it', () => {
 		const test = createTestSubmitter();
 		const ends: boolean[] = [];
--- a/packages/cluster/test/support/create-test-submitter.ts
+++ b/packages/cluster/test/support/create-test-submitter.ts
@@ -2,7 +2,7 @@
 import type {JobOutcome, PlacementMessage} from '@camphortack/placement';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import type {PlacerView} from '../../src/election/placer-view.js';
-import {createJobSubmitter, type JobSubmitter} from '../../src/entry/job-submitter.js';
+import {createJobSubmitter, type JobSubmitter, type JobSubscription} from '../../src/entry/job-submitter.js';
 import {createShardMap, type ShardMap} from '../../src/shards/shard-map.js';
 
 /** A job submitter in virtual time, what it sends and the results that it reports. */
@@ -107,8 +107,8 @@
  * Submits the job `job` and records its result.
  * @param test - The submitter.
  */
-export function submit({submitter, results}: TestSubmitter): void {
-	submitter.submit({
+export function submit({submitter, results}: TestSubmitter): JobSubscription {
+	return submitter.submit({
 		jobId: 'job', queueName: 'estimates', service: 'quotes', payload: 'text', steps: [], mostAttempts: 3, stretch: 1.6, slackMs: 60, callerTimeoutMs: 1500,
 	}, result => {
 		results.push(result);
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -5,6 +5,7 @@
 import type {HandoverSource} from './job-handover.js';
 import type {JobRequest, JobStep} from './job-request.js';
 import {getTaskName} from './task-name.js';
+import type {WaitingSubmissions} from './waiting-submissions.js';
 
 export type PlacedTask = {
 	readonly name: string;
@@ -36,8 +37,10 @@
 export type PlacedJob = {
 	readonly request: JobRequest;
 	readonly submissionId: string;
-	/** The entry daemon that receives the result. */
+	/** The entry daemon that receives the result: the one of the latest submission that waits for it. */
 	entryId: string;
+	/** The submissions whose callers wait for the result. */
+	readonly waiting: WaitingSubmissions;
 	readonly arrivedAtMs: number;
 	readonly tasks: PlacedTask[];
 	readonly objectiveMs: number;
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -25,7 +25,16 @@
 	z.object({kind: z.literal('placement.result'), jobId: z.string(), result: wireOutcomeSchema}),
 	/** The sender, as the placer of the term, has started no task of these jobs and never will. */
 	z.object({kind: z.literal('placement.not-begun'), term: z.int(), jobIds: z.array(z.string())}),
-	z.object({kind: z.literal('placement.cancel'), jobId: z.string()}),
+	z.object({
+		kind: z.literal('placement.cancel'),
+		jobId: z.string(),
+		/**
+		 * Set if the callers of this submission have left, which ends the job only if no other submission waits for it. Without it,
+		 * the job is cancelled for all of them. Daemons of earlier versions never set it, and ignore it.
+		 */
+		submissionId: z.string().optional(),
+	}),
+	/** The job was cancelled for all of its submissions. */
 	z.object({kind: z.literal('placement.cancelled'), jobId: z.string()}),
 	/** The jobs whose results a daemon waits for. The placer replies with the results of those that have ended. */
 	z.object({kind: z.literal('placement.open-jobs'), jobIds: z.array(z.string())}),
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -280,6 +280,23 @@
 		onResult(job.entryId, job.request.jobId, result);
 	}
 
+	/**
+	 * Cancels a job that nobody waits for. The result is not sent: a caller that has come again meanwhile through the same entry
+	 * daemon would be told that its new submission was cancelled. Nor is one that asks after all, because it was not heard for a while.
+	 */
+	function cancelAbandonedJob(job: PlacedJob): void {
+		jobTable.endJob(job, {outcome: 'unknown'});
+		stopRuns(job);
+		jobLog.recordEnd(job, {outcome: 'failed', reason: 'cancelled'});
+	}
+
+	/** Lets the entry daemon of the latest submission that still waits receive the result. Returns false if nobody waits. */
+	function updateEntry(job: PlacedJob): boolean {
+		const entryId = job.waiting.findLastEntryId();
+		job.entryId = entryId ?? job.entryId;
+		return entryId !== undefined;
+	}
+
 	function stopRuns(job: PlacedJob): void {
 		for (const task of job.tasks) {
 			task.session?.stop(task.name);
@@ -318,7 +335,8 @@
 			const known = jobTable.findJob(jobId);
 			const result = jobTable.findResult(jobId, message.submissionId);
 			if (known !== undefined) {
-				known.entryId = entryId;
+				known.waiting.add(message.submissionId, entryId);
+				updateEntry(known);
 				jobTable.addSubmission(known, message.submissionId);
 				recovery.handleResubmission(known, message);
 				schedulePass();
@@ -334,9 +352,23 @@
 				endJob(job, {outcome: 'failed', reason: 'cancelled'});
 			}
 		},
+		withdraw(jobId, submissionId) {
+			const job = jobTable.findJob(jobId);
+			job?.waiting.remove(submissionId);
+			if (job !== undefined && !updateEntry(job)) {
+				cancelAbandonedJob(job);
+			}
+		},
 		findResult: jobId => (jobTable.findJob(jobId) === undefined ? jobTable.findResult(jobId) : 'open'),
 		endJobsOfEntry(entryId) {
-			const dropped = [...jobTable.getJobs()].filter(job => job.entryId === entryId);
+			const dropped: PlacedJob[] = [];
+			for (const job of jobTable.getJobs()) {
+				job.waiting.removeEntry(entryId);
+				if (!updateEntry(job)) {
+					dropped.push(job);
+				}
+			}
+
 			for (const job of dropped) {
 				if (job.hasStarted) {
 					endJob(job, {outcome: 'unknown'});
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -5,6 +5,7 @@
 import {getStepEstimates} from '../jobs/get-step-estimates.js';
 import type {JobStep} from '../jobs/job-request.js';
 import {createPlacedTasks, type PlacedJob} from '../jobs/placed-job.js';
+import {createWaitingSubmissions} from '../jobs/waiting-submissions.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {SizeShares} from '../queue/create-size-shares.js';
 import {recoveryMs} from './job-recovery.js';
@@ -32,10 +33,13 @@
 			const {criticalPathMs, work} = getJobEstimate(request, getExpectedMs);
 			const relativeWork = queueWorkMeans.getRelativeWork(queueName, work);
 			queueWorkMeans.addJob(queueName, work);
+			const waiting = createWaitingSubmissions();
+			waiting.add(submissionId, entryId);
 			return {
 				request,
 				submissionId,
 				entryId,
+				waiting,
 				arrivedAtMs: timers.getNowMs() - request.ageMs,
 				tasks: createPlacedTasks(request, generation, getStepEstimates(request, getExpectedMs)),
 				objectiveMs: (criticalPathMs * request.stretch) + request.slackMs,
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -23,15 +23,17 @@
 	 * @param availabilityZones - The evacuated availability zones.
 	 */
 	setEvacuatedZones(availabilityZones: readonly string[]): void;
-	/** Accepts a job. For a job that is already open, only the entry daemon is updated. */
+	/** Accepts a job. A submission of a job that is already open joins it. */
 	submit(entryId: string, message: PlacementMessageOf<'placement.submit'>): void;
-	/** Cancels a job and stops its runs. */
+	/** Cancels a job for all who wait for it, and stops its runs. */
 	cancel(jobId: string): void;
+	/** Handles that the callers of a submission have left. A job that no other submission waits for is cancelled. */
+	withdraw(jobId: string, submissionId: string): void;
 	/** Gets the result of an ended job; `open` if the job has not ended, undefined if it is not known. */
 	findResult(jobId: string): JobOutcome | 'open' | undefined;
 	/**
-	 * Ends the jobs of a daemon that has timed out, because its callers are told to submit again. Returns the number of
-	 * jobs.
+	 * Ends the jobs that only a daemon that has timed out waits for, because its callers are told to submit again. Returns the
+	 * number of jobs.
 	 */
 	endJobsOfEntry(entryId: string): number;
 	/** Gets the number of accepted jobs of a queue of which no task has started. */
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -17,6 +17,8 @@
 	events: RecordingEventLog;
 	metrics: RecordingMetricSink;
 	results: Map<string, JobOutcome>;
+	/** The entry daemon that each result was reported to. */
+	resultEntryIds: Map<string, string>;
 	/** When each result was reported. */
 	endedAtMs: Map<string, number>;
 	/** Called with each result, after it is recorded. */
@@ -24,7 +26,7 @@
 	/** The sources whose missing registries the placers have requested. */
 	requestedSources: HandoverSource[];
 	/** Submits a job to the placer in use, at first the one that was created with the fleet. */
-	submit(request: Partial<JobRequest> & {jobId: string}, options?: {generation?: number; submissionId?: string; handover?: HandoverSource}): void;
+	submit(request: Partial<JobRequest> & {jobId: string}, options?: {entryId?: string; generation?: number; submissionId?: string; handover?: HandoverSource}): void;
 	/** Submits later jobs to another placer. */
 	usePlacer(next: Placer): void;
 	/** Creates another placer for the same backend servers. Its daemon number is the term unless it is given, and its timers are those of the fleet. */
@@ -65,6 +67,7 @@
 	const events = new RecordingEventLog();
 	const metrics = new RecordingMetricSink();
 	const results = new Map<string, JobOutcome>();
+	const resultEntryIds = new Map<string, string>();
 	const endedAtMs = new Map<string, number>();
 	const requestedSources: HandoverSource[] = [];
 	const crashRegister = createCrashRegister(timers);
@@ -89,8 +92,9 @@
 					requestedSources.push(source);
 				},
 			},
-			onResult(_entryId, jobId, result) {
+			onResult(entryId, jobId, result) {
 				results.set(jobId, result);
+				resultEntryIds.set(jobId, entryId);
 				endedAtMs.set(jobId, timers.getNowMs());
 				test.onResult?.(jobId, result);
 			},
@@ -106,11 +110,14 @@
 		events,
 		metrics,
 		results,
+		resultEntryIds,
 		endedAtMs,
 		createSuccessor,
 		requestedSources,
-		submit(request, {generation = 0, submissionId = 'one', handover} = {}) {
-			placerInUse.submit('entry', {
+		submit(request, {
+			entryId = 'entry', generation = 0, submissionId = 'one', handover,
+		} = {}) {
+			placerInUse.submit(entryId, {
 				kind: 'placement.submit', request: {...defaultRequest, ...request}, generation, submissionId, mayHaveStarted: generation > 0, handover,
 			});
 		},
