Count a lost backend server against a task only if nothing else explains the loss

What callers saw: on our own interface, an idempotent job failed as `task-lost` although its task could have been done.

Cause: the dispatcher gave a task up as soon as two connections had been lost under it. A lost connection says that the outcome is not known, not that the task crashed its backend server: a failure of power or of a link ends the connections of many at once, and one that is only cut off goes on.

Why this works: losses are kept with their time, incarnation and jobs, and the count is taken anew at each loss and hand-over. A task that loses two alone is given up as before, and 8 placements and the retry budget bound the others. Evidence that arrives after the task was given up, or after it was handed over, changes nothing any more.

--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -120,7 +120,7 @@
 		ownId, availabilityZone, leaseDurationMs, timers, metrics, send, getLoads: getAllLoads,
 	});
 	const sender = createPartSender({
-		incarnation, timers, metrics, send, getLoads: pool => [getLoad(pool)], onPartEnd(part, result) {
+		incarnation, timers, metrics, send, getLoads: pool => [getLoad(pool)], getLostServerCount: runner.getLostServerCount, onPartEnd(part, result) {
 			partResultHandler.handlePartResult(part, result);
 		},
 	});
--- a/packages/dispatch/src/handover/part-sender.ts
+++ b/packages/dispatch/src/handover/part-sender.ts
@@ -11,6 +11,8 @@
 	metrics: MetricSink;
 	send: SendDispatchMessage;
 	getLoads: (pool: string) => PoolLoad[];
+	/** Gets the number of backend servers that a task may have crashed. */
+	getLostServerCount: (task: OpenTask) => number;
 	/** Called when a part ends, after its tasks have been updated. */
 	onPartEnd: (part: HandedOverPart, result: PartResult) => void;
 };
@@ -113,7 +115,7 @@
 			deadlineMs,
 			idempotent: job.idempotent,
 			indexes: tasks.map(task => task.index),
-			lostServers: tasks.map(task => task.lostServers),
+			lostServers: tasks.map(task => options.getLostServerCount(task)),
 			tasks: tasks.map(task => ({payload: task.payload, declaredRunTimeMs: task.declaredRunTimeMs, needs: task.needs})),
 			loads: options.getLoads(job.pool),
 		});
--- a/packages/dispatch/src/jobs/open-job.ts
+++ b/packages/dispatch/src/jobs/open-job.ts
@@ -2,6 +2,7 @@
 	FailureReason, Job, JobOutcome, RefusalCode, Task, TaskNeeds,
 } from '@camphortack/core';
 import type {QueuedTask} from '@camphortack/policy';
+import type {ServerLoss} from '../tasks/server-losses.js';
 
 /** The state of a task. `handed-over`: another daemon runs it. `not-run`: its last attempt did not run, and there is no other. */
 export type OpenTaskState = 'queued' | 'running' | 'handed-over' | 'done' | 'error' | 'lost' | 'not-run';
@@ -20,8 +21,10 @@
 	state: OpenTaskState;
 	/** The number of times the task was sent to a backend server. */
 	placements: number;
-	/** The number of backend servers that were lost while they ran the task, on this daemon or those it came from. */
-	lostServers: number;
+	/** The number of backend servers that were lost while they ran the task, on the daemons it came from. */
+	readonly lostServers: number;
+	/** The backend servers that were lost while they ran the task on this daemon. */
+	readonly losses: ServerLoss[];
 	/** Whether an earlier attempt may have run the task. */
 	mayHaveRun: boolean;
 	/** The ids of the running attempts; two while the task is hedged. */
@@ -131,6 +134,7 @@
 		state: 'queued',
 		placements: 0,
 		lostServers: options.lostServers?.[position] ?? 0,
+		losses: [],
 		mayHaveRun: false,
 		attempts: new Set(),
 		result: undefined,
--- a/packages/dispatch/src/tasks/task-runner.ts
+++ b/packages/dispatch/src/tasks/task-runner.ts
@@ -7,6 +7,7 @@
 import type {BackendServerTable} from '../servers/backend-server-table.js';
 import {addUsedResources, type BackendServerRecord} from '../servers/backend-server-record.js';
 import {isIssuedAttemptId, type Attempt} from './attempt.js';
+import {createServerLosses} from './server-losses.js';
 
 export type TaskRunnerOptions = {
 	incarnation: string;
@@ -33,6 +34,8 @@
 	handleTaskEvent(event: TaskEvent): void;
 	/** Stops the running tasks of a job, with one message per backend server. */
 	stopJob(job: OpenJob): void;
+	/** Gets the number of backend servers that a task may have crashed, on this daemon or those it came from. */
+	getLostServerCount(task: OpenTask): number;
 	/** Treats the attempts on a removed backend server as lost. */
 	handleServerRemoval(server: BackendServerRecord): void;
 	getRunningCount(): number;
@@ -41,12 +44,13 @@
 
 /** A task that was sent to a backend server this many times is not placed again; its job is aborted instead. */
 const maxPlacements = 8;
-/** A task under which this many backend servers were lost is given up: it may crash whatever starts it. */
+/** A task under which this many backend servers were lost is given up if nothing else explains the losses: it may crash whatever starts it. */
 const maxLostServers = 2;
 
 export function createTaskRunner(options: TaskRunnerOptions): TaskRunner {
 	const {incarnation, timers, metrics, events, table} = options;
 	const attempts = new Map<string, Attempt>();
+	const serverLosses = createServerLosses({timers, findServer: table.findServer});
 	let attemptCount = 0;
 
 	function startTasks(server: BackendServerRecord, job: OpenJob, tasks: readonly OpenTask[]): void {
@@ -196,6 +200,7 @@
 		const {task, isAbandoned} = attempt;
 		if (kind === 'connection-lost') {
 			table.recordFailure(attempt.server, task.job.id);
+			task.losses.push(serverLosses.addLoss(attempt.server, task.job.id));
 		}
 
 		addAttemptResult(attempt, kind === 'connect-refused' ? kind : 'lost', timers.getNowMs() - attempt.startedAtMs);
@@ -214,8 +219,7 @@
 		metrics.increment('task-lost');
 		events.write('task-lost', {job: task.job.id, index: task.index, backendServer: server.id});
 		task.mayHaveRun = true;
-		task.lostServers++;
-		if (task.lostServers >= maxLostServers) {
+		if (getLostServerCount(task) >= maxLostServers) {
 			metrics.increment('task-given-up');
 			events.write('task-given-up', {task: `${task.job.id}/${task.index}`, runs: task.placements});
 		} else if (mayRetryIdempotent(task)) {
@@ -227,6 +231,11 @@
 		options.onFailed(task, 'task-lost');
 	}
 
+	/** Counts the backend servers that the task may have crashed. A loss that has another cause, as known now, counts no more. */
+	function getLostServerCount(task: OpenTask): number {
+		return task.lostServers + task.losses.filter(loss => serverLosses.mayHaveCaused(task.job.id, loss)).length;
+	}
+
 	function handleNotRun({task, server, isAbandoned}: Attempt): void {
 		table.block(server);
 		if (!isAbandoned && !task.job.hasEnded && task.state === 'running' && task.attempts.size === 0) {
@@ -312,6 +321,7 @@
 		stopJob(job) {
 			stopAttempts(job.tasks.flatMap(task => [...task.attempts]));
 		},
+		getLostServerCount,
 		handleServerRemoval,
 		getRunningCount: () => attempts.size,
 		getRunning: () => attempts.values(),
