Don't count refused connections as placements of a task

What callers saw: on our own interface, a job failed as `task-lost` with all of its tasks `not-run`, long before its deadline, while the backend servers of its service restarted.

Cause: a task that was sent 8 times is not placed again, and a refused connection counted as one of them although nothing had been sent. With two backend servers that refuse connections all 8 are used up within a second or two.

Evidence: the new test in lost-backend-servers.test.ts, in which two backend servers refuse connections for 3 s, ended as `failed` before them on the code before, with a deadline of 10 s.

Why this works: a refused connection is taken out of the count again. Each refusal blocks the backend server for 50 ms, doubling up to 2 s, so the repetition is slow, and it ends with the job's deadline. Answers that a task was not run still count, as another test shows: a task that every backend server turns away must not block all of them.

--- a/packages/dispatch/src/tasks/task-runner.ts
+++ b/packages/dispatch/src/tasks/task-runner.ts
@@ -198,6 +198,11 @@
 
 	function endWithoutAnswer(attempt: Attempt, kind: 'connect-refused' | 'connection-lost'): void {
 		const {task, isAbandoned} = attempt;
+		if (kind === 'connect-refused') {
+			// Nothing was sent. How often this is repeated is bounded by the block of the backend server and the job's deadline.
+			task.placements--;
+		}
+
 		if (kind === 'connection-lost') {
 			table.recordFailure(attempt.server, task.job.id);
 			task.losses.push(serverLosses.addLoss(attempt.server, task.job.id));
--- a/packages/dispatch/test/dispatcher/lost-backend-servers.test.ts
+++ b/packages/dispatch/test/dispatcher/lost-backend-servers.test.ts
@@ -74,3 +74,27 @@
 		assert.deepEqual(test.outcomes.map(({outcome}) => outcome), ['complete']);
 	});
 });
+
+describe('a task, when connections to backend servers are refused', () => {
+	// Guards against a failed job that no backend server has received, because all of them restarted for a second.
+	it('completes once they accept connections again', () => {
+		let isRefusing = true;
+		const {submit, timers, starter} = createTestDispatcher(() => isRefusing ? {kind: 'connect-refused'} : {kind: 'done', afterMs: 10});
+		const outcomes = submit({id: 'job'});
+		timers.advance(3000);
+		assert.deepEqual(outcomes, []);
+		isRefusing = false;
+		timers.advance(2100);
+		assert.deepEqual(outcomes.map(({outcome}) => outcome), ['complete']);
+		assert.equal(starter.startsByTask.get('job/0'), 1);
+	});
+
+	// Guards against a task that is sent to every backend server although each of them turns it away.
+	it('fails after 8 backend servers have answered that they did not run it', () => {
+		const {submit, timers, starter} = createTestDispatcher(() => ({kind: 'not-run'}));
+		const outcomes = submit({id: 'job'});
+		timers.advance(9000);
+		assert.deepEqual(outcomes.map(({outcome}) => outcome), ['failed']);
+		assert.equal(starter.batches.length, 8);
+	});
+});
