--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -9,6 +9,7 @@
 import type {CrashRegister} from '../crashes/crash-register.js';
 import {createQueueQuarantine} from '../crashes/queue-quarantine.js';
 import {createGivenUpJobs} from '../crashes/given-up-jobs.js';
+import {createTrialRuns} from '../crashes/trial-runs.js';
 import {createStartWindow} from '../lag/create-start-window.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
@@ -77,7 +78,14 @@
 	const jobLog = createJobLog({
 		timers, events, metrics, sizeShares,
 	});
-	const crashMonitor = createCrashMonitor({...options, jobTable});
+	const crashMonitor = createCrashMonitor({
+		...options,
+		jobTable,
+		getSessions: () => [...pool.getServers()].map(({session}) => session),
+		onChange() {
+			schedulePass();
+		},
+	});
 	const givenUpJobs = createGivenUpJobs({...options, jobTable, onGivenUp: endJob});
 	const intake = createJobIntake(timers, sizeShares);
 	const expectations = createRunExpectations(timers, jobTable, remoteRunFactor);
@@ -95,11 +103,18 @@
 				takeoverLog.handleClaim();
 				schedulePass();
 			},
-			onCrashSuspected(session) {
-				crashMonitor.handleCrash(session);
+			onCrashSuspected: crashMonitor.handleCrash,
+			onCrashResolved(session, hasCrashed) {
+				crashMonitor.handleResolution(session, hasCrashed);
+				schedulePass();
+			},
+			onStateChange(session) {
+				if (session.getState() === 'silent') {
+					crashMonitor.handleSilence(session);
+				}
+
 				schedulePass();
 			},
-			onStateChange: schedulePass,
 		},
 		onRunsLost(session, runs) {
 			for (const run of runs) {
@@ -136,11 +151,12 @@
 			endJob(job, {outcome: 'unknown'});
 		},
 	});
+	const trialRuns = createTrialRuns({...options, getServers: pool.getServers});
 	const movedRuns = createMovedRuns({
 		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
 	});
 	const groups = createJobGroups({
-		timers, quarantine, movedRuns, remoteRunFactor, findExpectedEndMs, getUsableServers,
+		timers, quarantine, movedRuns, remoteRunFactor, findExpectedEndMs, getUsableServers, getAvoidedServerIds: trialRuns.getAvoidedServerIds,
 	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, getRunFactor,
@@ -217,10 +233,14 @@
 
 	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): Allocation['outcome'] {
 		// A run of an earlier submission of the same job may still be stopping.
-		const allocation: Allocation = pool.findRun(task.name) === undefined && startWindow.isOpen() ? table.allocate(job, task) : {outcome: 'none'};
+		const isStartable = pool.findRun(task.name) === undefined && options.crashRegister.getVerdict(task.name) === 'startable';
+		const allocation: Allocation = isStartable && startWindow.isOpen() ? table.allocate(job, task) : {outcome: 'none'};
 		if (allocation.outcome === 'server') {
 			recordDistance(metrics, task, {isFar: allocation.isFar, nowMs: timers.getNowMs()});
 			startTask(job, task, allocation.server);
+			if (trialRuns.isOnTrial(task.name)) {
+				table.excludeServer(allocation.server.session.getDescription().id);
+			}
 		} else if (allocation.outcome === 'wait' && task.nearWaitSinceMs === undefined) {
 			task.nearWaitSinceMs = timers.getNowMs();
 			metrics.increment('near-wait');
@@ -235,7 +255,7 @@
 
 	function mayStartOn({session}: PooledServer, service: string): boolean {
 		const description = session.getDescription();
-		const isReady = description.state === 'ready' && !hasOldReport(description);
+		const isReady = description.state === 'ready' && !hasOldReport(description) && !trialRuns.isReserved(session);
 		return description.service === service && isReady && !evacuatedJobs.isEvacuated(description.availabilityZone);
 	}
 
@@ -280,6 +300,23 @@
 		onResult(job.entryId, job.request.jobId, result);
 	}
 
+	/**
+	 * Cancels a job that nobody waits for. The result is not sent: a caller that has come again meanwhile through the same entry
+	 * daemon would be told that its new submission was cancelled. Nor is one that asks after all, because it was not heard for a while.
+	 */
+	function cancelAbandonedJob(job: PlacedJob): void {
+		jobTable.endJob(job, {outcome: 'unknown'});
+		stopRuns(job);
+		jobLog.recordEnd(job, {outcome: 'failed', reason: 'cancelled'});
+	}
+
+	/** Lets the entry daemon of the latest submission that still waits receive the result. Returns false if nobody waits. */
+	function updateEntry(job: PlacedJob): boolean {
+		const entryId = job.waiting.findLastEntryId();
+		job.entryId = entryId ?? job.entryId;
+		return entryId !== undefined;
+	}
+
 	function stopRuns(job: PlacedJob): void {
 		for (const task of job.tasks) {
 			task.session?.stop(task.name);
@@ -318,7 +355,8 @@
 			const known = jobTable.findJob(jobId);
 			const result = jobTable.findResult(jobId, message.submissionId);
 			if (known !== undefined) {
-				known.entryId = entryId;
+				known.waiting.add(message.submissionId, entryId);
+				updateEntry(known);
 				jobTable.addSubmission(known, message.submissionId);
 				recovery.handleResubmission(known, message);
 				schedulePass();
@@ -334,9 +372,23 @@
 				endJob(job, {outcome: 'failed', reason: 'cancelled'});
 			}
 		},
+		withdraw(jobId, submissionId) {
+			const job = jobTable.findJob(jobId);
+			job?.waiting.remove(submissionId);
+			if (job !== undefined && !updateEntry(job)) {
+				cancelAbandonedJob(job);
+			}
+		},
 		findResult: jobId => (jobTable.findJob(jobId) === undefined ? jobTable.findResult(jobId) : 'open'),
 		endJobsOfEntry(entryId) {
-			const dropped = [...jobTable.getJobs()].filter(job => job.entryId === entryId);
+			const dropped: PlacedJob[] = [];
+			for (const job of jobTable.getJobs()) {
+				job.waiting.removeEntry(entryId);
+				if (!updateEntry(job)) {
+					dropped.push(job);
+				}
+			}
+
 			for (const job of dropped) {
 				if (job.hasStarted) {
 					endJob(job, {outcome: 'unknown'});
