Ask silent backend servers at once for the runs of a job that is handed over

Callers saw a 504 for a job in progress when a cut between availability zones healed: the placer that took the job over claimed the cut backend servers, on one of which the job ran, only after its search had ended. Claims of a silent backend server are 0.6 s apart (0.2 s timeout, 0.4 s delay), the search takes 0.4 s, so that it depended on chance whether a server was asked in time.

The search now has the waiting claim of each silent backend server sent at once, and the next one soon after a claim that is under way.

--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -300,6 +300,7 @@
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		const job = intake.createJob(entryId, message);
 		jobTable.addJob(job);
+		recovery.addJob(job);
 		jobLog.recordArrival(job, message);
 		schedulePass();
 	}
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -11,6 +11,8 @@
 export type JobRecovery = {
 	/** Adopts the runs that are found, and ends the search for those whose runs are all known or whose deadline has passed. */
 	recoverJobs(): void;
+	/** Begins the search for the runs of a job that an earlier placer may have started. */
+	addJob(job: PlacedJob): void;
 	/** Ends the search for the runs of an open job if its entry daemon has learned that no placer started them. */
 	handleResubmission(job: PlacedJob, message: PlacementMessageOf<'placement.submit'>): void;
 	/** Records that a task is done whose run this placer did not start. */
@@ -144,6 +146,12 @@
 
 	return {
 		recoverJobs,
+		addJob(job) {
+			if (job.recoveryDeadlineMs !== undefined) {
+				// The interval between claims of a silent backend server is longer than the search.
+				pool.hurryClaims();
+			}
+		},
 		handleResubmission(job, {submissionId, mayHaveStarted}) {
 			if (!mayHaveStarted && submissionId === job.submissionId && isUnstarted(job)) {
 				job.recoveryDeadlineMs = undefined;
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -37,6 +37,8 @@
 	isFullyKnown(): boolean;
 	/** Whether backend servers wait for the answer to the first claim of this placer, and may still give it in time. */
 	hasFirstClaimsPending(): boolean;
+	/** Asks all silent backend servers now for what runs there. */
+	hurryClaims(): void;
 	/** Gets how much the pool knows, for logs. */
 	getKnowledge(): ServerKnowledge;
 	/** Finds the run of a task on any backend server. */
@@ -157,6 +159,11 @@
 		getServers: () => servers.values(),
 		isFullyKnown: () => unclaimableCount === 0 && [...servers.values()].every(({session}) => session.areRunsKnown()),
 		hasFirstClaimsPending: () => [...servers.values()].some(({session}) => session.isFirstClaimPending()),
+		hurryClaims() {
+			for (const {session} of servers.values()) {
+				session.hurryClaim();
+			}
+		},
 		getKnowledge: () => ({
 			servers: servers.size,
 			heldServers: [...servers.values()].filter(({session}) => session.getState() === 'held').length,
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -51,6 +51,8 @@
 	start(options: RunStart & {payload: string}): void;
 	/** Stops the run of a task, if there is one. The listener is notified when it has ended. */
 	stop(taskName: string): void;
+	/** Sends the next claim of a silent backend server now, or soon after the one that is under way. */
+	hurryClaim(): void;
 	/** Expects the backend server, which has deregistered, to end: from now on, its runs are over when it does not respond. */
 	expectEnd(): void;
 	/** Closes the session. Its runs end when their lease expires. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -1,4 +1,6 @@
-import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
+import type {
+	EventLog, MetricSink, TimerService, TimerSubscription,
+} from '@camphortack/core';
 import type {StartWindow} from '../lag/create-start-window.js';
 import type {
 	BackendServerClient, RequestTarget, RenewResponse, UnansweredResponse,
@@ -93,6 +95,8 @@
 	let hasNewerIncarnation = false;
 	let isEndExpected = false;
 	let isClosed = false;
+	let isRetryUrgent = false;
+	let claimRetry: {timer: TimerSubscription; retry: () => void} | undefined;
 
 	function getTarget(): RequestTarget {
 		return {host: description.host, port: description.port, serverId: description.id};
@@ -207,13 +211,24 @@
 		}
 
 		endRunsIfOver();
-		const delayMs = Math.min(maxClaimRetryDelayMs, minClaimRetryDelayMs * (2 ** (unansweredClaims - 1)));
+		const delayMs = isRetryUrgent ? minClaimRetryDelayMs : Math.min(maxClaimRetryDelayMs, minClaimRetryDelayMs * (2 ** (unansweredClaims - 1)));
+		isRetryUrgent = false;
 		// No start or stop was sent with this token, so the retry can reuse it.
-		timers.addTimer(delayMs, () => {
-			if (isCurrent(ownClaim)) {
-				scheduleClaim(ownClaim, reason);
-			}
-		});
+		claimRetry = {
+			timer: timers.addTimer(delayMs, () => {
+				retryClaim(ownClaim, reason);
+			}),
+			retry() {
+				retryClaim(ownClaim, reason);
+			},
+		};
+	}
+
+	function retryClaim(ownClaim: number, reason: string): void {
+		claimRetry = undefined;
+		if (isCurrent(ownClaim)) {
+			scheduleClaim(ownClaim, reason);
+		}
 	}
 
 	/**
@@ -327,6 +342,18 @@
 			renewals.startMissing();
 		},
 		stop: requests.stop,
+		hurryClaim() {
+			if (state !== 'silent') {
+				return;
+			}
+
+			if (claimRetry === undefined) {
+				isRetryUrgent = true;
+			} else {
+				claimRetry.timer.cancel();
+				claimRetry.retry();
+			}
+		},
 		expectEnd() {
 			isEndExpected = true;
 			if (state === 'silent') {
