--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -25,6 +25,8 @@
 	setEvacuatedZones(availabilityZones: readonly string[]): void;
 	/** Accepts a job. A submission of a job that is already open joins it. */
 	submit(entryId: string, message: PlacementMessageOf<'placement.submit'>): void;
+	/** Lets the jobs go that wait because an earlier placer may run them, and need not wait any longer. */
+	checkHeldJobs(): void;
 	/** Cancels a job for all who wait for it, and stops its runs. */
 	cancel(jobId: string): void;
 	/** Handles that the callers of a submission have left. A job that no other submission waits for is cancelled. */
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -35,8 +35,12 @@
 	getServers(): Iterable<PooledServer>;
 	/** Whether all runs on all backend servers, including those that must not be claimed, are known. */
 	isFullyKnown(): boolean;
+	/** Whether the placer has not yet claimed some backend server on which tasks of a service may run, or must not claim it. */
+	hasUnclaimed(service: string): boolean;
 	/** Whether backend servers wait for the answer to the first claim of this placer, and may still give it in time. */
 	hasFirstClaimsPending(): boolean;
+	/** Asks all silent backend servers now for what runs there. */
+	hurryClaims(): void;
 	/** Gets how much the pool knows, for logs. */
 	getKnowledge(): ServerKnowledge;
 	/** Finds the run of a task on any backend server. */
@@ -157,7 +161,13 @@
 		findServer: serverId => servers.get(serverId),
 		getServers: () => servers.values(),
 		isFullyKnown: () => unclaimableCount === 0 && [...servers.values()].every(({session}) => session.areRunsKnown()),
+		hasUnclaimed: service => unclaimableCount > 0 || [...servers.values()].some(({session}) => session.getDescription().service === service && !session.areEarlierRunsKnown()),
 		hasFirstClaimsPending: () => [...servers.values()].some(({session}) => session.isFirstClaimPending()),
+		hurryClaims() {
+			for (const {session} of servers.values()) {
+				session.hurryClaim();
+			}
+		},
 		getKnowledge: () => ({
 			servers: servers.size,
 			heldServers: [...servers.values()].filter(({session}) => session.getState() === 'held').length,
