--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -39,6 +39,8 @@
 	getState(): SessionState;
 	/** Whether the backend server has neither answered the first claim nor left several unanswered. */
 	isFirstClaimPending(): boolean;
+	/** Whether a claim of this session was accepted, or nothing can run there, so that it knows every run of earlier placers. */
+	areEarlierRunsKnown(): boolean;
 	/** Whether every run on the backend server is known. */
 	areRunsKnown(): boolean;
 	/** Whether the term has no fencing token left for another claim. */
@@ -53,6 +55,8 @@
 	start(options: RunStart & {payload: string}): void;
 	/** Stops the run of a task, if there is one. The listener is notified when it has ended. */
 	stop(taskName: string): void;
+	/** Sends the next claim of a silent backend server now, or soon after the one that is under way. */
+	hurryClaim(): void;
 	/** Expects the backend server, which has deregistered, to end: from now on, its runs are over when it does not respond. */
 	expectEnd(): void;
 	/** Closes the session. Its runs end when their lease expires. */
