Start a task on trial beside others when it has waited for a while

Cause: the run of a task under which a backend server has crashed starts only where nothing else started within 40 ms. Where work starts all the time on every backend server, such a place might never come, and the job would end at its caller's timeout although it could run.

Change: after 300 ms without such a place the task starts beside others. Its next crash then points to it less clearly, as before trials.

--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -31,6 +31,8 @@
 	slowRunCount: number;
 	/** Since when the task has waited for a place near its data; undefined if it has not. */
 	nearWaitSinceMs: number | undefined;
+	/** Since when the task has waited for a place apart from others that have just started; undefined if it has not. */
+	trialWaitSinceMs: number | undefined;
 };
 
 /** A job that the placer has accepted. */
@@ -89,6 +91,7 @@
 		isAdopted: false,
 		slowRunCount: 0,
 		nearWaitSinceMs: undefined,
+		trialWaitSinceMs: undefined,
 	})));
 }
 
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -85,7 +85,7 @@
 	const crashMonitor = createCrashMonitor({
 		...options,
 		jobTable,
-		getSessions: () => [...pool.getServers()].map(({session}) => session),
+		getSessions,
 		onChange() {
 			schedulePass();
 		},
@@ -154,7 +154,7 @@
 			endJob(job, {outcome: 'unknown'});
 		},
 	});
-	const trialRuns = createTrialRuns({...options, getServers: pool.getServers});
+	const trialRuns = createTrialRuns({...options, getSessions});
 	const movedRuns = createMovedRuns({
 		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
 	});
@@ -243,15 +243,22 @@
 			startTask(job, task, allocation.server);
 			if (trialRuns.isOnTrial(task.name)) {
 				table.excludeServer(allocation.server.session.getDescription().id);
+				task.trialWaitSinceMs = undefined;
 			}
 		} else if (allocation.outcome === 'wait' && task.nearWaitSinceMs === undefined) {
 			task.nearWaitSinceMs = timers.getNowMs();
 			metrics.increment('near-wait');
+		} else if (isStartable && trialRuns.isOnTrial(task.name)) {
+			task.trialWaitSinceMs ??= timers.getNowMs();
 		}
 
 		return allocation.outcome;
 	}
 
+	function getSessions(): BackendSession[] {
+		return [...pool.getServers()].map(({session}) => session);
+	}
+
 	function getUsableServers(service: string): PooledServer[] {
 		return [...pool.getServers()].filter(server => server.session.getState() === 'held' && mayStartOn(server, service));
 	}
--- a/packages/placement/test/crashes/trial-runs.test.ts
+++ b/packages/placement/test/crashes/trial-runs.test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {VirtualTimers} from '@camphortack/testkit';
+import {createCrashRegister} from '../../src/crashes/crash-register.js';
+import {createTrialRuns} from '../../src/crashes/trial-runs.js';
+import {createPlacedTasks} from '../../src/jobs/placed-job.js';
+import {createRunTable} from '../../src/sessions/run-table.js';
 import {createTestPlacer, defaultRequest} from '../support/create-test-placer.js';
+import {createFakeFleet} from '../support/fake-fleet.js';
 import {runFor} from '../support/run-for.js';
 
 const steps = [{
@@ -30,4 +36,48 @@
 		assert.ok(others.length > 20);
 		assert.ok(Math.min(...distancesMs) > maxSuspectAgeMs - 2, `${Math.min(...distancesMs)} ms`);
 	});
+
+	const waits: Array<{title: string; waitSinceMs: number | undefined; hasCrash: boolean; expected: string[]}> = [
+		{
+			title: 'a task without a crash', waitSinceMs: undefined, hasCrash: false, expected: ['failed-there'],
+		},
+		{
+			title: 'a task that has not waited', waitSinceMs: undefined, hasCrash: true, expected: ['failed-there', 'server-0'],
+		},
+		{
+			title: 'a task that has waited for a moment', waitSinceMs: 800, hasCrash: true, expected: ['failed-there', 'server-0'],
+		},
+		// Guards against a task that never starts because others start on every backend server all the time.
+		{
+			title: 'a task that has waited for long', waitSinceMs: 600, hasCrash: true, expected: ['failed-there'],
+		},
+	];
+	for (const {title, waitSinceMs, hasCrash, expected} of waits) {
+		it(`avoids backend servers with new runs: ${title} → ${expected.join(', ')}`, () => {
+			const timers = new VirtualTimers();
+			timers.advance(1000);
+			const [description] = createFakeFleet({timers, serverCount: 1}).getDescriptions();
+			const runTable = createRunTable(() => timers.getNowMs(), {
+				onRunAdded() {
+					// The table is only read.
+				},
+				onRunEnd() {
+					// No run ends.
+				},
+			});
+			runTable.addRun({taskName: 'other.0.0.0', runNumber: 1, needs: {cpuMillicores: 100, memoryMb: 64, gpuCount: 0}});
+			const crashRegister = createCrashRegister(timers);
+			if (hasCrash) {
+				crashRegister.addRecord({
+					taskName: 'crashed.0.0.0', queueName: 'estimates', serverId: 'server-1', bornMs: 1, isSuspect: false, ageMs: 500,
+				});
+			}
+
+			const [task] = createPlacedTasks({...defaultRequest, jobId: 'crashed', steps}, 0, [{expectedMs: 900, followingMs: 0}]);
+			task!.avoidedServerIds.add('failed-there');
+			task!.trialWaitSinceMs = waitSinceMs;
+			const trialRuns = createTrialRuns({timers, crashRegister, getSessions: () => [{getDescription: () => description!, getRuns: runTable.getRuns}]});
+			assert.deepEqual([...trialRuns.getAvoidedServerIds(task!)], expected);
+		});
+	}
 });
