Reproduce trials that never begin and crashes that no placer resolves

Cause: a run on trial needs a backend server without a new run; the crashes of earlier incarnations stay suspected under a new placer; a renewal that does not report its incarnation refutes the crash of the one before.

--- a/packages/placement/test/crashes/reviewed-crashes.test.ts
+++ b/packages/placement/test/crashes/reviewed-crashes.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {BackendServerClient} from '../../src/index.js';
 import {createTestPlacer, defaultRequest, type TestPlacer} from '../support/create-test-placer.js';
 import type {FakeFleetOptions} from '../support/fake-fleet.js';
 import {runFor} from '../support/run-for.js';
@@ -16,6 +17,9 @@
 const step = {
 	...defaultRequest.steps[0]!, taskCount: 1, cpuMillicores: 12_000, estimateMs: durationMs,
 };
+const shortStep = {
+	...step, taskCount: 8, cpuMillicores: 1000, mostPerServer: 1, estimateMs: 30,
+};
 const request = {steps: [step], slackMs: callerTimeoutMs, callerTimeoutMs};
 
 async function createStartedPlacer(options: Partial<FakeFleetOptions> = {}): Promise<TestPlacer> {
@@ -88,7 +92,7 @@
 		const test = await createLateCrashes();
 		test.submit({...request, jobId: 'deadly'});
 		for (let position = 0; position < 2000 && !test.results.has('deadly'); position++) {
-			test.submit({...request, jobId: `short-${position}`, steps: [{...step, taskCount: 8, cpuMillicores: 1000, mostPerServer: 1, estimateMs: 30}]});
+			test.submit({...request, jobId: `short-${position}`, steps: [shortStep]});
 			// eslint-disable-next-line no-await-in-loop -- Jobs arrive over time.
 			await runFor(test.timers, 15);
 		}
@@ -97,6 +101,52 @@
 	});
 });
 
+/** Removes the incarnation from the responses to renewals, as backend servers may that do not report it there. */
+function hideIncarnations(client: BackendServerClient): BackendServerClient {
+	return new class extends BackendServerClient {
+		override async start(...parameters: Parameters<BackendServerClient['start']>): ReturnType<BackendServerClient['start']> {
+			return client.start(...parameters);
+		}
+
+		override async stop(...parameters: Parameters<BackendServerClient['stop']>): ReturnType<BackendServerClient['stop']> {
+			return client.stop(...parameters);
+		}
+
+		override async renew(...parameters: Parameters<BackendServerClient['renew']>): ReturnType<BackendServerClient['renew']> {
+			const response = await client.renew(...parameters);
+			return response.outcome === 'accepted' ? {...response, bornMs: undefined} : response;
+		}
+
+		override disconnect(): void {
+			// The fake has no connections.
+		}
+	}();
+}
+
+describe('a placer whose backend servers do not report their incarnations in renewals', () => {
+	// Guards against a crash that is refuted by the next incarnation, so that a task crashes backend servers without a limit.
+	it('gives a deadly task up when heartbeats of the next incarnations arrive late', {todo}, async () => {
+		const test = await createStartedPlacer({
+			serverCount: 3,
+			isDeadly: () => true,
+			onRestart() {
+				const descriptions = test.fleet.getDescriptions();
+				test.timers.addTimer(500, () => {
+					successor.setServers(descriptions, 0);
+				});
+			},
+		});
+		test.placer.stop();
+		const successor = test.createSuccessor(2, 'second', 2, {wrapClient: hideIncarnations});
+		test.usePlacer(successor);
+		successor.setServers(test.fleet.getDescriptions(), 0);
+		await runFor(test.timers, 20);
+		test.submit({...request, jobId: 'job'});
+		await finish(test);
+		assert.ok(countStarts(test, 'job.0.0.0') <= maxStarts, `${countStarts(test, 'job.0.0.0')} starts`);
+	});
+});
+
 describe('a placer with tasks that crash no backend server', () => {
 	// Guards against jobs that are given up because each backend server that failed had a new run.
 	it('completes jobs that have just started when their backend servers fail together, twice', {todo}, async () => {
@@ -138,7 +188,7 @@
 		const successor = test.createSuccessor(2, 'second');
 		test.usePlacer(successor);
 		successor.setServers(test.fleet.getDescriptions(), 0);
-		test.submit({...request, jobId: 'job'}, {generation: 1, handover: {placers: [{placerId: 'first', incarnation: 'one'}], registryDigest: ''}});
+		test.submit({...request, jobId: 'job'}, {generation: 1, handover: {entryId: 'entry', placers: [{placerId: 'first', incarnation: 'one'}], registryDigest: ''}});
 		await runFor(test.timers, 200);
 		test.fleet.crashProcess(firstId!);
 		await findServerIds(test, ['job.0.0.0']);
@@ -192,4 +242,40 @@
 		await finish(test);
 		assert.deepEqual(test.results.get('job'), {outcome: 'completed'});
 	});
+
+	// Guards against a task that never starts again after a plain crash, because other tasks start on all backend servers all the time.
+	it('completes a job whose backend server crashed once, while others start on all of them', {todo}, async () => {
+		const test = await createStartedPlacer({getDurationMs: taskName => (taskName.startsWith('short') ? 30 : 200)});
+		test.submit({...request, jobId: 'job'});
+		const [serverId] = await findServerIds(test, ['job.0.0.0']);
+		await runFor(test.timers, 10);
+		test.fleet.crashProcess(serverId!);
+		for (let position = 0; position < 1000 && !test.results.has('job'); position++) {
+			test.submit({...request, jobId: `short-${position}`, steps: [shortStep]});
+			// eslint-disable-next-line no-await-in-loop -- Jobs arrive over time.
+			await runFor(test.timers, 15);
+		}
+
+		assert.deepEqual([test.results.get('job'), countStarts(test, 'job.0.0.0')], [{outcome: 'completed'}, 2]);
+	});
+
+	// Guards against records of other placers' crashes that nobody can resolve, for which a job is held until its caller leaves.
+	it('completes a job whose backend servers an earlier placer lost, and that are back as other incarnations', {todo}, async () => {
+		const test = await createStartedPlacer({isCrashSilent: true, serverCount: 4});
+		test.placer.stop();
+		const register = test.crashRegister;
+		for (let runNumber = 1; runNumber <= 5; runNumber++) {
+			register.addRecord({
+				taskName: 'job.0.0.0', queueName: 'estimates', serverId: 'server-0', bornMs: -runNumber, runNumber, isSuspect: false, evidence: 'weak', state: 'suspected', ageMs: 5000,
+			});
+		}
+
+		const successor = test.createSuccessor(2, 'second');
+		test.usePlacer(successor);
+		successor.setServers(test.fleet.getDescriptions(), 0);
+		await runFor(test.timers, 20);
+		test.submit({...request, jobId: 'job'});
+		await finish(test);
+		assert.ok(test.results.has('job'), 'the job has a result');
+	});
 });
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -1,7 +1,7 @@
 import {createSeededRandomSource, type TimerService} from '@camphortack/core';
 import {RecordingEventLog, RecordingMetricSink, VirtualTimers} from '@camphortack/testkit';
 import {
-	createCrashRegister, createPlacer, type BackendServerClient, type HandoverSource, type JobOutcome, type JobRequest, type Placer, type PlacerOptions,
+	createCrashRegister, createPlacer, type BackendServerClient, type CrashRegister, type HandoverSource, type JobOutcome, type JobRequest, type Placer, type PlacerOptions,
 } from '../../src/index.js';
 import {createFakeFleet, type FakeFleet, type FakeFleetOptions} from './fake-fleet.js';
 
@@ -16,6 +16,8 @@
 	placer: Placer;
 	events: RecordingEventLog;
 	metrics: RecordingMetricSink;
+	/** The crashes that all placers know of. */
+	crashRegister: CrashRegister;
 	results: Map<string, JobOutcome>;
 	/** The entry daemon that each result was reported to. */
 	resultEntryIds: Map<string, string>;
@@ -109,6 +111,7 @@
 		placer,
 		events,
 		metrics,
+		crashRegister,
 		results,
 		resultEntryIds,
 		endedAtMs,
