Judge crashes by what else failed, and resolve those of other placers

Cause and change, each with its test in judged-crashes.test.ts: - Backend servers that failed together, each with a new run, were no common cause: such crashes are now medium evidence. - Crashes of two tasks of one job explained each other: a failure explains only crashes of other jobs. - Runs that were not new were not recorded beside new ones, so that a task that crashes late among others was never given up: they are weak evidence. - A suspicion was refuted only after an unanswered claim: now by each claim that the same incarnation accepts, and not by one that names none. - A crash was assumed after 10 s although the backend server was reported: now only if it is not reported. Crashes that another placer noticed are resolved by what is reported. - A trial could wait for ever (bounded by 300 ms before); trials now start one after the other, so that they do not blur each other's evidence. - A task is given up after two crashes that point to it, one of them alone.

The work of a pass and of a lost run does not grow with the number of backend servers any more: the last starts and silences are kept in lists. Suspects of daemons of earlier versions count as medium evidence, since these include starts that were refused.

The rows of get-task-verdict that counted two strong crashes and an assumed crash state the new limits.

--- a/packages/placement/src/crashes/crash-monitor.ts
+++ b/packages/placement/src/crashes/crash-monitor.ts
@@ -1,11 +1,11 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import type {JobTable} from '../placer/job-table.js';
+import type {PooledServer} from '../placer/server-pool.js';
 import type {BackendSession} from '../sessions/backend-session.js';
 import type {Run} from '../sessions/run.js';
 import type {CrashRecord, CrashState} from './crash-record.js';
-import type {CrashRegister} from './crash-register.js';
+import type {CrashRegister, CrashResolution} from './crash-register.js';
 import {isNewRun, type CrashedRun} from './find-suspect-run.js';
-import {assumedCrashMs} from './get-task-verdict.js';
 import {judgeCrash, type JudgedRun} from './judge-crash.js';
 
 /** Records which runs ended because their backend servers crashed. */
@@ -18,6 +18,8 @@
 	handleSilence(session: BackendSession): void;
 	/** Handles that a backend server which did not respond has responded again, or that another incarnation has: it has crashed. */
 	handleResolution(session: BackendSession, hasCrashed: boolean): void;
+	/** Stops the review of the suspected crashes. */
+	stop(): void;
 };
 
 export type CrashMonitorOptions = {
@@ -26,7 +28,8 @@
 	metrics: MetricSink;
 	jobTable: JobTable;
 	crashRegister: CrashRegister;
-	getSessions: () => Iterable<BackendSession>;
+	/** Finds a backend server that is still reported. */
+	findServer: (serverId: string) => PooledServer | undefined;
 	/** Called with each new or changed record, for the other daemons. */
 	onCrashRecord: (record: CrashRecord) => void;
 	/** Called when tasks may have to be given up, or may start again. */
@@ -41,26 +44,40 @@
 	state: CrashState;
 };
 
+/** A backend server that has fallen silent. */
+type Silence = {
+	jobIds: ReadonlySet<string>;
+	atMs: number;
+};
+
 const unknownQueueName = '';
 /** Crashes within this time of each other may have one common cause, such as a rack without power. */
 const commonCauseMs = 20;
 /** Backend servers that fall silent within this time of each other may have been cut off together. */
 const commonSilenceMs = 1000;
+/** Longer than the leases of the runs of a silent backend server, after which they are lost. */
+const silenceRetentionMs = 5000;
+/** A backend server that is not reported for this time after a suspected crash counts as crashed, since it may never come back. */
+const assumedCrashMs = 10_000;
+/** A placer that still holds a backend server this long after a suspected crash has had responses from it since. */
+const minHeldMs = 2000;
+const reviewIntervalMs = 1000;
 
 /**
  * Creates the monitor.
  * @param options - The open jobs and where to record.
  */
 export function createCrashMonitor(options: CrashMonitorOptions): CrashMonitor {
-	const {timers, events, metrics, jobTable, crashRegister, getSessions, onCrashRecord, onChange} = options;
+	const {timers, events, metrics, jobTable, crashRegister, findServer, onCrashRecord, onChange} = options;
 	/** When backend servers with runs were first suspected. */
 	const suspectedAtMs = new WeakMap<BackendSession, number>();
-	/** When backend servers fell silent. */
-	const silentAtMs = new WeakMap<BackendSession, number>();
+	/** The backend servers that have fallen silent, oldest first. */
+	const silences = new Map<BackendSession, Silence>();
 	/** The backend servers that refuse connections. What their runs have to do with it is judged once. */
 	const refusing = new WeakSet<BackendSession>();
 	/** The crashes that may have a common cause with the next ones, oldest first. */
 	let recentCrashes: Crash[] = [];
+	const review = timers.addInterval(reviewIntervalMs, resolveForeignCrashes);
 
 	function recordSuspicion(session: BackendSession): void {
 		suspectedAtMs.set(session, suspectedAtMs.get(session) ?? timers.getNowMs());
@@ -86,20 +103,19 @@
 		};
 		if (crashRegister.addRecord(record)) {
 			onCrashRecord(record);
-			timers.addTimer(assumedCrashMs, onChange);
 		}
 	}
 
-	/** Whether another backend server failed at about the same time, of which no run can be the cause. */
-	function hasCommonCause({session, atMs}: Crash): boolean {
-		return recentCrashes.some(other => other.session !== session && Math.abs(other.atMs - atMs) <= commonCauseMs && !other.runs.some(run => isNewRun(run)));
+	/** Gets the runs of the other backend servers that failed at about the same time. */
+	function getOtherFailures({session, atMs}: Crash): CrashedRun[][] {
+		return recentCrashes.filter(other => other.session !== session && Math.abs(other.atMs - atMs) <= commonCauseMs).map(({runs}) => runs);
 	}
 
 	/** Records what the runs have to do with a crash. A backend server that drains ends in good order. */
 	function judge(crash: Crash): void {
 		const isUnexpected = crash.state !== 'refuted' && crash.session.getDescription().state === 'ready';
 		const judged = isUnexpected
-			? judgeCrash(crash.runs, {hasCommonCause: hasCommonCause(crash), getSuspectCount: queueName => crashRegister.getSuspects(queueName).length})
+			? judgeCrash(crash.runs, {otherFailures: getOtherFailures(crash), getSuspectCount: queueName => crashRegister.getSuspects(queueName).length})
 			: [];
 		logCrash(crash, judged.find(({isSuspect}) => isSuspect));
 		for (const run of judged) {
@@ -109,10 +125,46 @@
 		onChange();
 	}
 
-	/** Whether another backend server has ceased to respond at about the same time, as in a partition or a loss of power. */
-	function isSilenceCommon(session: BackendSession): boolean {
-		const atMs = silentAtMs.get(session) ?? timers.getNowMs();
-		return [...getSessions()].some(other => other !== session && !refusing.has(other) && Math.abs((silentAtMs.get(other) ?? Infinity) - atMs) <= commonSilenceMs);
+	/** Whether a backend server without a run of the job fell silent at about the same time, as in a partition or a loss of power. */
+	function isSilenceCommon(session: BackendSession, {jobId}: CrashedRun): boolean {
+		const atMs = silences.get(session)?.atMs ?? timers.getNowMs();
+		for (const [other, silence] of silences) {
+			if (other !== session && Math.abs(silence.atMs - atMs) <= commonSilenceMs && !silence.jobIds.has(jobId)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	function removeOldSilences(): void {
+		const oldestMs = timers.getNowMs() - silenceRetentionMs;
+		for (const [session, {atMs}] of silences) {
+			if (atMs > oldestMs) {
+				return;
+			}
+
+			silences.delete(session);
+		}
+	}
+
+	function resolve(resolution: CrashResolution): void {
+		for (const record of crashRegister.resolveCrash(resolution)) {
+			onCrashRecord(record);
+		}
+	}
+
+	/** Resolves crashes that other placers have noticed, or whose backend servers are not reported any more. */
+	function resolveForeignCrashes(): void {
+		for (const {serverId, bornMs, ageMs} of crashRegister.getSuspectedCrashes()) {
+			const session = findServer(serverId)?.session;
+			const isReplaced = session === undefined ? ageMs >= assumedCrashMs : session.getDescription().bornMs > bornMs;
+			const isHeld = session?.getState() === 'held' && session.getDescription().bornMs === bornMs && ageMs >= minHeldMs;
+			if (isReplaced || isHeld) {
+				resolve({serverId, bornMs, hasCrashed: isReplaced});
+				onChange();
+			}
+		}
 	}
 
 	function logCrash({session, runs}: Crash, suspect: JudgedRun | undefined): void {
@@ -140,32 +192,36 @@
 				return;
 			}
 
+			const crashedRun = getCrashedRun(run);
 			recordSuspicion(session);
-			if (!isSilenceCommon(session)) {
-				addRecord({session, atMs: timers.getNowMs(), state: 'suspected'}, {run: getCrashedRun(run), evidence: 'weak', isSuspect: false});
+			if (!isSilenceCommon(session, crashedRun)) {
+				addRecord({session, atMs: timers.getNowMs(), state: 'suspected'}, {run: crashedRun, evidence: 'weak', isSuspect: false});
 			}
 		},
 		handleSilence(session) {
-			silentAtMs.set(session, timers.getNowMs());
+			removeOldSilences();
+			silences.delete(session);
+			silences.set(session, {
+				jobIds: new Set([...session.getRuns().values()].map(run => getCrashedRun(run).jobId)), atMs: timers.getNowMs(),
+			});
 		},
 		handleResolution(session, hasCrashed) {
 			const {id, bornMs} = session.getDescription();
-			for (const record of crashRegister.resolveCrash({serverId: id, bornMs, hasCrashed})) {
-				onCrashRecord(record);
-			}
-
+			resolve({serverId: id, bornMs, hasCrashed});
 			for (const crash of recentCrashes.filter(recent => recent.session === session)) {
 				crash.state = hasCrashed ? 'confirmed' : 'refuted';
 			}
 
 			refusing.delete(session);
-			silentAtMs.delete(session);
 			const sinceMs = suspectedAtMs.get(session);
 			if (sinceMs !== undefined) {
 				suspectedAtMs.delete(session);
 				events.write('backend-server-crash-resolved', {server: id, hasCrashed, afterMs: Math.round(timers.getNowMs() - sinceMs)});
 			}
 		},
+		stop() {
+			review.cancel();
+		},
 	};
 }
 
--- a/packages/placement/src/crashes/crash-register.ts
+++ b/packages/placement/src/crashes/crash-register.ts
@@ -1,6 +1,6 @@
 import type {TimerService} from '@camphortack/core';
 import type {CrashEvidence, CrashRecord, CrashState} from './crash-record.js';
-import {getTaskVerdict, type TaskCrash, type TaskVerdict} from './get-task-verdict.js';
+import {getTaskVerdict, type TaskVerdict} from './get-task-verdict.js';
 import {createRecordIndex} from './record-index.js';
 
 /** What a daemon knows of the runs that ended with the processes of their backend servers, whoever placed them. */
@@ -13,10 +13,10 @@
 	getRecords(): CrashRecord[];
 	/** Gets the records of a task, oldest first. */
 	getRecordsOfTask(taskName: string): CrashRecord[];
-	/** Whether backend servers have crashed under a task, as far as it is known. */
-	hasCrashes(taskName: string): boolean;
-	/** Whether there are any records. */
-	hasAnyCrashes(): boolean;
+	/** Whether crashes point to a task, as far as it is known. */
+	isSuspected(taskName: string): boolean;
+	/** Gets the suspected crashes, one record each. */
+	getSuspectedCrashes(): CrashRecord[];
 	/** Gets what may be done with a task. */
 	getVerdict(taskName: string): TaskVerdict;
 	/** Gets the tasks that crash backend servers, so that they must not be started again. */
@@ -131,11 +131,7 @@
 	}
 
 	function getVerdict(taskName: string): TaskVerdict {
-		return repeatedTasks.has(taskName) ? getTaskVerdict(recordsByTask.get(taskName).map(record => toCrash(record))) : 'startable';
-	}
-
-	function toCrash({evidence, state, atMs}: StoredRecord): TaskCrash {
-		return {evidence, state, ageMs: timers.getNowMs() - atMs};
+		return repeatedTasks.has(taskName) ? getTaskVerdict(recordsByTask.get(taskName)) : 'startable';
 	}
 
 	function getSuspects(queueName: string): SuspectRun[] {
@@ -167,10 +163,16 @@
 		},
 		getRecords: () => [...records.values()].map(record => toCrashRecord(record)),
 		getRecordsOfTask: taskName => recordsByTask.get(taskName).map(record => toCrashRecord(record)),
-		hasCrashes: taskName => recordsByTask.get(taskName).some(({state}) => state !== 'refuted'),
-		hasAnyCrashes: () => records.size > 0,
+		isSuspected: taskName => recordsByTask.get(taskName).some(({evidence, state}) => evidence !== 'weak' && state !== 'refuted'),
+		getSuspectedCrashes() {
+			const suspected = [...records.values()].filter(({state}) => state === 'suspected');
+			return [...new Map(suspected.map(record => [getIncarnationKey(record), record])).values()].map(record => toCrashRecord(record));
+		},
 		getVerdict,
-		getGivenUpTasks: () => [...repeatedTasks].filter(taskName => getVerdict(taskName) === 'given-up'),
+		getGivenUpTasks() {
+			removeExpired();
+			return [...repeatedTasks].filter(taskName => getVerdict(taskName) === 'given-up');
+		},
 		getSuspects,
 		getSuspectQueues: () => suspects.getKeys().filter(queueName => getSuspects(queueName).length > 0),
 	};
@@ -184,7 +186,7 @@
 function toStoredRecord({ageMs, ...record}: CrashRecord, nowMs: number): StoredRecord {
 	return {
 		...record,
-		evidence: record.evidence ?? (record.isSuspect ? 'strong' : 'weak'),
+		evidence: record.evidence ?? (record.isSuspect ? 'medium' : 'weak'),
 		state: record.state ?? 'suspected',
 		atMs: nowMs - ageMs,
 	};
--- a/packages/placement/src/crashes/get-task-verdict.ts
+++ b/packages/placement/src/crashes/get-task-verdict.ts
@@ -4,7 +4,6 @@
 export type TaskCrash = {
 	evidence: CrashEvidence;
 	state: CrashState;
-	ageMs: number;
 };
 
 /**
@@ -16,15 +15,12 @@
  */
 export type TaskVerdict = 'startable' | 'held' | 'given-up';
 
-/** A task is given up after this many crashes that point to it alone. */
-const maxStrongCrashes = 2;
-/** A task is given up after this many crashes that point to it and perhaps to others. */
+/** A task is given up after this many crashes that point to it, if one of them points to it alone. */
+const maxPointingCrashes = 2;
+/** A task is given up after this many crashes that point to it and to others each time. */
 const maxMediumCrashes = 4;
 /** A task is given up after this many crashes that nothing else explains. */
 const maxCrashes = 5;
-/** A backend server that has refused connections for this time counts as crashed, since it may never come back. */
-export const assumedCrashMs = 10_000;
-
 /**
  * Decides about a task under which backend servers have crashed. Only crashes that are confirmed end the job of the task: a
  * network partition may refuse connections too.
@@ -32,7 +28,7 @@
  *
  * @example
  * ```ts
- * getTaskVerdict([{evidence: 'strong', state: 'confirmed', ageMs: 4000}, {evidence: 'strong', state: 'suspected', ageMs: 20}]); // 'held'
+ * getTaskVerdict([{evidence: 'strong', state: 'confirmed'}, {evidence: 'strong', state: 'suspected'}]); // 'held'
  * ```
  */
 export function getTaskVerdict(crashes: readonly TaskCrash[]): TaskVerdict {
@@ -41,16 +37,11 @@
 		return 'startable';
 	}
 
-	return isLimitReached(possible.filter(crash => isCertain(crash))) ? 'given-up' : 'held';
-}
-
-/** A silent backend server, of which there is weak evidence only, is not assumed to have crashed. */
-function isCertain({evidence, state, ageMs}: TaskCrash): boolean {
-	return state === 'confirmed' || (evidence !== 'weak' && ageMs >= assumedCrashMs);
+	return isLimitReached(possible.filter(({state}) => state === 'confirmed')) ? 'given-up' : 'held';
 }
 
 function isLimitReached(crashes: readonly TaskCrash[]): boolean {
-	const strongCount = crashes.filter(({evidence}) => evidence === 'strong').length;
+	const hasStrong = crashes.some(({evidence}) => evidence === 'strong');
 	const pointingCount = crashes.filter(({evidence}) => evidence !== 'weak').length;
-	return strongCount >= maxStrongCrashes || pointingCount >= maxMediumCrashes || crashes.length >= maxCrashes;
+	return pointingCount >= (hasStrong ? maxPointingCrashes : maxMediumCrashes) || crashes.length >= maxCrashes;
 }
--- a/packages/placement/src/placer/capacity-table.ts
+++ b/packages/placement/src/placer/capacity-table.ts
@@ -31,6 +31,8 @@
 	reserve(job: PlacedJob, task: PlacedTask): void;
 	/** Gets the backend servers with the capacity that is not reserved. */
 	getCandidates(): readonly PlacementCandidate[];
+	/** Whether some backend server has the CPU that a task needs. */
+	hasRoom(task: PlacedTask): boolean;
 	/** Gives out no more capacity of a backend server. */
 	excludeServer(serverId: string): void;
 	/** Gives out far places from now on. */
@@ -215,6 +217,7 @@
 			}
 		},
 		getCandidates: () => rows,
+		hasRoom: ({needs}) => needs.cpuMillicores <= largestFreeMillicores,
 		excludeServer(serverId) {
 			for (const row of rows.filter(({id}) => id === serverId)) {
 				row.freeCapacity = {cpuMillicores: 0, memoryMb: 0, gpuCount: 0};
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -85,7 +85,7 @@
 	const crashMonitor = createCrashMonitor({
 		...options,
 		jobTable,
-		getSessions,
+		findServer: serverId => pool.findServer(serverId),
 		onChange() {
 			schedulePass();
 		},
@@ -154,7 +154,7 @@
 			endJob(job, {outcome: 'unknown'});
 		},
 	});
-	const trialRuns = createTrialRuns({...options, getSessions});
+	const trialRuns = createTrialRuns(timers, options.crashRegister);
 	const movedRuns = createMovedRuns({
 		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
 	});
@@ -237,7 +237,7 @@
 	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): Allocation['outcome'] {
 		// A run of an earlier submission of the same job may still be stopping.
 		const isStartable = pool.findRun(task.name) === undefined && options.crashRegister.getVerdict(task.name) === 'startable';
-		const allocation: Allocation = isStartable && startWindow.isOpen() ? table.allocate(job, task) : {outcome: 'none'};
+		const allocation: Allocation = isStartable && trialRuns.mayStart(task) && startWindow.isOpen() ? table.allocate(job, task) : {outcome: 'none'};
 		if (allocation.outcome === 'server') {
 			recordDistance(metrics, task, {isFar: allocation.isFar, nowMs: timers.getNowMs()});
 			startTask(job, task, allocation.server);
@@ -248,24 +248,20 @@
 		} else if (allocation.outcome === 'wait' && task.nearWaitSinceMs === undefined) {
 			task.nearWaitSinceMs = timers.getNowMs();
 			metrics.increment('near-wait');
-		} else if (isStartable && trialRuns.isOnTrial(task.name)) {
+		} else if (isStartable && table.hasRoom(task) && trialRuns.isOnTrial(task.name)) {
 			task.trialWaitSinceMs ??= timers.getNowMs();
 		}
 
 		return allocation.outcome;
 	}
 
-	function getSessions(): BackendSession[] {
-		return [...pool.getServers()].map(({session}) => session);
-	}
-
 	function getUsableServers(service: string): PooledServer[] {
 		return [...pool.getServers()].filter(server => server.session.getState() === 'held' && mayStartOn(server, service));
 	}
 
 	function mayStartOn({session}: PooledServer, service: string): boolean {
 		const description = session.getDescription();
-		const isReady = description.state === 'ready' && !hasOldReport(description) && !trialRuns.isReserved(session);
+		const isReady = description.state === 'ready' && !hasOldReport(description) && !trialRuns.isReserved(description.id);
 		return description.service === service && isReady && !evacuatedJobs.isEvacuated(description.availabilityZone);
 	}
 
@@ -283,6 +279,7 @@
 		job.serverIds.push(session.getDescription().id);
 		metrics.increment('task-started');
 		takeoverLog.handleStart();
+		trialRuns.addStart(task.name, session.getDescription().id);
 		session.start({
 			taskName: task.name, runNumber: task.runNumber, payload: job.request.payload, needs: task.needs,
 		});
@@ -441,6 +438,7 @@
 		stop() {
 			passes.stop();
 			slowRunDetector.stop();
+			crashMonitor.stop();
 			startWindow.stop();
 			logOpenJobs();
 			pool.close();
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -22,7 +22,7 @@
 	onHeld(session: BackendSession): void;
 	/** The backend server refuses connections; its runs have probably ended with its process. */
 	onCrashSuspected(session: BackendSession): void;
-	/** A backend server that did not respond has responded again, or another incarnation has: only then has it crashed. */
+	/** The backend server has responded to a claim, or another incarnation has: only then has it crashed. */
 	onCrashResolved(session: BackendSession, hasCrashed: boolean): void;
 	/** The session state has changed. */
 	onStateChange(session: BackendSession): void;
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -265,7 +265,7 @@
 			return;
 		}
 
-		if (unansweredClaims > 0) {
+		if (response.bornMs === description.bornMs) {
 			listener.onCrashResolved(session, false);
 		}
 
