--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -36,6 +36,7 @@
 import {createRunExpectations} from './run-expectations.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
+import {createSubmittedJobs} from './submitted-jobs.js';
 import {createTakeoverLog} from './takeover-log.js';
 import {createTaskEnds} from './task-ends.js';
 import {
@@ -164,6 +165,9 @@
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, getRunFactor,
 	});
+	const submittedJobs = createSubmittedJobs({
+		...options, jobTable, jobLog, intake, recovery, schedulePass, refuse, endJob, stopRuns,
+	});
 	const taskEnds = createTaskEnds({
 		timers, events, metrics, pool, intake, getRunFactor, onJobEnd: endJob,
 	});
@@ -307,23 +311,6 @@
 		onResult(job.entryId, job.request.jobId, result);
 	}
 
-	/**
-	 * Cancels a job that nobody waits for. The result is not sent: a caller that has come again meanwhile through the same entry
-	 * daemon would be told that its new submission was cancelled. Nor is one that asks after all, because it was not heard for a while.
-	 */
-	function cancelAbandonedJob(job: PlacedJob): void {
-		jobTable.endJob(job, {outcome: 'unknown'});
-		stopRuns(job);
-		jobLog.recordEnd(job, {outcome: 'failed', reason: 'cancelled'});
-	}
-
-	/** Lets the entry daemon of the latest submission that still waits receive the result. Returns false if nobody waits. */
-	function updateEntry(job: PlacedJob): boolean {
-		const entryId = job.waiting.findLastEntryId();
-		job.entryId = entryId ?? job.entryId;
-		return entryId !== undefined;
-	}
-
 	function stopRuns(job: PlacedJob): void {
 		for (const task of job.tasks) {
 			task.session?.stop(task.name);
@@ -341,14 +328,6 @@
 		}
 	}
 
-	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
-		const job = intake.createJob(entryId, message);
-		jobTable.addJob(job);
-		recovery.addJob(job);
-		jobLog.recordArrival(job, message);
-		schedulePass();
-	}
-
 	return {
 		setServers(descriptions, hiddenCount) {
 			pool.setServers(descriptions, hiddenCount);
@@ -358,56 +337,12 @@
 			evacuatedJobs.setEvacuatedZones(availabilityZones);
 			schedulePass();
 		},
-		submit(entryId, message) {
-			const {jobId} = message.request;
-			const known = jobTable.findJob(jobId);
-			const result = jobTable.findResult(jobId, message.submissionId);
-			if (known !== undefined) {
-				known.waiting.add(message.submissionId, entryId);
-				updateEntry(known);
-				jobTable.addSubmission(known, message.submissionId);
-				recovery.handleResubmission(known, message);
-				schedulePass();
-			} else if (result === undefined) {
-				addJob(entryId, message);
-			} else {
-				onResult(entryId, jobId, result);
-			}
-		},
-		cancel(jobId) {
-			const job = jobTable.findJob(jobId);
-			if (job !== undefined) {
-				endJob(job, {outcome: 'failed', reason: 'cancelled'});
-			}
-		},
-		withdraw(jobId, submissionId) {
-			const job = jobTable.findJob(jobId);
-			job?.waiting.remove(submissionId);
-			if (job !== undefined && !updateEntry(job)) {
-				cancelAbandonedJob(job);
-			}
-		},
+		submit: submittedJobs.submit,
+		cancel: submittedJobs.cancel,
+		withdraw: submittedJobs.withdraw,
+		endJobsOfEntry: submittedJobs.endJobsOfEntry,
 		checkHeldJobs: schedulePass,
 		findResult: jobId => (jobTable.findJob(jobId) === undefined ? jobTable.findResult(jobId) : 'open'),
-		endJobsOfEntry(entryId) {
-			const dropped: PlacedJob[] = [];
-			for (const job of jobTable.getJobs()) {
-				job.waiting.removeEntry(entryId);
-				if (!updateEntry(job)) {
-					dropped.push(job);
-				}
-			}
-
-			for (const job of dropped) {
-				if (job.hasStarted) {
-					endJob(job, {outcome: 'unknown'});
-				} else {
-					refuse(job, 'no-placer', 0);
-				}
-			}
-
-			return dropped.length;
-		},
 		getPendingCount(queueName) {
 			let count = 0;
 			for (const job of jobTable.getJobs()) {
--- /dev/null
+++ b/packages/placement/src/placer/submitted-jobs.ts
@@ -0,0 +1,125 @@
+import type {PlacedJob} from '../jobs/placed-job.js';
+import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
+import type {PlacementMessageOf} from '../messages/placement-messages.js';
+import type {JobIntake} from './job-intake.js';
+import type {JobLog} from './job-log.js';
+import type {JobRecovery} from './job-recovery.js';
+import type {JobTable} from './job-table.js';
+
+/** The submissions of jobs by entry daemons, and who still waits for the results. */
+export type SubmittedJobs = {
+	/** Accepts a job. A submission of a job that is already open joins it. */
+	submit(entryId: string, message: PlacementMessageOf<'placement.submit'>): void;
+	/** Cancels a job for all who wait for it. */
+	cancel(jobId: string): void;
+	/** Handles that the callers of a submission have left. A job that no other submission waits for is cancelled. */
+	withdraw(jobId: string, submissionId: string): void;
+	/** Ends the jobs that only an entry daemon waits for which has timed out. Returns their number. */
+	endJobsOfEntry(entryId: string): number;
+};
+
+export type SubmittedJobsOptions = {
+	jobTable: JobTable;
+	jobLog: JobLog;
+	intake: JobIntake;
+	recovery: JobRecovery;
+	schedulePass: () => void;
+	refuse: (job: PlacedJob, reason: RefusalReason, waitMs: number) => void;
+	endJob: (job: PlacedJob, result: JobOutcome) => void;
+	stopRuns: (job: PlacedJob) => void;
+	/** Called with the result of a job and the entry daemon that waits for it. */
+	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
+};
+
+/**
+ * Creates the submissions of a placer.
+ * @param options - The open jobs, and how they begin and end.
+ */
+export function createSubmittedJobs(options: SubmittedJobsOptions): SubmittedJobs {
+	const {jobTable, jobLog, intake, recovery, schedulePass, refuse, endJob, stopRuns, onResult} = options;
+
+	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
+		const job = intake.createJob(entryId, message);
+		jobTable.addJob(job);
+		recovery.addJob(job);
+		jobLog.recordArrival(job, message);
+		schedulePass();
+	}
+
+	function joinJob(job: PlacedJob, entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
+		job.waiting.add(message.submissionId, entryId);
+		updateEntry(job);
+		jobTable.addSubmission(job, message.submissionId);
+		recovery.handleResubmission(job, message);
+		schedulePass();
+	}
+
+	/** Lets the entry daemon of the latest submission that still waits receive the result. Returns false if nobody waits. */
+	function updateEntry(job: PlacedJob): boolean {
+		const entryId = job.waiting.findLastEntryId();
+		job.entryId = entryId ?? job.entryId;
+		return entryId !== undefined;
+	}
+
+	/**
+	 * Cancels a job that nobody waits for. The result is not sent: a caller that has come again meanwhile through the same entry
+	 * daemon would be told that its new submission was cancelled. Nor is one that asks after all, because it was not heard for a while.
+	 */
+	function cancelAbandonedJob(job: PlacedJob): void {
+		jobTable.endJob(job, {outcome: 'unknown'});
+		stopRuns(job);
+		jobLog.recordEnd(job, {outcome: 'failed', reason: 'cancelled'});
+	}
+
+	function findAbandonedJobs(entryId: string): PlacedJob[] {
+		const abandoned: PlacedJob[] = [];
+		for (const job of jobTable.getJobs()) {
+			job.waiting.removeEntry(entryId);
+			if (!updateEntry(job)) {
+				abandoned.push(job);
+			}
+		}
+
+		return abandoned;
+	}
+
+	return {
+		submit(entryId, message) {
+			const {jobId} = message.request;
+			const known = jobTable.findJob(jobId);
+			const result = jobTable.findResult(jobId, message.submissionId);
+			if (known !== undefined) {
+				joinJob(known, entryId, message);
+			} else if (result === undefined) {
+				addJob(entryId, message);
+			} else {
+				onResult(entryId, jobId, result);
+			}
+		},
+		cancel(jobId) {
+			const job = jobTable.findJob(jobId);
+			if (job !== undefined) {
+				endJob(job, {outcome: 'failed', reason: 'cancelled'});
+			}
+		},
+		withdraw(jobId, submissionId) {
+			const job = jobTable.findJob(jobId);
+			job?.waiting.remove(submissionId);
+			if (job !== undefined && !updateEntry(job)) {
+				cancelAbandonedJob(job);
+			}
+		},
+		endJobsOfEntry(entryId) {
+			const abandoned = findAbandonedJobs(entryId);
+			for (const job of abandoned) {
+				if (job.hasStarted) {
+					endJob(job, {outcome: 'unknown'});
+				} else {
+					refuse(job, 'no-placer', 0);
+				}
+			}
+
+			return abandoned.length;
+		},
+	};
+}
