Keep the silent backend servers in a module of their own

Cause: the crash monitor had three jobs; backend servers that refuse connections counted among those that fell silent together, so that a run lost beside them was not recorded.

Change: silent-servers.ts holds the silences; those that refuse connections are not among them.

--- a/packages/placement/src/crashes/crash-monitor.ts
+++ b/packages/placement/src/crashes/crash-monitor.ts
@@ -5,8 +5,9 @@
 import type {Run} from '../sessions/run.js';
 import type {CrashRecord, CrashState} from './crash-record.js';
 import type {CrashRegister, CrashResolution} from './crash-register.js';
-import {isNewRun, type CrashedRun} from './find-suspect-run.js';
+import type {CrashedRun} from './find-suspect-run.js';
 import {judgeCrash, type JudgedRun} from './judge-crash.js';
+import {createSilentServers} from './silent-servers.js';
 
 /** Records which runs ended because their backend servers crashed. */
 export type CrashMonitor = {
@@ -14,7 +15,7 @@
 	handleCrash(session: BackendSession): void;
 	/** Records a run that was lost with a backend server that had ceased to respond. */
 	handleLostRun(session: BackendSession, run: Run): void;
-	/** Handles that a backend server has ceased to respond. */
+	/** Handles that a backend server has ceased to respond, perhaps because it refuses connections. */
 	handleSilence(session: BackendSession): void;
 	/** Handles that a backend server which did not respond has responded again, or that another incarnation has: it has crashed. */
 	handleResolution(session: BackendSession, hasCrashed: boolean): void;
@@ -44,19 +45,9 @@
 	state: CrashState;
 };
 
-/** A backend server that has fallen silent. */
-type Silence = {
-	jobIds: ReadonlySet<string>;
-	atMs: number;
-};
-
 const unknownQueueName = '';
 /** Crashes within this time of each other may have one common cause, such as a rack without power. */
 const commonCauseMs = 20;
-/** Backend servers that fall silent within this time of each other may have been cut off together. */
-const commonSilenceMs = 1000;
-/** Longer than the leases of the runs of a silent backend server, after which they are lost. */
-const silenceRetentionMs = 5000;
 /** A backend server that is not reported for this time after a suspected crash counts as crashed, since it may never come back. */
 const assumedCrashMs = 10_000;
 /** A placer that still holds a backend server this long after a suspected crash has had responses from it since. */
@@ -71,8 +62,7 @@
 	const {timers, events, metrics, jobTable, crashRegister, findServer, onCrashRecord, onChange} = options;
 	/** When backend servers with runs were first suspected. */
 	const suspectedAtMs = new WeakMap<BackendSession, number>();
-	/** The backend servers that have fallen silent, oldest first. */
-	const silences = new Map<BackendSession, Silence>();
+	const silentServers = createSilentServers<BackendSession>(timers);
 	/** The backend servers that refuse connections. What their runs have to do with it is judged once. */
 	const refusing = new WeakSet<BackendSession>();
 	/** The crashes that may have a common cause with the next ones, oldest first. */
@@ -125,29 +115,6 @@
 		onChange();
 	}
 
-	/** Whether a backend server without a run of the job fell silent at about the same time, as in a partition or a loss of power. */
-	function isSilenceCommon(session: BackendSession, {jobId}: CrashedRun): boolean {
-		const atMs = silences.get(session)?.atMs ?? timers.getNowMs();
-		for (const [other, silence] of silences) {
-			if (other !== session && Math.abs(silence.atMs - atMs) <= commonSilenceMs && !silence.jobIds.has(jobId)) {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
-	function removeOldSilences(): void {
-		const oldestMs = timers.getNowMs() - silenceRetentionMs;
-		for (const [session, {atMs}] of silences) {
-			if (atMs > oldestMs) {
-				return;
-			}
-
-			silences.delete(session);
-		}
-	}
-
 	function resolve(resolution: CrashResolution): void {
 		for (const record of crashRegister.resolveCrash(resolution)) {
 			onCrashRecord(record);
@@ -194,16 +161,14 @@
 
 			const crashedRun = getCrashedRun(run);
 			recordSuspicion(session);
-			if (!isSilenceCommon(session, crashedRun)) {
+			if (!silentServers.isSilenceCommon(session, crashedRun.jobId)) {
 				addRecord({session, atMs: timers.getNowMs(), state: 'suspected'}, {run: crashedRun, evidence: 'weak', isSuspect: false});
 			}
 		},
 		handleSilence(session) {
-			removeOldSilences();
-			silences.delete(session);
-			silences.set(session, {
-				jobIds: new Set([...session.getRuns().values()].map(run => getCrashedRun(run).jobId)), atMs: timers.getNowMs(),
-			});
+			if (!refusing.has(session)) {
+				silentServers.add(session, new Set([...session.getRuns().values()].map(run => getCrashedRun(run).jobId)));
+			}
 		},
 		handleResolution(session, hasCrashed) {
 			const {id, bornMs} = session.getDescription();
