Do not end a job while its task is at work

Cause: a task was given up as soon as its limit of confirmed crashes was reached. Crashes become known seconds later, so that its next run could be at work on a backend server that responds, and its caller was told `failed` although it was about to be done.

Change: a task is given up only while no run of it is in progress on such a backend server. A run that crashes its backend server still ends the job, before the task starts again.

--- a/packages/placement/src/crashes/given-up-jobs.ts
+++ b/packages/placement/src/crashes/given-up-jobs.ts
@@ -1,5 +1,5 @@
 import type {EventLog, MetricSink} from '@camphortack/core';
-import type {PlacedJob} from '../jobs/placed-job.js';
+import type {PlacedJob, PlacedTask} from '../jobs/placed-job.js';
 import type {JobOutcome} from '../messages/job-outcome.js';
 import type {JobTable} from '../placer/job-table.js';
 import type {CrashRecord} from './crash-record.js';
@@ -27,7 +27,7 @@
 		endJobs() {
 			for (const taskName of crashRegister.getGivenUpTasks()) {
 				const found = jobTable.findTask(taskName);
-				if (found !== undefined) {
+				if (found !== undefined && !isAtWork(found.task)) {
 					metrics.increment('task-given-up');
 					events.write('task-given-up', {
 						task: taskName,
@@ -42,6 +42,11 @@
 	};
 }
 
+/** Whether a run of a task is in progress on a backend server that responds, so that the task may still be done. */
+function isAtWork({name, session}: PlacedTask): boolean {
+	return session?.getState() === 'held' && session.findRun(name)?.state === 'running';
+}
+
 function describeCrash({serverId, ageMs, evidence, state}: CrashRecord): string {
 	return `${serverId} ${Math.round(ageMs)} ms ago ${evidence} ${state}`;
 }
--- a/packages/placement/test/crashes/judged-crashes.test.ts
+++ b/packages/placement/test/crashes/judged-crashes.test.ts
@@ -242,6 +242,22 @@
 		assert.deepEqual(test.results.get('job'), {outcome: 'completed'});
 	});
 
+	// Guards against a job that is failed while its task is at work, because of crashes that become known late.
+	it('completes a job whose task is at work when its earlier crashes are confirmed', async () => {
+		const test = await createStartedPlacer();
+		test.submit({...request, jobId: 'job'});
+		await findServerIds(test, ['job.0.0.0']);
+		await runFor(test.timers, 200);
+		for (let runNumber = 1; runNumber <= 2; runNumber++) {
+			test.crashRegister.addRecord({
+				taskName: 'job.0.0.0', queueName: 'estimates', serverId: 'gone', bornMs: runNumber, runNumber, isSuspect: true, evidence: 'strong', state: 'confirmed', ageMs: 5000,
+			});
+		}
+
+		await finish(test);
+		assert.deepEqual(test.results.get('job'), {outcome: 'completed'});
+	});
+
 	// Guards against a task that never starts again after a plain crash, because other tasks start on all backend servers all the time.
 	it('completes a job whose backend server crashed once, while others start on all of them', async () => {
 		const test = await createStartedPlacer({getDurationMs: taskName => (taskName.startsWith('short') ? 30 : 200)});
