--- a/packages/cluster/src/entry/left-jobs.ts
+++ b/packages/cluster/src/entry/left-jobs.ts
@@ -11,6 +11,13 @@
 /**
  * Creates an empty list.
  * @param timers - The clock.
+ *
+ * @example
+ * ```ts
+ * const leftJobs = createLeftJobs(timers);
+ * leftJobs.add('job', 'zone-a');
+ * leftJobs.getByShard(); // Map {'zone-a' => ['job']}
+ * ```
  */
 export function createLeftJobs(timers: TimerService): LeftJobs {
 	const leftJobs = new Map<string, {shard: string; atMs: number}>();
--- a/packages/cluster/src/placing/entry-reports.ts
+++ b/packages/cluster/src/placing/entry-reports.ts
@@ -20,6 +20,14 @@
  * Creates the reports of a term. An earlier placer may have started a job that no submission hands over while an entry daemon has
  * not reported, or if one has reported that it no longer waits for it.
  * @param getEntries - Gets the entry daemons that were heard recently enough for runs of their jobs to be in progress.
+ *
+ * @example
+ * ```ts
+ * const reports = createEntryReports(() => [{id: 'entry-1', upMs: 60_000}]);
+ * reports.mayHaveStarted('job'); // true
+ * reports.addReport('entry-1', []);
+ * reports.mayHaveStarted('job'); // false
+ * ```
  */
 export function createEntryReports(getEntries: () => readonly ReportingEntry[]): EntryReports {
 	const reportedIds = new Set<string>();
--- a/packages/placement/src/crashes/trial-runs.ts
+++ b/packages/placement/src/crashes/trial-runs.ts
@@ -28,6 +28,13 @@
  * Creates the trials of a placer.
  * @param timers - The clock.
  * @param crashRegister - The known crashes.
+ *
+ * @example
+ * ```ts
+ * const trialRuns = createTrialRuns(timers, crashRegister);
+ * trialRuns.addStart('suspected.0.0.0', 'server-1');
+ * trialRuns.isReserved('server-1'); // true, for 40 ms
+ * ```
  */
 export function createTrialRuns(timers: TimerService, crashRegister: Pick<CrashRegister, 'isSuspected'>): TrialRuns {
 	/** Where runs are still new. */
--- a/packages/placement/src/placer/new-job-hold.ts
+++ b/packages/placement/src/placer/new-job-hold.ts
@@ -21,6 +21,12 @@
  * @param timers - The clock.
  * @param pool - The backend servers.
  * @param earlierJobs - What is known of the jobs of earlier placers. Without it, every job may be one of them.
+ *
+ * @example
+ * ```ts
+ * const newJobHold = createNewJobHold(timers, pool, undefined);
+ * newJobHold.isNeeded(job); // true, until all backend servers of its service are claimed or the earlier leases are over
+ * ```
  */
 export function createNewJobHold(timers: TimerService, pool: Pick<ServerPool, 'hasUnclaimed'>, earlierJobs: EarlierJobs | undefined): NewJobHold {
 	const endsAtMs = timers.getNowMs() + earlierRunsMs - (earlierJobs?.getSilenceMs() ?? 0);
--- a/packages/placement/src/placer/submitted-jobs.ts
+++ b/packages/placement/src/placer/submitted-jobs.ts
@@ -34,6 +34,13 @@
 /**
  * Creates the submissions of a placer.
  * @param options - The open jobs, and how they begin and end.
+ *
+ * @example
+ * ```ts
+ * const submittedJobs = createSubmittedJobs(options);
+ * submittedJobs.submit('entry-1', message);
+ * submittedJobs.withdraw('job', message.submissionId); // The job is cancelled, since nobody else waits for it.
+ * ```
  */
 export function createSubmittedJobs(options: SubmittedJobsOptions): SubmittedJobs {
 	const {jobTable, jobLog, intake, recovery, schedulePass, refuse, endJob, stopRuns, onResult} = options;
