Forward jobs to other shards in a module of their own

Cause: job-submitter.ts had grown to 414 lines and two jobs: submitting open jobs to the placer of their shard, and choosing another shard for those that it cannot place. Change: the second one moves to job-forwarding.ts; no logic.

--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -8,6 +8,7 @@
 import {isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ShardMap} from '../shards/shard-map.js';
 import {createJobCancellations} from './job-cancellations.js';
+import {createJobForwarding} from './job-forwarding.js';
 import {createJobSubmissions} from './job-submissions.js';
 import {createLeftJobs} from './left-jobs.js';
 import type {EntryJob, OpenJob} from './open-job.js';
@@ -61,9 +62,6 @@
 	sendToPlacer: (shard: string, message: PlacementMessage) => boolean;
 };
 
-/** Why a job is forwarded to another shard. */
-type ForwardReason = 'overload' | 'placer-overdue' | 'evacuated';
-
 /** Less than the time for which a placer keeps results. */
 const maxRepetitionAgeMs = 10_000;
 const retryAfterMs = 1000;
@@ -78,6 +76,7 @@
 	const openJobs = new Map<string, OpenJob>();
 	const leftJobs = createLeftJobs(timers);
 	const cancellations = createJobCancellations(timers);
+	const forwarding = createJobForwarding({...options, sendJob});
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
 
 	/**
@@ -211,9 +210,9 @@
 		if ((findEvacuatedMs() ?? 0) < evacuationSettleMs) {
 			sendJob(open);
 			if (open.submittedTo === undefined) {
-				forwardIfPossible(open, 'placer-overdue');
+				forwarding.forwardIfPossible(open, 'placer-overdue');
 			}
-		} else if (!divert(open)) {
+		} else if (!forwarding.divert(open)) {
 			endJob(open.job.jobId, {outcome: 'refused', reason: 'evacuated', retryAfterMs: Math.round(retryAfterMs + (random.getFraction() * retryAfterJitterMs))});
 		}
 	}
@@ -250,67 +249,6 @@
 		}
 	}
 
-	/** Forwards a job that was refused for a reason that does not hold elsewhere. Returns false if no shard may take it. */
-	function forwardRefused(open: OpenJob, result: JobOutcome): boolean {
-		const reason = result.outcome === 'refused' ? result.reason : undefined;
-		if (reason === 'evacuated' || (reason === 'overload' && open.divertedTo.size > 0)) {
-			return divert(open);
-		}
-
-		return reason === 'overload' && forwardIfPossible(open, 'overload');
-	}
-
-	/**
-	 * Forwards a job to an idle shard, once, and only if it cannot have started: its own placer has refused it for overload, or
-	 * is overdue and was never sent the job. Returns false if there is no such shard, or no route to it.
-	 */
-	function forwardIfPossible(open: OpenJob, reason: ForwardReason): boolean {
-		if (findEvacuatedMs() !== undefined) {
-			return divert(open);
-		}
-
-		const shard = open.wasForwarded || open.submissions.hasEarlier() ? undefined : shards.findIdleShard();
-		return shard !== undefined && forward(open, shard, reason);
-	}
-
-	/**
-	 * Forwards a job that cannot be placed because its availability zone is evacuated, to one shard after the other until one
-	 * takes it. It cannot have started: each placer before has refused it, or was never sent it.
-	 */
-	function divert(open: OpenJob): boolean {
-		const shard = open.submissions.hasEarlier() ? undefined : shards.findOpenShard(open.job.jobId, open.divertedTo);
-		if (shard === undefined) {
-			return false;
-		}
-
-		if (open.divertedTo.size === 0) {
-			metrics.increment('job-diverted');
-		}
-
-		open.divertedTo.add(shard);
-		return forward(open, shard, 'evacuated') || divert(open);
-	}
-
-	function forward(open: OpenJob, shard: string, reason: ForwardReason): boolean {
-		const {shard: previousShard, wasForwarded: wasForwardedBefore} = open;
-		open.shard = shard;
-		open.wasForwarded = true;
-		open.submittedTo = undefined;
-		open.submissions.clear();
-		open.submissionId = random.getIdentifier();
-		sendJob(open);
-		if (open.submittedTo === undefined) {
-			open.shard = previousShard;
-			open.wasForwarded = wasForwardedBefore;
-			return false;
-		}
-
-		events.write('job-forwarded', {
-			job: open.job.jobId, queue: open.job.queueName, shard, reason, ageMs: Math.round(timers.getNowMs() - open.arrivedAtMs),
-		});
-		return true;
-	}
-
 	/**
 	 * A resubmitted job can be refused although some of its tasks ran: an earlier placer started it, or the current one
 	 * stopped it when it no longer heard this daemon. Such a refusal must not be reported as proof that the job has not run.
@@ -364,7 +302,7 @@
 				return;
 			}
 
-			if (open === undefined || !forwardRefused(open, result)) {
+			if (open === undefined || !forwarding.forwardRefused(open, result)) {
 				endJob(jobId, result);
 			}
 		},
