Add the check of a host

Cause: an entry of another writer may name a host that no URL can hold, and each place checks hosts in its own way or not at all.

Not used anywhere yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './random/seeded-random-source.js';
 export * from './refusals/refusal-codes.js';
 export * from './schemas/backend-server-schemas.js';
+export * from './schemas/host-schema.js';
 export * from './schemas/job-schemas.js';
 export * from './schemas/json-value-schema.js';
 export * from './schemas/outcome-schemas.js';
