--- a/packages/placement/src/ports/backend-server-client.ts
+++ b/packages/placement/src/ports/backend-server-client.ts
@@ -70,7 +70,10 @@
 		| {outcome: 'rejected'; reason: 'fenced' | 'unhealthy' | 'other-incarnation' | 'malformed'}
 		| UnansweredResponse;
 
-/** Sends requests to backend servers. Responses may arrive out of order; each request gets at most one. */
+/**
+ * Sends requests to backend servers. Responses may arrive out of order; each request gets at most one. The promises never
+ * reject: a request that fails in any way is unanswered, with the reason.
+ */
 export abstract class BackendServerClient {
 	abstract start(target: RequestTarget, request: StartRequest, timeoutMs: number): Promise<StartStopResponse>;
 	abstract stop(target: RequestTarget, request: StopRequest, timeoutMs: number): Promise<StartStopResponse>;
