Check a heartbeat of a backend server completely

Cause: the adapter took any text before the last colon for a host, and any number for a capacity, a slot count, a sequence or a start time. An id that does not decode threw, and was answered with 500.

Change: parseAddress accepts what isHost accepts (an IPv6 address in brackets) and a decimal port. The schema of a description between daemons has limits with units, far above every real machine, and the adapter checks what it decoded with that schema, so that nothing which another daemon refuses can pass. An odd entry is answered with 400, counted, and logged with the field and the reason. A body that is not UTF-8 is malformed. A remaining time beyond its limit counts as missing, as one that is no number did before.

--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -27,6 +27,7 @@
 	'retry-denied-not-idempotent': 'Retries denied because the task may have run and is not idempotent.',
 	'hedge-started': 'Second attempts started for slow idempotent tasks.',
 	'hedge-won': 'Second attempts that completed first.',
+	'backend-report-rejected': 'Heartbeats and deregistrations that name no backend server to use.',
 	'backend-server-announced': 'Announcements received from backend servers.',
 	'backend-server-expired': 'Backend servers whose announcement expired.',
 	'backend-server-ejected': 'Backend servers ejected because tasks of several jobs failed on them.',
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -10,3 +10,4 @@
 export type * from './ports/earlier-jobs.js';
 export type * from './ports/server-sources.js';
 export * from './servers/backend-server-description.js';
+export * from './servers/description-limits.js';
