Add an event and a metric for rows that a list loses

Cause: parseWithoutBadRows reports the rows that a list loses, and nothing counts or logs them.

Not used anywhere yet.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -199,6 +199,9 @@
 	'peer-message-failed': {
 		number: 1407, level: 'error', summary: 'An error occurred while a message from another daemon was handled; the message was dropped.', action: 'Report a bug with the message and the stack.',
 	},
+	'peer-row-dropped': {
+		number: 1408, level: 'warning', summary: 'A row of a list in a message from another daemon does not match the schema and was dropped; the other rows are in use.', action: 'Find the writer of the row; the reason names the field.',
+	},
 	'member-joined': {
 		number: 1403, level: 'info', summary: 'Another daemon has joined or responds again.', action: 'None.',
 	},
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from './schemas/json-value-schema.js';
 export * from './schemas/outcome-schemas.js';
 export * from './schemas/parse-without-bad-rows.js';
+export * from './schemas/report-bad-rows.js';
 export * from './schemas/task-start-schemas.js';
 export * from './time/timer-service.js';
 export * from './utils/find-nearest-name.js';
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -47,6 +47,7 @@
 	'slots-lent': 'Slots lent to another daemon.',
 	'configuration-version': 'The version of the configuration in force.',
 	'peer-malformed': 'Messages from other daemons that were dropped because they do not match their schema.',
+	'peer-row-dropped': 'Rows of lists in messages from other daemons that were dropped because they do not match their schema.',
 	'storage-synced': 'Group commits written and synced.',
 	'storage-sync-time': 'Duration of a group commit, in milliseconds.',
 	'register-malformed': 'Messages of the job register dropped because they were malformed.',
