Report tasks as not sent if no URL can hold the host of a backend server

What callers saw: a job that had been accepted ended without an answer (the connection was closed); with the odd entry under the id of the only backend server the daemon ended with exit code 1, "TypeError: Invalid URL".

Cause: HttpTaskStarter.start threw (undici's Pool refuses the URL), in the middle of the placement of a task. The error went up through the request that submitted the job, or through a timer, which ended the process. The attempt stayed open for good and kept its slot.

Change: an error before anything is sent is logged (event E1111 backend-server-unusable, with the host and the reason), and the attempts end with connect-refused, after the call as any other end. So the backend server is blocked for a growing time and the tasks are placed elsewhere.

Result: the test of HttpTaskStarter failed before with "Invalid URL", and passes (9 of 9).

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -37,6 +37,9 @@
 	'backend-server-readmitted': {
 		number: 1104, level: 'info', summary: 'A trial task succeeded; the backend server gets work again.', action: 'None.',
 	},
+	'backend-server-unusable': {
+		number: 1111, level: 'warning', summary: 'No request can be sent to a backend server; its tasks are placed again.', action: 'Correct the address that it announces.',
+	},
 	'task-lost': {
 		number: 1200, level: 'warning', summary: 'A connection closed after a task was sent and before its response.', action: 'Check the backend server; the job reports the task as may-have-run.',
 	},
@@ -200,7 +203,10 @@
 		number: 1407, level: 'error', summary: 'An error occurred while a message from another daemon was handled; the message was dropped.', action: 'Report a bug with the message and the stack.',
 	},
 	'peer-row-dropped': {
-		number: 1408, level: 'warning', summary: 'A row of a list in a message from another daemon does not match the schema and was dropped; the other rows are in use.', action: 'Find the writer of the row; the reason names the field.',
+		number: 1408,
+		level: 'warning',
+		summary: 'A row of a list in a message from another daemon does not match the schema and was dropped; the other rows are in use.',
+		action: 'Find the writer of the row; the reason names the field.',
 	},
 	'member-joined': {
 		number: 1403, level: 'info', summary: 'Another daemon has joined or responds again.', action: 'None.',
--- a/packages/daemon/src/backend/http-task-starter.ts
+++ b/packages/daemon/src/backend/http-task-starter.ts
@@ -1,5 +1,7 @@
 import {Pool, type Dispatcher as HttpDispatcher} from 'undici';
-import {taskAnswerSchema, type BackendServerAnnouncement, type TaskStartBatch} from '@camphortack/core';
+import {
+	taskAnswerSchema, type BackendServerAnnouncement, type EventLog, type TaskStartBatch,
+} from '@camphortack/core';
 import {TaskStarter, type TaskEvent} from '@camphortack/dispatch';
 import {createLineSplitter} from './create-line-splitter.js';
 
@@ -21,38 +23,39 @@
 /** Starts tasks over HTTP/1.1 with keep-alive connections. Sends each batch at most once and never retries it. */
 export class HttpTaskStarter extends TaskStarter {
 	readonly #onTaskEvent: (event: TaskEvent) => void;
+	readonly #events: EventLog;
 	readonly #connections = new Map<string, ServerConnections>();
 
 	/**
 	 * Creates a task starter.
 	 * @param onTaskEvent - Called with the answer to an attempt, or with the attempts that got no answer when the request ended.
+	 * @param events - The event log.
 	 */
-	constructor(onTaskEvent: (event: TaskEvent) => void) {
+	constructor(onTaskEvent: (event: TaskEvent) => void, events: EventLog) {
 		super();
 		this.#onTaskEvent = onTaskEvent;
+		this.#events = events;
 	}
 
 	override start(server: BackendServerAnnouncement, batch: TaskStartBatch): void {
-		const handler = createBatchHandler(server.id, batch, this.#onTaskEvent);
-		const options: HttpDispatcher.DispatchOptions = {
+		const {handler, reportOpenAttempts} = createBatchHandler(server.id, batch, this.#onTaskEvent);
+		this.#dispatch(server, () => ({
 			path: '/v1/tasks',
 			method: 'POST',
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify(batch),
 			headersTimeout: batch.deadlineMs + answerGraceMs,
 			bodyTimeout: batch.deadlineMs + answerGraceMs,
-		};
-		this.#getPool(server).dispatch(options, handler);
+		}), handler, reportOpenAttempts);
 	}
 
 	override stop(server: BackendServerAnnouncement, attempts: readonly string[]): void {
-		const options: HttpDispatcher.DispatchOptions = {
+		this.#dispatch(server, () => ({
 			path: '/v1/tasks/stop',
 			method: 'POST',
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify({attempts}),
-		};
-		this.#getPool(server).dispatch(options, createIgnoringHandler());
+		}), createIgnoringHandler());
 	}
 
 	/** Closes idle connections at once, and connections in use after their responses have arrived. */
@@ -69,6 +72,19 @@
 		await Promise.all(pools.map(async pool => pool.destroy()));
 	}
 
+	/** Sends a request. An error before anything is sent ends the request, and is reported after this call as any other end. */
+	#dispatch(server: BackendServerAnnouncement, createRequest: () => HttpDispatcher.DispatchOptions, handler: HttpDispatcher.DispatchHandler, onFailed?: () => void): void {
+		try {
+			this.#getPool(server).dispatch(createRequest(), handler);
+		} catch (error) {
+			const reason = error instanceof Error ? error.message : String(error);
+			this.#events.write('backend-server-unusable', {backendServer: server.id, host: server.host, reason});
+			if (onFailed !== undefined) {
+				queueMicrotask(onFailed);
+			}
+		}
+	}
+
 	#getPool(server: BackendServerAnnouncement): Pool {
 		const known = this.#connections.get(server.id);
 		if (known?.incarnation === server.incarnation) {
@@ -87,7 +103,13 @@
 	}
 }
 
-function createBatchHandler(backendServerId: string, batch: TaskStartBatch, onTaskEvent: (event: TaskEvent) => void): HttpDispatcher.DispatchHandler {
+type BatchHandler = {
+	handler: HttpDispatcher.DispatchHandler;
+	/** Reports the attempts that have no answer, once the request has ended. */
+	reportOpenAttempts(): void;
+};
+
+function createBatchHandler(backendServerId: string, batch: TaskStartBatch, onTaskEvent: (event: TaskEvent) => void): BatchHandler {
 	const openAttempts = new Set(batch.tasks.map(task => task.attempt));
 	let isStarted = false;
 	let isRefused = false;
@@ -119,7 +141,7 @@
 		}
 	};
 
-	return {
+	const handler: HttpDispatcher.DispatchHandler = {
 		onRequestStart(controller) {
 			// Undici calls this right before it writes the request. A second call would send the batch again.
 			if (isStarted) {
@@ -147,6 +169,7 @@
 			reportOpenAttempts();
 		},
 	};
+	return {handler, reportOpenAttempts};
 }
 
 function createIgnoringHandler(): HttpDispatcher.DispatchHandler {
--- a/packages/daemon/src/composition/bind-dispatch.ts
+++ b/packages/daemon/src/composition/bind-dispatch.ts
@@ -28,9 +28,9 @@
 			isFirstStart: () => container.get(tokens.storage)?.isNew === true && container.get(tokens.keeper)?.getStatus().isFounder === true,
 		});
 	});
-	container.bind(tokens.taskStarter).toDynamicValue(() => new HttpTaskStarter(event => {
+	container.bind(tokens.taskStarter).toDynamicValue(context => new HttpTaskStarter(event => {
 		container.get(tokens.dispatcher).handleTaskEvent(event);
-	}));
+	}, context.get(tokens.events)));
 	container.bind(tokens.dispatcher).toDynamicValue(context => {
 		const {id, incarnation, availabilityZone} = context.get(tokens.identity);
 		return createDispatcher({
--- a/packages/daemon/test/backend/http-task-starter.test.ts
+++ b/packages/daemon/test/backend/http-task-starter.test.ts
@@ -3,7 +3,7 @@
 import {after, describe, it} from 'node:test';
 import type {BackendServerAnnouncement, TaskStartBatch} from '@camphortack/core';
 import type {TaskEvent} from '@camphortack/dispatch';
-import {createStandInBackendServer} from '@camphortack/testkit';
+import {createStandInBackendServer, RecordingEventLog} from '@camphortack/testkit';
 import {HttpTaskStarter} from '../../src/backend/http-task-starter.js';
 
 type StarterRun = {events: TaskEvent[]; starter: HttpTaskStarter};
@@ -27,7 +27,7 @@
 			if (endedCount === attempts.length) {
 				resolve({events, starter});
 			}
-		});
+		}, new RecordingEventLog());
 		starter.start(server, createBatch(attempts));
 	});
 }
@@ -93,7 +93,7 @@
 				} else {
 					resolve(client);
 				}
-			});
+			}, new RecordingEventLog());
 			client.start(announcement, createBatch(['x']));
 		});
 		closeCallbacks.push(async () => starter.destroy());
@@ -112,6 +112,15 @@
 		assert.deepEqual(events, [{kind: 'connect-refused', backendServerId: 'a', attempts: ['x']}]);
 	});
 
+	// Guards against a daemon that ends, or a job without an answer, because of an odd entry that another daemon passed on.
+	it('reports connect-refused, and throws nothing, if no URL can hold the host', async () => {
+		const backend = await createStandInBackendServer({id: 'a', services: ['quote']});
+		const {events, starter} = await startAndCollect({...backend.announcement, host: '[::1'}, ['x', 'y']);
+		starter.stop({...backend.announcement, host: '[::1'}, ['x']);
+		closeCallbacks.push(async () => starter.destroy(), backend.close);
+		assert.deepEqual(events, [{kind: 'connect-refused', backendServerId: 'a', attempts: ['x', 'y']}]);
+	});
+
 	const responses: Array<{name: string; head: string; body: string; expected: Array<TaskEvent['kind'] | 'not-run'>}> = [
 		{
 			name: 'an explicit refusal as not run',
@@ -154,7 +163,7 @@
 					if (kinds.length === expected.length) {
 						resolve(client);
 					}
-				});
+				}, new RecordingEventLog());
 				client.start({...backend.announcement, port}, createBatch(['x']));
 			});
 			closeCallbacks.push(async () => starter.destroy());
