Count a crash once that an earlier version passes on

What callers saw: a job shown as failed after one crash of a backend server, while old and new daemons run side by side.

The register of the current version takes a record without a run number for another run. So a daemon that starts beside old ones knows each crash twice, once with its evidence and once as of medium evidence: a strong and a medium crash, both confirmed by the next incarnation, give the task up. A refuted crash comes back as a suspected one in the same way, and is confirmed when the backend server is replaced.

Change: a record without a run number stands for any run of its task on that incarnation. It adds nothing to a complete record, and the complete one replaces it; what is known of the crash stays known.

--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -1,4 +1,6 @@
-import {createSeededRandomSource, type EventFields, type EventName} from '@camphortack/core';
+import {
+	createSeededRandomSource, PeerNetwork, type EventFields, type EventName, type PeerMessage,
+} from '@camphortack/core';
 import type {BackendServerClient, JobOutcome} from '@camphortack/placement';
 import {
 	FakeNetwork, ProcessTimers, RecordingEventLog, RecordingMetricSink, VirtualTimers,
@@ -10,6 +12,7 @@
 } from '../../src/index.js';
 import {compareDaemonIds} from '../../src/utils/compare-daemon-ids.js';
 import {ProcessClient} from './process-client.js';
+import {toEarlierMessage} from './to-earlier-message.js';
 
 export type TestDaemon = {
 	id: string;
@@ -47,6 +50,8 @@
 	keepsHints?: boolean;
 	/** Whether each availability zone has a second keeper, which is not a seed. */
 	hasSecondKeepers?: boolean;
+	/** The daemons that send and understand messages as those of 0a63e12 do. None of them may become the placer. */
+	earlierDaemonIds?: readonly string[];
 	/** Number of entry daemons of each availability zone; 2 by default. */
 	entriesPerZone?: number;
 	/** Gets the processor share of a daemon's VM, if the daemon knows it. */
@@ -104,6 +109,21 @@
 		return daemonIds.toSorted(compareDaemonIds).indexOf(id) + 1;
 	}
 
+	function addPeer(id: string, handleMessage: (fromId: string, message: PeerMessage) => void): PeerNetwork {
+		if (!options.earlierDaemonIds?.includes(id)) {
+			return network.addPeer(id, handleMessage);
+		}
+
+		const peers = network.addPeer(id, (fromId, message) => {
+			handleMessage(fromId, toEarlierMessage(message));
+		});
+		return new class extends PeerNetwork {
+			override send(toPeerId: string, message: PeerMessage): void {
+				peers.send(toPeerId, toEarlierMessage(message));
+			}
+		}();
+	}
+
 	function startDaemon(id: string, availabilityZone: string): TestDaemon {
 		startCount++;
 		const processTimers = new ProcessTimers(timers);
@@ -114,7 +134,7 @@
 				});
 			}
 		}();
-		const peers = network.addPeer(id, (fromId, message) => {
+		const peers = addPeer(id, (fromId, message) => {
 			processTimers.run(() => {
 				daemon.cluster.handlePeerMessage(fromId, message);
 			});
--- a/packages/placement/src/crashes/crash-register.ts
+++ b/packages/placement/src/crashes/crash-register.ts
@@ -69,8 +69,8 @@
  * ```
  */
 export function createCrashRegister(timers: TimerService): CrashRegister {
-	/** The records by run, in the order in which they were added. */
-	const records = new Map<string, StoredRecord>();
+	/** The records, one of each run, in the order in which they were added. */
+	const records = new Set<StoredRecord>();
 	const recordsByTask = createRecordIndex<StoredRecord>(({taskName}) => taskName);
 	const recordsByIncarnation = createRecordIndex<StoredRecord>(getIncarnationKey);
 	/** The suspect runs by queue. They are read in each pass of the placer. */
@@ -82,8 +82,8 @@
 		return {...record, ageMs: timers.getNowMs() - atMs};
 	}
 
-	function insertRecord(key: string, record: StoredRecord): void {
-		records.set(key, record);
+	function insertRecord(record: StoredRecord): void {
+		records.add(record);
 		recordsByTask.add(record);
 		recordsByIncarnation.add(record);
 		if (record.isSuspect) {
@@ -93,8 +93,8 @@
 		updateRepeatedTask(record.taskName);
 	}
 
-	function removeRecord(key: string, record: StoredRecord): void {
-		records.delete(key);
+	function removeRecord(record: StoredRecord): void {
+		records.delete(record);
 		recordsByTask.remove(record);
 		recordsByIncarnation.remove(record);
 		suspects.remove(record);
@@ -111,15 +111,32 @@
 
 	function removeExpired(): void {
 		const oldestMs = timers.getNowMs() - retentionMs;
-		for (const [key, record] of records) {
+		for (const record of records) {
 			if (record.atMs > oldestMs && records.size <= maxRecords) {
 				return;
 			}
 
-			removeRecord(key, record);
+			removeRecord(record);
 		}
 	}
 
+	/**
+	 * Finds the record of the same run. A daemon of an earlier version passes records on without the number of the run, so that such
+	 * a record stands for any run of the task on that incarnation.
+	 */
+	function findSameRun(record: CrashRecord): StoredRecord | undefined {
+		const ofIncarnation = recordsByTask.get(record.taskName).filter(known => getIncarnationKey(known) === getIncarnationKey(record));
+		const sameNumber = ofIncarnation.find(({runNumber}) => runNumber === record.runNumber);
+		return sameNumber ?? (record.runNumber === undefined ? ofIncarnation.at(-1) : ofIncarnation.find(({runNumber}) => runNumber === undefined));
+	}
+
+	/** Replaces a record of an earlier version by the complete one. What is known of the crash stays known. */
+	function completeRecord(known: StoredRecord, record: CrashRecord): void {
+		const completed = toStoredRecord(record, timers.getNowMs());
+		removeRecord(known);
+		insertRecord({...completed, state: known.state === 'suspected' ? completed.state : known.state});
+	}
+
 	/** What is known of a crash does not become unknown again. */
 	function updateState(known: StoredRecord, state: CrashState): boolean {
 		if (known.state !== 'suspected' || state === 'suspected') {
@@ -143,8 +160,12 @@
 
 	return {
 		addRecord(record) {
-			const key = `${record.taskName} ${record.runNumber ?? ''} ${getIncarnationKey(record)}`;
-			const known = records.get(key);
+			const known = findSameRun(record);
+			if (known !== undefined && known.runNumber === undefined && record.runNumber !== undefined) {
+				completeRecord(known, record);
+				return true;
+			}
+
 			if (known !== undefined) {
 				return updateState(known, record.state ?? 'suspected');
 			}
@@ -153,7 +174,7 @@
 				return false;
 			}
 
-			insertRecord(key, toStoredRecord(record, timers.getNowMs()));
+			insertRecord(toStoredRecord(record, timers.getNowMs()));
 			removeExpired();
 			return true;
 		},
@@ -161,11 +182,11 @@
 			const changed = recordsByIncarnation.get(getIncarnationKey(incarnation)).filter(record => updateState(record, hasCrashed ? 'confirmed' : 'refuted'));
 			return changed.map(record => toCrashRecord(record));
 		},
-		getRecords: () => [...records.values()].map(record => toCrashRecord(record)),
+		getRecords: () => [...records].map(record => toCrashRecord(record)),
 		getRecordsOfTask: taskName => recordsByTask.get(taskName).map(record => toCrashRecord(record)),
 		isSuspected: taskName => recordsByTask.get(taskName).some(({evidence, state}) => evidence !== 'weak' && state !== 'refuted'),
 		getSuspectedCrashes() {
-			const suspected = [...records.values()].filter(({state}) => state === 'suspected');
+			const suspected = [...records].filter(({state}) => state === 'suspected');
 			return [...new Map(suspected.map(record => [getIncarnationKey(record), record])).values()].map(record => toCrashRecord(record));
 		},
 		getVerdict,
