--- a/packages/testkit/src/network/fake-network.ts
+++ b/packages/testkit/src/network/fake-network.ts
@@ -77,6 +77,11 @@
 		}
 	}
 
+	/** Restores a link that was cut in one direction. */
+	healLink(fromPeerId: string, toPeerId: string): void {
+		this.#cutLinks.delete(getLinkKey(fromPeerId, toPeerId));
+	}
+
 	/** Restores all cut links. */
 	healLinks(): void {
 		this.#cutLinks.clear();
