Lose only the bad rows of a list between daemons

Callers saw: nothing yet, shown with the schemas: a daemon that started again learned of no backend server from a cluster.registry that held one odd entry.

Cause: a message was refused whole for one bad row of a list. Only a counter told so.

Change: registries, crashes, contacts of a heartbeat, and jobs that were not begun or are not known lose the rows that do not match, and keep the others. Each is counted (peer-row-dropped) and logged with the field (E1408); a message that is dropped whole is logged too (E1409), both once in 10 s for a kind of message of a daemon. Lists in which a missing row would mean something are still refused whole: the jobs that a daemon waits for or has left, and the evacuated availability zones. A registry that lost rows does not count as a source of the earlier placer's runs, since that one may have started tasks on the backend server of the row.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -1,5 +1,5 @@
 import type {PeerMessage} from '@camphortack/core';
-import {createCrashRegister, placementMessageSchema, type PlacementMessage} from '@camphortack/placement';
+import {createCrashRegister, type PlacementMessage} from '@camphortack/placement';
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
 import {
@@ -14,7 +14,8 @@
 import {createEvacuationExchange} from './evacuations/evacuation-exchange.js';
 import {createHeartbeatSender} from './members/heartbeat-sender.js';
 import {createMemberTable, type ClusterMember} from './members/member-table.js';
-import {clusterMessageSchema, type ClusterMessage, type ClusterMessageOf} from './messages/cluster-messages.js';
+import type {ClusterMessage, ClusterMessageOf} from './messages/cluster-messages.js';
+import {createMessageParser, type ParsedMessage} from './messages/message-parser.js';
 import {createLocalPlacer} from './placing/local-placer.js';
 import {createRelay} from './relay/relay.js';
 import {createRegistryExchange} from './registry/registry-exchange.js';
@@ -31,6 +32,7 @@
 export function createCluster(options: ClusterOptions): Cluster {
 	const {ownId, peers, timers, random, events, metrics} = options;
 	const ownIncarnation = random.getIdentifier();
+	const messageParser = createMessageParser(options);
 	const members = createMemberTable(ownId, options.seedIds, timers);
 	const registry = createServerRegistry(timers);
 	const configuration = createConfigurationExchange({
@@ -240,7 +242,15 @@
 		}
 	}
 
-	function handleClusterMessage(fromId: string, message: ClusterMessage): void {
+	/** A registry that lost rows does not show on which backend servers its sender may have started tasks. */
+	function handleRegistry(fromId: string, {descriptions, digest}: ClusterMessageOf<'cluster.registry'>, hasLostRows: boolean): void {
+		registryReplicator.addDescriptions(descriptions);
+		if (!hasLostRows) {
+			registrySources.addSource(fromId, digest);
+		}
+	}
+
+	function handleClusterMessage(fromId: string, {message, hasLostRows}: ParsedMessage<ClusterMessage>): void {
 		switch (message.kind) {
 			case 'cluster.heartbeat': {
 				handleHeartbeat(fromId, message);
@@ -268,8 +278,7 @@
 			}
 
 			case 'cluster.registry': {
-				registryReplicator.addDescriptions(message.descriptions);
-				registrySources.addSource(fromId, message.digest);
+				handleRegistry(fromId, message, hasLostRows);
 				break;
 			}
 
@@ -329,18 +338,17 @@
 
 	function handleParsedMessage(fromId: string, message: PeerMessage): void {
 		if (message.kind.startsWith('placement.')) {
-			const parsed = placementMessageSchema.safeParse(message);
-			if (parsed.success) {
-				handlePlacementMessage(fromId, parsed.data);
-				return;
+			const parsed = messageParser.parsePlacementMessage(fromId, message);
+			if (parsed !== undefined) {
+				handlePlacementMessage(fromId, parsed.message);
 			}
+
+			return;
 		}
 
-		const parsed = clusterMessageSchema.safeParse(message);
-		if (parsed.success) {
-			handleClusterMessage(fromId, parsed.data);
-		} else {
-			metrics.increment('peer-malformed');
+		const parsed = messageParser.parseClusterMessage(fromId, message);
+		if (parsed !== undefined) {
+			handleClusterMessage(fromId, parsed);
 		}
 	}
 
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -202,6 +202,9 @@
 	'peer-row-dropped': {
 		number: 1408, level: 'warning', summary: 'A row of a list in a message from another daemon does not match the schema and was dropped; the other rows are in use.', action: 'Find the writer of the row; the reason names the field.',
 	},
+	'peer-message-malformed': {
+		number: 1409, level: 'warning', summary: 'Messages of a kind from another daemon do not match the schema and are dropped; logged once in 10 s.', action: 'Check the version of that daemon; the reason names the field.',
+	},
 	'member-joined': {
 		number: 1403, level: 'info', summary: 'Another daemon has joined or responds again.', action: 'None.',
 	},
