Keep the other rows of a dispatcher's list in which one is odd

Cause: the schema of a message between dispatchers refused the whole message for one bad row. A daemon that joins gets up to 100 backend servers in one message, so one odd entry (a port out of range, a number too large) hid all others; an odd load beside an outcome hid the outcome, which was then queried and sent with the same load again, until the deadline of the job.

Change: announcements, loads, released backend servers and the parts to cancel or query lose their bad rows; each is counted and logged (E1408). Nothing follows from their absence: what is not announced is announced again, leases expire, outcomes are queried again. The tasks of a job and the parts of an outcome must be complete, so those messages stay refused whole, as does one with odd rows only.

--- a/packages/dispatch/src/peers/peer-inbox.ts
+++ b/packages/dispatch/src/peers/peer-inbox.ts
@@ -1,8 +1,11 @@
-import type {MetricSink, PeerMessage} from '@camphortack/core';
+import {
+	parseWithoutBadRows, reportBadRows, type EventLog, type MetricSink, type PeerMessage,
+} from '@camphortack/core';
 import {dispatchMessageSchema, type DispatchMessage} from '../messages/dispatch-messages.js';
 
 export type PeerInboxOptions = {
 	metrics: MetricSink;
+	events: EventLog;
 	onMessage: (fromPeerId: string, message: DispatchMessage) => void;
 };
 
@@ -12,16 +15,25 @@
 	handlePeerMessage(fromPeerId: string, message: PeerMessage): void;
 };
 
-export function createPeerInbox({metrics, onMessage}: PeerInboxOptions): PeerInbox {
+/**
+ * The lists that may lose rows, as nothing follows from the absence of a row: a backend server that is not announced here is
+ * announced again, slots that are not released are taken over when the lease has expired, and outcomes are queried again.
+ * The tasks of a job and the parts of an outcome must be complete.
+ */
+const tolerantLists = ['announcements', 'loads', 'servers', 'sequences'];
+
+export function createPeerInbox({metrics, events, onMessage}: PeerInboxOptions): PeerInbox {
 	return {
 		handlePeerMessage(fromPeerId, message) {
 			metrics.increment('peer-received');
-			const parsed = dispatchMessageSchema.safeParse(message);
-			if (parsed.success) {
-				onMessage(fromPeerId, parsed.data);
-			} else {
+			const parsed = parseWithoutBadRows(dispatchMessageSchema, message, tolerantLists);
+			if (!parsed.success) {
 				metrics.increment('dispatch-malformed');
+				return;
 			}
+
+			reportBadRows({events, metrics}, {from: fromPeerId, kind: message.kind}, parsed.badRows);
+			onMessage(fromPeerId, parsed.data);
 		},
 	};
 }
