--- /dev/null
+++ b/packages/daemon/test/runtime/odd-backend-servers.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+	countStarts, createJobBody, sendJson, startTestSystem, type TestSystem,
+} from '../support/test-system.js';
+
+const oddHosts = ['[::1', '[::1]', 'a b', ' ', '10.0.0.1/x', '10.0.0.1:80', '%zz', '#', 'a?b', 'user@host', 'x:y', '\0', String.raw`a\b`];
+
+async function announce({daemon}: TestSystem, other: Record<string, unknown>): Promise<number> {
+	const {status} = await sendJson('POST', `${daemon.addresses.backendServersUrl}/v1/backend-servers`, {
+		id: 'odd', incarnation: 'one', host: '127.0.0.1', port: 1, availabilityZone: 'zone-1', slots: 4, services: ['quote'], ...other,
+	});
+	return status;
+}
+
+describe('an odd entry among the backend servers', () => {
+	// Guards against jobs that end without an answer because a backend server announced a host that no URL can hold.
+	it('refuses a host that no URL can hold, and runs all jobs on the other backend servers', async () => {
+		const system = await startTestSystem([{}]);
+		const statuses: number[] = [];
+		for (const [index, host] of oddHosts.entries()) {
+			// eslint-disable-next-line no-await-in-loop -- One announcement after the other.
+			statuses.push(await announce(system, {id: `odd-${index}`, host}));
+		}
+
+		const answers = await Promise.all(Array.from({length: 20}, async () => system.call('POST', '/v1/jobs', createJobBody(2))));
+		await system.stop();
+		assert.deepEqual(statuses, oddHosts.map(() => 400));
+		assert.deepEqual(answers.map(({status}) => status), answers.map(() => 200));
+		assert.equal(countStarts(system.servers), 40);
+	});
+
+	// Guards against a backend server that is replaced by an odd entry with its id.
+	it('keeps a backend server in use whose id an odd entry carries', async () => {
+		const system = await startTestSystem([{}]);
+		const statuses = [await announce(system, {id: 'backend-0', host: 'a b'}), await announce(system, {id: 'backend-0', port: 65_536})];
+		const {status} = await system.call('POST', '/v1/jobs', createJobBody(2));
+		await system.stop();
+		assert.deepEqual([...statuses, status], [400, 400, 200]);
+	});
+});
