End tasks whose results are nested too deeply with an error

What callers saw: a job whose backend server answered with a result of 3,000 or 100,000 levels never got an answer, nor did the jobs after it on that slot (no answer within 8 s for a deadline of 2 s; trial with the built daemon). Results of 1,000 levels were passed on.

Cause: JSON.parse takes any depth, while the encoders of outcomes for the keepers, for another daemon and for the caller fail with "Maximum call stack size exceeded". The error ended the handling of the answer between the end of the task and that of the job.

--- a/packages/daemon/src/backend/http-task-starter.ts
+++ b/packages/daemon/src/backend/http-task-starter.ts
@@ -1,8 +1,10 @@
+import {Buffer} from 'node:buffer';
 import {Pool, type Dispatcher as HttpDispatcher} from 'undici';
 import {
-	taskAnswerSchema, type BackendServerAnnouncement, type EventLog, type TaskStartBatch,
+	taskAnswerSchema, type BackendServerAnnouncement, type EventLog, type TaskAnswer, type TaskStartBatch,
 } from '@camphortack/core';
 import {TaskStarter, type TaskEvent} from '@camphortack/dispatch';
+import {findNestingFinding} from '../http/find-nesting-finding.js';
 import {createLineSplitter} from './create-line-splitter.js';
 
 /** The response header with which a backend server states that it started no task of a batch. */
@@ -13,6 +15,10 @@
 const keepAliveTimeoutMs = 4000;
 const answerGraceMs = 30_000;
 const maxAnswerLineBytes = 16_777_216;
+/** Deeper results can't be encoded for the caller, the keepers or another daemon. */
+const maxResultLevels = 500;
+/** The answer itself, in which the result is. */
+const answerLevels = 1;
 const successStatus = 200;
 
 type ServerConnections = {
@@ -117,8 +123,9 @@
 	const handleAnswerLine = (line: string) => {
 		const parsed = taskAnswerSchema.safeParse(parseJson(line));
 		if (parsed.success) {
-			openAttempts.delete(parsed.data.attempt);
-			onTaskEvent({kind: 'answer', backendServerId, answer: parsed.data});
+			const answer = getForwardableAnswer(parsed.data, line);
+			openAttempts.delete(answer.attempt);
+			onTaskEvent({kind: 'answer', backendServerId, answer});
 		}
 	};
 
@@ -192,6 +199,12 @@
 	};
 }
 
+/** Gets an answer, or an error in place of a result that is nested too deeply to be encoded for those who wait for it. */
+function getForwardableAnswer(answer: TaskAnswer, line: string): TaskAnswer {
+	const isTooDeep = answer.state === 'done' && findNestingFinding(Buffer.from(line), maxResultLevels + answerLevels) !== undefined;
+	return isTooDeep ? {attempt: answer.attempt, state: 'error', message: `the result is nested deeper than ${maxResultLevels} levels`} : answer;
+}
+
 function parseJson(text: string): unknown {
 	try {
 		return JSON.parse(text);
--- a/packages/daemon/test/backend/http-task-starter.test.ts
+++ b/packages/daemon/test/backend/http-task-starter.test.ts
@@ -121,6 +121,24 @@
 		assert.deepEqual(events, [{kind: 'connect-refused', backendServerId: 'a', attempts: ['x', 'y']}]);
 	});
 
+	// Guards against jobs without an answer, whose results can't be encoded for the caller, the keepers or another daemon.
+	it('reports a result that is nested too deeply as an error of its task, and the other results as they are', async () => {
+		const nest = (levels: number) => `${'['.repeat(levels)}${']'.repeat(levels)}`;
+		const results = [nest(100_000), nest(501), nest(500), '"[[["', '1'];
+		const body = results.map((result, index) => `{"attempt":"${index}","state":"done","result":${result}}\n`).join('');
+		const {server, port} = await startTcpServer(socket => {
+			socket.on('data', () => {
+				socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\nConnection: close\r\n\r\n${body}`);
+			});
+		});
+		const backend = await createStandInBackendServer({id: 'a', services: ['quote']});
+		closeCallbacks.push(backend.close, () => server.close());
+		const {events, starter} = await startAndCollect({...backend.announcement, port}, results.map((_, index) => String(index)));
+		closeCallbacks.push(async () => starter.destroy());
+		const tooDeep = 'the result is nested deeper than 500 levels';
+		assert.deepEqual(events.map(event => event.kind === 'answer' && (event.answer.state === 'error' ? event.answer.message : event.answer.state)), [tooDeep, tooDeep, 'done', 'done', 'done']);
+	});
+
 	const responses: Array<{name: string; head: string; body: string; expected: Array<TaskEvent['kind'] | 'not-run'>}> = [
 		{
 			name: 'an explicit refusal as not run',
--- a/packages/daemon/test/runtime/odd-backend-servers.test.ts
+++ b/packages/daemon/test/runtime/odd-backend-servers.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
+import {createServer, type Server} from 'node:http';
+import {json} from 'node:stream/consumers';
 import {describe, it} from 'node:test';
+import {taskStartBatchSchema} from '@camphortack/core';
 import {
 	countStarts, createJobBody, sendJson, startTestSystem, type TestSystem,
 } from '../support/test-system.js';
@@ -13,6 +16,22 @@
 	return status;
 }
 
+/** Starts a backend server that answers each task with a result of 100,000 levels, and returns its port. */
+async function startDeepServer(): Promise<{server: Server; port: number}> {
+	const levels = 100_000;
+	const server = createServer((request, response) => {
+		void (async () => {
+			const {tasks} = taskStartBatchSchema.parse(await json(request));
+			response.end(tasks.map(({attempt}) => `{"attempt":"${attempt}","state":"done","result":${'['.repeat(levels)}${']'.repeat(levels)}}\n`).join(''));
+		})();
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = server.address();
+	return {server, port: typeof address === 'object' && address !== null ? address.port : 0};
+}
+
 describe('an odd entry among the backend servers', () => {
 	// Guards against jobs that end without an answer because a backend server announced a host that no URL can hold.
 	it('refuses a host that no URL can hold, and runs all jobs on the other backend servers', async () => {
@@ -38,4 +57,15 @@
 		await system.stop();
 		assert.deepEqual([...statuses, status], [400, 400, 200]);
 	});
+
+	// Guards against jobs that never get an answer because of a result that can't be encoded.
+	it('ends a job whose result is nested too deeply, and the one after it', async () => {
+		const system = await startTestSystem([]);
+		const {server, port} = await startDeepServer();
+		await announce(system, {port});
+		const answers = [await system.call('POST', '/v1/jobs', createJobBody(1)), await system.call('POST', '/v1/jobs', createJobBody(1))];
+		await system.stop();
+		server.close();
+		assert.deepEqual(answers.map(({status, body}) => [status, body.outcome, body.reason]), answers.map(() => [500, 'failed', 'task-error']));
+	});
 });
