Show a job as failed only if a caller has cancelled it

What callers saw: while old and new daemons run side by side, `failed` for a job that nobody cancelled and of which no task has failed.

A new placer ended the job as failed for all who wait for it.

Change: a cancellation that a caller has asked for says so (`isForAll`), as does the result that it leads to. Without that mark the job is ended, its runs are stopped and the sender gets its confirmation as before, but those who wait are told that the result is unknown, so that they may submit it again. Daemons of earlier versions ignore the mark.

--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -355,7 +355,7 @@
 		cancel(jobId, onEnd) {
 			const shard = openJobs.get(jobId)?.shard ?? shards.getOwnShard();
 			cancellations.cancelJob(jobId, () => {
-				sendToPlacer(shard, {kind: 'placement.cancel', jobId});
+				sendToPlacer(shard, {kind: 'placement.cancel', jobId, isForAll: true});
 			}, onEnd);
 		},
 		handleResult(jobId, result, placerId) {
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -92,13 +92,19 @@
 		}
 	}
 
-	function handleCancel(fromId: string, {jobId, submissionId}: PlacementMessageOf<'placement.cancel'>, active: Placer): void {
-		if (submissionId === undefined) {
+	function handleCancel(fromId: string, {jobId, submissionId, isForAll}: PlacementMessageOf<'placement.cancel'>, active: Placer): void {
+		if (submissionId !== undefined) {
+			active.withdraw(jobId, submissionId);
+			return;
+		}
+
+		if (isForAll === true) {
 			active.cancel(jobId);
-			send(fromId, {kind: 'placement.cancelled', jobId});
 		} else {
-			active.withdraw(jobId, submissionId);
+			active.abort(jobId);
 		}
+
+		send(fromId, {kind: 'placement.cancelled', jobId});
 	}
 
 	/** A report that names no term, or another one, does not tell that the jobs were handed over to this placer. */
--- a/packages/cluster/test/create-cluster-earlier-versions.test.ts
+++ b/packages/cluster/test/create-cluster-earlier-versions.test.ts
@@ -80,3 +80,43 @@
 		});
 	}
 });
+
+describe('createCluster, with callers of one job at daemons of two versions', () => {
+	/** Submits the job through a daemon of the earlier version, and then through one of the current version. */
+	async function submitTwice(): Promise<{test: TestCluster; leave: () => void}> {
+		const test = createTestCluster({getDurationMs: () => durationMs, earlierDaemonIds: ['entry-a1']});
+		await startAndWaitUntilServing(test);
+		const first = test.submit('entry-a1', 'job', job);
+		await runFor(test.timers, 100);
+		test.submit('entry-b1', 'job', job);
+		await runFor(test.timers, 100);
+		return {
+			test,
+			leave() {
+				first.unsubscribe();
+			},
+		};
+	}
+
+	// Guards against a job that is shown as failed to a caller who has come again, since the earlier version cancels for all what one caller has left.
+	it('does not show a job as failed when its caller has left a daemon of the earlier version', async () => {
+		const {test, leave} = await submitTwice();
+		leave();
+		await runWithReports(test, 2 * reportIntervalMs);
+		assert.deepEqual(test.results.map(({daemonId, result}) => [daemonId, result]), [['entry-b1', {outcome: 'unknown'}]]);
+		assert.deepEqual(test.fleet.records.map(({outcome}) => outcome), ['stopped']);
+	});
+
+	// Guards against a cancellation through a daemon of the earlier version that is taken for a caller that has left.
+	it('stops a job that a daemon of the earlier version is asked to cancel, and does not start it again', async () => {
+		const {test} = await submitTwice();
+		const confirmations: boolean[] = [];
+		test.find('entry-a1').cluster.cancel('job', isConfirmed => {
+			confirmations.push(isConfirmed);
+		});
+		await runWithReports(test, 10 * reportIntervalMs);
+		assert.deepEqual(confirmations, [true]);
+		assert.deepEqual(test.fleet.records.map(({outcome}) => outcome), ['stopped']);
+		assert.deepEqual(test.results.map(({daemonId}) => daemonId).toSorted(), ['entry-a1', 'entry-b1']);
+	});
+});
--- a/packages/placement/src/messages/job-outcome.ts
+++ b/packages/placement/src/messages/job-outcome.ts
@@ -9,7 +9,12 @@
  */
 export const wireOutcomeSchema = z.discriminatedUnion('outcome', [
 	z.object({outcome: z.literal('completed')}),
-	z.object({outcome: z.literal('failed'), reason: z.enum(['attempts-used', 'cancelled'])}),
+	z.object({
+		outcome: z.literal('failed'),
+		reason: z.enum(['attempts-used', 'cancelled']),
+		/** Set if a caller has cancelled the job for all who wait for it. Placers of earlier versions never set it. */
+		isForAll: z.boolean().optional(),
+	}),
 	/** No task of the job has run. */
 	z.object({
 		outcome: z.literal('refused'), reason: wireRefusalReasonSchema, retryAfterMs: z.number(), isEvacuated: z.boolean().optional(),
@@ -25,7 +30,8 @@
 
 /** The result of a job. */
 export type JobOutcome
-	= Exclude<WireOutcome, {outcome: 'refused'}>
+	= Exclude<WireOutcome, {outcome: 'refused' | 'failed'}>
+		| {outcome: 'failed'; reason: 'attempts-used' | 'cancelled'}
 		/** No task of the job has run. */
 		| {outcome: 'refused'; reason: RefusalReason; retryAfterMs: number};
 
@@ -34,6 +40,10 @@
  * @param outcome - The result.
  */
 export function encodeOutcome(outcome: JobOutcome): WireOutcome {
+	if (outcome.outcome === 'failed' && outcome.reason === 'cancelled') {
+		return {...outcome, isForAll: true};
+	}
+
 	if (outcome.outcome !== 'refused') {
 		return outcome;
 	}
@@ -43,10 +53,16 @@
 }
 
 /**
- * Decodes the result of a job from a message.
+ * Decodes the result of a job from a message. A placer of an earlier version also cancels a job for all when the callers of one
+ * submission have left, so its cancellations do not tell those who wait that the job has failed.
  * @param wireOutcome - The result in the message.
  */
 export function decodeOutcome(wireOutcome: WireOutcome): JobOutcome {
+	if (wireOutcome.outcome === 'failed') {
+		const {outcome, reason, isForAll = false} = wireOutcome;
+		return reason === 'cancelled' && !isForAll ? {outcome: 'unknown'} : {outcome, reason};
+	}
+
 	if (wireOutcome.outcome !== 'refused') {
 		return wireOutcome;
 	}
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -33,6 +33,11 @@
 		 * the job is cancelled for all of them. Daemons of earlier versions never set it, and ignore it.
 		 */
 		submissionId: z.string().optional(),
+		/**
+		 * Set if a caller has cancelled the job for all who wait for it. Daemons of earlier versions never set it, and name no submission
+		 * either when callers have left.
+		 */
+		isForAll: z.boolean().optional(),
 	}),
 	/** The job was cancelled for all of its submissions. */
 	z.object({kind: z.literal('placement.cancelled'), jobId: z.string()}),
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -339,6 +339,7 @@
 		},
 		submit: submittedJobs.submit,
 		cancel: submittedJobs.cancel,
+		abort: submittedJobs.abort,
 		withdraw: submittedJobs.withdraw,
 		endJobsOfEntry: submittedJobs.endJobsOfEntry,
 		checkHeldJobs: schedulePass,
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -29,6 +29,11 @@
 	checkHeldJobs(): void;
 	/** Cancels a job for all who wait for it, and stops its runs. */
 	cancel(jobId: string): void;
+	/**
+	 * Ends a job with an unknown result, and stops its runs. A daemon of an earlier version has cancelled it, which does not tell whether
+	 * a caller has cancelled the job, or all callers of that daemon have left.
+	 */
+	abort(jobId: string): void;
 	/** Handles that the callers of a submission have left. A job that no other submission waits for is cancelled. */
 	withdraw(jobId: string, submissionId: string): void;
 	/** Gets the result of an ended job; `open` if the job has not ended, undefined if it is not known. */
--- a/packages/placement/src/placer/submitted-jobs.ts
+++ b/packages/placement/src/placer/submitted-jobs.ts
@@ -12,6 +12,8 @@
 	submit(entryId: string, message: PlacementMessageOf<'placement.submit'>): void;
 	/** Cancels a job for all who wait for it. */
 	cancel(jobId: string): void;
+	/** Ends a job of which is not known whether it was cancelled for all who wait for it. */
+	abort(jobId: string): void;
 	/** Handles that the callers of a submission have left. A job that no other submission waits for is cancelled. */
 	withdraw(jobId: string, submissionId: string): void;
 	/** Ends the jobs that only an entry daemon waits for which has timed out. Returns their number. */
@@ -109,6 +111,12 @@
 				endJob(job, {outcome: 'failed', reason: 'cancelled'});
 			}
 		},
+		abort(jobId) {
+			const job = jobTable.findJob(jobId);
+			if (job !== undefined) {
+				endJob(job, {outcome: 'unknown'});
+			}
+		},
 		withdraw(jobId, submissionId) {
 			const job = jobTable.findJob(jobId);
 			job?.waiting.remove(submissionId);
