Stop as after a failed write if a record of a log can't be encoded

Cause: RecordLog.append threw if CBOR could not encode the record. Its callers have changed their state before, so the state in memory was ahead of the log, and only the end of the process by the uncaught error kept that from being answered.

Change: the log reports the failure once through onFailure and ignores further writes, as after a failed write or sync, so that the daemon stops whoever catches errors on the way.

Result: the new test failed before with "Maximum call stack size exceeded"; the tests of storage pass.

--- a/packages/storage/src/log/open-record-log.ts
+++ b/packages/storage/src/log/open-record-log.ts
@@ -192,19 +192,35 @@
 		waiters = waiters.filter(waiter => !isReady(waiter));
 	}
 
+	/** Encodes a record. If that fails, the state in memory is ahead of the log, so the daemon must stop as after a failed write. */
+	function tryEncode(record: unknown): Uint8Array | undefined {
+		try {
+			return encodeRecord(record);
+		} catch (error) {
+			handleFailure(error);
+			return undefined;
+		}
+	}
+
 	return {
 		getSnapshot: () => loaded.snapshot,
 		getRecords: () => loaded.records,
 		append(record, onSynced) {
-			enqueue({kind: 'record', bytes: encodeRecord(record), onSynced});
+			const bytes = tryEncode(record);
+			if (bytes !== undefined) {
+				enqueue({kind: 'record', bytes, onSynced});
+			}
 		},
 		writeSnapshot(state, onSynced) {
-			enqueue({
-				kind: 'snapshot',
-				parts: [encodeRecord(state)],
-				isInParts: false,
-				onSynced,
-			});
+			const bytes = tryEncode(state);
+			if (bytes !== undefined) {
+				enqueue({
+					kind: 'snapshot',
+					parts: [bytes],
+					isInParts: false,
+					onSynced,
+				});
+			}
 		},
 		writeSnapshotInParts(parts, onSynced) {
 			enqueue({
--- a/packages/storage/test/log/open-record-log.test.ts
+++ b/packages/storage/test/log/open-record-log.test.ts
@@ -147,6 +147,32 @@
 		await assert.rejects(openLog(fileSystem), /register-0{15}2\.snapshot: the file is missing/v);
 	});
 
+	// Guards against a daemon that goes on with a state that its log does not hold.
+	it('fails once, and ignores further writes, if a record can\'t be encoded', async () => {
+		const {log, failures, events} = await openLog(new FaultyFileSystem());
+		const synced: string[] = [];
+		let deep: unknown = 1;
+		for (let level = 0; level < 100_000; level++) {
+			deep = [deep];
+		}
+
+		const append = (name: string, record: unknown) => {
+			log.append(record, () => {
+				synced.push(name);
+			});
+		};
+
+		append('before', 1);
+		await waitForWrites();
+		append('deep', deep);
+		append('after', 1);
+		log.writeSnapshot(deep);
+		await waitForWrites();
+		assert.deepEqual(synced, ['before']);
+		assert.equal(failures.length, 1);
+		assert.deepEqual(events.events.map(({name}) => name), ['storage-sync-failed']);
+	});
+
 	it('does not sync again after a failed sync', async () => {
 		const fileSystem = new FaultyFileSystem();
 		const {log, failures} = await openLog(fileSystem);
