Let an error while a message is handled cost that message only

Cause: an error of a message handler went up through the reader of the connection and ended the process; the frames after it in the same chunk were lost, and a message of a daemon to itself ended it as well. The platform's daemon has had a boundary in packages/cluster, the product's own daemon had none.

The protocols send again what needs delivery. A failed write, sync or encoding of the storage is no such error: the log reports it to the daemon, which stops.

Result: the new test failed before with the uncaught "odd value", and passes.

--- a/packages/process/src/peers/tcp-peer-network.ts
+++ b/packages/process/src/peers/tcp-peer-network.ts
@@ -104,7 +104,7 @@
 	override send(peerId: string, message: PeerMessage): void {
 		if (peerId === this.#options.ownId) {
 			queueMicrotask(() => {
-				this.#onMessage(peerId, message);
+				this.#handleMessage(peerId, message);
 			});
 			return;
 		}
@@ -234,7 +234,7 @@
 		const reader = createFrameReader(message => {
 			if (peerId !== undefined) {
 				this.#options.metrics.increment('peer-received');
-				this.#onMessage(peerId, message);
+				this.#handleMessage(peerId, message);
 				return;
 			}
 
@@ -259,6 +259,19 @@
 		});
 	}
 
+	/**
+	 * Passes a message on. An error costs that message only: the protocols above send again what needs delivery. A failed write
+	 * or sync is no such error, since the storage reports it to the daemon, which stops.
+	 */
+	#handleMessage(peerId: string, message: PeerMessage): void {
+		try {
+			this.#onMessage(peerId, message);
+		} catch (error) {
+			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+			this.#options.events.write('peer-message-failed', {from: peerId, kind: message.kind, reason});
+		}
+	}
+
 	#readChunk(socket: net.Socket, reader: FrameReader, chunk: Uint8Array): void {
 		try {
 			reader.addChunk(chunk);
--- a/packages/process/test/peers/tcp-peer-network.test.ts
+++ b/packages/process/test/peers/tcp-peer-network.test.ts
@@ -79,6 +79,36 @@
 		});
 	}
 
+	// Guards against a daemon that one message takes down.
+	it('drops a message whose handling fails, and handles the next one of the same connection', async () => {
+		const handled: string[] = [];
+		const handle = (fromPeerId: string, {kind}: PeerMessage) => {
+			if (kind === 'test.odd') {
+				throw new RangeError('odd value');
+			}
+
+			handled.push(`${fromPeerId} ${kind}`);
+		};
+
+		const receiver = createNetwork('receiver', undefined, handle);
+		const port = await receiver.network.listen();
+		const sender = createNetwork('sender', undefined);
+		sender.network.setAddress({id: 'receiver', host, port});
+		for (const network of [sender.network, receiver.network]) {
+			network.send('receiver', {kind: 'test.odd'});
+			network.send('receiver', message);
+		}
+
+		while (handled.length < 2) {
+			// eslint-disable-next-line no-await-in-loop
+			await yieldToEventLoop();
+		}
+
+		assert.deepEqual(handled.toSorted(), ['receiver test.message', 'sender test.message']);
+		const failures = receiver.events.events.filter(({name}) => name === 'peer-message-failed').map(({fields}) => `${fields.from} ${fields.kind}`);
+		assert.deepEqual(failures.toSorted(), ['receiver test.odd', 'sender test.odd']);
+	});
+
 	const cases: Array<{name: string; authority: string; isAccepted: boolean}> = [
 		{name: 'a certificate of the same authority', authority: 'own', isAccepted: true},
 		{name: 'a certificate of another authority', authority: 'foreign', isAccepted: false},
