Keep timers with very long delays from firing at once

SystemTimers passed delays on as they are, so an odd number (a remaining time of 1e308 ms) ran out at once, or repeated each millisecond.

Change: longer delays are waited for in parts; an infinite one never fires.

--- a/packages/process/src/time/system-timers.ts
+++ b/packages/process/src/time/system-timers.ts
@@ -1,6 +1,9 @@
 import {performance} from 'node:perf_hooks';
 import {TimerService, type TimerSubscription} from '@camphortack/core';
 
+/** The platform lets timers with a longer delay fire at once. */
+const maxPlatformDelayMs = 2_147_483_647;
+
 /** Timers of the event loop, with the monotonic clock of the process. */
 export class SystemTimers extends TimerService {
 	readonly #pending = new Set<NodeJS.Timeout>();
@@ -10,6 +13,10 @@
 	}
 
 	override addTimer(delayMs: number, onFire: () => void): TimerSubscription {
+		if (delayMs > maxPlatformDelayMs) {
+			return this.#addLongTimer(delayMs, onFire);
+		}
+
 		const handle = setTimeout(() => {
 			this.#pending.delete(handle);
 			onFire();
@@ -18,6 +25,10 @@
 	}
 
 	override addInterval(intervalMs: number, onFire: () => void): TimerSubscription {
+		if (intervalMs > maxPlatformDelayMs) {
+			return this.#addLongInterval(intervalMs, onFire);
+		}
+
 		return this.#addHandle(setInterval(onFire, intervalMs));
 	}
 
@@ -30,6 +41,31 @@
 		this.#pending.clear();
 	}
 
+	#addLongTimer(delayMs: number, onFire: () => void): TimerSubscription {
+		let part = this.addTimer(maxPlatformDelayMs, () => {
+			part = this.addTimer(delayMs - maxPlatformDelayMs, onFire);
+		});
+		return {
+			cancel() {
+				part.cancel();
+			},
+		};
+	}
+
+	#addLongInterval(intervalMs: number, onFire: () => void): TimerSubscription {
+		const repeat = () => {
+			timer = this.addTimer(intervalMs, repeat);
+			onFire();
+		};
+
+		let timer = this.addTimer(intervalMs, repeat);
+		return {
+			cancel() {
+				timer.cancel();
+			},
+		};
+	}
+
 	#addHandle(handle: NodeJS.Timeout): TimerSubscription {
 		this.#pending.add(handle);
 		return {
