Keep the other rows of a member list, and refuse numbers that can't be exceeded

Cause: one bad row made a membership message malformed as a whole, so its sender was not even heard.

Counters and sequence numbers above 2^40 are odd: a daemon increments them by one with each refutation or observation. The message of a sender with such a counter stays refused whole.

--- a/packages/membership/src/create-membership.ts
+++ b/packages/membership/src/create-membership.ts
@@ -1,4 +1,4 @@
-import type {PeerMessage} from '@camphortack/core';
+import {parseWithoutBadRows, reportBadRows, type PeerMessage} from '@camphortack/core';
 import {createFailureDetector} from './detection/failure-detector.js';
 import {createPingRelay} from './detection/ping-relay.js';
 import {createAntiEntropy} from './exchange/anti-entropy.js';
@@ -8,7 +8,7 @@
 import type {Membership, MembershipOptions} from './membership.js';
 import {createRecordMerger} from './merge/record-merger.js';
 import {
-	membershipMessageSchema, maxRecordsPerMessage, type MembershipMessage, type MembershipMessageOf,
+	membershipMessageSchema, maxRecordsPerMessage, tolerantLists, type MembershipMessage, type MembershipMessageOf,
 } from './messages/membership-messages.js';
 import {isLive, type MemberRecord} from './table/member-record.js';
 import {createMemberTable} from './table/member-table.js';
@@ -285,13 +285,14 @@
 			return;
 		}
 
-		const parsed = membershipMessageSchema.safeParse(message);
+		const parsed = parseWithoutBadRows(membershipMessageSchema, message, tolerantLists);
 		const isForged = parsed.success && 'sender' in parsed.data && parsed.data.sender.id !== fromPeerId;
 		if (!parsed.success || isForged) {
 			metrics.increment('peer-malformed');
 			return;
 		}
 
+		reportBadRows({events, metrics}, {from: fromPeerId, kind: message.kind}, parsed.badRows);
 		handleMessage(fromPeerId, parsed.data);
 		notifyIfChanged();
 	}
--- a/packages/membership/src/messages/membership-messages.ts
+++ b/packages/membership/src/messages/membership-messages.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {nameSchema} from '@camphortack/core';
-import {memberRecordSchema} from '../table/member-record.js';
+import {countSchema, memberRecordSchema} from '../table/member-record.js';
 
 /** The maximum number of records in a message. */
 export const maxRecordsPerMessage = 100;
@@ -16,7 +16,7 @@
 	observerId: nameSchema,
 	observerIncarnation: nameSchema,
 	/** Incremented by the observer with each observation. */
-	sequence: z.int().min(0),
+	sequence: countSchema,
 	/** Undefined once the observer is no longer a gateway, which invalidates its previous observations. */
 	isReachable: z.boolean().optional(),
 });
@@ -32,7 +32,7 @@
 /** Identifies the sending process, so that a restart or a false death is detected on the first message. */
 const senderShape = {
 	incarnation: nameSchema,
-	counter: z.int().min(0),
+	counter: countSchema,
 };
 
 const digestsSchema = z.array(z.object({availabilityZone: nameSchema, digest: z.int().min(0)})).max(maxZones);
@@ -62,6 +62,12 @@
 	}),
 ]);
 
+/**
+ * The lists that may lose rows, as nothing follows from the absence of a row: a daemon leaves the member list by a row of its
+ * own, and daemons whose tables differ exchange them again.
+ */
+export const tolerantLists = ['records', 'observations', 'digests'];
+
 export type MembershipMessage = z.infer<typeof membershipMessageSchema>;
 
 /** A message of one kind. */
--- a/packages/membership/src/table/member-record.ts
+++ b/packages/membership/src/table/member-record.ts
@@ -4,6 +4,15 @@
 /** The states of a daemon, in ascending order of precedence among records with equal counters. */
 const states = ['alive', 'suspect', 'dead', 'left'] as const;
 
+/**
+ * Numbers that a daemon increments itself never come near this. A row with a larger one is odd: no later row could supersede
+ * it, so its daemon could not refute it.
+ */
+const maxCount = 1_099_511_627_776;
+
+/** A number that a daemon increments, such as that of its records. */
+export const countSchema = z.int().min(0).max(maxCount);
+
 /** The state of a daemon as known to some daemon. */
 export const memberRecordSchema = z.object({
 	id: nameSchema,
@@ -14,7 +23,7 @@
 	host: z.string().min(1).max(255),
 	peerPort: z.int().min(0).max(65_535),
 	/** Incremented only by the daemon itself, to refute a record about it. */
-	counter: z.int().min(0),
+	counter: countSchema,
 	state: z.enum(states),
 });
 
--- a/packages/membership/test/create-membership.test.ts
+++ b/packages/membership/test/create-membership.test.ts
@@ -308,6 +308,48 @@
 		assert.equal(cluster.metrics.getCount('peer-malformed'), 3);
 	});
 
+	const oddRows: Array<{title: string; odd: Record<string, unknown>}> = [
+		{title: 'a port out of range', odd: {peerPort: 99_999}},
+		{title: 'a port that is no number', odd: {peerPort: Number.NaN}},
+		{title: 'no host', odd: {host: ''}},
+		{title: 'an unknown state', odd: {state: 'asleep'}},
+		{title: 'a counter that can\'t be exceeded', odd: {counter: Number.MAX_SAFE_INTEGER}},
+		{title: 'a counter that is too large', odd: {counter: 1e308}},
+	];
+	for (const {title, odd} of oddRows) {
+		// Guards against a member list of which one odd row takes all others with it.
+		it(`uses the other rows of a list in which one has ${title}`, () => {
+			const cluster = startCluster(getIds('a', 2));
+			const {membership} = cluster.nodes.get('a-0')!;
+			const {incarnation} = cluster.nodes.get('a-1')!.member;
+			const row = {
+				id: 'a-8', incarnation: 'one', availabilityZone: 'a', roles: ['entry'], host: 'host', peerPort: 1, counter: 0, state: 'alive',
+			};
+			membership.handlePeerMessage('a-1', {
+				kind: 'membership.records', incarnation, counter: 0, records: [{...row, ...odd}, {...row, id: 'a-9'}], observations: [{}],
+			});
+			assert.deepEqual(membership.getMembers().map(member => member.id), ['a-0', 'a-1', 'a-9']);
+			const dropped = cluster.events.events.filter(({name}) => name === 'peer-row-dropped').map(({fields}) => `${fields.from} ${fields.list} ${fields.index}`);
+			assert.deepEqual(dropped, ['a-1 records 0', 'a-1 observations 0']);
+		});
+	}
+
+	// Guards against a daemon that no other one hears any more, because it refuted a row with a counter that can't be exceeded.
+	it('stays a member after an odd row about itself', () => {
+		const cluster = startCluster(getIds('a', 3));
+		const {membership, member} = cluster.nodes.get('a-0')!;
+		membership.handlePeerMessage('a-1', {
+			kind: 'membership.gossip',
+			incarnation: cluster.nodes.get('a-1')!.member.incarnation,
+			counter: 0,
+			records: [{...member, counter: Number.MAX_SAFE_INTEGER, state: 'dead'}],
+			observations: [],
+		});
+		cluster.timers.advance(settleMs);
+		assert.ok(cluster.isConverged());
+		assert.equal(cluster.metrics.getCount('peer-malformed'), 0);
+	});
+
 	it('is not pinged while other messages arrive from it', () => {
 		const cluster = startCluster(getIds('a', 2));
 		cluster.timers.advance(settleMs);
