Keep limits that are too large from making messages malformed

What callers saw: with a limit of 1e308 tasks a second (an operator's document may hold it, and so may a stored one) half of the daemons admitted nothing: 3600 of 7200 tasks in the first 15 s of a trial with 6 daemons, 400 to 1306 malformed messages on three of them. The reports of all other limits are in the same messages and were lost with them.

Cause: an amount above 1e12 does not match the schema of the messages; 1e308 times the burst is infinite.

Change: a limit above 1e11 counts as 1e11, which no deployment reaches. Documents with larger numbers stay readable.

--- a/packages/policy/src/limits/limit-dimensions.ts
+++ b/packages/policy/src/limits/limit-dimensions.ts
@@ -24,6 +24,8 @@
 const workerSecondsWindowMs = 600_000;
 const millisecondsPerHour = 3_600_000;
 const roundingTolerance = 1e-9;
+/** A larger limit counts as this one, so that sums of its shares fit into the messages between daemons. */
+const maxCapacity = 1e11;
 
 /**
  * Gets the dimensions of each declared limit, by name of the limit.
@@ -45,7 +47,7 @@
 			key: `${name}/in-flight`,
 			limit: name,
 			resource: 'in-flight',
-			capacity: limit.tasksInFlight,
+			capacity: Math.min(limit.tasksInFlight, maxCapacity),
 			windowMs: 0,
 			holdMs,
 			isWhole: true,
@@ -59,7 +61,7 @@
 			key: `${name}/worker-seconds`,
 			limit: name,
 			resource: 'worker-seconds',
-			capacity: limit.workerSecondsPerHour * workerSecondsWindowMs / millisecondsPerHour,
+			capacity: Math.min(limit.workerSecondsPerHour * workerSecondsWindowMs / millisecondsPerHour, maxCapacity),
 			windowMs: workerSecondsWindowMs,
 			holdMs,
 			isWhole: false,
@@ -73,8 +75,9 @@
 
 /** A start is held for the time in which the rate replenishes the whole burst. */
 function getRateDimension(name: string, tasksPerSecond: number, burstSeconds: number): LimitDimension {
-	const capacity = Math.max(1, Math.floor((tasksPerSecond * burstSeconds) + roundingTolerance));
-	const windowMs = capacity / tasksPerSecond * 1000;
+	const rate = Math.min(tasksPerSecond, maxCapacity / burstSeconds);
+	const capacity = Math.max(1, Math.floor((rate * burstSeconds) + roundingTolerance));
+	const windowMs = capacity / rate * 1000;
 	return {
 		key: `${name}/rate`,
 		limit: name,
--- a/packages/policy/test/limits/create-distributed-limiter.test.ts
+++ b/packages/policy/test/limits/create-distributed-limiter.test.ts
@@ -161,6 +161,27 @@
 		assert.equal(status?.held, 3);
 	});
 
+	for (const limit of [{tasksPerSecond: 1e308}, {tasksInFlight: Number.MAX_SAFE_INTEGER}, {workerSecondsPerHour: Number.MAX_VALUE}]) {
+		// Guards against daemons that admit nothing any more, because one number makes their messages malformed.
+		it(`admits all jobs under a limit of ${JSON.stringify(limit)}, also after a restart`, () => {
+			const cluster = startCluster(9, {...limit, burstSeconds: 60});
+			const offer = () => {
+				for (const id of cluster.nodes.keys()) {
+					cluster.offer(id, 4, 200);
+				}
+			};
+
+			const admitted = runLoad(cluster, 10_000, offer);
+			assert.equal(admitted, cluster.offeredTasks);
+			cluster.crash('z0n0');
+			cluster.timers.advance(3000);
+			cluster.restart('z0n0');
+			cluster.timers.advance(12_000);
+			const malformed = [...cluster.nodes.values()].map(({limiter}) => limiter.getStatus().malformedMessages);
+			assert.deepEqual(malformed, malformed.map(() => 0));
+		});
+	}
+
 	it('counts and drops malformed messages', () => {
 		const cluster = startCluster(7, {tasksInFlight: 6});
 		const {limiter} = cluster.nodes.get('z0n0')!;
