Do not fail a job for crashes after its runs were over

What callers saw: a job shown as failed although no backend server crashed under it and no task failed. Reproduced in virtual time: five backend servers, one after the other, are cut off while they run the task, silently or with refused connections; the run lapses, and the backend server crashes and starts again behind the cut. The fifth gave the task up: `failed`, attempts-used.

Cause: another incarnation that responds proves that the backend server has crashed, not that the run ended with it. Behind a partition a run ends, or its lease does, long before. Five such records failed the job.

Change: a record says whether its run was new when its backend server was last heard (`isNew`): refused within 40 ms of the start, or silent without a report of more than 40 ms. Five crashes that do not point to the task end its job as failed only if all five runs were new, otherwise as unknown. The task is not started again in either case, so a task that crashes its backend servers late is started no more often than before; the caller is told that nobody knows. E1206 has the outcome, and new or old for each crash.

--- a/packages/cluster/test/support/to-earlier-message.ts
+++ b/packages/cluster/test/support/to-earlier-message.ts
@@ -1,7 +1,9 @@
 import {peerMessageSchema, type PeerMessage} from '@camphortack/core';
 import {crashRecordSchema} from '@camphortack/placement';
 
-const earlierRecordsSchema = crashRecordSchema.omit({runNumber: true, evidence: true, state: true}).array();
+const earlierRecordsSchema = crashRecordSchema.omit({
+	runNumber: true, evidence: true, state: true, isNew: true,
+}).array();
 
 /**
  * Gets a message as a daemon of 0a63e12 sends it, and as it understands one: without the fields that it does not know.
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -97,7 +97,7 @@
 	'task-given-up': {
 		number: 1206,
 		level: 'warning',
-		summary: 'Backend servers have crashed under a task, so its job has failed and the task is not started again. The crashes are listed.',
+		summary: 'Backend servers have crashed under a task, so its job has ended: as failed, or as unknown if its runs may have been over before. The crashes are listed.',
 		action: 'Check the job; look up the crashes in the events 1109 and 1110.',
 	},
 	'job-taken': {
--- a/packages/placement/src/crashes/crash-monitor.ts
+++ b/packages/placement/src/crashes/crash-monitor.ts
@@ -2,10 +2,10 @@
 import type {JobTable} from '../placer/job-table.js';
 import type {PooledServer} from '../placer/server-pool.js';
 import type {BackendSession} from '../sessions/backend-session.js';
-import type {Run} from '../sessions/run.js';
+import {getReportedRunningMs, type Run} from '../sessions/run.js';
 import type {CrashRecord, CrashState} from './crash-record.js';
 import type {CrashRegister, CrashResolution} from './crash-register.js';
-import type {CrashedRun} from './find-suspect-run.js';
+import {isNewRun, type CrashedRun} from './find-suspect-run.js';
 import {judgeCrash, type JudgedRun} from './judge-crash.js';
 import {createSilentServers} from './silent-servers.js';
 
@@ -85,11 +85,17 @@
 		};
 	}
 
+	/** Gets a run that was lost with a silent backend server, with the age at which it was last reported. */
+	function getLostRun(run: Run): CrashedRun {
+		const crashedRun = getCrashedRun(run);
+		return {...crashedRun, ageMs: crashedRun.ageMs === undefined ? undefined : getReportedRunningMs(run)};
+	}
+
 	function addRecord({session, atMs, state}: Omit<Crash, 'runs'>, {run, evidence, isSuspect}: JudgedRun): void {
 		const {id, bornMs} = session.getDescription();
 		const {taskName, runNumber, queueName} = run;
 		const record: CrashRecord = {
-			taskName, runNumber, queueName, serverId: id, bornMs, isSuspect, evidence, state, ageMs: timers.getNowMs() - atMs,
+			taskName, runNumber, queueName, serverId: id, bornMs, isSuspect, evidence, state, isNew: isNewRun(run), ageMs: timers.getNowMs() - atMs,
 		};
 		if (crashRegister.addRecord(record)) {
 			onCrashRecord(record);
@@ -159,7 +165,7 @@
 				return;
 			}
 
-			const crashedRun = getCrashedRun(run);
+			const crashedRun = getLostRun(run);
 			recordSuspicion(session);
 			if (!silentServers.isSilenceCommon(session, crashedRun.jobId)) {
 				addRecord({session, atMs: timers.getNowMs(), state: 'suspected'}, {run: crashedRun, evidence: 'weak', isSuspect: false});
--- a/packages/placement/src/crashes/crash-record.ts
+++ b/packages/placement/src/crashes/crash-record.ts
@@ -33,6 +33,8 @@
 	evidence: crashEvidenceSchema.optional(),
 	/** Daemons of earlier versions do not send it. */
 	state: crashStateSchema.optional(),
+	/** Whether the run was new when its backend server was last heard. Daemons of earlier versions do not send it. */
+	isNew: z.boolean().optional(),
 	/** The time since the crash. */
 	ageMs: z.number().min(0),
 });
--- a/packages/placement/src/crashes/crash-register.ts
+++ b/packages/placement/src/crashes/crash-register.ts
@@ -21,6 +21,8 @@
 	getVerdict(taskName: string): TaskVerdict;
 	/** Gets the tasks that crash backend servers, so that they must not be started again. */
 	getGivenUpTasks(): string[];
+	/** Gets the tasks that must not be started again, though it is not known whether they crash backend servers. */
+	getUndecidedTasks(): string[];
 	/** Gets the recent suspect runs of a queue, oldest first. */
 	getSuspects(queueName: string): readonly SuspectRun[];
 	/** Gets the queues with recent suspect runs. */
@@ -151,6 +153,11 @@
 		return repeatedTasks.has(taskName) ? getTaskVerdict(recordsByTask.get(taskName)) : 'startable';
 	}
 
+	function getTasks(verdict: TaskVerdict): string[] {
+		removeExpired();
+		return [...repeatedTasks].filter(taskName => getVerdict(taskName) === verdict);
+	}
+
 	function getSuspects(queueName: string): SuspectRun[] {
 		const oldestMs = timers.getNowMs() - suspicionMs;
 		return suspects.get(queueName)
@@ -190,10 +197,8 @@
 			return [...new Map(suspected.map(record => [getIncarnationKey(record), record])).values()].map(record => toCrashRecord(record));
 		},
 		getVerdict,
-		getGivenUpTasks() {
-			removeExpired();
-			return [...repeatedTasks].filter(taskName => getVerdict(taskName) === 'given-up');
-		},
+		getGivenUpTasks: () => getTasks('given-up'),
+		getUndecidedTasks: () => getTasks('undecided'),
 		getSuspects,
 		getSuspectQueues: () => suspects.getKeys().filter(queueName => getSuspects(queueName).length > 0),
 	};
--- a/packages/placement/src/crashes/given-up-jobs.ts
+++ b/packages/placement/src/crashes/given-up-jobs.ts
@@ -5,7 +5,7 @@
 import type {CrashRecord} from './crash-record.js';
 import type {CrashRegister} from './crash-register.js';
 
-/** Ends the jobs of tasks that crash the backend servers that start them. */
+/** Ends the jobs of tasks that crash the backend servers that start them, or of which that cannot be determined. */
 export type GivenUpJobs = {
 	endJobs(): void;
 };
@@ -23,20 +23,31 @@
  * @param options - The open jobs and the known crashes.
  */
 export function createGivenUpJobs({events, metrics, jobTable, crashRegister, onGivenUp}: GivenUpJobsOptions): GivenUpJobs {
+	function endJob(taskName: string, result: JobOutcome): void {
+		const found = jobTable.findTask(taskName);
+		if (found === undefined || isAtWork(found.task)) {
+			return;
+		}
+
+		metrics.increment('task-given-up');
+		events.write('task-given-up', {
+			task: taskName,
+			queue: found.job.request.queueName,
+			outcome: result.outcome,
+			runs: found.task.runNumber,
+			crashes: crashRegister.getRecordsOfTask(taskName).map(record => describeCrash(record)).join(', '),
+		});
+		onGivenUp(found.job, result);
+	}
+
 	return {
 		endJobs() {
 			for (const taskName of crashRegister.getGivenUpTasks()) {
-				const found = jobTable.findTask(taskName);
-				if (found !== undefined && !isAtWork(found.task)) {
-					metrics.increment('task-given-up');
-					events.write('task-given-up', {
-						task: taskName,
-						queue: found.job.request.queueName,
-						runs: found.task.runNumber,
-						crashes: crashRegister.getRecordsOfTask(taskName).map(record => describeCrash(record)).join(', '),
-					});
-					onGivenUp(found.job, {outcome: 'failed', reason: 'attempts-used'});
-				}
+				endJob(taskName, {outcome: 'failed', reason: 'attempts-used'});
+			}
+
+			for (const taskName of crashRegister.getUndecidedTasks()) {
+				endJob(taskName, {outcome: 'unknown'});
 			}
 		},
 	};
@@ -47,6 +58,6 @@
 	return session?.getState() === 'held' && session.findRun(name)?.state === 'running';
 }
 
-function describeCrash({serverId, ageMs, evidence, state}: CrashRecord): string {
-	return `${serverId} ${Math.round(ageMs)} ms ago ${evidence} ${state}`;
+function describeCrash({serverId, ageMs, evidence, state, isNew}: CrashRecord): string {
+	return `${serverId} ${Math.round(ageMs)} ms ago ${evidence} ${state} ${isNew ? 'new' : 'old'}`;
 }
