--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -212,7 +212,10 @@
 		action: 'Find the writer of the row; the reason names the field.',
 	},
 	'peer-message-malformed': {
-		number: 1409, level: 'warning', summary: 'Messages of a kind from another daemon do not match the schema and are dropped; logged once in 10 s.', action: 'Check the version of that daemon; the reason names the field.',
+		number: 1409,
+		level: 'warning',
+		summary: 'Messages of a kind from another daemon do not match the schema and are dropped; logged once in 10 s.',
+		action: 'Check the version of that daemon; the reason names the field.',
 	},
 	'member-joined': {
 		number: 1403, level: 'info', summary: 'Another daemon has joined or responds again.', action: 'None.',
