--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -76,6 +76,7 @@
 		...options,
 		ownIncarnation,
 		members,
+		getView: () => election.getView(),
 		getDigest: getRegistryDigest,
 		isInShard,
 		sendRequest(memberId) {
@@ -107,6 +108,7 @@
 		getPlacerView,
 		isPlacerOverdue: election.isPlacerOverdue,
 		getIncarnation: daemonId => daemonId === ownId ? ownIncarnation : members.findMember(daemonId)?.incarnation ?? '',
+		getSilenceMs: daemonId => daemonId === ownId ? 0 : members.getSilenceMs(daemonId),
 		getRegistryDigest,
 		findEvacuatedMs: () => (shards.isDivided() ? evacuations.findEvacuatedMs(options.availabilityZone) : undefined),
 		sendToPlacer: (shard: string, message: PlacementMessage) => relay.sendTo(getPlacerView(shard).placerId, message),
@@ -120,7 +122,7 @@
 		getContent: () => ({
 			shard: shards.getOwnShard(),
 			loadMs: localPlacer.findLoadMs(),
-			registryDigest: localPlacer.isRunning() ? getRegistryDigest() : undefined,
+			registryDigest: localPlacer.hasPlaced() ? getRegistryDigest() : undefined,
 			view: election.getView(),
 			hearsPlacer: election.hearsPlacer(),
 			isLeaving: election.isLeaving(),
@@ -228,7 +230,7 @@
 
 		divideIfDue(heartbeat.shard !== globalShard);
 		updatePlacerView(fromId, heartbeat);
-		registrySources.addSourceIfEqual(fromId, heartbeat.registryDigest);
+		registrySources.handleHeartbeat(fromId, heartbeat.registryDigest);
 		if (fromId === election.getView().placerId) {
 			jobSubmitter.handlePlacerHeard();
 		}
