--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -43,6 +43,9 @@
 	'task-lost': {
 		number: 1200, level: 'warning', summary: 'A connection closed after a task was sent and before its response.', action: 'Check the backend server; the job reports the task as may-have-run.',
 	},
+	'request-failed': {
+		number: 1009, level: 'error', summary: 'The promise of a request was rejected and nothing handled that; the daemon goes on.', action: 'Report a bug with the stack.',
+	},
 	'settings-reloaded': {
 		number: 1005, level: 'info', summary: 'The settings file was reloaded and the new values are in effect.', action: 'None.',
 	},
@@ -208,6 +211,9 @@
 		summary: 'A row of a list in a message from another daemon does not match the schema and was dropped; the other rows are in use.',
 		action: 'Find the writer of the row; the reason names the field.',
 	},
+	'peer-message-malformed': {
+		number: 1409, level: 'warning', summary: 'Messages of a kind from another daemon do not match the schema and are dropped; logged once in 10 s.', action: 'Check the version of that daemon; the reason names the field.',
+	},
 	'member-joined': {
 		number: 1403, level: 'info', summary: 'Another daemon has joined or responds again.', action: 'None.',
 	},
