Log and answer an error in one request that nothing else explains

What callers saw: a connection that was closed without an answer, and no line in the log, when an error occurred while a submission or an announcement was handled.

Cause: both interfaces closed the connection on any error that is not one of the input, as if the client had gone.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -44,7 +44,7 @@
 		number: 1200, level: 'warning', summary: 'A connection closed after a task was sent and before its response.', action: 'Check the backend server; the job reports the task as may-have-run.',
 	},
 	'request-failed': {
-		number: 1009, level: 'error', summary: 'The promise of a request was rejected and nothing handled that; the daemon goes on.', action: 'Report a bug with the stack.',
+		number: 1009, level: 'error', summary: 'An error in one request was not expected and nothing else handled it; the daemon goes on.', action: 'Report a bug with the stack.',
 	},
 	'settings-reloaded': {
 		number: 1005, level: 'info', summary: 'The settings file was reloaded and the new values are in effect.', action: 'None.',
--- a/packages/daemon/src/http/backend-servers-server.ts
+++ b/packages/daemon/src/http/backend-servers-server.ts
@@ -1,5 +1,7 @@
 import type {Server} from 'restify';
-import {backendServerAnnouncementSchema, backendServerFarewellSchema, type BackendServerAnnouncement} from '@camphortack/core';
+import {
+	backendServerAnnouncementSchema, backendServerFarewellSchema, type BackendServerAnnouncement, type EventLog,
+} from '@camphortack/core';
 import {createHttpServer} from './create-http-server.js';
 import {getPathParameter} from './get-path-parameter.js';
 import {parseBody, sendInputError} from './parse-body.js';
@@ -9,6 +11,7 @@
 const maxAnnouncementBytes = 262_144;
 
 export type BackendServersServerOptions = {
+	events: EventLog;
 	isAuthorized: (authorization: string | undefined) => boolean;
 	onAnnouncement: (announcement: BackendServerAnnouncement) => void;
 	onFarewell: (backendServerId: string, incarnation: string) => void;
@@ -31,7 +34,7 @@
 			options.onAnnouncement(announcement);
 			sendJson(response, 200, {renewWithinMs: announcement.timeToLiveMs});
 		} catch (error) {
-			sendInputError(response, error);
+			sendInputError(response, error, options.events);
 		}
 	});
 	server.post('/v1/backend-servers/:id/farewell', async (request, response) => {
@@ -45,7 +48,7 @@
 			options.onFarewell(getPathParameter(request.params, 'id'), incarnation);
 			sendJson(response, 200, {state: 'leaving'});
 		} catch (error) {
-			sendInputError(response, error);
+			sendInputError(response, error, options.events);
 		}
 	});
 	return server;
--- a/packages/daemon/src/http/callers-server.ts
+++ b/packages/daemon/src/http/callers-server.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Server} from 'restify';
 import {
-	FindingsError, jobSubmissionSchema, requestSubmissionSchema, type JobOutcome, type JobSubmission,
+	FindingsError, jobSubmissionSchema, requestSubmissionSchema, type EventLog, type JobOutcome, type JobSubmission,
 } from '@camphortack/core';
 import {z} from 'zod';
 import type {JobService} from '../jobs/job-service.js';
@@ -12,6 +12,7 @@
 import {parseBody} from './parse-body.js';
 import {BodyTooLargeError, readJsonBody} from './read-json-body.js';
 import {sendJson, sendOutcome} from './send-json.js';
+import {sendUnexpectedError} from './send-unexpected-error.js';
 
 const maxWaitMs = 60_000;
 const maxTicketsPerCall = 10_000;
@@ -21,6 +22,7 @@
 const ticketsSchema = z.strictObject({count: z.int().min(1).max(maxTicketsPerCall).default(1)});
 
 export type CallersServerOptions = {
+	events: EventLog;
 	jobs: JobService;
 	/** Whether the daemon accepts submissions. */
 	isReady: () => boolean;
@@ -48,7 +50,7 @@
 		await handleSubmission(request, response, options, body => createJobFromRequest(parseBody(requestSubmissionSchema, body)));
 	});
 	server.post('/v1/tickets', async (request, response) => {
-		await handleInputErrors(response, async () => {
+		await handleInputErrors(response, options.events, async () => {
 			const {count} = parseBody(ticketsSchema, await readJsonBody(request));
 			sendJson(response, 200, {tickets: options.jobs.createTickets(count)});
 		});
@@ -93,7 +95,7 @@
 	options: CallersServerOptions,
 	readSubmission: (body: unknown) => JobSubmission,
 ): Promise<void> {
-	await handleInputErrors(response, async () => {
+	await handleInputErrors(response, options.events, async () => {
 		const submission = readSubmission(await readJsonBody(request));
 		if (!options.isAuthorized(request.headers.authorization, submission.customer)) {
 			sendOutcome(response, options.jobs.countRefusal(createRefusal('unauthorized', {id: submission.id, notRun: getNotRunScope(submission.id)})));
@@ -119,6 +121,7 @@
 
 async function handleInputErrors(
 	response: ServerResponse,
+	events: EventLog,
 	action: () => Promise<void>,
 	countRefusal: (refusal: ReturnType<typeof createRefusal>) => JobOutcome = refusal => refusal,
 ): Promise<void> {
@@ -136,7 +139,7 @@
 			return;
 		}
 
-		response.destroy();
+		sendUnexpectedError(response, error, events);
 	}
 }
 
--- a/packages/daemon/src/http/operators-server.ts
+++ b/packages/daemon/src/http/operators-server.ts
@@ -1,6 +1,6 @@
 import {configurationObjectsSchema} from '@camphortack/configuration';
 import {
-	jobSubmissionSchema, nameSchema, requestSubmissionSchema, type Finding, type JobSubmission,
+	jobSubmissionSchema, nameSchema, requestSubmissionSchema, type EventLog, type Finding, type JobSubmission,
 } from '@camphortack/core';
 import type {Server} from 'restify';
 import {z} from 'zod';
@@ -30,6 +30,7 @@
 });
 
 export type OperatorsServerOptions = {
+	events: EventLog;
 	isAuthorized: (authorization: string | undefined) => boolean;
 	configuration: ConfigurationService;
 	evacuations: EvacuationService;
@@ -72,7 +73,7 @@
 		try {
 			sendJson(response, 200, options.explainJob(parseSubmission(await readJsonBody(request))));
 		} catch (error) {
-			sendInputError(response, error);
+			sendInputError(response, error, options.events);
 		}
 	});
 	server.post('/v1/drain', async (request, response) => {
@@ -87,7 +88,7 @@
 			const isKnown = options.onDrainBackendServer(backendServerId);
 			sendJson(response, isKnown ? 202 : 404, isKnown ? {state: 'leaving'} : {code: 'unknown-backend-server'});
 		} catch (error) {
-			sendInputError(response, error);
+			sendInputError(response, error, options.events);
 		}
 	});
 	return server;
@@ -116,7 +117,7 @@
 			const {status, body} = getPublishResponse(answer);
 			sendJson(response, status, body);
 		} catch (error) {
-			sendInputError(response, error);
+			sendInputError(response, error, options.events);
 		}
 	});
 	server.get('/v1/configuration', async (_request, response) => {
--- a/packages/daemon/src/http/parse-body.ts
+++ b/packages/daemon/src/http/parse-body.ts
@@ -1,8 +1,9 @@
 import type {ServerResponse} from 'node:http';
-import {FindingsError, getSchemaFindings} from '@camphortack/core';
+import {FindingsError, getSchemaFindings, type EventLog} from '@camphortack/core';
 import type {z} from 'zod';
 import {BodyTooLargeError} from './read-json-body.js';
 import {sendJson} from './send-json.js';
+import {sendUnexpectedError} from './send-unexpected-error.js';
 
 /**
  * Parses a request body with a schema.
@@ -20,12 +21,13 @@
 }
 
 /**
- * Sends the response for an error in a request body: 400 with all findings, or 413 for a body that is too large. Closes the
- * connection on any other error, such as a sender that disconnected.
+ * Sends the response for an error in a request body: 400 with all findings, or 413 for a body that is too large. Any other
+ * error is logged and answered with 500, unless the sender has disconnected.
  * @param response - The response.
  * @param error - The caught error.
+ * @param events - The event log.
  */
-export function sendInputError(response: ServerResponse, error: unknown): void {
+export function sendInputError(response: ServerResponse, error: unknown, events: EventLog): void {
 	if (error instanceof FindingsError) {
 		sendJson(response, 400, {code: 'bad-input', findings: error.findings});
 		return;
@@ -36,5 +38,5 @@
 		return;
 	}
 
-	response.destroy();
+	sendUnexpectedError(response, error, events);
 }
--- a/packages/daemon/src/runtime/start-servers.ts
+++ b/packages/daemon/src/runtime/start-servers.ts
@@ -31,6 +31,7 @@
  */
 export async function startServers(container: Container, {isDraining, onDrain}: ServersOptions): Promise<Servers> {
 	const settings = container.get(tokens.settings);
+	const events = container.get(tokens.events);
 	const dispatcher = container.get(tokens.dispatcher);
 	const configuration = container.get(tokens.configurationService);
 	const jobs = container.get(tokens.jobs);
@@ -39,6 +40,7 @@
 	const createTokenCheck = (hashes: readonly string[]) => (authorization: string | undefined) => hashes.length === 0 || isTokenAccepted(authorization, hashes);
 
 	const callers = createCallersServer({
+		events,
 		jobs,
 		isReady: () => !isDraining() && configuration.findConfiguration() !== undefined,
 		isAuthorized(authorization, customer) {
@@ -47,16 +49,18 @@
 		},
 	});
 	const backendServers = createBackendServersServer({
+		events,
 		isAuthorized: createTokenCheck(backendServerHashes),
 		onAnnouncement: dispatcher.announceBackendServer,
 		onFarewell: dispatcher.removeBackendServer,
 	});
 	const operators = createOperatorsServer({
+		events,
 		isAuthorized: createTokenCheck(tokenHashes),
 		configuration,
 		evacuations: createEvacuationService({
 			client: container.get(tokens.evacuationClient),
-			events: container.get(tokens.events),
+			events,
 			getEvacuations: container.get(tokens.follower).getEvacuations,
 			getZones: () => getKnownZones(container),
 		}),
