Go on after the rejected promise of one request

Cause: nothing handled rejected promises, so Node ended the daemon for each one, whatever it belonged to.

Change: a rejection is logged (E1009 request-failed, with its stack) and the daemon goes on. A failed write or sync still rejects stopped, and so does a stop that fails, so that the process ends in both cases. An exception in a callback still ends it, since it may have left state that all requests share half changed.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,6 +3,7 @@
 import {readSettings, type Settings} from '@camphortack/configuration';
 import {CamphortackError} from '@camphortack/core';
 import {Cli, Command, Option} from 'clipanion';
+import {DebugEventLog} from './logs/debug-event-log.js';
 import {startDaemon} from './runtime/start-daemon.js';
 
 const version = '0.1.0';
@@ -59,6 +60,11 @@
 	}
 }
 
+/** Logs the rejection of a promise for which nothing waits. It is that of one request, so the others are still served; a failed write or stop rejects `stopped`. */
+function handleRejection(error: unknown): void {
+	new DebugEventLog().write('request-failed', {message: error instanceof Error ? error.stack ?? error.message : String(error)});
+}
+
 function readSettingsFile(path: string | undefined): Settings {
 	return path === undefined ? readSettings('(none)', '') : readSettings(path, readFileSync(path, 'utf8'));
 }
@@ -71,6 +77,7 @@
 	return error instanceof Error ? `${error.name}: ${error.message}` : String(error);
 }
 
+process.on('unhandledRejection', handleRejection);
 const cli = new Cli({binaryLabel: 'camphortackd', binaryName: 'camphortackd', binaryVersion: version});
 cli.register(RunCommand);
 const exitCode = await cli.run(process.argv.slice(2));
--- a/packages/daemon/src/runtime/start-daemon.ts
+++ b/packages/daemon/src/runtime/start-daemon.ts
@@ -16,7 +16,7 @@
 /** A running daemon. */
 export type Daemon = {
 	readonly addresses: DaemonAddresses;
-	/** Resolves when the daemon has stopped, whatever initiated the stop; rejects if a storage write or sync failed. */
+	/** Resolves when the daemon has stopped, whatever initiated the stop; rejects if a storage write or sync, or the stop itself, failed. */
 	readonly stopped: Promise<void>;
 	/** Begins a graceful shutdown. Resolves once all jobs in flight have ended and all resources are closed. */
 	stop(): Promise<void>;
@@ -37,7 +37,7 @@
 export async function startDaemon(settings: Settings): Promise<Daemon> {
 	let isDraining = false;
 	let resolveStopped: () => void;
-	let rejectStopped: (error: Error) => void;
+	let rejectStopped: (error: unknown) => void;
 	const stopped = new Promise<void>((resolve, reject) => {
 		resolveStopped = resolve;
 		rejectStopped = reject;
@@ -68,10 +68,16 @@
 
 		isDraining = true;
 		events.write('daemon-draining');
-		await drain(container);
-		await closeDaemon(container, servers);
-		events.write('daemon-stopped');
-		resolveStopped();
+		try {
+			await drain(container);
+			await closeDaemon(container, servers);
+			events.write('daemon-stopped');
+			resolveStopped();
+		} catch (error) {
+			rejectStopped(error);
+		}
+
+		return stopped;
 	}
 
 	return {
