Answer claims of a lost job whose number of tasks is odd

Change: the outcome lists at most as many tasks as a job may have. The schemas of messages and records stay as they are, so that stored records stay readable.

--- a/packages/register/src/keeper/job-register.ts
+++ b/packages/register/src/keeper/job-register.ts
@@ -1,5 +1,5 @@
-import type {
-	EventLog, Member, MetricSink, PeerMessage, PeerNetwork, RandomSource, TimerService,
+import {
+	maxTasksPerJob, type EventLog, type Member, type MetricSink, type PeerMessage, type PeerNetwork, type RandomSource, type TimerService,
 } from '@camphortack/core';
 import type {RecordLog} from '@camphortack/storage';
 import {
@@ -381,7 +381,7 @@
 }
 
 function createLostOutcome(id: string, taskCount: number): Uint8Array {
-	const tasks = Array.from({length: taskCount}, (_, index) => ({index, state: 'may-have-run' as const}));
+	const tasks = Array.from({length: Math.min(taskCount, maxTasksPerJob)}, (_, index) => ({index, state: 'may-have-run' as const}));
 	return encodeOutcome({
 		outcome: 'failed',
 		id,
--- a/packages/register/test/keeper/job-register.test.ts
+++ b/packages/register/test/keeper/job-register.test.ts
@@ -54,6 +54,22 @@
 		assert.match(JSON.stringify(pair.answers.at(-1)), /"kind":"outcome"/v);
 	});
 
+	// Guards against an id that nobody can claim any more, because the number of its tasks is too large for an outcome.
+	it('answers claims of a job of a lost process whose number of tasks is odd', () => {
+		const pair = createKeeperPair();
+		const register = pair.startKeeper('k1', pair.createDisk(), true);
+		register.setAssignment(createAssignment(['k1']));
+		const claim = {
+			kind: 'register.claim', id: 'a', contentHash: 'hash', taskCount: Number.MAX_SAFE_INTEGER, claim: 1,
+		};
+		pair.entry.send('k1', {...claim, incarnation: 'i1'});
+		pair.timers.advance(20);
+		register.markIncarnationGone('e1', 'i1');
+		pair.entry.send('k1', {...claim, incarnation: 'i2'});
+		pair.timers.advance(20);
+		assert.match(JSON.stringify(pair.answers.at(-1)), /"kind":"outcome"/v);
+	});
+
 	it('drops a malformed message and counts it', () => {
 		const pair = createKeeperPair();
 		pair.startKeeper('k1', pair.createDisk(), true);
