Reproduce second runs after a placer that its successor did not hear

Cause: when a silent placer was last heard is taken from the heartbeats of those that say that they hear it. The next placer is elected after most have said that they do not, so that at the time of the search no such heartbeat is left, and only its own silence and that of the entry daemon count. Change: a test. keeper-a is cut off from keeper-b and one entry daemon for 0.6 s, learns of a backend server, which is reported to all others as well, starts the job there and is killed.

--- /dev/null
+++ b/packages/cluster/test/create-cluster-half-heard-placer.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {runFor} from '../../placement/test/support/run-for.js';
+import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
+import {ignoreAcknowledgement} from './support/drive-cluster.js';
+
+/**
+ * Cuts keeper-a off from keeper-b, the next placer, and from the entry daemon of a waiting job, lets keeper-a start the job on a new backend
+ * server, and kills it while all other daemons hear it.
+ */
+async function startWhileOthersHear(): Promise<TestCluster> {
+	const test = createTestCluster({getDurationMs: () => 1500});
+	const [late, ...others] = test.fleet.getDescriptions();
+	for (const description of others) {
+		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
+	}
+
+	await runFor(test.timers, 2000);
+	for (const server of test.fleet.servers.slice(1)) {
+		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
+	}
+
+	await runFor(test.timers, 600);
+	test.submit('entry-b1', 'job', {callerTimeoutMs: 3000});
+	await runFor(test.timers, 50);
+	for (const receiverId of ['keeper-b', 'entry-b1']) {
+		test.network.cutLink('keeper-a', receiverId);
+	}
+
+	await runFor(test.timers, 400);
+	test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
+	await runFor(test.timers, 200);
+	assert.deepEqual(test.fleet.records.map(({serverId, daemonId}) => [serverId, daemonId]), [[late!.id, 'keeper-a'], [late!.id, 'keeper-a']]);
+	for (const server of test.fleet.servers) {
+		server.fault = {};
+	}
+
+	test.kill('keeper-a');
+	return test;
+}
+
+// Guards against a placer that counts as lost when its successor last heard it, although most daemons heard it for longer.
+describe('createCluster, when the next placer had not heard the earlier one for a while', () => {
+	it('does not start a task again that the placer started while most other daemons heard it', {todo: 'KNOWN-RED.txt'}, async () => {
+		const test = await startWhileOthersHear();
+		await runFor(test.timers, 3000);
+		assert.equal(test.find('entry-b1').cluster.getStatus().placerId, 'keeper-b');
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+	});
+});
