Let a placer pass on the reports of new backend servers that it receives

Callers saw one task run twice at the same time after their placer was lost.

Cause: a backend server reports to one daemon, which sends the report to the daemons that it hears. After a return of power, or beside a cut, the placer may be the only one of its shard among them. It uses the backend server, and its successor and the entry daemons have never heard of it: their registries agree. Change: a placer that learns of an incarnation from another daemon sends it to the daemons of its shard before it starts anything there. Each link keeps the order, so that a daemon which hears the placer has the report first. Result: "when that placer is lost" failed before and passes now; its entry leaves KNOWN-RED.txt.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -270,7 +270,7 @@
 			}
 
 			case 'cluster.registry': {
-				registryReplicator.addDescriptions(message.descriptions);
+				registryReplicator.addDescriptions(fromId, message.descriptions);
 				registrySources.addSource(fromId, message.digest);
 				break;
 			}
--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -15,7 +15,7 @@
 	/** Sends a daemon that was silent the reports of this daemon that it missed because it did not count as alive. */
 	sendMissedReports(member: ClusterMember, silentSinceMs: number): void;
 	/** Adds the descriptions of another daemon's registry. */
-	addDescriptions(descriptions: readonly BackendServerDescription[]): void;
+	addDescriptions(fromId: string, descriptions: readonly BackendServerDescription[]): void;
 	/**
 	 * Removes a backend server that has left, and broadcasts that. A deregistration names no incarnation and may
 	 * arrive late, after another one has started under the same id, so it counts only for a backend server that drains.
@@ -133,6 +133,20 @@
 		peers.sendToAll(entries.map(({id}) => id), {kind: 'cluster.server-report', description});
 	}
 
+	/**
+	 * Lets the daemons that may become the next placer, and those that submit jobs, learn of a backend server before this placer starts
+	 * tasks there. The daemon that sent the description may not hear them. One of them that it did reach gets it twice.
+	 */
+	function passOnIfPlacing(fromId: string, description: BackendServerDescription): void {
+		const {availabilityZone} = description;
+		if (getPlacerId(availabilityZone) !== ownId) {
+			return;
+		}
+
+		const receivers = members.getAliveMembers().filter(member => member.id !== fromId && (!options.isDivided() || member.availabilityZone === availabilityZone));
+		peers.sendToAll(receivers.map(({id}) => id), {kind: 'cluster.server-report', description});
+	}
+
 	function handleServerLeft(serverId: string, bornMs: number): void {
 		registry.removeServer(serverId, bornMs);
 		reportedAtMs.delete(serverId);
@@ -161,7 +175,12 @@
 			onEnd(true);
 		},
 		handleReport(fromId, {description, reportId}) {
-			if (addDescription(description) !== 'stale') {
+			const change = addDescription(description);
+			if (change === 'new') {
+				passOnIfPlacing(fromId, description);
+			}
+
+			if (change !== 'stale') {
 				forwardWithinZone(fromId, description);
 			}
 
@@ -180,9 +199,11 @@
 		handleAcknowledgement(reportId) {
 			pendingReports.get(reportId)?.(true);
 		},
-		addDescriptions(descriptions) {
+		addDescriptions(fromId, descriptions) {
 			for (const description of descriptions) {
-				addDescription(description);
+				if (addDescription(description) === 'new') {
+					passOnIfPlacing(fromId, description);
+				}
 			}
 		},
 		removeServer(serverId) {
--- a/packages/cluster/test/create-cluster-late-reports.test.ts
+++ b/packages/cluster/test/create-cluster-late-reports.test.ts
@@ -53,7 +53,7 @@
 		await assertRunsOnce(test);
 	});
 
-	it('does not start a task again that runs on a backend server which nobody else knows when that placer is lost', {todo: 'KNOWN-RED.txt'}, async () => {
+	it('does not start a task again that runs on a backend server which nobody else knows when that placer is lost', async () => {
 		const test = await startOnLateServer();
 		test.kill('keeper-a');
 		await assertRunsOnce(test);
