--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -246,7 +246,7 @@
 
 	/** A registry that lost rows does not show on which backend servers its sender may have started tasks. */
 	function handleRegistry(fromId: string, {descriptions, digest}: ClusterMessageOf<'cluster.registry'>, hasLostRows: boolean): void {
-		registryReplicator.addDescriptions(descriptions);
+		registryReplicator.addDescriptions(fromId, descriptions);
 		if (!hasLostRows) {
 			registrySources.addSource(fromId, digest);
 		}
