Divide a deployment by addresses, not by crashed servers

Cause: a backend server that crashes comes back under a new id, and the registry keeps the earlier one for 30 s or longer. The number of its entries decided whether each availability zone gets a placer of its own, which ends the jobs that are open and holds for good.

Change: the number of addresses decides. Of several backend servers at one address all but one have ended.

Result: before, `does not divide the deployment for those that have crashed` failed with 9 divisions; its counterpart with other addresses passed and passes.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -176,8 +176,13 @@
 	}
 
 	function divideIfDue(isOtherDivided: boolean): void {
-		if (shards.divideIfDue(registry.getDescriptions().length, isOtherDivided)) {
-			events.write('deployment-divided', {shard: shards.getOwnShard(), servers: registry.getDescriptions().length, toldByOther: isOtherDivided});
+		if (shards.isDivided()) {
+			return;
+		}
+
+		const serverCount = registry.getAddressCount();
+		if (shards.divideIfDue(serverCount, isOtherDivided)) {
+			events.write('deployment-divided', {shard: shards.getOwnShard(), servers: serverCount, toldByOther: isOtherDivided});
 			election.divide();
 			jobSubmitter.handleDivision();
 			saveHints();
--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -17,6 +17,8 @@
 	removeServer(serverId: string, bornMs: number): void;
 	findDescription(serverId: string): BackendServerDescription | undefined;
 	getDescriptions(): BackendServerDescription[];
+	/** Gets the number of addresses: of several backend servers at one address, all but one have ended without a word. */
+	getAddressCount(): number;
 	/** Gets a digest of the known incarnations of an availability zone; of all zones if it is omitted or empty. */
 	getDigest(availabilityZone?: string): string;
 	/** Removes backend servers without a recent heartbeat, except those still in use, and expired records of ended incarnations. */
@@ -96,6 +98,7 @@
 			return entry === undefined ? undefined : getCurrentDescription(entry);
 		},
 		getDescriptions: () => [...entries.values()].map(entry => getCurrentDescription(entry)),
+		getAddressCount: () => new Set([...entries.values()].map(({description: {host, port}}) => `${host} ${port}`)).size,
 		getDigest(availabilityZone = '') {
 			const digest = digests.get(availabilityZone) ?? computeDigest(availabilityZone);
 			digests.set(availabilityZone, digest);
