Ask a backend server before another incarnation replaces it

Callers saw: tasks ran twice.

Cause: a heartbeat with a later start time under the id of a backend server in use was taken for proof that the incarnation in use had ended: its runs counted as lost at once, and its own heartbeats as old for good. Evidence: 15.33 s an entry of another writer for i-9, born one year ahead; 2 ms later E1110 hasCrashed true for i-9, which had not crashed; 15.378 s both second runs.

Change: while tasks may still run on the incarnation in use, as far as its own responses and leases tell, the placer sends it a claim. If it responds, the description is refuted (E1112): it is removed on all daemons, and the one in use is announced again. If it refuses connections, responds as another incarnation, or its leases have expired, the description is used. No wall clock is compared, and a late heartbeat of a crashed incarnation still loses by its earlier start time. The fake fleet of the tests now reaches a backend server only at its address.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -60,6 +60,9 @@
 		...options,
 		crashRegister,
 		onCrashRecord: crashes.broadcast,
+		onDescriptionRefuted(known, refuted) {
+			registryReplicator.replaceRefuted(known, refuted);
+		},
 		ownIncarnation,
 		serverSources: {
 			isCoveredBy: source => registrySources.isCoveredBy(source),
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -36,6 +36,8 @@
 	crashRegister: CrashRegister;
 	/** Called with each crash that the placer has noticed first. */
 	onCrashRecord: (record: CrashRecord) => void;
+	/** Called when a backend server has shown that it still is the incarnation in use, although another one was described. */
+	onDescriptionRefuted: (known: BackendServerDescription, refuted: BackendServerDescription) => void;
 	/** The start of this process. */
 	ownIncarnation: string;
 	/** Sends a message to a daemon, relayed if necessary. */
--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -22,6 +22,8 @@
 	 */
 	removeServer(serverId: string): void;
 	handleServerLeft(serverId: string, bornMs: number): void;
+	/** Replaces a description that the backend server has refuted by that of the incarnation in use, and broadcasts that. */
+	replaceRefuted(known: BackendServerDescription, refuted: BackendServerDescription): void;
 };
 
 export type RegistryReplicatorOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'peers' | 'timers' | 'random' | 'events'> & {
@@ -200,5 +202,13 @@
 			peers.sendToAll(getReceiverIds(description.availabilityZone), {kind: 'cluster.server-left', serverId, bornMs: description.bornMs});
 		},
 		handleServerLeft,
+		replaceRefuted(known, {id, bornMs}) {
+			registry.removeServer(id, bornMs);
+			events.write('backend-server-refuted', {server: id, born: bornMs, inUse: known.bornMs});
+			peers.sendToAll(getReceiverIds(known.availabilityZone), {kind: 'cluster.server-left', serverId: id, bornMs});
+			if (addDescription(known) !== 'stale') {
+				broadcast(known);
+			}
+		},
 	};
 }
--- a/packages/cluster/test/placing/local-placer.test.ts
+++ b/packages/cluster/test/placing/local-placer.test.ts
@@ -28,6 +28,9 @@
 		metrics: new RecordingMetricSink(),
 		ownIncarnation: 'one',
 		crashRegister: createCrashRegister(timers),
+		onDescriptionRefuted() {
+			// These tests have no registry.
+		},
 		onCrashRecord() {
 			// There is no other daemon.
 		},
--- a/packages/cluster/test/support/replay-zones.ts
+++ b/packages/cluster/test/support/replay-zones.ts
@@ -72,6 +72,9 @@
 			events: new RecordingEventLog(),
 			metrics: new RecordingMetricSink(),
 			crashRegister: createCrashRegister(timers),
+			onDescriptionRefuted() {
+				// These tests have no registry.
+			},
 			onCrashRecord() {
 				// Each zone has one daemon.
 			},
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -13,6 +13,7 @@
 import {createStartWindow} from '../lag/create-start-window.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
+import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import {hasOldReport} from '../servers/has-old-report.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {EarlierJobs} from '../ports/earlier-jobs.js';
@@ -61,6 +62,8 @@
 	crashRegister: CrashRegister;
 	/** Called with each crash that this placer has noticed first. */
 	onCrashRecord: (record: CrashRecord) => void;
+	/** Called when a backend server has shown that it still is the incarnation in use, although another one was described. */
+	onDescriptionRefuted: (known: BackendServerDescription, refuted: BackendServerDescription) => void;
 	/** Called with the result of a job and the entry daemon that waits for it. */
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -10,6 +10,7 @@
 import type {BackendSession, SessionListener} from '../sessions/backend-session.js';
 import {createBackendSession} from '../sessions/create-backend-session.js';
 import type {Run} from '../sessions/run.js';
+import {createIncarnationDisputes} from './incarnation-disputes.js';
 import {createRunIndex} from './run-index.js';
 
 export type PooledServer = {
@@ -59,6 +60,8 @@
 	metrics: MetricSink;
 	startWindow: StartWindow;
 	listener: Omit<SessionListener, 'onRunAdded'>;
+	/** Called when a backend server has shown that it still is the incarnation in use, although another one was described. */
+	onDescriptionRefuted: (known: BackendServerDescription, refuted: BackendServerDescription) => void;
 	/** Called with the runs of a backend server that was removed. */
 	onRunsLost: (session: BackendSession, runs: readonly Run[]) => void;
 };
@@ -80,7 +83,34 @@
 			runIndex.removeRun(run);
 			options.listener.onRunEnd(session, run, end);
 		},
+		onHeld(session) {
+			disputes.handleResponse(session);
+			options.listener.onHeld(session);
+		},
+		onCrashSuspected(session) {
+			disputes.handleEnd(session);
+			options.listener.onCrashSuspected(session);
+		},
+		onCrashResolved(session, hasCrashed) {
+			if (hasCrashed) {
+				disputes.handleEnd(session);
+			} else {
+				disputes.handleSameIncarnation(session);
+			}
+
+			options.listener.onCrashResolved(session, hasCrashed);
+		},
 	};
+	const disputes = createIncarnationDisputes({
+		timers,
+		onRefuted: options.onDescriptionRefuted,
+		onConfirmed(description) {
+			const known = servers.get(description.id);
+			if (known !== undefined && known.session.getDescription().bornMs !== description.bornMs) {
+				replaceServer(description, known);
+			}
+		},
+	});
 	const callTimeouts = createCallTimeouts(timers, startWindow.isLimited);
 	const claimWindow = createClaimWindow(startWindow.isLimited);
 	const lossEstimator = createLossEstimator(timers, callTimeouts.areResponsesSlow);
@@ -105,6 +135,7 @@
 		const {session} = server;
 		servers.delete(serverId);
 		runIndex.removeServer(server);
+		disputes.removeServer(serverId);
 		const runs = [...session.getRuns().values()];
 		session.close();
 		lossEstimator.removeServer(serverId);
@@ -130,9 +161,15 @@
 	function updateServer(description: BackendServerDescription, known: PooledServer): void {
 		if (known.session.getDescription().bornMs === description.bornMs) {
 			known.session.setDescription(description);
-			return;
+		} else if (known.session.mayStillRun()) {
+			disputes.addDescription(description, known.session);
+		} else {
+			replaceServer(description, known);
 		}
+	}
 
+	function replaceServer(description: BackendServerDescription, known: PooledServer): void {
+		disputes.removeServer(description.id);
 		const firstClaim = known.session.getNextClaim();
 		removeServer(description.id, known);
 		listener.onCrashResolved(known.session, true);
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -43,6 +43,13 @@
 	areEarlierRunsKnown(): boolean;
 	/** Whether every run on the backend server is known. */
 	areRunsKnown(): boolean;
+	/**
+	 * Asks the backend server whether this incarnation still runs, since a description of another one has arrived. That alone shows
+	 * nothing: its writer may be another than the backend server.
+	 */
+	verify(): void;
+	/** Whether tasks may still run on this incarnation, as far as is known without the descriptions of others. */
+	mayStillRun(): boolean;
 	/** Whether the term has no fencing token left for another claim. */
 	hasExhaustedClaims(): boolean;
 	/** Gets the number that the next claim would have. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -94,6 +94,7 @@
 	let isCrashSuspected = false;
 	let hasNewerIncarnation = false;
 	let isEndExpected = false;
+	let isVerifying = false;
 	let isClosed = false;
 	let isRetryUrgent = false;
 	let claimRetry: {timer: TimerSubscription; retry: () => void} | undefined;
@@ -205,6 +206,7 @@
 	}
 
 	function handleClaimUnanswered(ownClaim: number, reason: string, failureReason: string): void {
+		isVerifying = false;
 		unansweredClaims++;
 		if (unansweredClaims >= unansweredClaimsUntilSilent) {
 			setState('silent', failureReason);
@@ -253,6 +255,7 @@
 
 	/** Runs do not outlive their incarnation. */
 	function endIncarnation(): void {
+		isVerifying = false;
 		runTable.endAllRuns('lost');
 		setState('closed', 'another incarnation responded');
 		listener.onCrashResolved(session, true);
@@ -270,6 +273,7 @@
 		}
 
 		unansweredClaims = 0;
+		isVerifying = false;
 		isCrashSuspected = false;
 		clock.addReading(response.clockMs, timers.getNowMs());
 		runTable.addEnds(response.endedRuns);
@@ -338,6 +342,16 @@
 		areEarlierRunsKnown: () => !hasNewerIncarnation && (state === 'closed' || clock.findServerTimeMs(timers.getNowMs()) !== undefined),
 		// Nothing runs on an incarnation that has ended, but a newer one under the same id is not claimed yet.
 		areRunsKnown: () => state === 'held' || (state === 'closed' && !hasNewerIncarnation),
+		verify() {
+			if (state === 'held') {
+				isVerifying = true;
+				startClaim('a description of another incarnation has arrived');
+			}
+		},
+		mayStillRun() {
+			const isUnresponsive = (state === 'claiming' || state === 'silent') && !isCrashSuspected;
+			return state === 'held' || (isUnresponsive && (isVerifying || runTable.getRuns().size > 0));
+		},
 		hasExhaustedClaims: () => claim >= maxClaimNumber && state === 'silent',
 		getNextClaim: () => claim + 1,
 		getRuns: runTable.getRuns,
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -90,6 +90,9 @@
 			remoteRunFactor: options.remoteRunFactor,
 			earlierJobs,
 			crashRegister,
+			onDescriptionRefuted() {
+				// These tests have no registry.
+			},
 			onCrashRecord() {
 				// The placers of a test share one register.
 			},
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -305,7 +305,7 @@
 	 */
 	async function call<T>(daemonId: string, target: RequestTarget, timeoutMs: number, handler: Handler<T>): Promise<T | UnansweredResponse> {
 		const server = getServer(target);
-		const isUnreachable = () => server.fault.isUnreachableFrom?.(daemonId) ?? false;
+		const isUnreachable = () => target.host !== server.description.host || (server.fault.isUnreachableFrom?.(daemonId) ?? false);
 		return new Promise(resolve => {
 			const breakConnection = () => {
 				server.breakConnections.delete(breakConnection);
