Cover a placer that has restarted as of when its earlier process was last heard

Cause: a heartbeat of the new process says that it follows the new placer, so the earlier process counted neither as lost nor as having ceased to place. Change: when an incarnation was last heard is kept with its registry; one whose daemon has restarted counts as lost. Result: the row "a placer that has restarted 200 ms after its registry was equal" failed before and passes now.

--- a/packages/cluster/src/registry/registry-sources.ts
+++ b/packages/cluster/src/registry/registry-sources.ts
@@ -4,7 +4,7 @@
 	maxSourceAgeMs, maxSourceSilenceMs, placerOverdueMs, placerTimeoutMs, registryRequestIntervalMs, sourceRefreshIntervalMs,
 } from '../cluster-timings.js';
 import {isNewerView, type PlacerView} from '../election/placer-view.js';
-import type {ClusterMember, MemberTable} from '../members/member-table.js';
+import type {MemberTable} from '../members/member-table.js';
 
 /** Tracks which registries of other daemons the own one contains, and as of when. */
 export type RegistrySources = ServerSources & {
@@ -24,6 +24,8 @@
 	coveredAtMs: number;
 	/** The placer that the daemon followed then. */
 	view: PlacerView;
+	/** When the incarnation was last heard. */
+	heardAtMs: number;
 };
 
 type EarlierPlacer = JobHandover['placers'][number];
@@ -75,12 +77,11 @@
 		}
 
 		const source = sources.get(placerId);
-		const member = members.findMember(placerId);
-		if (incarnation === '' || member === undefined || source?.incarnation !== incarnation || members.getSilenceMs(placerId) >= maxSourceSilenceMs) {
+		if (source?.incarnation !== incarnation || timers.getNowMs() - source.heardAtMs >= maxSourceSilenceMs) {
 			return false;
 		}
 
-		return hasCeasedToPlace(source.view) || (isSilent(member) && source.coveredAtMs >= getLastHeardMs(member, placer, receivedAtMs) - maxSourceAgeMs);
+		return hasCeasedToPlace(source.view) || (isLost(placerId, source) && source.coveredAtMs >= getLastHeardMs(source, placer, receivedAtMs) - maxSourceAgeMs);
 	}
 
 	/** Whether a daemon that follows a placer no longer places in an earlier term than this one. It may not have begun to, otherwise. */
@@ -88,17 +89,18 @@
 		return !isNewerView(getView(), view);
 	}
 
-	/** Whether a daemon that may have placed until it was last heard may be lost. */
-	function isSilent(member: ClusterMember): boolean {
-		return !hasCeasedToPlace(member) && members.getSilenceMs(member.id) >= placerOverdueMs;
+	/** Whether an incarnation that may have placed until it was last heard cannot be asked: it is silent or has been replaced. */
+	function isLost(memberId: string, {incarnation, heardAtMs}: Source): boolean {
+		const member = members.findMember(memberId)!;
+		return member.incarnation !== incarnation || (!hasCeasedToPlace(member) && timers.getNowMs() - heardAtMs >= placerOverdueMs);
 	}
 
-	/** Gets when a silent placer was last heard, as far as this daemon, the entry daemon and the heartbeats of the others tell. */
-	function getLastHeardMs({id, lastHeartbeatAtMs}: ClusterMember, {silenceMs}: EarlierPlacer, receivedAtMs: number | undefined): number {
+	/** Gets when a lost placer was last heard, as far as this daemon, the entry daemon and the heartbeats of the others tell. */
+	function getLastHeardMs({heardAtMs}: Source, {placerId: id, silenceMs}: EarlierPlacer, receivedAtMs: number | undefined): number {
 		const witnesses = members.getAliveMembers().filter(({hearsPlacer, placerId}) => hearsPlacer && placerId === id);
 		return Math.max(
-			lastHeartbeatAtMs,
-			silenceMs === undefined || receivedAtMs === undefined ? lastHeartbeatAtMs : receivedAtMs - silenceMs,
+			heardAtMs,
+			silenceMs === undefined || receivedAtMs === undefined ? heardAtMs : receivedAtMs - silenceMs,
 			...witnesses.map(witness => witness.lastHeartbeatAtMs - placerTimeoutMs),
 		);
 	}
@@ -118,7 +120,10 @@
 	function addSource(memberId: string, digest: string | undefined): void {
 		const member = members.findMember(memberId);
 		if (member !== undefined) {
-			sources.set(memberId, {incarnation: member.incarnation, coveredAtMs: timers.getNowMs(), view: {term: member.term, placerId: member.placerId}});
+			const {incarnation, term, placerId, lastHeartbeatAtMs} = member;
+			sources.set(memberId, {
+				incarnation, coveredAtMs: timers.getNowMs(), view: {term, placerId}, heardAtMs: lastHeartbeatAtMs,
+			});
 		}
 
 		if (digest !== undefined) {
@@ -137,6 +142,11 @@
 		addSource,
 		handleHeartbeat(memberId, digest) {
 			const member = members.findMember(memberId);
+			const source = sources.get(memberId);
+			if (member !== undefined && source?.incarnation === member.incarnation) {
+				source.heardAtMs = member.lastHeartbeatAtMs;
+			}
+
 			if (member === undefined || digest === undefined) {
 				return;
 			}
--- a/packages/cluster/test/registry/registry-sources.test.ts
+++ b/packages/cluster/test/registry/registry-sources.test.ts
@@ -133,6 +133,26 @@
 			},
 			isCovered: false,
 		},
+		// Guards against jobs that end as unknown because their placer is back before their runs are searched for.
+		{
+			title: 'a placer that has restarted 200 ms after its registry was equal, and has not sent its new one',
+			prepare({hearPlacer, timers}) {
+				hearPlacer();
+				timers.advance(200);
+				hearPlacer({incarnation: 'two', ...successorView, digest: 'later'});
+			},
+			isCovered: true,
+		},
+		{
+			title: 'a placer that has restarted after its registry differed for 260 ms',
+			prepare({hearPlacer, timers}) {
+				hearPlacer();
+				timers.advance(260);
+				hearPlacer({digest: 'later'});
+				hearPlacer({incarnation: 'two', ...successorView, digest: 'later'});
+			},
+			isCovered: false,
+		},
 		{
 			title: 'the second incarnation of a placer, which has sent its registry',
 			rest: {placers: [{placerId: 'placer', incarnation: 'two'}]},
