Test a backend server that has started again at another address

Cause: no test starts an incarnation again under its id at another address, while the old address is silent.

--- a/packages/cluster/test/create-cluster-other-writers.test.ts
+++ b/packages/cluster/test/create-cluster-other-writers.test.ts
@@ -41,6 +41,28 @@
 		});
 	}
 
+	// Guards against a backend server that stays out of use, and tasks that never start again, after it has really started again.
+	it('uses a backend server that has started again at another address, and repeats what ran there', async () => {
+		const test = createTestCluster({getDurationMs: () => 700});
+		await startAndWaitUntilServing(test);
+		for (let number = 0; number < 4; number++) {
+			test.submit(`entry-a${(number % 2) + 1}`, `job-${number}`, {slackMs: 3000, callerTimeoutMs: 5000});
+		}
+
+		await runFor(test.timers, 100);
+		for (const server of test.fleet.servers) {
+			test.fleet.crash(server.description.id);
+			server.fault = {};
+			server.highestToken = 0;
+			server.description = {...server.description, host: `${server.description.host}-2`, bornMs: server.description.bornMs + 1};
+		}
+
+		test.reportServers();
+		await runFor(test.timers, 3500);
+		assert.deepEqual(test.fleet.findOverlaps(), []);
+		assert.deepEqual(countOutcomes(test, 'job'), {completed: 4});
+	});
+
 	// Guards against a backend server whose heartbeats count as old for good.
 	it('serves on the backend server again, and takes its next heartbeats as new', async () => {
 		const test = createTestCluster({getDurationMs: () => 50});
