Ask the described address of another incarnation as well

Callers saw: a backend server that had started again at another address, while its old one was silent, was used only when the leases of the old incarnation had expired: four jobs ended 2.6 to 2.9 s after the restart instead of 1.1 s.

Cause: asks only the incarnation in use.

Change: the described address is asked under the described id, too. If the backend server there names the described start time itself, it has started again and runs nothing of before, so the description is used at once. The word of another writer still does not count.

--- a/packages/placement/src/placer/incarnation-disputes.ts
+++ b/packages/placement/src/placer/incarnation-disputes.ts
@@ -17,6 +17,8 @@
 
 export type IncarnationDisputesOptions = {
 	timers: TimerService;
+	/** Finds the start time of the incarnation that responds at a described address under the described id. */
+	findBornMs: (description: BackendServerDescription, session: BackendSession) => Promise<number | undefined>;
 	/** Called when the incarnation in use has responded, so that the description of another one is wrong. */
 	onRefuted: (known: BackendServerDescription, refuted: BackendServerDescription) => void;
 	/** Called when the incarnation in use has ended, so that the described one may be used. */
@@ -26,17 +28,17 @@
 /**
  * Creates the disputes, initially none. A description can come from another writer than the backend server: with a later start
  * time under the id of one in use, it would end the runs there as far as the placer is concerned, which then start again
- * elsewhere. So the backend server is asked first.
+ * elsewhere. So the backend server is asked first, at the known address and at the described one.
  * @param options - The clock and the callbacks.
  *
  * @example
  * ```ts
- * const disputes = createIncarnationDisputes({timers, onRefuted, onConfirmed});
+ * const disputes = createIncarnationDisputes({timers, findBornMs, onRefuted, onConfirmed});
  * disputes.addDescription(description, session); // Sends a claim.
  * disputes.handleSameIncarnation(session); // Calls onRefuted.
  * ```
  */
-export function createIncarnationDisputes({timers, onRefuted, onConfirmed}: IncarnationDisputesOptions): IncarnationDisputes {
+export function createIncarnationDisputes({timers, findBornMs, onRefuted, onConfirmed}: IncarnationDisputesOptions): IncarnationDisputes {
 	const disputed = new Map<string, BackendServerDescription>();
 	const refutedBornMs = new Map<string, number>();
 
@@ -67,6 +69,14 @@
 		}
 	}
 
+	/** A backend server that names the described start time itself has started again: it runs nothing of before. */
+	async function verifyDescription(description: BackendServerDescription, session: BackendSession): Promise<void> {
+		const bornMs = await findBornMs(description, session);
+		if (bornMs === description.bornMs && disputed.get(description.id)?.bornMs === bornMs) {
+			confirm(session);
+		}
+	}
+
 	return {
 		addDescription(description, session) {
 			const {id, bornMs} = description;
@@ -78,6 +88,7 @@
 			disputed.set(id, description);
 			if (!isKnown) {
 				session.verify();
+				void verifyDescription(description, session);
 			}
 		},
 		handleSameIncarnation: refute,
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -9,6 +9,7 @@
 import {createLossEstimator} from '../sessions/loss-estimator.js';
 import type {BackendSession, SessionListener} from '../sessions/backend-session.js';
 import {createBackendSession} from '../sessions/create-backend-session.js';
+import {getFencingToken} from '../sessions/fencing-token.js';
 import type {Run} from '../sessions/run.js';
 import {createIncarnationDisputes} from './incarnation-disputes.js';
 import {createRunIndex} from './run-index.js';
@@ -71,7 +72,7 @@
  * @param options - The placer's term and ports.
  */
 export function createServerPool(options: ServerPoolOptions): ServerPool {
-	const {timers, events, metrics, startWindow, onRunsLost} = options;
+	const {term, daemonNumber, backendServerClient, timers, events, metrics, startWindow, onRunsLost} = options;
 	const servers = new Map<string, PooledServer>();
 	const runIndex = createRunIndex<PooledServer>();
 	const listener: SessionListener = {
@@ -103,6 +104,7 @@
 	};
 	const disputes = createIncarnationDisputes({
 		timers,
+		findBornMs,
 		onRefuted: options.onDescriptionRefuted,
 		onConfirmed(description) {
 			const known = servers.get(description.id);
@@ -119,6 +121,13 @@
 	});
 	let unclaimableCount = 0;
 
+	/** Asks with the token of the session, which does not keep that one from being used at another address of the same process. */
+	async function findBornMs({id, host, port}: BackendServerDescription, session: BackendSession): Promise<number | undefined> {
+		const token = getFencingToken({term, daemonNumber, claim: session.getNextClaim() - 1});
+		const response = await backendServerClient.renew({host, port, serverId: id}, {token, acknowledgedEndNumber: 0}, callTimeouts.getRequestTimeoutMs());
+		return response.outcome === 'accepted' ? response.bornMs : undefined;
+	}
+
 	function addServer(description: BackendServerDescription, firstClaim = 0): void {
 		const health = createServerHealth(timers, pauseMs => {
 			metrics.increment('backend-server-ejected');
