Refuse messages between keepers with a term that no election can follow

What operators would see: no keeper is elected any more, also after a restart of all keepers, because each has stored the term.

Cause: a keeper adopts and stores any higher term.

Change: a message with a term above 2^40 is refused whole, as if it were lost. Stored records are read as before.

--- a/packages/consensus/src/keeper/keeper-messages.ts
+++ b/packages/consensus/src/keeper/keeper-messages.ts
@@ -4,8 +4,14 @@
 import {publishProposalSchema, publishResultSchema} from '../publish/publish-schemas.js';
 import {logEntrySchema} from './log-entry.js';
 
+/**
+ * Each election increments the term by one, so terms never come near this. A keeper adopts and stores any higher term that it
+ * receives, and no election could follow the largest integer.
+ */
+const maxTerm = 1_099_511_627_776;
+
 const headerShape = {
-	term: z.int().min(0),
+	term: z.int().min(0).max(maxTerm),
 	/** The identities of the sender and the receiver. A message to the identity of a lost disk is dropped. */
 	fromIdentity: z.string(),
 	toIdentity: z.string(),
--- a/packages/consensus/test/keeper/keeper.test.ts
+++ b/packages/consensus/test/keeper/keeper.test.ts
@@ -51,6 +51,39 @@
 		}
 	});
 
+	for (const kind of ['consensus.vote-request', 'consensus.vote-answer', 'consensus.append-answer', 'consensus.timeout-now'] as const) {
+		// Guards against keepers that can't elect a leader, or start, because no term can follow one that they have seen.
+		it(`accept publishes, also after a restart of all, after a message ${kind} of a term that is too large`, () => {
+			const cluster = createCluster();
+			for (const id of ['a', 'b', 'c']) {
+				const [from] = getOthers(id);
+				cluster.handleMessage(id, from!, {
+					kind,
+					term: Number.MAX_SAFE_INTEGER,
+					fromIdentity: cluster.keepers.get(from!)!.getStatus().identity,
+					toIdentity: cluster.keepers.get(id)!.getStatus().identity,
+					lastIndex: 1000,
+					lastTerm: Number.MAX_SAFE_INTEGER,
+					askedTerm: Number.MAX_SAFE_INTEGER,
+					isPreVote: false,
+					isTransfer: false,
+					isGranted: false,
+					isMatched: false,
+					index: 0,
+					round: 0,
+				});
+			}
+
+			cluster.timers.advance(6000);
+			for (const id of ['a', 'b', 'c']) {
+				cluster.restart(id);
+			}
+
+			cluster.timers.advance(6000);
+			assert.deepEqual(publish(cluster, 'a', getRequest('first', 0)), {outcome: 'published', version: 1});
+		});
+	}
+
 	it('return the first result for a resend, and the winner of a race to the loser', () => {
 		const cluster = createCluster();
 		publish(cluster, 'a', getRequest('first', 0));
