--- a/packages/daemon/test/runtime/odd-backend-servers.test.ts
+++ b/packages/daemon/test/runtime/odd-backend-servers.test.ts
@@ -68,4 +68,14 @@
 		server.close();
 		assert.deepEqual(answers.map(({status, body}) => [status, body.outcome, body.reason]), answers.map(() => [500, 'failed', 'task-error']));
 	});
+
+	// Guards against a backend server that is hidden by another writer, which announces another incarnation under its id.
+	it('runs jobs on a backend server under whose id a second writer announced another incarnation', {todo: 'KNOWN-RED.txt'}, async () => {
+		const system = await startTestSystem([{}]);
+		await announce(system, {id: 'backend-0', incarnation: 'other'});
+		await system.servers[0]!.announce();
+		const {status} = await system.call('POST', '/v1/jobs', createJobBody(2, {deadlineMs: 2000}));
+		await system.stop();
+		assert.equal(status, 200);
+	});
 });
