--- a/packages/dispatch/test/support/create-test-dispatcher.ts
+++ b/packages/dispatch/test/support/create-test-dispatcher.ts
@@ -10,6 +10,7 @@
 export type TestDispatcher = {
 	timers: testkit.VirtualTimers;
 	metrics: testkit.RecordingMetricSink;
+	events: testkit.RecordingEventLog;
 	starter: FakeTaskStarter;
 	dispatcher: Dispatcher;
 	limitCalls: string[];
@@ -47,6 +48,7 @@
 	const timers = new testkit.VirtualTimers();
 	const random = createSeededRandomSource(1);
 	const metrics = new testkit.RecordingMetricSink();
+	const events = new testkit.RecordingEventLog();
 	const starter = new FakeTaskStarter(timers, behave);
 	const limitCalls: string[] = [];
 	const network = new testkit.FakeNetwork({timers, random});
@@ -57,7 +59,7 @@
 		timers,
 		random,
 		metrics,
-		events: new testkit.RecordingEventLog(),
+		events,
 		peers: network.addPeer('daemon-1', () => undefined),
 		starter,
 		limits: createRecordingLimiter(limitCalls, mayExtend),
@@ -72,6 +74,7 @@
 	return {
 		timers,
 		metrics,
+		events,
 		starter,
 		dispatcher,
 		limitCalls,
