--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -83,7 +83,10 @@
 		action: 'If most have not crashed, check the network between the placer and the backend servers.',
 	},
 	'backend-server-refuted': {
-		number: 1112, level: 'warning', summary: 'A backend server still runs as the incarnation in use, although another one was announced under its id.', action: 'Find who announces under the id of this backend server.',
+		number: 1112,
+		level: 'warning',
+		summary: 'A backend server still runs as the incarnation in use, although another one was announced under its id.',
+		action: 'Find who announces under the id of this backend server.',
 	},
 	'backend-session-changed': {
 		number: 1107, level: 'info', summary: 'The session between the placer and a backend server changed state.', action: 'If it stays unresponsive, check the backend server and the link to it.',
