Forget which registries are contained when rows expire

Cause: once a daemon had added the registry of another one, it counted that one, and its digest, as contained for good. Rows expire after 30 s without a report, while the placer before may still use the backend server. So the next placer took a registry with one row less for complete and did not find the run there.

Change: when rows expire, the daemon forgets which registries it contains. The next heartbeat of the placer shows whether its own is equal; if it is not, it is requested.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -368,7 +368,9 @@
 		timers.addInterval(serverRefreshIntervalMs, updatePlacerServers),
 		timers.addInterval(reportIntervalMs, () => {
 			const idsInUse = localPlacer.getServerIdsInUse();
-			registry.removeExpired(id => idsInUse.has(id));
+			if (registry.removeExpired(id => idsInUse.has(id))) {
+				registrySources.forgetSources();
+			}
 		}),
 	];
 	heartbeatSender.sendAll();
--- a/packages/cluster/src/registry/registry-sources.ts
+++ b/packages/cluster/src/registry/registry-sources.ts
@@ -16,6 +16,8 @@
 	 * that one had started tasks.
 	 */
 	handleHeartbeat(memberId: string, digest: string | undefined): void;
+	/** Forgets which registries the own one contains, because backend servers were removed from it. */
+	forgetSources(): void;
 };
 
 type Source = {
@@ -157,6 +159,10 @@
 				refreshSource(memberId);
 			}
 		},
+		forgetSources() {
+			sources.clear();
+			digests.clear();
+		},
 		isCoveredBy: source => source.placers.length > 0 && hasRegistryOfEntry(source)
 			&& source.placers.every(placer => hasRegistryOfPlacer(placer, source.receivedAtMs)),
 		requestMissing(source) {
--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -21,8 +21,11 @@
 	getAddressCount(): number;
 	/** Gets a digest of the known incarnations of an availability zone; of all zones if it is omitted or empty. */
 	getDigest(availabilityZone?: string): string;
-	/** Removes backend servers without a recent heartbeat, except those still in use, and expired records of ended incarnations. */
-	removeExpired(isInUse: (serverId: string) => boolean): void;
+	/**
+	 * Removes backend servers without a recent heartbeat, except those still in use, and expired records of ended incarnations.
+	 * Returns whether backend servers were removed.
+	 */
+	removeExpired(isInUse: (serverId: string) => boolean): boolean;
 };
 
 const digestLength = 16;
@@ -106,6 +109,7 @@
 		},
 		removeExpired(isInUse) {
 			const oldestMs = timers.getNowMs() - registryRetentionMs;
+			const sizeBefore = entries.size;
 			for (const [id, {receivedAtMs}] of entries) {
 				if (receivedAtMs < oldestMs && !isInUse(id)) {
 					deleteEntry(id);
@@ -117,6 +121,8 @@
 					endedAtMs.delete(key);
 				}
 			}
+
+			return entries.size < sizeBefore;
 		},
 	};
 }
