Pass cluster messages on in a module of their own

Cause: create-cluster.ts had grown to 416 lines; a quarter of it was the switch over the kinds of messages. Change: the switch moves to messages/cluster-message-handler.ts; no logic. Result: 342 lines; the tests of cluster pass unchanged.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -14,8 +14,9 @@
 import {createEvacuationExchange} from './evacuations/evacuation-exchange.js';
 import {createHeartbeatSender} from './members/heartbeat-sender.js';
 import {createMemberTable, type ClusterMember} from './members/member-table.js';
+import {createClusterMessageHandler} from './messages/cluster-message-handler.js';
 import type {ClusterMessage, ClusterMessageOf} from './messages/cluster-messages.js';
-import {createMessageParser, type ParsedMessage} from './messages/message-parser.js';
+import {createMessageParser} from './messages/message-parser.js';
 import {createLocalPlacer} from './placing/local-placer.js';
 import {createRelay} from './relay/relay.js';
 import {createRegistryExchange} from './registry/registry-exchange.js';
@@ -252,84 +253,6 @@
 		}
 	}
 
-	/** A registry that lost rows does not show on which backend servers its sender may have started tasks. */
-	function handleRegistry(fromId: string, {descriptions, digest}: ClusterMessageOf<'cluster.registry'>, hasLostRows: boolean): void {
-		registryReplicator.addDescriptions(fromId, descriptions);
-		if (!hasLostRows) {
-			registrySources.addSource(fromId, digest);
-		}
-	}
-
-	function handleClusterMessage(fromId: string, {message, hasLostRows}: ParsedMessage<ClusterMessage>): void {
-		switch (message.kind) {
-			case 'cluster.heartbeat': {
-				handleHeartbeat(fromId, message);
-				break;
-			}
-
-			case 'cluster.server-report': {
-				registryReplicator.handleReport(fromId, message);
-				break;
-			}
-
-			case 'cluster.server-report-noted': {
-				registryReplicator.handleAcknowledgement(message.reportId);
-				break;
-			}
-
-			case 'cluster.server-left': {
-				registryReplicator.handleServerLeft(message.serverId, message.bornMs);
-				break;
-			}
-
-			case 'cluster.registry-request': {
-				registryExchange.answerRequest(fromId);
-				break;
-			}
-
-			case 'cluster.registry': {
-				handleRegistry(fromId, message, hasLostRows);
-				break;
-			}
-
-			case 'cluster.configuration-request': {
-				configuration.answerRequest(fromId, message.knownNumber);
-				break;
-			}
-
-			case 'cluster.configuration': {
-				configuration.setDocument({number: message.number, content: message.content});
-				break;
-			}
-
-			case 'cluster.evacuations-request': {
-				evacuations.answerRequest(fromId, message.knownRevision);
-				break;
-			}
-
-			case 'cluster.evacuations': {
-				evacuations.setEvacuations({revision: message.revision, availabilityZones: message.availabilityZones});
-				break;
-			}
-
-			case 'cluster.crashes': {
-				crashes.handleRecords(fromId, message.records);
-				break;
-			}
-
-			case 'cluster.relay': {
-				relay.forward(fromId, message);
-				break;
-			}
-
-			case 'cluster.relayed': {
-				relay.recordRoute(message.fromId, fromId);
-				handlePeerMessage(message.fromId, message.message);
-				break;
-			}
-		}
-	}
-
 	function handlePlacementMessage(fromId: string, message: PlacementMessage): void {
 		if (!handleEntryMessage(jobSubmitter, fromId, message)) {
 			localPlacer.handleMessage(fromId, message);
@@ -358,10 +281,13 @@
 
 		const parsed = messageParser.parseClusterMessage(fromId, message);
 		if (parsed !== undefined) {
-			handleClusterMessage(fromId, parsed);
+			messageHandler.handleMessage(fromId, parsed);
 		}
 	}
 
+	const messageHandler = createClusterMessageHandler({
+		configuration, evacuations, crashes, relay, registryExchange, registryReplicator, registrySources, handleHeartbeat, handlePeerMessage,
+	});
 	const subscriptions = [
 		timers.addInterval(electionIntervalMs, election.elect),
 		timers.addInterval(electionIntervalMs, heartbeatSender.sendIfDue),
