Close the connections to an address that another writer has described

Cause: ask the address of a description that another incarnation of a backend server in use is said to have, and kept the HTTP client for it. A writer that names a new address each time would have filled the memory of the placer.

Change: the connections are closed once it has responded or not, unless the backend server is in use at that address. Result: create-cluster-other-writers.test.ts checks which connections are closed; its first row failed before.

--- a/packages/cluster/test/create-cluster-other-writers.test.ts
+++ b/packages/cluster/test/create-cluster-other-writers.test.ts
@@ -38,6 +38,9 @@
 			assert.deepEqual(test.fleet.findOverlaps(), []);
 			assert.deepEqual(countOutcomes(test, 'job'), {completed: 4});
 			assert.ok(test.events.some(({name}) => name === 'backend-server-refuted'));
+			// Guards against connections to the addresses of other writers that are never closed, and against closing those in use.
+			const asked = test.fleet.servers.slice(0, 4).map(({description: {id}}) => ({host, serverId: id}));
+			assert.deepEqual(test.fleet.disconnections, host === undefined ? [] : asked);
 		});
 	}
 
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -1,7 +1,7 @@
 import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import {createServerHealth, type ServerHealth} from '../health/server-health.js';
 import type {StartWindow} from '../lag/create-start-window.js';
-import type {BackendServerClient} from '../ports/backend-server-client.js';
+import type {BackendServerClient, RequestTarget} from '../ports/backend-server-client.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import {createCallTimeouts} from '../sessions/create-call-timeouts.js';
 import {createClaimWindow} from '../sessions/create-claim-window.js';
@@ -123,11 +123,21 @@
 
 	/** Asks with the token of the session, which does not keep that one from being used at another address of the same process. */
 	async function findBornMs({id, host, port}: BackendServerDescription, session: BackendSession): Promise<number | undefined> {
+		const target = {host, port, serverId: id};
 		const token = getFencingToken({term, daemonNumber, claim: session.getNextClaim() - 1});
-		const response = await backendServerClient.renew({host, port, serverId: id}, {token, acknowledgedEndNumber: 0}, callTimeouts.getRequestTimeoutMs());
+		const response = await backendServerClient.renew(target, {token, acknowledgedEndNumber: 0}, callTimeouts.getRequestTimeoutMs());
+		if (!isInUse(target)) {
+			backendServerClient.disconnect(target);
+		}
+
 		return response.outcome === 'accepted' ? response.bornMs : undefined;
 	}
 
+	function isInUse({host, port, serverId}: RequestTarget): boolean {
+		const description = servers.get(serverId)?.session.getDescription();
+		return description?.host === host && description.port === port;
+	}
+
 	function addServer(description: BackendServerDescription, firstClaim = 0): void {
 		const health = createServerHealth(timers, pauseMs => {
 			metrics.increment('backend-server-ejected');
--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -47,6 +47,8 @@
 	records: RunRecord[];
 	/** The crashes of processes, and the tasks that caused them. */
 	crashes: Array<{serverId: string; taskName: string | undefined; atMs: number}>;
+	/** The targets whose connections daemons have closed. */
+	disconnections: Array<{host: string; serverId: string}>;
 	/** Gets the client that a daemon uses. */
 	getClient(daemonId: string): BackendServerClient;
 	getDescriptions(): BackendServerDescription[];
@@ -73,6 +75,7 @@
 	const getRunFactor = options.getRunFactor ?? (() => 1);
 	const records: RunRecord[] = [];
 	const crashes: FakeFleet['crashes'] = [];
+	const disconnections: FakeFleet['disconnections'] = [];
 	let peakUtilization = 0;
 
 	const servers = Array.from({length: serverCount}, (_, position): FakeServer => ({
@@ -373,8 +376,8 @@
 				});
 			}
 
-			override disconnect(): void {
-				// The fake has no connections.
+			override disconnect({host, serverId}: RequestTarget): void {
+				disconnections.push({host, serverId});
 			}
 		}();
 	}
@@ -407,6 +410,7 @@
 			});
 		},
 		crashes,
+		disconnections,
 		getPeakUtilization: () => peakUtilization,
 	};
 }
