Let test clusters have other availability zones and lose hints

Change: createTestCluster takes availabilityZones (a, b, c by default), and has loseHints, getDaemonNumber and the list of submissions.

--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -27,14 +27,20 @@
 	network: FakeNetwork;
 	fleet: FakeFleet;
 	daemons: TestDaemon[];
+	/** The submissions of jobs so far, repeated ones included. */
+	submissions: Array<{jobId: string; daemonId: string}>;
 	results: Array<{jobId: string; result: JobOutcome; atMs: number; daemonId: string}>;
 	events: Array<{daemonId: string; name: EventName; fields: EventFields; atMs: number}>;
 	find(id: string): TestDaemon;
+	/** Gets the number of a daemon that its fencing tokens contain. */
+	getDaemonNumber(id: string): number;
 	/** Gets the daemon that most others follow. */
 	getPlacer(): TestDaemon;
 	submit(daemonId: string, jobId: string, rest?: Partial<EntryJob>): JobSubscription;
 	kill(id: string): void;
 	restart(id: string): void;
+	/** Loses the hints of a daemon that is down, as when its disk is lost. */
+	loseHints(id: string): void;
 	/** Reports the backend servers whose processes run, all to the first live keeper that can reach them. */
 	reportServers(): void;
 	/** Partitions an availability zone from the others, backend servers included. */
@@ -46,6 +52,8 @@
 };
 
 export type TestClusterOptions = Partial<FakeFleetOptions> & {
+	/** The availability zones, each with one keeper that is a seed; a, b and c by default. */
+	availabilityZones?: readonly string[];
 	/** Whether the hints of keepers survive a restart; true by default. */
 	keepsHints?: boolean;
 	/** Whether each availability zone has a second keeper, which is not a seed. */
@@ -62,18 +70,18 @@
 	onConfiguration?: (content: string) => void;
 };
 
-const zones = ['a', 'b', 'c'];
-
 /**
- * Creates daemons in three availability zones, one keeper and two entry daemons in each, with one fake fleet.
- * @param options - The options of the fleet and of the keepers.
+ * Creates daemons in three availability zones unless stated otherwise, one keeper and two entry daemons in each, with one fake fleet.
+ * @param options - The options of the fleet and of the daemons.
  */
 export function createTestCluster(options: TestClusterOptions = {}): TestCluster {
+	const {availabilityZones: zones = ['a', 'b', 'c']} = options;
 	const timers = new VirtualTimers();
 	const network = new FakeNetwork({timers, random: createSeededRandomSource(1)});
 	const fleet = createFakeFleet({
-		timers, serverCount: 9, availabilityZones: zones, onRestart: reportServers, ...options,
+		timers, serverCount: 9, onRestart: reportServers, ...options, availabilityZones: zones,
 	});
+	const submissions: TestCluster['submissions'] = [];
 	const results: TestCluster['results'] = [];
 	const events: TestCluster['events'] = [];
 	const daemons: TestDaemon[] = [];
@@ -204,15 +212,18 @@
 		network,
 		fleet,
 		daemons,
+		submissions,
 		results,
 		events,
 		find,
+		getDaemonNumber,
 		getPlacer() {
 			const votes = daemons.filter(daemon => daemon.isUp).map(daemon => daemon.cluster.getStatus().placerId);
 			const count = (id: string) => votes.filter(vote => vote === id).length;
 			return find(votes.toSorted((left, right) => count(right) - count(left))[0]!);
 		},
 		submit(daemonId, jobId, rest = {}) {
+			submissions.push({jobId, daemonId});
 			return find(daemonId).cluster.submit({
 				jobId,
 				queueName: 'estimates',
@@ -242,6 +253,9 @@
 			const {availabilityZone} = find(id);
 			daemons[daemons.indexOf(find(id))] = startDaemon(id, availabilityZone);
 		},
+		loseHints(id) {
+			hints.delete(id);
+		},
 		reportServers,
 		isolateZone(zone) {
 			isolatedZone = zone;
