--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -167,9 +167,9 @@
 		return {outcome: 'accepted', clockMs};
 	}
 
-	function addRun(server: FakeServer, {taskName, runNumber, payload}: StartRequest, daemonId: string): void {
+	function addRun(server: FakeServer, {taskName, runNumber, payload, token}: StartRequest, daemonId: string): void {
 		const record: RunRecord = {
-			taskName, runNumber, serverId: server.description.id, startedAtMs: timers.getNowMs(), endedAtMs: undefined, outcome: undefined, daemonId,
+			taskName, runNumber, serverId: server.description.id, startedAtMs: timers.getNowMs(), endedAtMs: undefined, outcome: undefined, daemonId, token,
 		};
 		const durationMs = getDurationMs(taskName, payload) * getRunFactor(taskName, server.description) * (server.fault.slowdownFactor ?? 1);
 		records.push(record);
--- a/packages/placement/test/support/fake-server.ts
+++ b/packages/placement/test/support/fake-server.ts
@@ -9,6 +9,8 @@
 	endedAtMs: number | undefined;
 	outcome: EndedRun['outcome'] | undefined;
 	daemonId: string;
+	/** The fencing token of the start request. */
+	token: number;
 };
 
 export type FakeRun = {
