Look for runs of an adopted task again until every recorded backend server is claimed

Cause: a search ended when all runs were adopted. When such a run ended as stopped, its predecessor saw that too and started the task again on a backend server that the successor had not claimed, and so did the successor. Change: the handover is kept until every recorded backend server is claimed. A task that waits again before that is searched for, and the job ends as unknown if that takes longer than a search may.

--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -56,7 +56,7 @@
 	isEnded: boolean;
 	/** The backend servers of all runs, in the order of their starts. */
 	readonly serverIds: string[];
-	/** Where the job comes from if earlier placers may have started its tasks. */
+	/** Where the job comes from, while earlier placers may still start its tasks. */
 	handover: HandoverSource | undefined;
 	/** When the search for runs of an earlier placer ends; undefined if there is no search. */
 	recoveryDeadlineMs: number | undefined;
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -69,6 +69,8 @@
 				releaseIfPossible(job);
 			} else if (job.recoveryDeadlineMs !== undefined) {
 				recoverJob(job, job.recoveryDeadlineMs);
+			} else if (job.handover !== undefined) {
+				settleHandover(job);
 			}
 		}
 	}
@@ -123,6 +125,23 @@
 		}
 	}
 
+	/**
+	 * An earlier placer may start a task again whose run this one has adopted, for as long as it has a recorded backend server that
+	 * this one has not claimed. A task that waits again is searched for until then.
+	 */
+	function settleHandover(job: PlacedJob): void {
+		if (areRunsKnown(job)) {
+			job.handover = undefined;
+			return;
+		}
+
+		earlierServers.requestMissing(job.handover!);
+		if (job.tasks.some(({state}) => state === 'waiting')) {
+			job.recoveryDeadlineMs = timers.getNowMs() + recoveryMs;
+			pool.hurryClaims();
+		}
+	}
+
 	function endRecovery(job: PlacedJob, missingCount: number, isKnown: boolean): void {
 		job.recoveryDeadlineMs = undefined;
 		events.write('job-recovered', {
@@ -211,6 +230,7 @@
 				}
 			} else if (!mayHaveStarted && submissionId === job.submissionId && isUnstarted(job)) {
 				job.recoveryDeadlineMs = undefined;
+				job.handover = undefined;
 				job.hasStarted = false;
 			}
 		},
--- a/packages/placement/test/placer/successor-placer.test.ts
+++ b/packages/placement/test/placer/successor-placer.test.ts
@@ -165,6 +165,28 @@
 		assert.deepEqual(fleet.records.map(({runNumber, outcome}) => [runNumber, outcome]), [[1, 'done'], [1, 'done']]);
 	});
 
+	// Guards against two runs at once: both placers see the end of a stopped run, and each starts the task again.
+	it('does not start a task again whose run it has adopted while its predecessor can use a recorded backend server', async () => {
+		const {timers, fleet, submit, createSuccessor, results} = createTestPlacer({getDurationMs: () => 900});
+		await runFor(timers, 10);
+		submit({jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}]});
+		await runFor(timers, 50);
+		const {serverId, taskName} = fleet.records[0]!;
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions().filter(({id}) => id === serverId), 3);
+		resubmit(successor, {jobId: 'job', steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 900}], ageMs: 50}, getHandover('first'));
+		await runFor(timers, 20);
+		assert.deepEqual(successor.getServerStatuses().map(({state, runCount}) => ({state, runCount})), [{state: 'held', runCount: 1}]);
+		const {description, highestToken} = fleet.servers.find(server => server.description.id === serverId)!;
+		void fleet.getClient('second').stop({...description, serverId}, {taskName, runNumber: 1, token: highestToken}, 100);
+		await runFor(timers, 300);
+		assert.deepEqual(fleet.records.map(({daemonId, runNumber}) => [daemonId, runNumber]), [['first', 1], ['first', 2]]);
+		successor.setServers(fleet.getDescriptions(), 0);
+		await runFor(timers, 1100);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+		assert.deepEqual(fleet.records.map(({outcome}) => outcome), ['stopped', 'done']);
+	});
+
 	// Guards against runs that are stopped because their job waits for a record although all of its runs are found.
 	it('completes a job whose runs are all found, even if an earlier placer is not covered', async () => {
 		const {timers, fleet, submit, results, createSuccessor, requestedSources} = createTestPlacer({getDurationMs: () => 900});
