--- a/packages/cluster/test/create-cluster-power-return.test.ts
+++ b/packages/cluster/test/create-cluster-power-return.test.ts
@@ -42,6 +42,13 @@
 		assert.deepEqual(overlaps, []);
 	});
 
+	// Guards against an earlier placer that starts a task elsewhere, after a slow run of it, although its successor has adopted this run.
+	it('starts no task by an earlier placer after its successor has concluded, if both repeat a slow run', {todo: 'KNOWN-RED.txt'}, async () => {
+		const {overlaps, lateStarts} = await replayPowerReturn({...fiveZones, seed: 2188});
+		assert.deepEqual(lateStarts, []);
+		assert.deepEqual(overlaps, []);
+	});
+
 	// Guards against a replay whose resubmissions reach nobody, or the entry daemon that the job was submitted to before.
 	it('gives each caller an answer that submits its job again through another entry daemon, and runs no task of it twice at the same time', async () => {
 		const {test, overlaps, lateStarts} = await replayPowerReturn({...lostDisks, seed: 3000});
