Keep a backend server in use when another incarnation is announced under its id

Cause: the last announcement of an incarnation decided. BackendServerTable removed the record in use, counted its tasks as lost and dropped every later announcement of that incarnation as outdated. Nothing asked which of the two responds.

Evidence: the listed test on, 504 in place of 200. The announcements are, in order, the real one, the odd one (E1100, port 1), the real one again, which writes no event; each batch to port 1 is refused and the backend server is blocked for longer each time.

Change: an announcement of another incarnation at another address is kept beside the one in use (E1113). It is used once that one has left, refused a connection or expired; one that refused a connection is kept in turn, and its tasks go on. Refusals under one id count together. A refusal is recorded before the tasks are placed again, against the incarnation that refused. Managers hear of all incarnations; no message has changed. At the same address, where one process can listen, the next incarnation replaces the one before at once, as before. Blocks and pools leave BackendServerTable for files of their own.

Why it works: the backend server itself shows which incarnation is there, by its connections, whoever announces what, in any order.

Cost: a restart at another address without a farewell costs one refused connection and 50 ms; tasks of a VM that vanished without closing connections count as lost when its announcement expires, if the next incarnation is at another address.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -25,6 +25,12 @@
 	'backend-server-announced': {
 		number: 1100, level: 'info', summary: 'A backend server announced itself for the first time or with a new incarnation.', action: 'None.',
 	},
+	'backend-server-disputed': {
+		number: 1113,
+		level: 'warning',
+		summary: 'Another incarnation was announced under the id of a backend server, at another address. The one in use stays until it leaves, refuses a connection or expires.',
+		action: 'If the backend server has not started again elsewhere, find who announces under its id.',
+	},
 	'backend-server-expired': {
 		number: 1101, level: 'warning', summary: 'A backend server did not renew its announcement and gets no new work.', action: 'Check the backend server if it was not stopped on purpose.',
 	},
--- a/packages/daemon/test/runtime/odd-backend-servers.test.ts
+++ b/packages/daemon/test/runtime/odd-backend-servers.test.ts
@@ -70,7 +70,7 @@
 	});
 
 	// Guards against a backend server that is hidden by another writer, which announces another incarnation under its id.
-	it('runs jobs on a backend server under whose id a second writer announced another incarnation', {todo: 'KNOWN-RED.txt'}, async () => {
+	it('runs jobs on a backend server under whose id a second writer announced another incarnation', async () => {
 		const system = await startTestSystem([{}]);
 		await announce(system, {id: 'backend-0', incarnation: 'other'});
 		await system.servers[0]!.announce();
--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -76,7 +76,13 @@
 		metrics,
 		events,
 		onAvailable: placeOnServer,
-		onRemoved: handleServerRemoved,
+		onUnused: handleServerUnused,
+		onRemoved(server) {
+			runner.handleServerRemoval(server);
+		},
+		onReplaced(server) {
+			setPoolSizes(server.pools);
+		},
 		onExpired(server) {
 			directory.broadcastExpiry(server);
 		},
@@ -301,10 +307,9 @@
 		sender.cancelJob(job);
 	}
 
-	function handleServerRemoved(server: BackendServerRecord): void {
+	function handleServerUnused(server: BackendServerRecord, pools: readonly string[]): void {
 		ejection.removeBackendServer(server.id);
-		runner.handleServerRemoval(server);
-		setPoolSizes(server.pools);
+		setPoolSizes(pools);
 	}
 
 	function setPoolSizes(pools: readonly string[]): void {
--- a/packages/dispatch/src/servers/backend-server-table.ts
+++ b/packages/dispatch/src/servers/backend-server-table.ts
@@ -1,8 +1,11 @@
 import type {
-	BackendServerAnnouncement, EventLog, MetricSink, TimerService, TimerSubscription,
+	BackendServerAnnouncement, EventLog, MetricSink, TimerService,
 } from '@camphortack/core';
 import type {PlacementRules} from '../configuration/placement-rules.js';
 import {createBackendServerRecord, getFreeSlots, type BackendServerRecord} from './backend-server-record.js';
+import {createOtherIncarnations} from './other-incarnations.js';
+import {createServerBlocks} from './server-blocks.js';
+import {createServerPools} from './server-pools.js';
 
 export type BackendServerTableOptions = {
 	ownId: string;
@@ -11,22 +14,47 @@
 	events: EventLog;
 	/** Called when a backend server that can take work was refreshed. */
 	onAvailable: (server: BackendServerRecord) => void;
-	/** Called when a backend server was removed. */
+	/** Called when an incarnation of a backend server is no longer in use, with the pools that it served. */
+	onUnused: (server: BackendServerRecord, pools: readonly string[]) => void;
+	/** Called when an incarnation of a backend server was removed, so that the tasks there are lost. */
 	onRemoved: (server: BackendServerRecord) => void;
+	/** Called when another incarnation, which was announced before, is in use from now on. */
+	onReplaced: (server: BackendServerRecord) => void;
 	/** Called when a backend server that this daemon manages has expired. */
 	onExpired: (server: BackendServerRecord) => void;
 };
 
-/** The backend servers of the availability zone of this daemon, and which of them can take work now. */
+/** The effect of an announcement. */
+export type AnnouncedServer = {
+	/** The announced incarnation, or the one in use if the announced one has ended. */
+	server: BackendServerRecord;
+	/** Whether the incarnation or its description is new. */
+	isChanged: boolean;
+	/** Whether tasks may start on the incarnation, rather than on another one with its id. */
+	isInUse: boolean;
+};
+
+/**
+ * The backend servers of the availability zone of this daemon, and which of them can take work now.
+ *
+ * An announcement of another incarnation may come from another writer than the backend server. It does not replace the incarnation
+ * in use until that one has left, refuses a connection or has expired, or if it is at the same address, where only one can listen.
+ */
 export type BackendServerTable = {
 	setRules(rules: PlacementRules): void;
-	/** Adds or renews a backend server; returns true if it is new or has a new incarnation or description. */
-	announce(announcement: BackendServerAnnouncement, isDirect: boolean): boolean;
+	/** Adds or renews an incarnation of a backend server. */
+	announce(announcement: BackendServerAnnouncement, isDirect: boolean): AnnouncedServer;
 	/** Stops new work; returns true if the backend server had this incarnation and was not leaving yet. */
 	markLeaving(backendServerId: string, incarnation: string): boolean;
 	/** Removes an expired backend server unless this daemon manages it. */
 	removeUnmanaged(backendServerId: string, incarnation: string): void;
+	/** Finds the incarnation in use. */
 	findServer(backendServerId: string): BackendServerRecord | undefined;
+	/** Finds an incarnation, in use or not. */
+	findIncarnation(backendServerId: string, incarnation: string): BackendServerRecord | undefined;
+	/** Gets the announced incarnations that are not in use. */
+	getOtherIncarnations(backendServerId: string): readonly BackendServerRecord[];
+	/** Gets the incarnations in use. */
 	getAll(): Iterable<BackendServerRecord>;
 	/** Gets the backend servers of a pool on which this daemon can start tasks. */
 	getAvailable(pool: string): ReadonlySet<BackendServerRecord>;
@@ -34,7 +62,9 @@
 	refresh(server: BackendServerRecord): void;
 	/** Moves a backend server to the end of the available ones of its pools. */
 	rotate(server: BackendServerRecord): void;
-	/** Blocks new work for an exponentially increasing time, after a refused connection or a not-run answer, for example. */
+	/** Uses another incarnation if one was announced, and blocks new work, after a connection was refused. */
+	recordRefusal(server: BackendServerRecord): void;
+	/** Blocks new work for an exponentially increasing time, after a not-run answer, for example. */
 	block(server: BackendServerRecord): void;
 	markSeen(server: BackendServerRecord): void;
 	/** Records a successful task. */
@@ -54,27 +84,21 @@
 	getPoolSize(pool: string): number;
 };
 
-const minBlockMs = 50;
-const maxBlockMs = 2000;
-const maxBlockDoublings = 6;
-const minFailedJobs = 3;
-const maxSuspectShare = 0.3;
-
 export function createBackendServerTable(options: BackendServerTableOptions): BackendServerTable {
 	const {ownId, timers, metrics, events} = options;
+	/** The incarnations in use. */
 	const servers = new Map<string, BackendServerRecord>();
-	const availableByPool = new Map<string, Set<BackendServerRecord>>();
-	const unblockTimers = new Map<string, TimerSubscription>();
+	const others = createOtherIncarnations();
+	const pools = createServerPools();
 	/** The backend servers that this daemon manages. */
 	const managed = new Set<BackendServerRecord>();
-	const suspects = new Set<BackendServerRecord>();
-	const poolSizes = new Map<string, number>();
-	const noServers: ReadonlySet<BackendServerRecord> = new Set();
+	const blocks = createServerBlocks({
+		timers, isInUse, refresh, getManagedCount: () => managed.size,
+	});
 	let rules: PlacementRules | undefined;
 
 	function setRules(newRules: PlacementRules): void {
 		rules = newRules;
-		availableByPool.clear();
 		for (const server of servers.values()) {
 			setPools(server);
 			refresh(server);
@@ -83,61 +107,130 @@
 
 	function setPools(server: BackendServerRecord): void {
 		const {services, availabilityZone} = server.announcement;
-		updatePoolSizes(server, -1);
-		server.pools = rules?.getPoolsFor(services, availabilityZone) ?? [];
-		updatePoolSizes(server, 1);
+		pools.setPools(server, rules?.getPoolsFor(services, availabilityZone) ?? []);
 	}
 
-	function updatePoolSizes(server: BackendServerRecord, sign: 1 | -1): void {
-		for (const pool of server.pools) {
-			poolSizes.set(pool, (poolSizes.get(pool) ?? 0) + sign);
-		}
+	function findIncarnation(backendServerId: string, incarnation: string): BackendServerRecord | undefined {
+		const server = servers.get(backendServerId);
+		return server?.announcement.incarnation === incarnation ? server : others.findServer(backendServerId, incarnation);
 	}
 
-	function announce(announcement: BackendServerAnnouncement, isDirect: boolean): boolean {
-		const nowMs = timers.getNowMs();
-		const known = servers.get(announcement.id);
-		if (known?.announcement.incarnation === announcement.incarnation) {
-			const isChanged = JSON.stringify(known.announcement) !== JSON.stringify(announcement);
-			renew(known, announcement, nowMs, isDirect);
-			return isChanged;
+	function announce(announcement: BackendServerAnnouncement, isDirect: boolean): AnnouncedServer {
+		const inUse = servers.get(announcement.id);
+		const known = findIncarnation(announcement.id, announcement.incarnation);
+		if (known === undefined && inUse?.previousIncarnation === announcement.incarnation) {
+			return {server: inUse, isChanged: false, isInUse: true};
 		}
 
-		if (known?.previousIncarnation === announcement.incarnation) {
-			return false;
+		const isReplaced = inUse !== undefined && known !== inUse && hasEnded(inUse, announcement);
+		const isDescribedAnew = known === undefined || JSON.stringify(known.announcement) !== JSON.stringify(announcement);
+		const server = known ?? createBackendServerRecord(announcement, timers.getNowMs(), isReplaced ? inUse.announcement.incarnation : undefined);
+		renew(server, announcement, isDirect);
+		if (isReplaced) {
+			others.remove(server);
+			remove(inUse);
 		}
 
-		if (known !== undefined) {
-			remove(known);
+		if (!servers.has(server.id)) {
+			use(server);
+			return {server, isChanged: true, isInUse: true};
 		}
 
-		const server = createBackendServerRecord(announcement, nowMs, known?.announcement.incarnation);
-		server.lastDirectAnnouncementMs = isDirect ? nowMs : Number.NEGATIVE_INFINITY;
-		servers.set(server.id, server);
-		setPools(server);
-		metrics.increment('backend-server-announced');
-		events.write('backend-server-announced', {backendServer: server.id, incarnation: announcement.incarnation});
-		return true;
+		if (known === undefined) {
+			addOther(server);
+		}
+
+		return {server, isChanged: isDescribedAnew, isInUse: isInUse(server)};
 	}
 
-	function renew(server: BackendServerRecord, announcement: BackendServerAnnouncement, nowMs: number, isDirect: boolean): void {
-		server.lastSeenMs = nowMs;
+	function renew(server: BackendServerRecord, announcement: BackendServerAnnouncement, isDirect: boolean): void {
+		server.lastSeenMs = timers.getNowMs();
 		if (isDirect) {
-			server.lastDirectAnnouncementMs = nowMs;
+			server.lastDirectAnnouncementMs = timers.getNowMs();
 		}
 
-		removeFromAvailable(server);
 		server.announcement = announcement;
+		if (isInUse(server)) {
+			setPools(server);
+			refresh(server);
+		}
+	}
+
+	function isInUse(server: BackendServerRecord): boolean {
+		return servers.get(server.id) === server;
+	}
+
+	function isSilent({lastSeenMs, announcement}: BackendServerRecord): boolean {
+		return timers.getNowMs() - lastSeenMs > announcement.timeToLiveMs;
+	}
+
+	/** Whether the announcement of another incarnation shows that the one in use has ended, or will. */
+	function hasEnded(server: BackendServerRecord, {host, port}: BackendServerAnnouncement): boolean {
+		const isSameAddress = server.announcement.host === host && server.announcement.port === port;
+		return isSameAddress || server.isLeaving || isSilent(server);
+	}
+
+	function use(server: BackendServerRecord): void {
+		servers.set(server.id, server);
 		setPools(server);
-		refresh(server);
+		metrics.increment('backend-server-announced');
+		events.write('backend-server-announced', {backendServer: server.id, incarnation: server.announcement.incarnation});
+	}
+
+	function addOther(server: BackendServerRecord): void {
+		const {id, announcement: {incarnation, host, port}} = server;
+		events.write('backend-server-disputed', {
+			backendServer: id, incarnation, host, port, inUse: servers.get(id)!.announcement.incarnation,
+		});
+		keepAsOther(server);
+	}
+
+	function keepAsOther(server: BackendServerRecord): void {
+		const dropped = others.add(server);
+		if (dropped !== undefined) {
+			options.onRemoved(dropped);
+		}
+	}
+
+	/** Uses the other incarnation that has waited longest, if there is one. Its refusals and those of the one before count together. */
+	function useNext(previous: BackendServerRecord): BackendServerRecord | undefined {
+		const [next] = others.getServers(previous.id);
+		if (next === undefined) {
+			return undefined;
+		}
+
+		others.remove(next);
+		next.managerId = previous.managerId;
+		next.managedFromMs = previous.managedFromMs;
+		next.consecutiveRefusals = previous.consecutiveRefusals;
+		next.blockedUntilMs = Number.NEGATIVE_INFINITY;
+		use(next);
+		options.onReplaced(next);
+		return next;
+	}
+
+	/** The tasks on the incarnation that refused a connection go on: it may run, while the other one may not exist. */
+	function recordRefusal(server: BackendServerRecord): void {
+		if (!isInUse(server)) {
+			return;
+		}
+
+		if (others.getServers(server.id).length > 0) {
+			stopUsing(server);
+			useNext(server);
+			keepAsOther(server);
+		}
+
+		blocks.block(servers.get(server.id)!);
 	}
 
 	function markLeaving(backendServerId: string, incarnation: string): boolean {
-		const server = servers.get(backendServerId);
-		if (server === undefined || server.isLeaving || server.announcement.incarnation !== incarnation) {
+		const server = findIncarnation(backendServerId, incarnation);
+		if (server === undefined || server.isLeaving) {
 			return false;
 		}
 
+		others.remove(server);
 		server.isLeaving = true;
 		refresh(server);
 		events.write('backend-server-left', {backendServer: backendServerId});
@@ -145,44 +238,41 @@
 	}
 
 	function remove(server: BackendServerRecord): void {
-		servers.delete(server.id);
-		managed.delete(server);
-		suspects.delete(server);
-		updatePoolSizes(server, -1);
-		removeFromAvailable(server);
-		unblockTimers.get(server.id)?.cancel();
-		unblockTimers.delete(server.id);
+		stopUsing(server);
 		options.onRemoved(server);
 	}
 
-	function removeFromAvailable(server: BackendServerRecord): void {
-		for (const pool of server.pools) {
-			availableByPool.get(pool)?.delete(server);
+	/** Removes an incarnation, and uses the next one that was announced under its id. */
+	function removeAndUseNext(server: BackendServerRecord): void {
+		remove(server);
+		const next = useNext(server);
+		if (next !== undefined) {
+			refresh(next);
 		}
 	}
 
+	function stopUsing(server: BackendServerRecord): void {
+		servers.delete(server.id);
+		managed.delete(server);
+		blocks.removeServer(server);
+		const unservedPools = server.pools;
+		pools.setPools(server, []);
+		options.onUnused(server, unservedPools);
+	}
+
 	function refresh(server: BackendServerRecord): void {
-		if (server.managerId === ownId && servers.get(server.id) === server) {
+		if (server.managerId === ownId && isInUse(server)) {
 			managed.add(server);
 		} else {
 			managed.delete(server);
 		}
 
 		if (!isUsable(server)) {
-			removeFromAvailable(server);
+			pools.removeAvailable(server);
 			return;
 		}
 
-		for (const pool of server.pools) {
-			let available = availableByPool.get(pool);
-			if (available === undefined) {
-				available = new Set();
-				availableByPool.set(pool, available);
-			}
-
-			available.add(server);
-		}
-
+		pools.addAvailable(server);
 		options.onAvailable(server);
 	}
 
@@ -191,64 +281,57 @@
 	}
 
 	function isUsable(server: BackendServerRecord): boolean {
-		return servers.get(server.id) === server
+		return isInUse(server)
 			&& isManaged(server)
 			&& getFreeSlots(server) > 0
 			&& server.blockedUntilMs <= timers.getNowMs();
 	}
 
-	function rotate(server: BackendServerRecord): void {
-		for (const pool of server.pools) {
-			const available = availableByPool.get(pool);
-			if (available?.delete(server)) {
-				available.add(server);
+	function removeExpired(): void {
+		for (const server of servers.values()) {
+			if (server.managerId === ownId) {
+				removeExpiredOthers(server.id);
 			}
-		}
-	}
-
-	function block(server: BackendServerRecord): void {
-		const durationMs = Math.min(maxBlockMs, minBlockMs * (2 ** Math.min(maxBlockDoublings, server.consecutiveRefusals)));
-		server.consecutiveRefusals++;
-		server.blockedUntilMs = timers.getNowMs() + durationMs;
-		refresh(server);
-		unblockTimers.get(server.id)?.cancel();
-		unblockTimers.set(server.id, timers.addTimer(durationMs, () => {
-			unblockTimers.delete(server.id);
-			refresh(server);
-		}));
-	}
 
-	function recordFailure(server: BackendServerRecord, jobId: string): void {
-		if (server.failedJobIds.size < minFailedJobs) {
-			server.failedJobIds.add(jobId);
-		}
-
-		const maxSuspects = Math.max(1, Math.floor(managed.size * maxSuspectShare));
-		if (server.failedJobIds.size >= minFailedJobs && (suspects.has(server) || suspects.size < maxSuspects)) {
-			suspects.add(server);
-			block(server);
+			if (isSilent(server) && server.isLeaving && server.busySlots === 0) {
+				removeAndUseNext(server);
+			} else if (isSilent(server) && !server.isLeaving && server.managerId === ownId) {
+				expire(server);
+			}
 		}
 	}
 
-	function removeExpired(): void {
-		const nowMs = timers.getNowMs();
-		for (const server of servers.values()) {
-			const isSilent = nowMs - server.lastSeenMs > server.announcement.timeToLiveMs;
-			if (isSilent && server.isLeaving && server.busySlots === 0) {
-				remove(server);
-			} else if (isSilent && !server.isLeaving && server.managerId === ownId) {
-				expire(server);
+	function removeExpiredOthers(backendServerId: string): void {
+		for (const server of others.getServers(backendServerId)) {
+			if (isSilent(server)) {
+				others.remove(server);
+				options.onRemoved(server);
+				options.onExpired(server);
 			}
 		}
 	}
 
 	function expire(server: BackendServerRecord): void {
-		remove(server);
 		metrics.increment('backend-server-expired');
 		events.write('backend-server-expired', {backendServer: server.id});
+		removeAndUseNext(server);
 		options.onExpired(server);
 	}
 
+	/** Another daemon that manages the backend server has found that the incarnation has expired. */
+	function removeUnmanaged(backendServerId: string, incarnation: string): void {
+		const server = findIncarnation(backendServerId, incarnation);
+		if (server === undefined || servers.get(backendServerId)?.managerId === ownId) {
+			return;
+		}
+
+		if (others.remove(server)) {
+			options.onRemoved(server);
+		} else {
+			removeAndUseNext(server);
+		}
+	}
+
 	function sumManaged(pool: string, getSlots: (server: BackendServerRecord) => number): number {
 		let slots = 0;
 		for (const server of managed) {
@@ -264,32 +347,26 @@
 		setRules,
 		announce,
 		markLeaving,
-		removeUnmanaged(backendServerId, incarnation) {
-			const server = servers.get(backendServerId);
-			if (server?.announcement.incarnation === incarnation && server.managerId !== ownId) {
-				remove(server);
-			}
-		},
+		removeUnmanaged,
 		findServer: backendServerId => servers.get(backendServerId),
+		findIncarnation,
+		getOtherIncarnations: others.getServers,
 		getAll: () => servers.values(),
-		getAvailable: pool => availableByPool.get(pool) ?? noServers,
+		getAvailable: pools.getAvailable,
 		refresh,
-		rotate,
-		block,
+		rotate: pools.rotate,
+		recordRefusal,
+		block: blocks.block,
 		markSeen(server) {
 			server.lastSeenMs = timers.getNowMs();
 		},
-		recordSuccess(server) {
-			server.consecutiveRefusals = 0;
-			server.failedJobIds.clear();
-			suspects.delete(server);
-		},
-		recordFailure,
-		isSuspect: server => suspects.has(server),
+		recordSuccess: blocks.recordSuccess,
+		recordFailure: blocks.recordFailure,
+		isSuspect: blocks.isSuspect,
 		removeExpired,
 		getSlotCount: pool => sumManaged(pool, server => server.isLeaving ? 0 : server.announcement.slots),
-		getPools: () => [...poolSizes].filter(([, size]) => size > 0).map(([pool]) => pool),
-		getPoolSize: pool => poolSizes.get(pool) ?? 0,
+		getPools: pools.getPools,
+		getPoolSize: pools.getSize,
 		getFreeSlotCount: pool => sumManaged(pool, server => getFreeSlots(server)),
 	};
 }
--- a/packages/dispatch/src/servers/server-directory.ts
+++ b/packages/dispatch/src/servers/server-directory.ts
@@ -58,7 +58,8 @@
 
 	/** Sends the backend servers that this daemon manages to a daemon that joined. */
 	function sendManagedServers(peerId: string): void {
-		sendAnnouncements([peerId], [...table.getAll()].filter(server => server.managerId === ownId));
+		const managed = [...table.getAll()].filter(server => server.managerId === ownId);
+		sendAnnouncements([peerId], managed.flatMap(server => [server, ...table.getOtherIncarnations(server.id)]));
 	}
 
 	/** Batches changes, so that a rack of backend servers that starts causes only one message per daemon. */
@@ -87,19 +88,22 @@
 			return;
 		}
 
-		const isChanged = table.announce(announcement, true);
-		const server = table.findServer(announcement.id);
-		if (server === undefined) {
+		const {server, isChanged, isInUse} = table.announce(announcement, true);
+		if (!isChanged) {
+			forwardRenewal(server);
 			return;
 		}
 
-		if (isChanged) {
-			managers.assign(server);
-			scheduleBroadcast(server);
-			options.onChanged(server);
-		} else {
-			forwardRenewal(server);
+		if (isInUse) {
+			handleChange(server);
 		}
+
+		scheduleBroadcast(server);
+	}
+
+	function handleChange(server: BackendServerRecord): void {
+		managers.assign(server);
+		options.onChanged(server);
 	}
 
 	function forwardToZone(announcement: BackendServerAnnouncement): void {
@@ -112,10 +116,11 @@
 
 	function forwardRenewal(server: BackendServerRecord): void {
 		const nowMs = timers.getNowMs();
+		const managerId = table.findServer(server.id)?.managerId ?? '';
 		const isDue = nowMs - server.lastForwardedMs >= server.announcement.timeToLiveMs / forwardsPerTimeToLive;
-		if (server.managerId !== ownId && server.managerId !== '' && isDue) {
+		if (managerId !== ownId && managerId !== '' && isDue) {
 			server.lastForwardedMs = nowMs;
-			send(server.managerId, {
+			send(managerId, {
 				kind: 'dispatch.server-renewed',
 				backendServerId: server.id,
 				incarnation: server.announcement.incarnation,
@@ -124,25 +129,21 @@
 	}
 
 	function handleServers(peerId: string, announcements: readonly BackendServerAnnouncement[]): void {
-		for (const announcement of announcements) {
-			const isChanged = announcement.availabilityZone === availabilityZone && table.announce(announcement, false);
-			const server = table.findServer(announcement.id);
-			if (!isChanged || server === undefined) {
-				continue;
+		for (const announcement of announcements.filter(announced => announced.availabilityZone === availabilityZone)) {
+			const {server, isChanged, isInUse} = table.announce(announcement, false);
+			if (isChanged && isInUse) {
+				handleChange(server);
 			}
 
-			managers.assign(server);
-			if (!knownPeers.has(peerId)) {
+			if (isChanged && !knownPeers.has(peerId)) {
 				scheduleBroadcast(server);
 			}
-
-			options.onChanged(server);
 		}
 	}
 
 	function handleRenewal(backendServerId: string, incarnation: string): void {
-		const server = table.findServer(backendServerId);
-		if (server?.announcement.incarnation === incarnation) {
+		const server = table.findIncarnation(backendServerId, incarnation);
+		if (server !== undefined) {
 			table.markSeen(server);
 		}
 	}
--- a/packages/dispatch/src/tasks/task-runner.ts
+++ b/packages/dispatch/src/tasks/task-runner.ts
@@ -94,16 +94,23 @@
 			return;
 		}
 
-		const server = table.findServer(event.backendServerId);
+		if (event.kind === 'connect-refused') {
+			recordRefusal(event.attempts);
+		}
+
 		for (const id of event.attempts) {
 			const attempt = takeAttempt(id, event.backendServerId);
 			if (attempt !== undefined) {
 				endWithoutAnswer(attempt, event.kind);
 			}
 		}
+	}
 
-		if (server !== undefined && event.kind === 'connect-refused') {
-			table.block(server);
+	/** Comes before the tasks are placed again. Another incarnation may be in use by now, which has refused nothing. */
+	function recordRefusal(ids: readonly string[]): void {
+		const server = ids.map(id => attempts.get(id)?.server).find(found => found !== undefined);
+		if (server !== undefined) {
+			table.recordRefusal(server);
 		}
 	}
 
--- a/packages/dispatch/test/support/create-test-dispatchers.ts
+++ b/packages/dispatch/test/support/create-test-dispatchers.ts
@@ -4,7 +4,7 @@
 import * as testkit from '@camphortack/testkit';
 import {createDispatcher, type Dispatcher} from '../../src/index.js';
 import {createRecordingLimiter} from './create-test-dispatcher.js';
-import {FakeTaskStarter} from './fake-task-starter.js';
+import {FakeTaskStarter, type FakeBehaviour} from './fake-task-starter.js';
 
 export type TestDispatchers = {
 	timers: testkit.VirtualTimers;
@@ -19,8 +19,9 @@
 /**
  * Creates dispatchers that are connected to each other, without a configuration and without backend servers.
  * @param zones - The availability zone of each daemon, by id.
+ * @param behave - How backend servers respond to tasks.
  */
-export function createTestDispatchers(zones: Record<string, string>): TestDispatchers {
+export function createTestDispatchers(zones: Record<string, string>, behave?: FakeBehaviour): TestDispatchers {
 	const timers = new testkit.VirtualTimers();
 	const random = createSeededRandomSource(1);
 	const network = new testkit.FakeNetwork({timers, random});
@@ -31,7 +32,7 @@
 		id, incarnation: 'one', availabilityZone, roles: ['entry'], host: '127.0.0.1', peerPort: 1,
 	}));
 	for (const {id, availabilityZone} of members) {
-		const starter = new FakeTaskStarter(timers);
+		const starter = new FakeTaskStarter(timers, behave);
 		const dispatcher = createDispatcher({
 			ownId: id,
 			incarnation: 'one',
