--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -106,7 +106,7 @@
 		getPlacerView,
 		isPlacerOverdue: election.isPlacerOverdue,
 		getIncarnation: daemonId => daemonId === ownId ? ownIncarnation : members.findMember(daemonId)?.incarnation ?? '',
-		isRecording: daemonId => daemonId === ownId || members.findMember(daemonId)?.isRecording === true,
+		usesRecords: daemonId => daemonId === ownId || members.findMember(daemonId)?.usesRecords === true,
 		getSilenceMs: daemonId => daemonId === ownId ? 0 : members.getSilenceMs(daemonId),
 		getRegistryDigest,
 		findEvacuatedMs: () => (shards.isDivided() ? evacuations.findEvacuatedMs(options.availabilityZone) : undefined),
--- a/packages/cluster/src/entry/job-submissions.ts
+++ b/packages/cluster/src/entry/job-submissions.ts
@@ -4,7 +4,7 @@
 
 /** The submissions of a job to placers that may have started its tasks. */
 export type JobSubmissions = {
-	add(view: PlacerView, placer: {incarnation: string; isRecording: boolean}): void;
+	add(view: PlacerView, placer: {incarnation: string; usesRecords: boolean}): void;
 	/** Records that the last submission was sent again. One copy may reach the placer after a restart, the other one before. */
 	repeatLast(): void;
 	/** Whether the last submission is the one to an incarnation of the placer of a term. */
@@ -47,7 +47,7 @@
  * @example
  * ```ts
  * const submissions = createJobSubmissions();
- * submissions.add({term: 1, placerId: 'first'}, {incarnation: 'one', isRecording: true});
+ * submissions.add({term: 1, placerId: 'first'}, {incarnation: 'one', usesRecords: true});
  * submissions.removeNotBegun({term: 1, placerId: 'first'}); // true
  * submissions.hasAny(); // false
  * ```
@@ -56,9 +56,9 @@
 	let submissions: Submission[] = [];
 
 	return {
-		add(view, {incarnation, isRecording}) {
+		add(view, {incarnation, usesRecords}) {
 			submissions.push({
-				view, incarnation, isRecording, isRepeated: false,
+				view, incarnation, usesRecords, isRepeated: false,
 			});
 		},
 		repeatLast() {
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -60,7 +60,7 @@
 	/** Gets the incarnation of a daemon that this one hears; empty if it was never heard. */
 	getIncarnation: (daemonId: string) => string;
 	/** Whether a placer on a daemon starts tasks only on backend servers that the entry daemons of their jobs have recorded. */
-	isRecording: (daemonId: string) => boolean;
+	usesRecords: (daemonId: string) => boolean;
 	/** Gets the time since a daemon was last heard; infinite if it never was. */
 	getSilenceMs: (daemonId: string) => number;
 	/** Gets the digest of the own registry of backend servers. */
@@ -152,7 +152,7 @@
 		const view = getPlacerView(open.shard);
 		const generation = open.generation + (open.submittedTo === undefined ? 0 : 1);
 		if (sendSubmission(open, view, generation, open.submissions.getPlacers())) {
-			open.submissions.add(view, {incarnation: options.getIncarnation(view.placerId), isRecording: options.isRecording(view.placerId)});
+			open.submissions.add(view, {incarnation: options.getIncarnation(view.placerId), usesRecords: options.usesRecords(view.placerId)});
 			open.generation = generation;
 			open.submittedTo = view;
 			open.waitTimer?.cancel();
--- a/packages/cluster/src/members/heartbeat-sender.ts
+++ b/packages/cluster/src/members/heartbeat-sender.ts
@@ -69,7 +69,7 @@
 			cpuMillicores,
 			incarnation,
 			upMs: Math.round(timers.getNowMs() - startedAtMs),
-			isRecording: true,
+			usesRecords: true,
 			...view,
 			...content,
 			silenceMs: silenceMs !== undefined && Number.isFinite(silenceMs) ? Math.round(silenceMs) : undefined,
--- a/packages/cluster/src/messages/cluster-messages.ts
+++ b/packages/cluster/src/messages/cluster-messages.ts
@@ -25,7 +25,7 @@
 		 * Whether a placer on the sender starts tasks only on backend servers that the entry daemons of their jobs have recorded; missing
 		 * in versions without records.
 		 */
-		isRecording: z.boolean().optional(),
+		usesRecords: z.boolean().optional(),
 		/** The placer that the sender follows. */
 		term: z.int().min(0).max(maxTerm),
 		placerId: z.string(),
--- a/packages/cluster/src/records/record-exchange.ts
+++ b/packages/cluster/src/records/record-exchange.ts
@@ -38,11 +38,11 @@
 	 * learn of a backend server that is added now.
 	 */
 	function recordServers(fromId: string, message: PlacementMessageOf<'placement.record-servers'>): void {
-		const {shard, term, incarnation, number} = message;
+		const {shard, term, incarnation, listNumber} = message;
 		if (isSameView(getPlacerView(shard), {term, placerId: fromId})) {
 			const isComplete = records.addServers(fromId, message);
 			send(fromId, {
-				kind: 'placement.servers-recorded', term, placerIncarnation: incarnation, incarnation: ownIncarnation, number: isComplete ? number : 0,
+				kind: 'placement.servers-recorded', term, placerIncarnation: incarnation, incarnation: ownIncarnation, listNumber: isComplete ? listNumber : 0,
 			});
 		}
 	}
--- a/packages/cluster/src/records/server-record-sender.ts
+++ b/packages/cluster/src/records/server-record-sender.ts
@@ -25,7 +25,7 @@
 type UsedServer = {
 	description: BackendServerDescription;
 	/** The number of the first list with this incarnation. */
-	number: number;
+	listNumber: number;
 };
 
 type Receiver = {
@@ -57,22 +57,22 @@
 	const receivers = new Map<string, Receiver>();
 	const earlierVersionIds = new Set<string>();
 	let servers = new Map<string, UsedServer>();
-	let number = 0;
+	let listNumber = 0;
 
 	/** A list is sent when the last one is acknowledged, or has not been for a while. */
 	function sendIfDue(entryId: string, receiver: Receiver): void {
 		const isAcknowledged = receiver.recordedNumber >= receiver.sentNumber;
-		if (receiver.recordedNumber < number && (isAcknowledged || timers.getNowMs() - receiver.sentAtMs >= recordRepetitionMs)) {
+		if (receiver.recordedNumber < listNumber && (isAcknowledged || timers.getNowMs() - receiver.sentAtMs >= recordRepetitionMs)) {
 			sendList(entryId, receiver);
 		}
 	}
 
 	function sendList(entryId: string, receiver: Receiver): void {
-		receiver.sentNumber = number;
+		receiver.sentNumber = listNumber;
 		receiver.sentAtMs = timers.getNowMs();
-		const unrecorded = [...servers.values()].filter(server => server.number > receiver.recordedNumber);
+		const unrecorded = [...servers.values()].filter(server => server.listNumber > receiver.recordedNumber);
 		send(entryId, {
-			kind: 'placement.record-servers', ...placer, number, serverIds: [...servers.keys()], descriptions: unrecorded.map(({description}) => description),
+			kind: 'placement.record-servers', ...placer, listNumber, serverIds: [...servers.keys()], descriptions: unrecorded.map(({description}) => description),
 		});
 	}
 
@@ -127,17 +127,17 @@
 				return;
 			}
 
-			number++;
-			servers = new Map(used.map(description => [description.id, isListed(description) ? servers.get(description.id)! : {description, number}]));
+			listNumber++;
+			servers = new Map(used.map(description => [description.id, isListed(description) ? servers.get(description.id)! : {description, listNumber}]));
 			sendToRecentReceivers();
 		},
 		getUnrecordedIds(entries) {
 			const recordedNumber = Math.min(...[...entries].map(entry => getRecordedNumber(entry)));
-			if (recordedNumber >= number) {
+			if (recordedNumber >= listNumber) {
 				return noIds;
 			}
 
-			return new Set([...servers.values()].filter(server => server.number > recordedNumber).map(({description}) => description.id));
+			return new Set([...servers.values()].filter(server => server.listNumber > recordedNumber).map(({description}) => description.id));
 		},
 		handleEntry({entryId, incarnation}) {
 			if (incarnation === undefined) {
@@ -149,7 +149,7 @@
 			receiver.heardAtMs = timers.getNowMs();
 			sendIfDue(entryId, receiver);
 		},
-		handleRecorded(entryId, {term, placerIncarnation, incarnation, number: recordedNumber}) {
+		handleRecorded(entryId, {term, placerIncarnation, incarnation, listNumber: recordedNumber}) {
 			const receiver = receivers.get(entryId);
 			if (term !== placer.term || placerIncarnation !== placer.incarnation || receiver?.incarnation !== incarnation) {
 				return;
--- a/packages/cluster/src/records/server-records.ts
+++ b/packages/cluster/src/records/server-records.ts
@@ -8,7 +8,7 @@
 export type RecordedPlacer = {
 	view: PlacerView;
 	/** Whether it starts tasks only on backend servers that this daemon has recorded for it. */
-	isRecording: boolean;
+	usesRecords: boolean;
 };
 
 /**
@@ -32,7 +32,7 @@
 	view: PlacerView;
 	incarnation: string;
 	/** The number of the last list. */
-	number: number;
+	listNumber: number;
 	servers: ReadonlyMap<string, BackendServerDescription>;
 };
 
@@ -50,7 +50,7 @@
  * ```ts
  * const records = createServerRecords(timers);
  * records.addServers('10.3.0.40', message); // true: the placer may use them
- * const digest = records.findDigest('zone-a', [{view: {term: 1, placerId: '10.3.0.40'}, isRecording: true}]);
+ * const digest = records.findDigest('zone-a', [{view: {term: 1, placerId: '10.3.0.40'}, usesRecords: true}]);
  * records.findServers(digest); // the backend servers of the message
  * ```
  */
@@ -72,7 +72,7 @@
 
 		const {shard, term, incarnation} = message;
 		const record = {
-			shard, view: {term, placerId}, incarnation, number: 0, servers: new Map<string, BackendServerDescription>(),
+			shard, view: {term, placerId}, incarnation, listNumber: 0, servers: new Map<string, BackendServerDescription>(),
 		};
 		records.push(record);
 		return record;
@@ -109,7 +109,7 @@
 		addServers(placerId, message) {
 			const record = getRecord(placerId, message);
 			// A list that was overtaken by a later one, which was sent again if it was not complete here.
-			if (message.number < record.number) {
+			if (message.listNumber < record.listNumber) {
 				return true;
 			}
 
@@ -120,12 +120,12 @@
 			}
 
 			digests.clear();
-			record.number = message.number;
+			record.listNumber = message.listNumber;
 			record.servers = new Map(servers.map(description => [description!.id, description!]));
 			return true;
 		},
 		findDigest(shard, placers) {
-			const isComplete = placers.every(({view, isRecording}) => isRecording || records.some(record => record.shard === shard && isSameView(record.view, view)));
+			const isComplete = placers.every(({view, usesRecords}) => usesRecords || records.some(record => record.shard === shard && isSameView(record.view, view)));
 			if (!isComplete) {
 				return undefined;
 			}
--- a/packages/cluster/test/records/record-exchange.test.ts
+++ b/packages/cluster/test/records/record-exchange.test.ts
@@ -55,7 +55,7 @@
 
 function getList(rest: Partial<PlacementMessageOf<'placement.record-servers'>> = {}): PlacementMessage {
 	return {
-		kind: 'placement.record-servers', shard: 'north', term: 3, incarnation: 'one', number: 4, serverIds: ['server'], descriptions: [server], ...rest,
+		kind: 'placement.record-servers', shard: 'north', term: 3, incarnation: 'one', listNumber: 4, serverIds: ['server'], descriptions: [server], ...rest,
 	};
 }
 
@@ -90,10 +90,10 @@
 				? []
 				: [{
 					toId: 'placer', message: {
-						kind: 'placement.servers-recorded', term: 3, placerIncarnation: 'one', incarnation: 'own', number: expected,
+						kind: 'placement.servers-recorded', term: 3, placerIncarnation: 'one', incarnation: 'own', listNumber: expected,
 					},
 				}]);
-			assert.equal(records.findDigest('north', [{view, isRecording: false}]) !== undefined, isRecorded);
+			assert.equal(records.findDigest('north', [{view, usesRecords: false}]) !== undefined, isRecorded);
 		});
 	}
 });
@@ -111,7 +111,7 @@
 		it(`${title} → ${expected.host}, ${expected.state}`, () => {
 			const {exchange, records, registry, sent} = createTestExchange();
 			exchange.handleMessage('placer', getList());
-			const digest = records.findDigest('north', [{view, isRecording: true}])!;
+			const digest = records.findDigest('north', [{view, usesRecords: true}])!;
 			for (const description of registered) {
 				registry.addDescription(description);
 			}
@@ -141,7 +141,7 @@
 		{kind: 'placement.cancelled', jobId: 'job'},
 		{kind: 'placement.open-jobs', jobIds: []},
 		{
-			kind: 'placement.servers-recorded', term: 3, placerIncarnation: 'placer', incarnation: 'one', number: 1,
+			kind: 'placement.servers-recorded', term: 3, placerIncarnation: 'placer', incarnation: 'one', listNumber: 1,
 		},
 	];
 	for (const message of others) {
--- a/packages/cluster/test/records/record-lists.test.ts
+++ b/packages/cluster/test/records/record-lists.test.ts
@@ -30,7 +30,7 @@
 		sender.setServers([describeServer(1)]);
 		sender.handleEntry(entry);
 		sender.handleRecorded('entry', {
-			kind: 'placement.servers-recorded', term: 5, placerIncarnation: 'first', incarnation: 'one', number: 7,
+			kind: 'placement.servers-recorded', term: 5, placerIncarnation: 'first', incarnation: 'one', listNumber: 7,
 		});
 		assert.equal(sender.getUnrecordedIds([entry]).size, 1);
 	});
@@ -66,9 +66,9 @@
 		const [known, announced] = [describeServer(1), {...describeServer(1), bornMs: describeServer(1).bornMs + 100}];
 		const add = (term: number, placerId: string, description: BackendServerDescription) => {
 			records.addServers(placerId, {
-				kind: 'placement.record-servers', shard: '', term, incarnation: placerId, number: 1, serverIds: [description.id], descriptions: [description],
+				kind: 'placement.record-servers', shard: '', term, incarnation: placerId, listNumber: 1, serverIds: [description.id], descriptions: [description],
 			});
-			return {view: {term, placerId}, isRecording: true};
+			return {view: {term, placerId}, usesRecords: true};
 		};
 
 		const digest = records.findDigest('', [add(1, 'first', known), add(2, 'second', announced)]);
--- a/packages/cluster/test/records/server-record-sender.test.ts
+++ b/packages/cluster/test/records/server-record-sender.test.ts
@@ -33,8 +33,8 @@
 		placer: {shard: 'north', term: 5, incarnation: 'placer'},
 		send(toId, message) {
 			assert.equal(message.kind, 'placement.record-servers');
-			const {number, serverIds, descriptions} = message;
-			sent.push([toId, number, serverIds.join(' '), descriptions.map(({id}) => id).join(' ')]);
+			const {listNumber, serverIds, descriptions} = message;
+			sent.push([toId, listNumber, serverIds.join(' '), descriptions.map(({id}) => id).join(' ')]);
 		},
 		onRecorded() {
 			recordedCount++;
@@ -44,7 +44,7 @@
 		timers, events, sender, sent, getRecordedCount: () => recordedCount,
 		acknowledge(number, rest = {}) {
 			sender.handleRecorded('entry', {
-				kind: 'placement.servers-recorded', term: 5, placerIncarnation: 'placer', incarnation: 'one', number, ...rest,
+				kind: 'placement.servers-recorded', term: 5, placerIncarnation: 'placer', incarnation: 'one', listNumber: number, ...rest,
 			});
 		},
 	};
@@ -207,11 +207,13 @@
 		},
 		// Guards against an entry daemon that has lost a list in between and gets only what is new.
 		{
-			title: 'an entry daemon that lacks a description', act({sender, acknowledge}) {
+			title: 'an entry daemon that lacks a description', act({timers, sender, acknowledge}) {
 				sender.handleEntry(entry);
 				acknowledge(1);
 				sender.setServers([a, b]);
 				acknowledge(0);
+				timers.advance(recordRepetitionMs);
+				sender.handleEntry(entry);
 			}, expected: [['entry', 1, 'a', 'a'], ['entry', 2, 'a b', 'b'], ['entry', 2, 'a b', 'a b']],
 		},
 		// Guards against lists to daemons that are gone, at each change of the backend servers.
--- a/packages/cluster/test/records/server-records.test.ts
+++ b/packages/cluster/test/records/server-records.test.ts
@@ -17,13 +17,13 @@
 function add(records: ServerRecords, descriptions: BackendServerDescription[], rest: Partial<List> & {placerId?: string} = {}): boolean {
 	const {placerId = 'placer', ...list} = rest;
 	return records.addServers(placerId, {
-		kind: 'placement.record-servers', shard: 'north', term: 1, incarnation: 'one', number: 1, serverIds: descriptions.map(({id}) => id), descriptions, ...list,
+		kind: 'placement.record-servers', shard: 'north', term: 1, incarnation: 'one', listNumber: 1, serverIds: descriptions.map(({id}) => id), descriptions, ...list,
 	});
 }
 
 /** Gets the recorded incarnations of placers; undefined if the record is not complete. */
-function getRecorded(records: ServerRecords, views = [view], {shard = 'north', isRecording = false} = {}): string[] | undefined {
-	const digest = records.findDigest(shard, views.map(placerView => ({view: placerView, isRecording})));
+function getRecorded(records: ServerRecords, views = [view], {shard = 'north', usesRecords = false} = {}): string[] | undefined {
+	const digest = records.findDigest(shard, views.map(placerView => ({view: placerView, usesRecords})));
 	return digest === undefined ? undefined : records.findServers(digest)!.map(({id, bornMs}) => `${id} ${bornMs}`).toSorted();
 }
 
@@ -35,40 +35,40 @@
 		{
 			title: 'a later list with what is new', add(records) {
 				add(records, [a]);
-				return add(records, [b], {number: 2, serverIds: ['a', 'b']});
+				return add(records, [b], {listNumber: 2, serverIds: ['a', 'b']});
 			}, isComplete: true, expected: ['a 1', 'b 1'],
 		},
 		// Guards against an acknowledgement of a backend server whose description was lost, and which could not be handed over.
 		{
 			title: 'a later list, after one in between was lost', add(records) {
 				add(records, [a]);
-				return add(records, [c], {number: 3, serverIds: ['a', 'b', 'c']});
+				return add(records, [c], {listNumber: 3, serverIds: ['a', 'b', 'c']});
 			}, isComplete: false, expected: ['a 1'],
 		},
 		// Guards against a list that arrives late and takes a backend server in use out of the record.
 		{
 			title: 'a list that a later one has overtaken', add(records) {
-				add(records, [a, b], {number: 2});
+				add(records, [a, b], {listNumber: 2});
 				return add(records, [a]);
 			}, isComplete: true, expected: ['a 1', 'b 1'],
 		},
 		{
 			title: 'a list without a backend server of the one before', add(records) {
 				add(records, [a, b]);
-				return add(records, [], {number: 2, serverIds: ['b']});
+				return add(records, [], {listNumber: 2, serverIds: ['b']});
 			}, isComplete: true, expected: ['b 1'],
 		},
 		// Guards against a record that names the incarnation before, on which no task runs any more.
 		{
 			title: 'a new incarnation under a recorded id', add(records) {
 				add(records, [a]);
-				return add(records, [{...a, bornMs: 2}], {number: 2});
+				return add(records, [{...a, bornMs: 2}], {listNumber: 2});
 			}, isComplete: true, expected: ['a 2'],
 		},
 		// Guards against a restarted placer whose first list, with a low number, is taken for an overtaken one.
 		{
 			title: 'the first list of a restarted placer', add(records) {
-				add(records, [a], {number: 7});
+				add(records, [a], {listNumber: 7});
 				return add(records, [b], {incarnation: 'two'});
 			}, isComplete: true, expected: ['a 1', 'b 1'],
 		},
@@ -83,10 +83,10 @@
 });
 
 describe('findDigest', () => {
-	const rows: Array<{title: string; views: Array<typeof view>; shard?: string; isRecording?: boolean; expected: string[] | undefined}> = [
+	const rows: Array<{title: string; views: Array<typeof view>; shard?: string; usesRecords?: boolean; expected: string[] | undefined}> = [
 		{title: 'one placer', views: [view], expected: ['a 1', 'b 2']},
 		// Guards against a run of the placer before the last one, which its successor neither found nor ruled out.
-		{title: 'two placers', views: [view, nextView], expected: ['a 1', 'b 3', 'c 1']},
+		{title: 'two placers', views: [view, nextView], expected: ['a 1', 'b 2', 'b 3', 'c 1']},
 		{title: 'a placer of another term', views: [{...view, term: 9}], expected: undefined},
 		{
 			title: 'a placer of another shard', views: [view], shard: 'south', expected: undefined,
@@ -94,16 +94,16 @@
 		// Guards against a placer of an earlier version, which starts tasks on backend servers that nobody has recorded.
 		{title: 'a placer without records besides', views: [view, {term: 3, placerId: 'earlier'}], expected: undefined},
 		{
-			title: 'a placer that waits for records and has sent none', views: [{term: 3, placerId: 'new'}], isRecording: true, expected: [],
+			title: 'a placer that waits for records and has sent none', views: [{term: 3, placerId: 'new'}], usesRecords: true, expected: [],
 		},
 		{title: 'no placers', views: [], expected: []},
 	];
-	for (const {title, views, shard, isRecording, expected} of rows) {
+	for (const {title, views, shard, usesRecords, expected} of rows) {
 		it(`${title} → ${expected?.join(', ') ?? 'not known'}`, () => {
 			const records = createServerRecords(new VirtualTimers());
 			add(records, [a, {...b, bornMs: 2}]);
 			add(records, [{...b, bornMs: 3}, c], {placerId: 'next', term: 2});
-			assert.deepEqual(getRecorded(records, views, {shard, isRecording}), expected);
+			assert.deepEqual(getRecorded(records, views, {shard, usesRecords}), expected);
 		});
 	}
 
@@ -111,8 +111,8 @@
 	it('keeps what was handed over when the placer sends a shorter list', () => {
 		const records = createServerRecords(new VirtualTimers());
 		add(records, [a, b]);
-		const digest = records.findDigest('north', [{view, isRecording: true}])!;
-		add(records, [], {number: 2, serverIds: []});
+		const digest = records.findDigest('north', [{view, usesRecords: true}])!;
+		add(records, [], {listNumber: 2, serverIds: []});
 		assert.deepEqual(records.findServers(digest)?.map(({id}) => id), ['a', 'b']);
 	});
 });
@@ -136,7 +136,7 @@
 			const timers = new VirtualTimers();
 			const records = createServerRecords(timers);
 			add(records, [a]);
-			const digest = records.findDigest('north', [{view, isRecording: true}])!;
+			const digest = records.findDigest('north', [{view, usesRecords: true}])!;
 			timers.advance(ageMs);
 			records.removeUnused(() => false);
 			assert.deepEqual(records.findServers(digest)?.map(({id}) => id), expected);
--- a/packages/cluster/test/support/create-test-submitter.ts
+++ b/packages/cluster/test/support/create-test-submitter.ts
@@ -58,7 +58,7 @@
 		isPlacerOverdue: () => isOverdue,
 		records: createServerRecords(timers),
 		ownIncarnation: 'entry',
-		isRecording: () => true,
+		usesRecords: () => true,
 		getIncarnation: daemonId => `${daemonId} ${incarnation}`,
 		getSilenceMs: () => Number.POSITIVE_INFINITY,
 		getRegistryDigest: () => 'digest',
--- a/packages/cluster/test/support/replay-zones.ts
+++ b/packages/cluster/test/support/replay-zones.ts
@@ -119,7 +119,7 @@
 			isPlacerOverdue: () => false,
 			records: createServerRecords(timers),
 			ownIncarnation: id,
-			isRecording: () => true,
+			usesRecords: () => true,
 			getIncarnation: () => 'one',
 			getSilenceMs: () => 0,
 			getRegistryDigest: () => '',
--- a/packages/cluster/test/support/to-earlier-message.ts
+++ b/packages/cluster/test/support/to-earlier-message.ts
@@ -16,7 +16,7 @@
 export function toEarlierMessage(message: PeerMessage): PeerMessage | undefined {
 	switch (message.kind) {
 		case 'cluster.heartbeat': {
-			return getWithout(message, 'isRecording');
+			return getWithout(message, 'usesRecords');
 		}
 
 		case 'cluster.crashes': {
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -72,7 +72,7 @@
 		term: z.int(),
 		incarnation: z.string(),
 		/** Increases with each change of the list. */
-		number: z.int().min(0),
+		listNumber: z.int().min(0),
 		/** All backend servers in use. Those that are missing can have no runs of the placer any more. */
 		serverIds: z.array(z.string()),
 		/** Those of them that the entry daemon may not have recorded yet. */
@@ -84,7 +84,7 @@
 		term: z.int(),
 		placerIncarnation: z.string(),
 		incarnation: z.string(),
-		number: z.int().min(0),
+		listNumber: z.int().min(0),
 	}),
 	/** Asks an entry daemon for the backend servers that it has recorded for the earlier placers of a job. */
 	z.object({kind: z.literal('placement.record-request'), digest: z.string()}),
