End the search for the runs of a job once when every recorded backend server is claimed

Cause: the handovers were looked at once more in the pass after the conclusion, when a backend server that has just restarted counted as unclaimed again. Change: they are dropped with the conclusion.

--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -135,9 +135,11 @@
 
 	function recoverJob(job: PlacedJob, deadlineMs: number): void {
 		const missingCount = job.tasks.filter(task => task.state === 'waiting' && !adoptResult(task) && !adoptRun(task)).length;
-		const isKnown = missingCount === 0 || areRunsKnown(job);
+		const hasTakenOver = areRunsKnown(job);
+		const isKnown = missingCount === 0 || hasTakenOver;
 		if (isKnown || isSearchOver(job, deadlineMs)) {
 			endRecovery(job, missingCount, isKnown);
+			job.handovers = hasTakenOver ? [] : job.handovers;
 		} else {
 			requestMissing(job);
 		}
@@ -145,7 +147,7 @@
 
 	/**
 	 * An earlier placer may start a task again whose run this one has adopted, for as long as it has a recorded backend server that
-	 * this one has not claimed. A task that waits again is searched for until then.
+	 * this one has not claimed. Runs of a task that waits again are searched for until then.
 	 */
 	function settleHandover(job: PlacedJob): void {
 		if (areRunsKnown(job)) {
