Set up clusters without room in one place

Cause: seven tests of placers that learn of a backend server late had the same setup. Change: startWithoutRoom in the test support; checks are unchanged.

--- a/packages/cluster/test/create-cluster-adopted-runs.test.ts
+++ b/packages/cluster/test/create-cluster-adopted-runs.test.ts
@@ -1,24 +1,15 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {runFor} from '../../placement/test/support/run-for.js';
-import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {ignoreAcknowledgement} from './support/drive-cluster.js';
+import type {TestCluster} from './support/create-test-cluster.js';
+import {ignoreAcknowledgement, startWithoutRoom} from './support/drive-cluster.js';
 
 /**
  * A job of entry-b1 runs on `late`, which keeper-a and entry-b1 alone know, and both are lost. keeper-b learns of `late` just after the link to
  * entry-c1 was cut in one direction, and the same job reaches it through entry-c1: it adopts the run.
  */
 async function adoptUnrecorded(): Promise<TestCluster> {
-	const test = createTestCluster({getDurationMs: () => 3000});
-	const [late, ...others] = test.fleet.getDescriptions();
-	for (const description of others) {
-		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
-	}
-
-	await runFor(test.timers, 2000);
-	for (const server of test.fleet.servers.slice(1)) {
-		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
-	}
+	const {test, late} = await startWithoutRoom(3000);
 
 	test.fleet.servers[0]!.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-c'};
 	await runFor(test.timers, 1500);
@@ -26,7 +17,7 @@
 		test.network.cutLink('keeper-a', id);
 	}
 
-	test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
+	test.find('keeper-a').cluster.reportServer(late, ignoreAcknowledgement);
 	await runFor(test.timers, 10);
 	test.submit('entry-b1', 'job', {callerTimeoutMs: 6000});
 	await runFor(test.timers, 100);
@@ -36,7 +27,7 @@
 	await runFor(test.timers, 550);
 	assert.equal(test.find('entry-c1').cluster.getStatus().placerId, 'keeper-b');
 	test.network.cutLink('keeper-b', 'entry-c1');
-	test.find('keeper-b').cluster.reportServer(late!, ignoreAcknowledgement);
+	test.find('keeper-b').cluster.reportServer(late, ignoreAcknowledgement);
 	await runFor(test.timers, 10);
 	test.submit('entry-c1', 'job', {callerTimeoutMs: 6000});
 	await runFor(test.timers, 50);
--- a/packages/cluster/test/create-cluster-cut-placer.test.ts
+++ b/packages/cluster/test/create-cluster-cut-placer.test.ts
@@ -1,31 +1,22 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {runFor} from '../../placement/test/support/run-for.js';
-import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {ignoreAcknowledgement} from './support/drive-cluster.js';
+import type {TestCluster} from './support/create-test-cluster.js';
+import {ignoreAcknowledgement, startWithoutRoom} from './support/drive-cluster.js';
 
 /**
  * Lets a job of entry-b1 wait on keeper-a, cuts keeper-a off from the other daemons, and reports a new backend server to keeper-a while it
  * still places.
  */
 async function startBehindCut(): Promise<TestCluster> {
-	const test = createTestCluster({getDurationMs: () => 1000});
-	const [late, ...others] = test.fleet.getDescriptions();
-	for (const description of others) {
-		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
-	}
-
-	await runFor(test.timers, 2000);
-	for (const server of test.fleet.servers.slice(1)) {
-		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
-	}
+	const {test, late} = await startWithoutRoom(1000);
 
 	await runFor(test.timers, 600);
 	test.submit('entry-b1', 'job');
 	await runFor(test.timers, 50);
 	test.network.partitionPeers(['keeper-a'], test.daemons.map(({id}) => id).filter(id => id !== 'keeper-a'));
 	await runFor(test.timers, 200);
-	test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
+	test.find('keeper-a').cluster.reportServer(late, ignoreAcknowledgement);
 	await runFor(test.timers, 100);
 	assert.deepEqual(test.fleet.records, [], 'the entry daemon of the job cannot record the backend server');
 	for (const server of test.fleet.servers.slice(1)) {
--- a/packages/cluster/test/create-cluster-half-heard-placer.test.ts
+++ b/packages/cluster/test/create-cluster-half-heard-placer.test.ts
@@ -1,24 +1,15 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {runFor} from '../../placement/test/support/run-for.js';
-import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {ignoreAcknowledgement} from './support/drive-cluster.js';
+import type {TestCluster} from './support/create-test-cluster.js';
+import {ignoreAcknowledgement, startWithoutRoom} from './support/drive-cluster.js';
 
 /**
  * Cuts keeper-a off from keeper-b, the next placer, and from the entry daemon of a waiting job, lets keeper-a learn of a new backend
  * server, on which alone it has room, and kills it while all other daemons hear it.
  */
 async function startWhileOthersHear(): Promise<TestCluster> {
-	const test = createTestCluster({getDurationMs: () => 1500});
-	const [late, ...others] = test.fleet.getDescriptions();
-	for (const description of others) {
-		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
-	}
-
-	await runFor(test.timers, 2000);
-	for (const server of test.fleet.servers.slice(1)) {
-		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
-	}
+	const {test, late} = await startWithoutRoom(1500);
 
 	await runFor(test.timers, 600);
 	test.submit('entry-b1', 'job', {callerTimeoutMs: 3000});
@@ -28,7 +19,7 @@
 	}
 
 	await runFor(test.timers, 400);
-	test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
+	test.find('keeper-a').cluster.reportServer(late, ignoreAcknowledgement);
 	await runFor(test.timers, 200);
 	assert.deepEqual(test.fleet.records, [], 'the entry daemon of the job cannot record the backend server');
 	for (const server of test.fleet.servers) {
--- a/packages/cluster/test/create-cluster-joined-submissions.test.ts
+++ b/packages/cluster/test/create-cluster-joined-submissions.test.ts
@@ -1,30 +1,21 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {runFor} from '../../placement/test/support/run-for.js';
-import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {ignoreAcknowledgement} from './support/drive-cluster.js';
+import type {TestCluster} from './support/create-test-cluster.js';
+import {ignoreAcknowledgement, startWithoutRoom} from './support/drive-cluster.js';
 
 /**
  * Keeper-a has room only on `late`, which entry-b1 has recorded and entry-c1 has not, since keeper-a is cut off from entry-c1 in one direction.
  * The job of entry-b1 runs there when the same job reaches keeper-a through entry-c1.
  */
 async function startJoined(): Promise<TestCluster> {
-	const test = createTestCluster({getDurationMs: () => 1500});
-	const [late, ...others] = test.fleet.getDescriptions();
-	for (const description of others) {
-		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
-	}
-
-	await runFor(test.timers, 2000);
-	for (const server of test.fleet.servers.slice(1)) {
-		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
-	}
+	const {test, late} = await startWithoutRoom(1500);
 
 	// The successor reaches this one late.
 	test.fleet.servers[0]!.fault = {isUnreachableFrom: daemonId => daemonId !== 'keeper-a'};
 	await runFor(test.timers, 1500);
 	test.network.cutLink('keeper-a', 'entry-c1');
-	test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
+	test.find('keeper-a').cluster.reportServer(late, ignoreAcknowledgement);
 	await runFor(test.timers, 10);
 	test.submit('entry-b1', 'job', {callerTimeoutMs: 4000});
 	await runFor(test.timers, 60);
--- a/packages/cluster/test/create-cluster-records.test.ts
+++ b/packages/cluster/test/create-cluster-records.test.ts
@@ -3,7 +3,7 @@
 import {runFor} from '../../placement/test/support/run-for.js';
 import type {EntryJob} from '../src/index.js';
 import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {ignoreAcknowledgement, startAndWaitUntilServing} from './support/drive-cluster.js';
+import {ignoreAcknowledgement, startWithoutRoom, startAndWaitUntilServing} from './support/drive-cluster.js';
 
 const durationMs = 1500;
 const job: Partial<EntryJob> = {
@@ -278,22 +278,13 @@
 
 /** Creates a cluster whose placer, keeper-a, knows all backend servers but the first one and has room on that one only. */
 async function createWithLateServer(runDurationMs: number): Promise<{test: TestCluster; reportLate: () => void; restoreServers: () => void}> {
-	const test = createTestCluster({getDurationMs: () => runDurationMs});
-	const [late, ...others] = test.fleet.getDescriptions();
-	for (const description of others) {
-		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
-	}
-
-	await runFor(test.timers, 2000);
-	for (const server of test.fleet.servers.slice(1)) {
-		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
-	}
+	const {test, late} = await startWithoutRoom(runDurationMs);
 
 	await runFor(test.timers, 600);
 	return {
 		test,
 		reportLate() {
-			test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
+			test.find('keeper-a').cluster.reportServer(late, ignoreAcknowledgement);
 		},
 		restoreServers() {
 			for (const server of test.fleet.servers) {
--- a/packages/cluster/test/create-cluster-replaced-placer.test.ts
+++ b/packages/cluster/test/create-cluster-replaced-placer.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {runFor} from '../../placement/test/support/run-for.js';
-import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {ignoreAcknowledgement} from './support/drive-cluster.js';
+import type {TestCluster} from './support/create-test-cluster.js';
+import {ignoreAcknowledgement, startWithoutRoom} from './support/drive-cluster.js';
 import {findLateStarts} from './support/find-late-starts.js';
 
 /**
@@ -10,15 +10,7 @@
  * the others send to keeper-a arrives for 400 ms longer, so that it still counts them as alive.
  */
 async function concludeBehindCut(): Promise<TestCluster> {
-	const test = createTestCluster({getDurationMs: () => 1000});
-	for (const description of test.fleet.getDescriptions().slice(1)) {
-		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
-	}
-
-	await runFor(test.timers, 2000);
-	for (const server of test.fleet.servers.slice(1)) {
-		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
-	}
+	const {test} = await startWithoutRoom(1000);
 
 	await runFor(test.timers, 600);
 	test.submit('entry-b1', 'job', {callerTimeoutMs: 3000});
--- a/packages/cluster/test/create-cluster-resubmitted-jobs.test.ts
+++ b/packages/cluster/test/create-cluster-resubmitted-jobs.test.ts
@@ -1,28 +1,19 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {runFor} from '../../placement/test/support/run-for.js';
-import {createTestCluster, type TestCluster} from './support/create-test-cluster.js';
-import {ignoreAcknowledgement} from './support/drive-cluster.js';
+import type {TestCluster} from './support/create-test-cluster.js';
+import {ignoreAcknowledgement, startWithoutRoom} from './support/drive-cluster.js';
 
 /** A job of entry-b1 runs on a backend server that only keeper-a and entry-b1, which has recorded it, know. Then keeper-a is lost. */
 async function startOnRecorded(): Promise<TestCluster> {
-	const test = createTestCluster({getDurationMs: () => 1500});
-	const [late, ...others] = test.fleet.getDescriptions();
-	for (const description of others) {
-		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
-	}
-
-	await runFor(test.timers, 2000);
-	for (const server of test.fleet.servers.slice(1)) {
-		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
-	}
+	const {test, late} = await startWithoutRoom(1500);
 
 	await runFor(test.timers, 1500);
 	for (const {id} of test.daemons.filter(({id}) => id !== 'keeper-a' && id !== 'entry-b1')) {
 		test.network.cutLink('keeper-a', id);
 	}
 
-	test.find('keeper-a').cluster.reportServer(late!, ignoreAcknowledgement);
+	test.find('keeper-a').cluster.reportServer(late, ignoreAcknowledgement);
 	await runFor(test.timers, 10);
 	test.submit('entry-b1', 'job', {callerTimeoutMs: 4000});
 	await runFor(test.timers, 100);
--- a/packages/cluster/test/support/drive-cluster.ts
+++ b/packages/cluster/test/support/drive-cluster.ts
@@ -1,5 +1,6 @@
+import type {BackendServerDescription} from '@camphortack/placement';
 import {runFor} from '../../../placement/test/support/run-for.js';
-import type {TestCluster} from './create-test-cluster.js';
+import {createTestCluster, type TestCluster} from './create-test-cluster.js';
 
 /** Reports the backend servers and waits until the deployment can serve jobs. */
 export async function startAndWaitUntilServing(test: TestCluster): Promise<void> {
@@ -48,3 +49,22 @@
 
 	return counts;
 }
+
+/**
+ * Starts a cluster whose placer keeper-a reaches none of its backend servers any more. It has room on one that has not been reported yet.
+ * @param durationMs - How long tasks run.
+ */
+export async function startWithoutRoom(durationMs: number): Promise<{test: TestCluster; late: BackendServerDescription}> {
+	const test = createTestCluster({getDurationMs: () => durationMs});
+	const [late, ...others] = test.fleet.getDescriptions();
+	for (const description of others) {
+		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
+	}
+
+	await runFor(test.timers, 2000);
+	for (const server of test.fleet.servers.slice(1)) {
+		server.fault = {isUnreachableFrom: daemonId => daemonId === 'keeper-a'};
+	}
+
+	return {test, late: late!};
+}
