Record the backend servers in use only when they change

Change: the pool tells when an incarnation was added or removed; start-exclusions.ts holds where a task must not start.

--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -38,6 +38,7 @@
 import {createRunExpectations} from './run-expectations.js';
 import {createServerPool, type PooledServer} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
+import {createStartExclusions} from './start-exclusions.js';
 import {createSubmittedJobs} from './submitted-jobs.js';
 import {createTakeoverLog} from './takeover-log.js';
 import {createTaskEnds} from './task-ends.js';
@@ -82,7 +83,7 @@
  * @param options - The term and the ports.
  */
 export function createPlacer(options: PlacerOptions): Placer {
-	const {timers, events, metrics, remoteRunFactor, serverRecorder, onResult} = options;
+	const {timers, events, metrics, remoteRunFactor, onResult} = options;
 	const jobTable = createJobTable(timers);
 	const sizeShares = createSizeShares();
 	const jobLog = createJobLog({
@@ -126,6 +127,9 @@
 				schedulePass();
 			},
 		},
+		onServersChange() {
+			exclusions.handleServersChange();
+		},
 		onRunsLost(session, runs) {
 			for (const run of runs) {
 				handleRunEnd(session, run, 'lost');
@@ -161,11 +165,14 @@
 		},
 	});
 	const trialRuns = createTrialRuns(timers, options.crashRegister);
+	const exclusions = createStartExclusions({
+		...options, trialRuns, getServers: () => [...pool.getServers()].map(({session}) => session.getDescription()),
+	});
 	const movedRuns = createMovedRuns({
 		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
 	});
 	const groups = createJobGroups({
-		timers, quarantine, movedRuns, remoteRunFactor, findExpectedEndMs, getUsableServers, getAvoidedServerIds,
+		timers, quarantine, movedRuns, remoteRunFactor, findExpectedEndMs, getUsableServers, getAvoidedServerIds: exclusions.getAvoidedServerIds,
 	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, getRunFactor,
@@ -178,7 +185,7 @@
 	});
 
 	function runPass(): void {
-		serverRecorder.setServers([...pool.getServers()].map(({session}) => session.getDescription()));
+		exclusions.recordServers();
 		recovery.recoverJobs();
 		evacuatedJobs.endJobs();
 		givenUpJobs.endJobs();
@@ -269,13 +276,6 @@
 		return [...pool.getServers()].filter(server => server.session.getState() === 'held' && mayStartOn(server, service));
 	}
 
-	/** A task starts only where the next placer would look for its run. */
-	function getAvoidedServerIds(job: PlacedJob, task: PlacedTask): ReadonlySet<string> {
-		const avoidedIds = trialRuns.getAvoidedServerIds(task);
-		const unrecordedIds = serverRecorder.getUnrecordedIds(job.waiting.getEntries());
-		return unrecordedIds.size === 0 ? avoidedIds : new Set([...avoidedIds, ...unrecordedIds]);
-	}
-
 	function mayStartOn({session}: PooledServer, service: string): boolean {
 		const description = session.getDescription();
 		const isReady = description.state === 'ready' && !hasOldReport(description) && !trialRuns.isReserved(description.id);
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -65,6 +65,8 @@
 	listener: Omit<SessionListener, 'onRunAdded'>;
 	/** Called when a backend server has shown that it still is the incarnation in use, although another one was described. */
 	onDescriptionRefuted: (known: BackendServerDescription, refuted: BackendServerDescription) => void;
+	/** Called when an incarnation was added or removed. */
+	onServersChange: () => void;
 	/** Called with the runs of a backend server that was removed. */
 	onRunsLost: (session: BackendSession, runs: readonly Run[]) => void;
 };
@@ -74,7 +76,7 @@
  * @param options - The placer's term and ports.
  */
 export function createServerPool(options: ServerPoolOptions): ServerPool {
-	const {term, daemonNumber, backendServerClient, timers, events, metrics, startWindow, onRunsLost} = options;
+	const {term, daemonNumber, backendServerClient, timers, events, metrics, startWindow, onServersChange, onRunsLost} = options;
 	const servers = new Map<string, PooledServer>();
 	const runIndex = createRunIndex<PooledServer>();
 	const listener: SessionListener = {
@@ -150,11 +152,13 @@
 				...options, listener, callTimeouts, resender, lossEstimator, claimWindow, description, firstClaim,
 			}), health,
 		});
+		onServersChange();
 	}
 
 	function removeServer(serverId: string, server: PooledServer): void {
 		const {session} = server;
 		servers.delete(serverId);
+		onServersChange();
 		runIndex.removeServer(server);
 		disputes.removeServer(serverId);
 		const runs = [...session.getRuns().values()];
