--- a/review/1/case.js
+++ b/review/1/case.js
@@ -26,7 +26,7 @@
 	}
 
 	// The new machines come first, and have had their time before an old one is stopped.
-	const replaced = deployment.keepers.map(({name}) => name).slice(0, hasTrouble ? 2 : 1);
+	const replaced = deployment.keepers.map(({name}) => name).slice(0, hasTrouble ? 2 : 0);
 	const successors = replaced.map(name => deployment.addReplacement(name));
 	for (const name of successors) {
 		deployment.start(name, false);
--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -15,12 +15,12 @@
 const command = ['--max-old-space-size=200', 'target/camphortackd.mjs'];
 const portNames = ['front', 'readiness', 'control', 'peers', 'metrics'];
 
-/** Finds ports that are free on every loopback address: all daemons use the same ones, each on its own address. */
+/** Finds free ports: all daemons use the same ones, each on its own loopback address. */
 async function findPorts() {
 	const servers = await Promise.all(portNames.map(async () => new Promise((resolve, reject) => {
 		const server = createServer();
 		server.once('error', reject);
-		server.listen(0, '0.0.0.0', () => {
+		server.listen(0, '127.0.0.1', () => {
 			resolve(server);
 		});
 	})));
