Give back the vote of a keeper before its planned stop ends

Cause: a stopping keeper handed over its leadership only. It stayed a voter until the leader had not heard it for 4 s, however long a learner had been ready. Two of three votes then belonged to processes that had ended, and no majority could form to remove them.

Change: the responses of a leaving keeper say so, and it repeats this until the committed set names it as a voter no longer, through changes of the leader. The leader promotes a ready learner first, then demotes the leaving voter, each change committed before the next. A leading keeper hands over first, to a voter that stays, so that there is one way for all. Without a learner that may become ready the leader says that the vote is kept, and the process ends at once: a restart in place does not shrink the set. The decision is a function over the described set (plan-voters.ts). A learner is ready only if it responded within the quorum timeout; all learners have to respond to each heartbeat while a voter is wanted. E1502 names the voters after each change: no log line told who held a vote before.

The two new fields are optional. Beside a leader of an earlier version a leaving keeper waits for the grace period, and is replaced as before.

Joint consensus was not built: the log entry would need a second set of voters, which a keeper of an earlier version drops when it reads the entry, so that it would count other majorities than the rest.

--- a/packages/consensus/src/keeper/append-handler.ts
+++ b/packages/consensus/src/keeper/append-handler.ts
@@ -41,7 +41,9 @@
 	}
 
 	function sendAnswer(peerId: string, toIdentity: string, fields: {isMatched: boolean; index: number; round: number}): void {
-		core.send(peerId, {kind: 'consensus.append-answer', ...core.getMessageHeader(toIdentity), ...fields});
+		core.send(peerId, {
+			kind: 'consensus.append-answer', ...core.getMessageHeader(toIdentity), ...fields, ...(core.isLeaving && {isLeaving: true}),
+		});
 	}
 
 	function isLogMatching(message: KeeperMessageOf<'consensus.append'>): boolean {
--- a/packages/consensus/src/keeper/document-publisher.ts
+++ b/packages/consensus/src/keeper/document-publisher.ts
@@ -38,7 +38,7 @@
 
 	return {
 		handleDocument(document, onResult) {
-			if (!replication.isReady() || core.isLeaving) {
+			if (!replication.acceptsProposals()) {
 				return;
 			}
 
--- a/packages/consensus/src/keeper/election.ts
+++ b/packages/consensus/src/keeper/election.ts
@@ -39,9 +39,11 @@
 	let deadlineMs = 0;
 	let timer: TimerSubscription | undefined;
 
+	/** A keeper that leaves starts an election only after the others had the time to. */
 	function resetDeadline(): void {
 		const spreadMs = maxElectionTimeoutMs - minElectionTimeoutMs;
-		deadlineMs = timers.getNowMs() + minElectionTimeoutMs + (random.getFraction() * spreadMs);
+		const delayMs = core.isLeaving ? maxElectionTimeoutMs : 0;
+		deadlineMs = timers.getNowMs() + delayMs + minElectionTimeoutMs + (random.getFraction() * spreadMs);
 	}
 
 	function scheduleDeadlineCheck(): void {
@@ -56,7 +58,7 @@
 	}
 
 	function startElectionIfEligible(): void {
-		if (core.role !== 'leader' && core.isVoter() && !core.isLeaving) {
+		if (core.role !== 'leader' && core.isVoter()) {
 			startCampaign(true, false);
 		}
 	}
--- a/packages/consensus/src/keeper/evacuation-orders.ts
+++ b/packages/consensus/src/keeper/evacuation-orders.ts
@@ -64,7 +64,7 @@
 	}
 
 	function handleOrder(order: EvacuationOrder, onResult: (result: EvacuationResult) => void): void {
-		if (!replication.isReady() || core.isLeaving) {
+		if (!replication.acceptsProposals()) {
 			return;
 		}
 
--- a/packages/consensus/src/keeper/keeper-changes.ts
+++ b/packages/consensus/src/keeper/keeper-changes.ts
@@ -1,7 +1,8 @@
 import type {KeeperCore} from './keeper-core.js';
 import type {KeeperMessageOf} from './keeper-messages.js';
-import {getVoterTarget, type KeeperRecord} from './keeper-set.js';
-import {learnerHeartbeatMs, defaultMaxVoters} from './keeper-timings.js';
+import type {KeeperRecord} from './keeper-set.js';
+import {defaultMaxVoters, maxEntriesPerMessage} from './keeper-timings.js';
+import {isVoterWanted, planVoters, type KeeperView} from './plan-voters.js';
 import type {Replication} from './replication.js';
 
 /** Changes the set of keepers at the leader: one change at a time, and a new keeper is a learner before it is a voter. */
@@ -11,6 +12,10 @@
 	removeKeeper(keeperId: string): 'accepted' | 'not-leader' | 'unknown-keeper';
 	/** Proposes the next change if the last one is committed. */
 	proposeNextChange(): void;
+	/** Whether a voter is wanted. All learners have to respond then, so that no one is promoted that has just been lost. */
+	needsVoter(): boolean;
+	/** Whether the committed set is final for the keepers that are leaving: no learner can take over their votes. */
+	areVotesKept(): boolean;
 	reset(): void;
 };
 
@@ -20,29 +25,41 @@
  * @param replication - Replicates the changes and tracks the progress of each keeper.
  */
 export function createKeeperChanges(core: KeeperCore, replication: Replication): KeeperChanges {
-	const {store, options} = core;
+	const {store, options, timings} = core;
+	const {timers, maxVoters = defaultMaxVoters} = options;
 	const joining = new Map<string, KeeperRecord>();
-	const leaving = new Set<string>();
+	const removing = new Set<string>();
+	/** Since when a voter has been wanted; undefined while none is. */
+	let wantedSinceMs: number | undefined;
+
+	function hasOpenChange(): boolean {
+		return store.getKeepersIndex() > store.getCommitIndex();
+	}
 
 	function proposeNextChange(): void {
-		if (!replication.isReady() || store.getKeepersIndex() > store.getCommitIndex()) {
+		updateWanted();
+		if (!replication.acceptsProposals() || hasOpenChange()) {
 			return;
 		}
 
-		const keepers = planRemoval() ?? planAddition() ?? planPromotion() ?? planDemotion();
+		const keepers = planRemoval() ?? planAddition() ?? planVoters(getViews(), maxVoters);
 		if (keepers !== undefined) {
 			replication.append({type: 'set-keepers', keepers});
 		}
 	}
 
+	function updateWanted(): void {
+		wantedSinceMs = core.role === 'leader' && isVoterWanted(getViews(), maxVoters) ? wantedSinceMs ?? timers.getNowMs() : undefined;
+	}
+
 	function planRemoval(): KeeperRecord[] | undefined {
 		const keepers = store.getKeepers();
-		const removed = keepers.find(keeper => leaving.has(keeper.keeperId) || isReplaced(keeper));
+		const removed = keepers.find(keeper => removing.has(keeper.keeperId) || isReplaced(keeper));
 		if (removed === undefined) {
 			return undefined;
 		}
 
-		leaving.delete(removed.keeperId);
+		removing.delete(removed.keeperId);
 		return keepers.filter(keeper => keeper !== removed);
 	}
 
@@ -62,42 +79,46 @@
 		return [...store.getKeepers(), added];
 	}
 
-	function planPromotion(): KeeperRecord[] | undefined {
-		const keepers = store.getKeepers();
-		const voters = core.getVoters();
-		if (voters.length >= getVoterTarget(keepers.length, options.maxVoters ?? defaultMaxVoters)) {
-			return undefined;
-		}
+	function getViews(): KeeperView[] {
+		return store.getKeepers().map(record => ({
+			record,
+			isLeader: record.identity === store.getIdentity(),
+			isLeaving: isLeaving(record),
+			isUnresponsive: isUnresponsive(record),
+			isReady: isReadyToVote(record),
+		}));
+	}
 
-		const ready = keepers.filter(keeper => isReadyToVote(keeper));
-		const voterZones = new Set(voters.map(voter => voter.availabilityZone));
-		const promoted = ready.find(keeper => !voterZones.has(keeper.availabilityZone)) ?? ready[0];
-		return promoted === undefined ? undefined : keepers.map(keeper => (keeper === promoted ? {...keeper, role: 'voter' as const} : keeper));
+	function isLeaving({identity}: KeeperRecord): boolean {
+		return identity === store.getIdentity() ? core.isLeaving : replication.findProgress(identity)?.isLeaving ?? false;
 	}
 
-	/** An unresponsive voter is demoted once a learner is up to date. It can be promoted again when there are fewer voters than intended. */
-	function planDemotion(): KeeperRecord[] | undefined {
-		const {voterReplacementMs} = options;
-		const keepers = store.getKeepers();
-		if (voterReplacementMs === undefined || !keepers.some(keeper => isReadyToVote(keeper))) {
-			return undefined;
+	function isUnresponsive({identity, role}: KeeperRecord): boolean {
+		const {voterReplacementMs = Number.POSITIVE_INFINITY} = options;
+		const progress = replication.findProgress(identity);
+		return role === 'voter' && progress !== undefined && timers.getNowMs() - progress.lastResponseMs > voterReplacementMs;
+	}
+
+	/** Whether a keeper responds, and lacks no more entries than one message brings: under load, a learner always lacks the newest ones. */
+	function isReadyToVote({identity}: KeeperRecord): boolean {
+		const progress = replication.findProgress(identity);
+		if (progress === undefined || progress.matchIndex === 0 || progress.transfer !== undefined) {
+			return false;
 		}
 
-		const unresponsive = core.getVoters().find(voter => {
-			const progress = replication.findProgress(voter.identity);
-			return progress !== undefined && options.timers.getNowMs() - progress.lastResponseMs > voterReplacementMs;
-		});
-		return unresponsive === undefined ? undefined : keepers.map(keeper => (keeper === unresponsive ? {...keeper, role: 'learner' as const} : keeper));
+		const missingCount = store.getCommitIndex() - progress.matchIndex;
+		return missingCount <= maxEntriesPerMessage && timers.getNowMs() - progress.lastResponseMs < timings.quorumTimeoutMs;
 	}
 
-	function isReadyToVote(keeper: KeeperRecord): boolean {
+	/** Whether a learner may still become ready. One that did not have to respond until now gets the time to do so. */
+	function isCandidate(keeper: KeeperRecord): boolean {
 		const progress = replication.findProgress(keeper.identity);
-		if (keeper.role !== 'learner' || progress === undefined) {
+		if (keeper.role !== 'learner' || progress === undefined || progress.isLeaving) {
 			return false;
 		}
 
-		const elapsedMs = options.timers.getNowMs() - progress.lastResponseMs;
-		return progress.matchIndex >= store.getCommitIndex() && elapsedMs < 2 * learnerHeartbeatMs;
+		const heardMs = Math.max(progress.lastResponseMs, wantedSinceMs ?? timers.getNowMs());
+		return timers.getNowMs() - heardMs < timings.quorumTimeoutMs;
 	}
 
 	return {
@@ -125,14 +146,20 @@
 				return 'unknown-keeper';
 			}
 
-			leaving.add(keeperId);
+			removing.add(keeperId);
 			proposeNextChange();
 			return 'accepted';
 		},
 		proposeNextChange,
+		needsVoter: () => wantedSinceMs !== undefined,
+		areVotesKept() {
+			const isSettled = replication.isReady() && !hasOpenChange() && joining.size === 0;
+			return isSettled && !store.getKeepers().some(keeper => isCandidate(keeper));
+		},
 		reset() {
 			joining.clear();
-			leaving.clear();
+			removing.clear();
+			wantedSinceMs = undefined;
 		},
 	};
 }
--- a/packages/consensus/src/keeper/keeper-messages.ts
+++ b/packages/consensus/src/keeper/keeper-messages.ts
@@ -46,6 +46,8 @@
 		entries: z.array(logEntrySchema),
 		commitIndex: z.int(),
 		round: z.int(),
+		/** Set if the receiver is leaving and no learner can take over its vote. Leaders of earlier versions never set it. */
+		isVoteKept: z.boolean().optional(),
 	}),
 	/** Committed entries that a voter sends to a learner on behalf of the leader. */
 	z.object({
@@ -62,6 +64,8 @@
 		/** If matched, the last index that is synced and matches the leader's log; otherwise the index that the leader should try next. */
 		index: z.int(),
 		round: z.int(),
+		/** Whether the sender is leaving. Its vote is to be given to a learner. */
+		isLeaving: z.boolean().optional(),
 	}),
 	z.object({
 		kind: z.literal('consensus.snapshot-piece'),
--- a/packages/consensus/src/keeper/keeper-options.ts
+++ b/packages/consensus/src/keeper/keeper-options.ts
@@ -99,8 +99,13 @@
 	/** Removes a keeper from the set. Only the leader accepts this. */
 	removeKeeper(keeperId: string): 'accepted' | 'not-leader' | 'unknown-keeper';
 	getStatus(): KeeperStatus;
-	/** Transfers leadership if this keeper is the leader, and keeps this keeper from starting elections on its own. */
+	/** Starts to give back what this keeper holds: its leadership, and its vote if a learner can take it over. It responds until it is stopped. */
 	startLeaving(): void;
+	/**
+	 * Whether a keeper that is leaving holds nothing any more that another one can take over. Without a learner that is ready, or
+	 * may become so, it keeps its vote for its next start.
+	 */
+	hasLeft(): boolean;
 	/** Cancels all timers. The log stays open. */
 	stop(): void;
 };
--- a/packages/consensus/src/keeper/keeper.ts
+++ b/packages/consensus/src/keeper/keeper.ts
@@ -13,8 +13,10 @@
 import {createKeeperCore} from './keeper-core.js';
 import {keeperMessageSchema, type KeeperMessage, type KeeperMessageOf} from './keeper-messages.js';
 import type {Keeper, KeeperOptions, KeeperRole} from './keeper-options.js';
+import {getVoters, type KeeperRecord} from './keeper-set.js';
 import {createKeeperStore} from './keeper-store.js';
 import {createLearnerFeeder} from './learner-feeder.js';
+import {createLeaving} from './leaving.js';
 import {createPublisher} from './publisher.js';
 import {createReplication} from './replication.js';
 
@@ -47,6 +49,7 @@
 			documentPublisher.handleApplied(entry, results.document);
 			evacuationOrders.handleApplied(entry);
 			if (entry.command.type === 'set-keepers') {
+				logVoters(entry.command.keepers);
 				stepDownIfRemoved();
 			}
 
@@ -57,11 +60,18 @@
 			barrier.handleDelivered();
 		},
 	});
-	const replication = createReplication({core, applier, onProgress: handleProgress});
+	const replication = createReplication({
+		core,
+		applier,
+		needsVoter: () => changes.needsVoter(),
+		areVotesKept: () => changes.areVotesKept(),
+		onProgress: handleProgress,
+	});
 	const publisher = createPublisher(core, replication);
 	const documentPublisher = createDocumentPublisher(core, replication);
 	const evacuationOrders = createEvacuationOrders(core, replication);
 	const changes = createKeeperChanges(core, replication);
+	const leaving = createLeaving(core, replication, changes);
 	const barrier = createBarrier(core, replication, applier);
 	const election = createElection(core, () => {
 		replication.start();
@@ -92,6 +102,13 @@
 		changes.reset();
 	}
 
+	function logVoters(keepers: readonly KeeperRecord[]): void {
+		if (core.role === 'leader') {
+			const learnerCount = keepers.filter(({role}) => role === 'learner').length;
+			options.events.write('voters-changed', {voters: getVoters(keepers).map(({keeperId}) => keeperId).join(' '), learnerCount});
+		}
+	}
+
 	function stepDownIfRemoved(): void {
 		if (core.role === 'leader' && !core.isVoter()) {
 			core.becomeFollower(store.getTerm());
@@ -100,21 +117,7 @@
 
 	function handleProgress(): void {
 		changes.proposeNextChange();
-		if (core.isLeaving) {
-			transferLeadership();
-		}
-	}
-
-	/** Asks a voter whose log is complete to start an election (Raft leadership transfer). */
-	function transferLeadership(): void {
-		if (core.role !== 'leader') {
-			return;
-		}
-
-		const successor = core.getVoters().find(voter => (replication.findProgress(voter.identity)?.matchIndex ?? 0) >= store.getLastIndex());
-		if (successor !== undefined) {
-			core.send(successor.keeperId, {kind: 'consensus.timeout-now', ...core.getMessageHeader(successor.identity)});
-		}
+		leaving.transferLeadership();
 	}
 
 	function sendProposal(requestId: string, proposal: KeeperMessageOf<'consensus.publish'>['proposal']): boolean {
@@ -213,6 +216,7 @@
 
 			case 'consensus.append': {
 				appendHandler.handleAppend(fromPeerId, message);
+				leaving.handleAppend(message);
 				break;
 			}
 
@@ -362,13 +366,12 @@
 			keepers: store.getKeepers(),
 			quorumAgeMs: core.role === 'leader' ? replication.getQuorumAgeMs() : timers.getNowMs() - core.lastLeaderContactMs,
 		}),
-		startLeaving() {
-			core.isLeaving = true;
-			transferLeadership();
-		},
+		startLeaving: leaving.start,
+		hasLeft: leaving.isComplete,
 		stop() {
 			core.isStopped = true;
 			confirmationTimer.cancel();
+			leaving.stop();
 			election.stop();
 			replication.stop();
 			feeder.stop();
--- a/packages/consensus/src/keeper/progress.ts
+++ b/packages/consensus/src/keeper/progress.ts
@@ -12,6 +12,8 @@
 	acknowledgedRound: number;
 	lastResponseMs: number;
 	lastSentMs: number;
+	/** Whether the keeper has said in its last response that it is leaving. */
+	isLeaving: boolean;
 	/** Since when the keeper lacks a committed entry, as far as the leader knows. */
 	behindSinceMs?: number;
 	/** The snapshot that is being sent to the keeper. */
@@ -32,6 +34,7 @@
 		acknowledgedRound: 0,
 		lastResponseMs: nowMs,
 		lastSentMs: Number.NEGATIVE_INFINITY,
+		isLeaving: false,
 		behindSinceMs: Number.NEGATIVE_INFINITY,
 	};
 }
--- a/packages/consensus/src/keeper/publisher.ts
+++ b/packages/consensus/src/keeper/publisher.ts
@@ -28,7 +28,7 @@
 	let inFlight: PendingPublish | undefined;
 
 	function startNext(): void {
-		while (inFlight === undefined && pending.size > 0 && replication.isReady() && !core.isLeaving) {
+		while (inFlight === undefined && pending.size > 0 && replication.acceptsProposals()) {
 			const [key, next] = pending.entries().next().value!;
 			pending.delete(key);
 			evaluate(next);
--- a/packages/consensus/src/keeper/replication.ts
+++ b/packages/consensus/src/keeper/replication.ts
@@ -2,7 +2,7 @@
 import type {Applier} from './applier.js';
 import type {KeeperCore} from './keeper-core.js';
 import type {KeeperMessageOf} from './keeper-messages.js';
-import {getMajority, getMajorityValue} from './keeper-set.js';
+import {getMajorityValue, type KeeperRecord} from './keeper-set.js';
 import {
 	feedTimeoutMs, learnerBatchMs, learnerHeartbeatMs, resendMs, snapshotPieceBytes,
 } from './keeper-timings.js';
@@ -20,6 +20,12 @@
 	append(command: Command): number;
 	/** Whether an entry of the current term is committed. Only then does this keeper know every earlier committed entry. */
 	isReady(): boolean;
+	/** Whether proposals are accepted: this keeper is ready and is not handing over its leadership. */
+	acceptsProposals(): boolean;
+	/** Whether this keeper is leaving, and a voter that responds stays, to which leadership can be transferred. */
+	isHandingOver(): boolean;
+	/** Finds a voter that stays, responds and has the complete log. */
+	findSuccessor(): KeeperRecord | undefined;
 	findProgress(identity: string): Progress | undefined;
 	handleAppendAnswer(message: KeeperMessageOf<'consensus.append-answer'>): void;
 	handleSnapshotAnswer(message: KeeperMessageOf<'consensus.snapshot-answer'>): void;
@@ -32,6 +38,10 @@
 export type ReplicationOptions = {
 	core: KeeperCore;
 	applier: Applier;
+	/** Whether a voter is wanted, so that every learner has to respond to each heartbeat. */
+	needsVoter: () => boolean;
+	/** Whether no learner can take over the votes of keepers that are leaving. */
+	areVotesKept: () => boolean;
 	/** Called after each response to an append message. */
 	onProgress: (progress: Progress) => void;
 };
@@ -41,7 +51,7 @@
  * @param options - The keeper's shared state, the applier and a callback.
  */
 export function createReplication(options: ReplicationOptions): Replication {
-	const {core, applier, onProgress} = options;
+	const {core, applier, needsVoter, areVotesKept, onProgress} = options;
 	const {store, timings} = core;
 	const {timers, events} = core.options;
 	let progressByIdentity = new Map<string, Progress>();
@@ -118,6 +128,7 @@
 			entries,
 			commitIndex: store.getCommitIndex(),
 			round,
+			...(progress.isLeaving && areVotesKept() && {isVoteKept: true}),
 		});
 	}
 
@@ -192,7 +203,7 @@
 			return resendMs;
 		}
 
-		if (progress.record.role === 'voter') {
+		if (progress.record.role === 'voter' || progress.isLeaving || needsVoter()) {
 			return 0;
 		}
 
@@ -260,6 +271,19 @@
 		}
 	}
 
+	function isReady(): boolean {
+		return core.role === 'leader' && store.getCommitIndex() >= firstIndexOfTerm;
+	}
+
+	function getStayingVoters(): Progress[] {
+		const oldestMs = timers.getNowMs() - timings.quorumTimeoutMs;
+		return [...progressByIdentity.values()].filter(({record, isLeaving, lastResponseMs}) => record.role === 'voter' && !isLeaving && lastResponseMs > oldestMs);
+	}
+
+	function isHandingOver(): boolean {
+		return core.isLeaving && getStayingVoters().length > 0;
+	}
+
 	return {
 		start() {
 			leaderSinceMs = timers.getNowMs();
@@ -287,7 +311,10 @@
 			barriers = [];
 		},
 		append,
-		isReady: () => core.role === 'leader' && store.getCommitIndex() >= firstIndexOfTerm,
+		isReady,
+		acceptsProposals: () => isReady() && !isHandingOver(),
+		isHandingOver,
+		findSuccessor: () => getStayingVoters().find(({matchIndex}) => matchIndex >= store.getLastIndex())?.record,
 		findProgress: identity => progressByIdentity.get(identity),
 		handleAppendAnswer(message) {
 			const progress = findCurrentProgress(message);
@@ -296,6 +323,7 @@
 			}
 
 			progress.lastResponseMs = timers.getNowMs();
+			progress.isLeaving = message.isLeaving ?? false;
 			progress.acknowledgedRound = Math.max(progress.acknowledgedRound, message.round);
 			if (message.isMatched) {
 				handleMatch(progress, message.index);
--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -4,7 +4,7 @@
 } from '@camphortack/testkit';
 import {createMemoryDisk, createMemoryRecordLog, type MemoryRecordLog} from '@camphortack/storage';
 import {
-	createConfigurationFollower, createEvacuationClient, createKeeper, type ConfigurationFollower, type EvacuationClient, type Keeper,
+	createConfigurationFollower, createEvacuationClient, createKeeper, type ConfigurationFollower, type EvacuationClient, type Keeper, type KeeperTimings,
 } from '../../src/index.js';
 import {addLogFault, type LogFault} from './add-log-fault.js';
 import {CommittedEntries} from './committed-entries.js';
@@ -19,6 +19,7 @@
 	syncMs?: number;
 	maxVoters?: number;
 	voterReplacementMs?: number;
+	timings?: KeeperTimings;
 	fault?: ClusterFault;
 	/** The maximum clock drift, as a fraction. */
 	driftRatio?: number;
@@ -49,6 +50,8 @@
 	readonly nodeTimers = new Map<string, ProcessTimers>();
 	readonly committedEntries = new CommittedEntries();
 	readonly random;
+	/** Replaces messages between daemons, for example by those of an earlier version. */
+	transformMessage?: (fromId: string, toId: string, message: PeerMessage) => PeerMessage;
 	/** Called when a version has become active on a daemon. */
 	onActivation?: (id: string, version: number, digest: number | undefined) => void;
 	readonly #options: TestClusterOptions;
@@ -65,7 +68,7 @@
 	}
 
 	start(id: string): Keeper {
-		const {initialKeeperIds, keeperIds, syncMs, maxVoters, voterReplacementMs, fault} = this.#options;
+		const {initialKeeperIds, keeperIds, syncMs, maxVoters, voterReplacementMs, timings, fault} = this.#options;
 		const timers = this.#startTimers(id);
 		const log = createMemoryRecordLog({timers, disk: this.disks.get(id)!, syncDurationMs: syncMs});
 		this.logs.set(id, log);
@@ -83,6 +86,7 @@
 			initialKeeperIds: initialKeeperIds ?? keeperIds ?? ['a', 'b', 'c'],
 			maxVoters,
 			voterReplacementMs,
+			timings,
 		});
 		this.keepers.set(id, keeper);
 		return keeper;
@@ -145,7 +149,7 @@
 		const [name] = message.kind.split('.', 1);
 		const part = name === 'consensus' ? this.keepers.get(id) ?? this.clients.get(id) : this.followers.get(id);
 		const client = this.earlierIds.has(id) ? undefined : this.clients.get(id);
-		this.nodeTimers.get(id)!.run(() => (name === 'evacuations' ? client : part)?.handlePeerMessage(from, message));
+		this.nodeTimers.get(id)!.run(() => (name === 'evacuations' ? client : part)?.handlePeerMessage(from, this.transformMessage?.(from, id, message) ?? message));
 	}
 
 	crash(id: string): void {
@@ -174,6 +178,10 @@
 		this.disks.set(id, disk);
 	}
 
+	createDisk(): ReturnType<typeof createMemoryDisk> {
+		return createMemoryDisk();
+	}
+
 	/** Starts a keeper that is not in the initial list. */
 	add(id: string): Keeper {
 		this.disks.set(id, createMemoryDisk());
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -253,6 +253,12 @@
 	'leader-stepped-down': {
 		number: 1501, level: 'warning', summary: 'This keeper is no longer the leader of the configuration log.', action: 'None if another keeper is the leader; otherwise, check the keepers.',
 	},
+	'voters-changed': {
+		number: 1502,
+		level: 'info',
+		summary: 'The set of keepers has changed; written by the leader once the change is committed.',
+		action: 'Check the VMs of the voters if one of them is not to vote.',
+	},
 	'storage-tail-truncated': {
 		number: 1600, level: 'warning', summary: 'The log ended in an incomplete record, which was truncated.', action: 'None; the record was never acknowledged.',
 	},
--- a/packages/daemon/src/runtime/stop-components.ts
+++ b/packages/daemon/src/runtime/stop-components.ts
@@ -21,6 +21,7 @@
 	await waitUntil(timers, () => jobs.getOpenCount() === 0);
 	await handOverTickets(container);
 	await waitForStoredOutcomes(container);
+	await waitForVote(container);
 	await new Promise<void>(resolve => {
 		container.get(tokens.membership).startLeaving(resolve);
 	});
@@ -32,6 +33,12 @@
 	await waitUntil(container.get(tokens.timers), () => client.getStatus().unstoredOutcomes === 0, maxHandoverMs);
 }
 
+/** Waits until the keeper, if there is one, has given back its vote, or keeps it. */
+async function waitForVote(container: Container): Promise<void> {
+	const keeper = container.get(tokens.keeper);
+	await waitUntil(container.get(tokens.timers), () => keeper?.hasLeft() ?? true, maxHandoverMs);
+}
+
 /** Transfers the tickets of this process to another daemon of the same availability zone, so that they stay valid. */
 async function handOverTickets(container: Container): Promise<void> {
 	const {id, availabilityZone} = container.get(tokens.identity);
