Replace a silent voter within the time that its successor has to catch up

The loss is to be borne: a removed VM stops counting once its successor has had catchUpS.

Cause: a silent voter was demoted after a constant of 4 s, which began anew with each leader, so after an election of up to 1 s and more.

Change: the time follows from the settings, a quarter of bounds.catchUpS. The rest is for an election, if the lost voter led, and for the log of the learner. A voter that is only silent for a while comes back as a learner and is promoted by the same rules as any other.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -8,7 +8,7 @@
 export * from './publish/document-schemas.js';
 export type {Evacuations, EvacuationResult} from './publish/evacuation-schemas.js';
 export * from './publish/publish-schemas.js';
-export type {KeeperTimings} from './keeper/keeper-timings.js';
+export {getVoterReplacementMs, type KeeperTimings} from './keeper/keeper-timings.js';
 export type * from './content/version-history.js';
 export * from './evacuations/evacuation-client.js';
 export * from './follower/configuration-follower.js';
--- a/packages/consensus/src/keeper/keeper-timings.ts
+++ b/packages/consensus/src/keeper/keeper-timings.ts
@@ -28,6 +28,22 @@
 	documentTimeoutMs: 5000,
 };
 
+/** Leaves the rest of the time to an election, if the lost voter led, and to the log of the learner. */
+const voterReplacementShare = 0.25;
+
+/**
+ * Gets how long a voter may be silent before it is replaced by a learner, so that the successor of a lost one votes in time.
+ * @param catchUpMs - The time after its start after which a successor is counted on.
+ *
+ * @example
+ * ```ts
+ * getVoterReplacementMs(4000); // 1000
+ * ```
+ */
+export function getVoterReplacementMs(catchUpMs: number): number {
+	return catchUpMs * voterReplacementShare;
+}
+
 /** The heartbeat interval of the leader for a learner that is up to date. */
 export const learnerHeartbeatMs = 5000;
 /** How long committed entries are batched before they are sent to the learners. */
--- a/packages/consensus/test/keeper/planned-replacement.test.ts
+++ b/packages/consensus/test/keeper/planned-replacement.test.ts
@@ -74,6 +74,24 @@
 			});
 		}
 
+		for (const [firstId, secondId] of [['a', 'b'], ['b', 'c'], ['c', 'a']] as const) {
+			for (const startDelayMs of [0, 1000]) {
+				// Guards against a lost voter that stays one after its successor has had its time to catch up.
+				it(`keeps a majority when ${firstId} is lost while ${leaderId} leads, its successor starts ${startDelayMs} ms later, and ${secondId} is lost once that has caught up`, () => {
+					const cluster = createCluster(leaderId);
+					cluster.crash(firstId);
+					cluster.timers.advance(startDelayMs);
+					cluster.startSuccessor(`${firstId}2`);
+					cluster.timers.advance(catchUpMs);
+					cluster.crash(secondId);
+					cluster.timers.advance(1000);
+					cluster.startSuccessor(`${secondId}2`);
+					cluster.timers.advance(catchUpMs);
+					assert.ok(cluster.canPublish());
+				});
+			}
+		}
+
 		// Guards against a request to give back the vote that is lost with the leader that received it.
 		it(`gives back the vote of a when ${leaderId}, or the next leader, is lost for a while after SIGTERM`, () => {
 			for (const delayMs of [0, 1, 5, 10, 20, 50]) {
--- a/packages/consensus/test/support/replacement-cluster.ts
+++ b/packages/consensus/test/support/replacement-cluster.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import type {PublishResult} from '../../src/index.js';
+import {getVoterReplacementMs, type PublishResult} from '../../src/index.js';
 import {getRequest, publish} from './publish.js';
 import {TestCluster, type TestClusterOptions} from './test-cluster.js';
 
@@ -15,7 +15,7 @@
 /** Timings and bounds of a deployment that tolerates the loss of one VM with a disk. */
 const deployment: TestClusterOptions = {
 	maxVoters: 3,
-	voterReplacementMs: 4000,
+	voterReplacementMs: getVoterReplacementMs(4000),
 	syncMs: 5,
 	timings: {
 		heartbeatMs: 150,
