End a job that nobody waits for by the lists of open jobs

Cause: that the callers of a submission have left is said in one message, placement.cancel, which the link drops until it is reopened 250 ms later. Nothing else ended the job while the entry daemon was heard: its list of open jobs, sent every 200 ms, was only used to answer with results.

Change: the list names all jobs of the shard that the daemon waits for, and submissions and lists carry a number of the sender's process. The placer withdraws the submissions of that process that are older than the list and not named (E1228), and drops a submission that arrives after a newer list which does not name it. An older, doubled or foreign list ends nothing, and a job that another entry daemon waits for goes on. Messages of earlier versions carry no number, and are handled as before.

--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -12,6 +12,7 @@
 import {createJobForwarding} from './job-forwarding.js';
 import {createJobSubmissions, type SubmittedPlacers} from './job-submissions.js';
 import {createLeftJobs} from './left-jobs.js';
+import {createOpenJobLists} from './open-job-lists.js';
 import type {EntryJob, OpenJob} from './open-job.js';
 
 /** A caller's subscription to the result of a job. */
@@ -89,6 +90,8 @@
 	const leftJobs = createLeftJobs(timers);
 	const cancellations = createJobCancellations(timers);
 	const forwarding = createJobForwarding({...options, sendJob});
+	/** The number of the last submission or list of open jobs. */
+	let sequence = 0;
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
 
 	/**
@@ -98,24 +101,29 @@
 	 */
 	function sendOpenJobs(): void {
 		records.removeUnused(isRecordInUse);
-		const jobIds = new Map<string, string[]>([[shards.getOwnShard(), []]]);
-		const leftJobIds = leftJobs.getByShard();
+		const lists = createOpenJobLists(shards.getOwnShard());
 		for (const open of openJobs.values()) {
 			if (isCutOff(open)) {
 				endJob(open.job.jobId, {outcome: 'unknown'});
 			} else if (isSubmitted(open)) {
-				jobIds.set(open.shard, [...(jobIds.get(open.shard) ?? []), open.job.jobId]);
+				lists.add(open.shard, 'jobIds', [open.job.jobId]);
 			} else {
 				sendJob(open);
+				lists.add(open.shard, 'otherJobIds', [open.job.jobId]);
 				if (!isSubmitted(open) && open.submissions.hasAny()) {
-					leftJobIds.set(open.shard, [...(leftJobIds.get(open.shard) ?? []), open.job.jobId]);
+					lists.add(open.shard, 'leftJobIds', [open.job.jobId]);
 				}
 			}
 		}
 
-		for (const shard of new Set([...jobIds.keys(), ...leftJobIds.keys()])) {
+		for (const [shard, jobIds] of leftJobs.getByShard()) {
+			lists.add(shard, 'leftJobIds', jobIds);
+		}
+
+		sequence++;
+		for (const [shard, list] of lists.getLists()) {
 			sendToPlacer(shard, {
-				kind: 'placement.open-jobs', jobIds: jobIds.get(shard) ?? [], incarnation: ownIncarnation, term: getPlacerView(shard).term, leftJobIds: leftJobIds.get(shard),
+				kind: 'placement.open-jobs', ...list, incarnation: ownIncarnation, sequence, term: getPlacerView(shard).term,
 			});
 		}
 	}
@@ -161,11 +169,13 @@
 
 	function sendSubmission(open: OpenJob, view: PlacerView, generation: number, earlier: SubmittedPlacers): boolean {
 		const mayHaveStarted = earlier.placers.length > 0;
+		sequence++;
 		return view.placerId !== '' && sendToPlacer(open.shard, {
 			kind: 'placement.submit',
 			request: {...open.job, ageMs: timers.getNowMs() - open.arrivedAtMs},
 			submissionId: open.submissionId,
 			incarnation: ownIncarnation,
+			sequence,
 			term: view.term,
 			generation,
 			mayHaveStarted,
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -5,6 +5,7 @@
 import type {ClusterOptions} from '../cluster-options.js';
 import {entryTimeoutMs, notBegunRepetitionMs} from '../cluster-timings.js';
 import {createServerRecordSender, type ServerRecordSender} from '../records/server-record-sender.js';
+import {createEntryLists} from './entry-lists.js';
 import {createEntryReports, type ReportingEntry} from './entry-reports.js';
 
 /** Runs the placer on this daemon during its terms. */
@@ -59,6 +60,7 @@
 	const {timers, events, ownIncarnation, send} = options;
 	const entryActivity = createEntryActivityTracker(timers);
 	const entryReports = createEntryReports(options.getEntries);
+	const entryLists = createEntryLists();
 	let placer: Placer | undefined;
 	let recordSender: ServerRecordSender | undefined;
 	let evacuatedZones: readonly string[] = [];
@@ -68,6 +70,7 @@
 
 	function endJobsOfSilentEntries(): void {
 		for (const entryId of entryActivity.takeSilentIds()) {
+			entryLists.removeEntry(entryId);
 			const jobCount = placer?.endJobsOfEntry(entryId) ?? 0;
 			if (jobCount > 0) {
 				events.write('entry-silent', {entry: entryId, silenceMs: entryTimeoutMs, jobs: jobCount});
@@ -80,7 +83,10 @@
 		switch (message.kind) {
 			case 'placement.submit': {
 				recordSender!.handleEntry({entryId: fromId, incarnation: message.incarnation});
-				active.submit(fromId, message);
+				if (!entryLists.isOutdated(fromId, message)) {
+					active.submit(fromId, message);
+				}
+
 				break;
 			}
 
@@ -92,6 +98,7 @@
 			case 'placement.open-jobs': {
 				recordSender!.handleEntry({entryId: fromId, incarnation: message.incarnation});
 				addReport(fromId, message, active);
+				withdrawUnlisted(fromId, message, active);
 				answerOpenJobs(fromId, message.jobIds, active);
 				break;
 			}
@@ -136,6 +143,15 @@
 		}
 	}
 
+	/** Ends the jobs that an entry daemon no longer waits for, also if the message about their withdrawal was lost. */
+	function withdrawUnlisted(fromId: string, message: PlacementMessageOf<'placement.open-jobs'>, active: Placer): void {
+		const list = message.term === placedTerm ? entryLists.addList(fromId, message) : undefined;
+		const jobCount = list === undefined ? 0 : active.withdrawUnlisted(list);
+		if (jobCount > 0) {
+			events.write('jobs-unlisted', {entry: fromId, jobs: jobCount});
+		}
+	}
+
 	function answerOpenJobs(fromId: string, jobIds: readonly string[], active: Placer): void {
 		const unknownIds: string[] = [];
 		for (const jobId of jobIds) {
--- a/packages/cluster/test/support/create-test-cluster.ts
+++ b/packages/cluster/test/support/create-test-cluster.ts
@@ -66,6 +66,8 @@
 	getCpuMillicores?: (daemonId: string) => number | undefined;
 	/** Gets what requests to backend servers cost a daemon; nothing by default. */
 	getRequestCost?: (daemonId: string) => RequestCost | undefined;
+	/** Called with each message that a daemon of the current version sends; each call of `send` sends it once. */
+	interceptMessage?: (message: {fromId: string; toId: string; kind: string}, send: () => void) => void;
 	/** Called with each message that arrives at a daemon of the current version. */
 	onMessage?: (fromId: string, toId: string, message: PeerMessage) => void;
 	/** Called with the content of each configuration that comes into force on a daemon. */
@@ -119,12 +121,27 @@
 		return daemonIds.toSorted(compareDaemonIds).indexOf(id) + 1;
 	}
 
+	function interceptMessages(fromId: string, peers: PeerNetwork): PeerNetwork {
+		const {interceptMessage} = options;
+		if (interceptMessage === undefined) {
+			return peers;
+		}
+
+		return new class extends PeerNetwork {
+			override send(toId: string, message: PeerMessage): void {
+				interceptMessage({fromId, toId, kind: message.kind}, () => {
+					peers.send(toId, message);
+				});
+			}
+		}();
+	}
+
 	function addPeer(id: string, handleMessage: (fromId: string, message: PeerMessage) => void): PeerNetwork {
 		if (!options.earlierDaemonIds?.includes(id)) {
-			return network.addPeer(id, (fromId, message) => {
+			return interceptMessages(id, network.addPeer(id, (fromId, message) => {
 				options.onMessage?.(fromId, id, message);
 				handleMessage(fromId, message);
-			});
+			}));
 		}
 
 		const peers = network.addPeer(id, (fromId, message) => {
--- a/packages/cluster/test/support/to-earlier-message.ts
+++ b/packages/cluster/test/support/to-earlier-message.ts
@@ -39,7 +39,7 @@
 
 		case 'placement.submit': {
 			const {handover} = handoverFieldsSchema.parse(message);
-			const submission = getWithout(message, 'incarnation');
+			const submission = getWithout(getWithout(message, 'incarnation'), 'sequence');
 			return handover === undefined ? submission : {...submission, handover: {...handover, recordDigest: undefined}};
 		}
 
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -166,6 +166,12 @@
 	'entry-silent': {
 		number: 1223, level: 'warning', summary: 'A daemon that had submitted jobs no longer responds; its jobs were stopped.', action: 'Check the VM or the network.',
 	},
+	'jobs-unlisted': {
+		number: 1228,
+		level: 'info',
+		summary: 'A daemon no longer waits for jobs that it had submitted; the message that said so did not arrive, and the jobs were ended.',
+		action: 'None if links were interrupted; otherwise, check the network.',
+	},
 	'placer-progressed': {
 		number: 1224,
 		level: 'info',
--- a/packages/placement/src/jobs/waiting-submissions.ts
+++ b/packages/placement/src/jobs/waiting-submissions.ts
@@ -1,10 +1,13 @@
 import type {EntryProcess} from '../ports/server-recorder.js';
+import type {EntryList} from './entry-list.js';
 
 /** The submissions of an open job whose callers wait for its result. */
 export type WaitingSubmissions = {
-	/** Adds a submission as the latest one, also if it was added before. */
-	add(submissionId: string, entry: EntryProcess): void;
+	/** Adds a submission as the latest one, also if it was added before, with the number of its last message if that has one. */
+	add(submissionId: string, entry: EntryProcess, sequence?: number): void;
 	remove(submissionId: string): void;
+	/** Removes the submissions that a process sent before a list of its open jobs, which does not name the job. */
+	removeUnlisted(list: EntryList): void;
 	/** Removes the submissions of an entry daemon; if an incarnation is given, those of its earlier processes. */
 	removeEntry(entryId: string, currentIncarnation?: string): void;
 	/** Finds the entry daemon of the latest submission; undefined if nobody waits. */
@@ -27,16 +30,24 @@
  */
 export function createWaitingSubmissions(): WaitingSubmissions {
 	/** The entry daemons by submission, the latest last. */
-	const entries = new Map<string, EntryProcess>();
+	const entries = new Map<string, EntryProcess & {sequence: number}>();
 
 	return {
-		add(submissionId, entry) {
+		add(submissionId, {entryId, incarnation}, sequence = Number.POSITIVE_INFINITY) {
+			const known = entries.get(submissionId)?.sequence ?? sequence;
 			entries.delete(submissionId);
-			entries.set(submissionId, entry);
+			entries.set(submissionId, {entryId, incarnation, sequence: Math.max(known, sequence)});
 		},
 		remove(submissionId) {
 			entries.delete(submissionId);
 		},
+		removeUnlisted(list) {
+			for (const [submissionId, {entryId, incarnation, sequence}] of entries) {
+				if (entryId === list.entryId && incarnation === list.incarnation && sequence < list.sequence) {
+					entries.delete(submissionId);
+				}
+			}
+		},
 		removeEntry(entryId, currentIncarnation) {
 			for (const [submissionId, entry] of entries) {
 				const isEarlier = currentIncarnation === undefined || (entry.incarnation !== undefined && entry.incarnation !== currentIncarnation);
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -16,6 +16,8 @@
 		submissionId: z.string(),
 		/** The start of the entry daemon's process; missing in versions that record no backend servers. */
 		incarnation: z.string().optional(),
+		/** Increases with each submission and each list of open jobs of the sender's process; missing in versions without it. */
+		sequence: z.int().min(0).optional(),
 		/** The term of the placer to which the job is submitted. A daemon that does not place in it never starts the job. */
 		term: z.int().optional(),
 		/** How often the job was submitted to a placer before. */
@@ -50,6 +52,13 @@
 		jobIds: z.array(z.string()),
 		/** The start of the sender's process; missing in versions that record no backend servers. */
 		incarnation: z.string().optional(),
+		/**
+		 * Increases with each submission and each list of the sender's process: the daemon no longer waits for jobs of this shard that
+		 * it submitted before and that neither list names. Missing in versions that name only some of these jobs.
+		 */
+		sequence: z.int().min(0).optional(),
+		/** The jobs that the daemon waits for as well, without asking for their results yet; missing if there are none. */
+		otherJobIds: z.array(z.string()).optional(),
 		/** The term of the placer to which the daemon has handed over its other jobs of this shard. */
 		term: z.int().optional(),
 		/** The jobs that the daemon no longer waits for, and that a placer may have started recently. */
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -354,6 +354,7 @@
 		cancel: submittedJobs.cancel,
 		abort: submittedJobs.abort,
 		withdraw: submittedJobs.withdraw,
+		withdrawUnlisted: submittedJobs.withdrawUnlisted,
 		endJobsOfEntry: submittedJobs.endJobsOfEntry,
 		checkHeldJobs: schedulePass,
 		findResult: jobId => (jobTable.findJob(jobId) === undefined ? jobTable.findResult(jobId) : 'open'),
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -27,14 +27,14 @@
 	const queueWorkMeans = createQueueWorkMeans();
 
 	return {
-		createJob(entryId, {request, submissionId, incarnation, generation, mayHaveStarted, handover}) {
+		createJob(entryId, {request, submissionId, incarnation, sequence, generation, mayHaveStarted, handover}) {
 			const {queueName} = request;
 			const getExpectedMs = (step: JobStep) => runTimeEstimator.getExpectedMs(queueName, step.estimateMs);
 			const {criticalPathMs, work} = getJobEstimate(request, getExpectedMs);
 			const relativeWork = queueWorkMeans.getRelativeWork(queueName, work);
 			queueWorkMeans.addJob(queueName, work);
 			const waiting = createWaitingSubmissions();
-			waiting.add(submissionId, {entryId, incarnation});
+			waiting.add(submissionId, {entryId, incarnation}, sequence);
 			return {
 				request,
 				submissionId,
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -1,3 +1,4 @@
+import type {EntryList} from '../jobs/entry-list.js';
 import type {JobOutcome} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
@@ -36,6 +37,8 @@
 	abort(jobId: string): void;
 	/** Handles that the callers of a submission have left. A job that no other submission waits for is cancelled. */
 	withdraw(jobId: string, submissionId: string): void;
+	/** Withdraws the submissions that a list of the open jobs of an entry daemon should name and does not. Returns the number of jobs that end. */
+	withdrawUnlisted(list: EntryList): number;
 	/** Gets the result of an ended job; `open` if the job has not ended, undefined if it is not known. */
 	findResult(jobId: string): JobOutcome | 'open' | undefined;
 	/**
--- a/packages/placement/src/placer/submitted-jobs.ts
+++ b/packages/placement/src/placer/submitted-jobs.ts
@@ -1,3 +1,4 @@
+import type {EntryList} from '../jobs/entry-list.js';
 import type {PlacedJob} from '../jobs/placed-job.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
@@ -16,6 +17,8 @@
 	abort(jobId: string): void;
 	/** Handles that the callers of a submission have left. A job that no other submission waits for is cancelled. */
 	withdraw(jobId: string, submissionId: string): void;
+	/** Withdraws the submissions that a list of the open jobs of an entry daemon should name and does not. Returns the number of jobs that end. */
+	withdrawUnlisted(list: EntryList): number;
 	/**
 	 * Ends the jobs that only an entry daemon waits for which has timed out; if an incarnation is given, those of its earlier processes.
 	 * Returns their number.
@@ -59,7 +62,7 @@
 	}
 
 	function joinJob(job: PlacedJob, entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
-		job.waiting.add(message.submissionId, {entryId, incarnation: message.incarnation});
+		job.waiting.add(message.submissionId, {entryId, incarnation: message.incarnation}, message.sequence);
 		updateEntry(job);
 		jobTable.addSubmission(job, message.submissionId);
 		recovery.handleResubmission(job, entryId, message);
@@ -83,10 +86,11 @@
 		jobLog.recordEnd(job, {outcome: 'failed', reason: 'cancelled'});
 	}
 
-	function findAbandonedJobs(entryId: string, currentIncarnation: string | undefined): PlacedJob[] {
+	/** Removes submissions of the open jobs, and finds the jobs that nobody waits for any more. */
+	function findAbandonedJobs(removeSubmissions: (job: PlacedJob) => void): PlacedJob[] {
 		const abandoned: PlacedJob[] = [];
 		for (const job of jobTable.getJobs()) {
-			job.waiting.removeEntry(entryId, currentIncarnation);
+			removeSubmissions(job);
 			if (!updateEntry(job)) {
 				abandoned.push(job);
 			}
@@ -127,8 +131,22 @@
 				cancelAbandonedJob(job);
 			}
 		},
+		withdrawUnlisted(list) {
+			const abandoned = findAbandonedJobs(job => {
+				if (!list.jobIds.has(job.request.jobId)) {
+					job.waiting.removeUnlisted(list);
+				}
+			});
+			for (const job of abandoned) {
+				cancelAbandonedJob(job);
+			}
+
+			return abandoned.length;
+		},
 		endJobsOfEntry(entryId, currentIncarnation) {
-			const abandoned = findAbandonedJobs(entryId, currentIncarnation);
+			const abandoned = findAbandonedJobs(job => {
+				job.waiting.removeEntry(entryId, currentIncarnation);
+			});
 			for (const job of abandoned) {
 				if (job.hasStarted) {
 					endJob(job, {outcome: 'unknown'});
--- a/packages/placement/test/jobs/waiting-submissions.test.ts
+++ b/packages/placement/test/jobs/waiting-submissions.test.ts
@@ -38,6 +38,47 @@
 		},
 		expected: 'entry-1',
 	},
+	{
+		name: 'the submission after the list that does not name the job',
+		act(waiting) {
+			waiting.add('first', {entryId: 'entry-1', incarnation: 'one'}, 3);
+			waiting.add('second', {entryId: 'entry-1', incarnation: 'one'}, 5);
+			waiting.removeUnlisted({
+				entryId: 'entry-1', incarnation: 'one', sequence: 4, jobIds: new Set(),
+			});
+		},
+		expected: 'entry-1',
+	},
+	{
+		name: 'nobody after a list that does not name the job',
+		act(waiting) {
+			waiting.add('first', {entryId: 'entry-1', incarnation: 'one'}, 3);
+			waiting.removeUnlisted({
+				entryId: 'entry-1', incarnation: 'one', sequence: 4, jobIds: new Set(),
+			});
+		},
+		expected: undefined,
+	},
+	{
+		name: 'the submission of another process than the list',
+		act(waiting) {
+			waiting.add('first', {entryId: 'entry-1', incarnation: 'two'}, 3);
+			waiting.removeUnlisted({
+				entryId: 'entry-1', incarnation: 'one', sequence: 4, jobIds: new Set(),
+			});
+		},
+		expected: 'entry-1',
+	},
+	{
+		name: 'the submission of an earlier version, which has no number',
+		act(waiting) {
+			waiting.add('first', {entryId: 'entry-1', incarnation: 'one'});
+			waiting.removeUnlisted({
+				entryId: 'entry-1', incarnation: 'one', sequence: 4, jobIds: new Set(),
+			});
+		},
+		expected: 'entry-1',
+	},
 	{
 		name: 'nobody after all have left',
 		act(waiting) {
