Bound the heartbeats to ended keepers, and the work for a list of open jobs

Cause: a leader kept sending a heartbeat every 150 ms to a keeper that had ended after it had said that it was leaving; and each list of open jobs looked up the latest entry daemon of every open job of the placer.

Change: a keeper counts as leaving for the interval of its heartbeats only while it is heard, and repeats meanwhile that it leaves. A list looks at the entry daemon of a job only if it has removed a submission of that job. The tests of planned replacements share the set-up of a stop in progress.

--- a/packages/consensus/src/keeper/replication.ts
+++ b/packages/consensus/src/keeper/replication.ts
@@ -198,12 +198,17 @@
 		}
 	}
 
+	/** Whether a keeper is leaving and has not ended yet: it repeats that it is leaving with each heartbeat. */
+	function isLeavingNow({isLeaving, lastResponseMs}: Progress): boolean {
+		return isLeaving && timers.getNowMs() - lastResponseMs < timings.quorumTimeoutMs;
+	}
+
 	function getIntervalMs(progress: Progress): number {
 		if (progress.transfer !== undefined) {
 			return resendMs;
 		}
 
-		if (progress.record.role === 'voter' || progress.isLeaving || needsVoter()) {
+		if (progress.record.role === 'voter' || isLeavingNow(progress) || needsVoter()) {
 			return 0;
 		}
 
--- a/packages/consensus/test/keeper/planned-replacement.test.ts
+++ b/packages/consensus/test/keeper/planned-replacement.test.ts
@@ -23,6 +23,16 @@
 	throw new Error(`no seed lets ${leaderId} lead`);
 }
 
+/** Creates a cluster that b leads, a time after a was stopped while its successor was ready. */
+function createLeavingCluster(delayMs: number): ReplacementCluster {
+	const cluster = createCluster('b');
+	cluster.startSuccessor('a2');
+	cluster.timers.advance(catchUpMs);
+	cluster.stopAsPlanned('a');
+	cluster.timers.advance(delayMs);
+	return cluster;
+}
+
 describe('the planned replacement of keepers', () => {
 	for (const leaderId of keeperIds) {
 		for (const [delay, delayMs] of [['at the same moment', 0], ['20 ms apart', 20], ['1 s apart', 1000]] as const) {
@@ -116,11 +126,7 @@
 	// Guards against a set that needs the vote of a successor that ended while it was promoted.
 	it('keeps a majority when the successor is lost at any moment of the exchange', () => {
 		for (let delayMs = 0; delayMs <= 320; delayMs += 4) {
-			const cluster = createCluster('b');
-			cluster.startSuccessor('a2');
-			cluster.timers.advance(catchUpMs);
-			cluster.stopAsPlanned('a');
-			cluster.timers.advance(delayMs);
+			const cluster = createLeavingCluster(delayMs);
 			cluster.crash('a2');
 			cluster.timers.advance(6000);
 			assert.ok(cluster.canPublish('b'), `lost after ${delayMs} ms`);
@@ -131,11 +137,7 @@
 	it('keeps a majority when another voter is lost at any moment of the exchange', () => {
 		for (const lostId of ['b', 'c']) {
 			for (let delayMs = 0; delayMs <= 320; delayMs += 4) {
-				const cluster = createCluster('b');
-				cluster.startSuccessor('a2');
-				cluster.timers.advance(catchUpMs);
-				cluster.stopAsPlanned('a');
-				cluster.timers.advance(delayMs);
+				const cluster = createLeavingCluster(delayMs);
 				cluster.crash(lostId);
 				cluster.timers.advance(6000);
 				assert.ok(cluster.canPublish('a2'), `${lostId} lost after ${delayMs} ms`);
@@ -146,11 +148,7 @@
 	// Guards against a set on disk that needs a keeper which does not come back.
 	it('recovers when power is lost everywhere at any moment of the exchange and the leaving keeper stays away', () => {
 		for (let delayMs = 0; delayMs <= 320; delayMs += 4) {
-			const cluster = createCluster('b');
-			cluster.startSuccessor('a2');
-			cluster.timers.advance(catchUpMs);
-			cluster.stopAsPlanned('a');
-			cluster.timers.advance(delayMs);
+			const cluster = createLeavingCluster(delayMs);
 			for (const id of ['a', 'b', 'c', 'a2']) {
 				cluster.crash(id);
 			}
--- a/packages/placement/src/jobs/waiting-submissions.ts
+++ b/packages/placement/src/jobs/waiting-submissions.ts
@@ -6,16 +6,21 @@
 	/** Adds a submission as the latest one, also if it was added before, with the number of its last message if that has one. */
 	add(submissionId: string, entry: EntryProcess, sequence?: number): void;
 	remove(submissionId: string): void;
-	/** Removes the submissions that a process sent before a list of its open jobs, which does not name the job. */
-	removeUnlisted(list: EntryList): void;
-	/** Removes the submissions of an entry daemon; if an incarnation is given, those of its earlier processes. */
-	removeEntry(entryId: string, currentIncarnation?: string): void;
+	/** Removes the submissions that a process sent before a list of its open jobs, which does not name the job. Returns whether there were any. */
+	removeUnlisted(list: EntryList): boolean;
+	/** Removes the submissions of an entry daemon; if an incarnation is given, those of its earlier processes. Returns whether there were any. */
+	removeEntry(entryId: string, currentIncarnation?: string): boolean;
 	/** Finds the entry daemon of the latest submission; undefined if nobody waits. */
 	findLastEntryId(): string | undefined;
 	/** Gets the processes that wait, each once for each of its submissions. */
 	getEntries(): Iterable<EntryProcess>;
 };
 
+type WaitingEntry = EntryProcess & {
+	/** The number of the last message of the submission. */
+	sequence: number;
+};
+
 /**
  * Creates the submissions of a job that nobody waits for.
  *
@@ -30,7 +35,18 @@
  */
 export function createWaitingSubmissions(): WaitingSubmissions {
 	/** The entry daemons by submission, the latest last. */
-	const entries = new Map<string, EntryProcess & {sequence: number}>();
+	const entries = new Map<string, WaitingEntry>();
+
+	function removeWhere(isRemoved: (entry: WaitingEntry) => boolean): boolean {
+		const countBefore = entries.size;
+		for (const [submissionId, entry] of entries) {
+			if (isRemoved(entry)) {
+				entries.delete(submissionId);
+			}
+		}
+
+		return entries.size < countBefore;
+	}
 
 	return {
 		add(submissionId, {entryId, incarnation}, sequence = Number.POSITIVE_INFINITY) {
@@ -42,19 +58,13 @@
 			entries.delete(submissionId);
 		},
 		removeUnlisted(list) {
-			for (const [submissionId, {entryId, incarnation, sequence}] of entries) {
-				if (entryId === list.entryId && incarnation === list.incarnation && sequence < list.sequence) {
-					entries.delete(submissionId);
-				}
-			}
+			return removeWhere(entry => entry.entryId === list.entryId && entry.incarnation === list.incarnation && entry.sequence < list.sequence);
 		},
 		removeEntry(entryId, currentIncarnation) {
-			for (const [submissionId, entry] of entries) {
+			return removeWhere(entry => {
 				const isEarlier = currentIncarnation === undefined || (entry.incarnation !== undefined && entry.incarnation !== currentIncarnation);
-				if (entry.entryId === entryId && isEarlier) {
-					entries.delete(submissionId);
-				}
-			}
+				return entry.entryId === entryId && isEarlier;
+			});
 		},
 		findLastEntryId: () => [...entries.values()].at(-1)?.entryId,
 		getEntries: () => entries.values(),
--- a/packages/placement/src/placer/submitted-jobs.ts
+++ b/packages/placement/src/placer/submitted-jobs.ts
@@ -86,12 +86,11 @@
 		jobLog.recordEnd(job, {outcome: 'failed', reason: 'cancelled'});
 	}
 
-	/** Removes submissions of the open jobs, and finds the jobs that nobody waits for any more. */
-	function findAbandonedJobs(removeSubmissions: (job: PlacedJob) => void): PlacedJob[] {
+	/** Removes submissions of the open jobs, where that is due, and finds the jobs that nobody waits for any more. */
+	function findAbandonedJobs(removeSubmissions: (job: PlacedJob) => boolean): PlacedJob[] {
 		const abandoned: PlacedJob[] = [];
 		for (const job of jobTable.getJobs()) {
-			removeSubmissions(job);
-			if (!updateEntry(job)) {
+			if (removeSubmissions(job) && !updateEntry(job)) {
 				abandoned.push(job);
 			}
 		}
@@ -132,11 +131,7 @@
 			}
 		},
 		withdrawUnlisted(list) {
-			const abandoned = findAbandonedJobs(job => {
-				if (!list.jobIds.has(job.request.jobId)) {
-					job.waiting.removeUnlisted(list);
-				}
-			});
+			const abandoned = findAbandonedJobs(job => !list.jobIds.has(job.request.jobId) && job.waiting.removeUnlisted(list));
 			for (const job of abandoned) {
 				cancelAbandonedJob(job);
 			}
@@ -144,9 +139,7 @@
 			return abandoned.length;
 		},
 		endJobsOfEntry(entryId, currentIncarnation) {
-			const abandoned = findAbandonedJobs(job => {
-				job.waiting.removeEntry(entryId, currentIncarnation);
-			});
+			const abandoned = findAbandonedJobs(job => job.waiting.removeEntry(entryId, currentIncarnation));
 			for (const job of abandoned) {
 				if (job.hasStarted) {
 					endJob(job, {outcome: 'unknown'});
