Test the planned replacement of two keepers with one message lost, doubled or late

Cause: only losses by lot were replayed for the messages that give back a vote.

Change: each of the first 40 messages of six kinds between the keepers is lost, doubled 1 s later or late by 0.7 s while two keepers are replaced at the same moment. One hook of the test cluster takes the place of the one that replaced messages.

--- a/packages/consensus/test/keeper/planned-replacement.test.ts
+++ b/packages/consensus/test/keeper/planned-replacement.test.ts
@@ -33,6 +33,28 @@
 	return cluster;
 }
 
+/** Lets one message of a kind be lost, doubled 1 s later, or late, while something is done. Returns whether there was such a message. */
+function addMessageFault(cluster: ReplacementCluster, fault: {kind: string; position: number; effect: 'lost' | 'doubled' | 'late'}, act: () => void): boolean {
+	let seenCount = 0;
+	cluster.interceptMessage = (message, _route, deliver) => {
+		const isCounted = message.kind === fault.kind;
+		const isAffected = isCounted && seenCount === fault.position;
+		seenCount += Number(isCounted);
+		if (!isAffected || fault.effect === 'doubled') {
+			deliver(message);
+		}
+
+		if (isAffected && fault.effect !== 'lost') {
+			cluster.timers.addTimer(fault.effect === 'late' ? 700 : 1000, () => {
+				deliver(message);
+			});
+		}
+	};
+
+	act();
+	return seenCount > fault.position;
+}
+
 describe('the planned replacement of keepers', () => {
 	for (const leaderId of keeperIds) {
 		for (const [delay, delayMs] of [['at the same moment', 0], ['20 ms apart', 20], ['1 s apart', 1000]] as const) {
@@ -204,6 +226,32 @@
 		}
 	});
 
+	const kinds = [
+		'consensus.append', 'consensus.append-answer', 'consensus.feed', 'consensus.timeout-now', 'consensus.vote-request', 'consensus.vote-answer',
+	];
+	for (const kind of kinds) {
+		// Guards against a vote that is lost, or kept for good, because of one message.
+		it(`gives back the votes of a and b although one message ${kind} is lost, doubled or late`, () => {
+			for (const effect of ['lost', 'doubled', 'late'] as const) {
+				for (let position = 0, wasAffected = true; position < 40 && wasAffected; position++) {
+					const cluster = createCluster('a');
+					cluster.startSuccessor('a2');
+					cluster.startSuccessor('b2');
+					cluster.timers.advance(catchUpMs);
+					wasAffected = addMessageFault(cluster, {kind, position, effect}, () => {
+						cluster.stopAsPlanned('a');
+						cluster.stopAsPlanned('b');
+						cluster.timers.advance(5500);
+					});
+					assert.deepEqual([cluster.keepers.has('a'), cluster.keepers.has('b')], [false, false]);
+					cluster.timers.advance(3000);
+					assert.deepEqual(cluster.getVoterIds(), ['a2', 'b2', 'c'], `${position} ${effect}`);
+					assert.ok(cluster.canPublish('c'), `${position} ${effect}`);
+				}
+			}
+		});
+	}
+
 	// Guards against a restart in place that takes away a vote, or the time of the grace period, although nobody can take the vote over.
 	it('keeps the vote, and ends at once, when there is no learner', () => {
 		for (const id of keeperIds) {
@@ -290,7 +338,10 @@
 			const cluster = createCluster('b');
 			cluster.startSuccessor('a2');
 			cluster.timers.advance(catchUpMs);
-			cluster.transformMessage = (fromId, toId, message) => (earlierIds.includes(fromId) || earlierIds.includes(toId) ? withoutNewFields(message) : message);
+			cluster.interceptMessage = (message, {fromId, toId}, deliver) => {
+				deliver(earlierIds.includes(fromId) || earlierIds.includes(toId) ? withoutNewFields(message) : message);
+			};
+
 			cluster.stopAsPlanned('a');
 			cluster.timers.advance(12_000);
 			assert.deepEqual(cluster.getVoterIds(), ['a2', 'b', 'c']);
--- a/packages/consensus/test/support/test-cluster.ts
+++ b/packages/consensus/test/support/test-cluster.ts
@@ -50,8 +50,8 @@
 	readonly nodeTimers = new Map<string, ProcessTimers>();
 	readonly committedEntries = new CommittedEntries();
 	readonly random;
-	/** Replaces messages between daemons, for example by those of an earlier version. */
-	transformMessage?: (fromId: string, toId: string, message: PeerMessage) => PeerMessage;
+	/** Receives the messages between daemons in their place, and delivers them as they are, changed, later, twice or not at all. */
+	interceptMessage?: (message: PeerMessage, route: {fromId: string; toId: string}, deliver: (message: PeerMessage) => void) => void;
 	/** Called when a version has become active on a daemon. */
 	onActivation?: (id: string, version: number, digest: number | undefined) => void;
 	readonly #options: TestClusterOptions;
@@ -146,10 +146,14 @@
 	}
 
 	handleMessage(id: string, from: string, message: PeerMessage): void {
-		const [name] = message.kind.split('.', 1);
-		const part = name === 'consensus' ? this.keepers.get(id) ?? this.clients.get(id) : this.followers.get(id);
-		const client = this.earlierIds.has(id) ? undefined : this.clients.get(id);
-		this.nodeTimers.get(id)!.run(() => (name === 'evacuations' ? client : part)?.handlePeerMessage(from, this.transformMessage?.(from, id, message) ?? message));
+		if (this.interceptMessage === undefined) {
+			this.#deliver(id, from, message);
+			return;
+		}
+
+		this.interceptMessage(message, {fromId: from, toId: id}, delivered => {
+			this.#deliver(id, from, delivered);
+		});
 	}
 
 	crash(id: string): void {
@@ -213,6 +217,13 @@
 		return this.keepers.get(this.findLeaders()[0]!)!;
 	}
 
+	#deliver(id: string, from: string, message: PeerMessage): void {
+		const [name] = message.kind.split('.', 1);
+		const part = name === 'consensus' ? this.keepers.get(id) ?? this.clients.get(id) : this.followers.get(id);
+		const client = this.earlierIds.has(id) ? undefined : this.clients.get(id);
+		this.nodeTimers.get(id)!.run(() => (name === 'evacuations' ? client : part)?.handlePeerMessage(from, message));
+	}
+
 	#startTimers(id: string): ProcessTimers {
 		const driftRatio = this.#options.driftRatio ?? 0;
 		const timers = new ProcessTimers(this.timers, 1 + (driftRatio * ((2 * this.random.getFraction()) - 1)));
