--- a/packages/cluster/test/create-cluster-lost-withdrawals.test.ts
+++ b/packages/cluster/test/create-cluster-lost-withdrawals.test.ts
@@ -6,7 +6,7 @@
 import {replayMessageFault, type JobLife, type MessageFault} from './support/replay-message-fault.js';
 
 /** How long a client waits after a broken connection before it submits the job again, anywhere. */
-const retransmitMs = 1300;
+const resubmitDelayMs = 1300;
 /** How long a link stays closed after a reset. */
 const reopenMs = 250;
 const longJob = {
@@ -45,7 +45,7 @@
 				await runFor(test.timers, 30, 1); // eslint-disable-line no-await-in-loop -- The second one follows 280 ms after the first.
 			}
 
-			await runFor(test.timers, retransmitMs - (test.timers.getNowMs() - leftAtMs), 1);
+			await runFor(test.timers, resubmitDelayMs - (test.timers.getNowMs() - leftAtMs), 1);
 			assert.deepEqual(test.fleet.records.map(({outcome}) => outcome), ['stopped']);
 			test.submit('entry-b1', 'job', longJob);
 			await runFor(test.timers, 5000, 1);
--- a/packages/cluster/test/support/replay-message-fault.ts
+++ b/packages/cluster/test/support/replay-message-fault.ts
@@ -32,7 +32,7 @@
 const doubledAfterMs = 1000;
 const actAfterMs = 300;
 /** How long a client waits after a broken connection, or an unknown result, before it submits the job again, anywhere. */
-const retransmitMs = 1300;
+const resubmitDelayMs = 1300;
 const taskMs = 3000;
 const shortTaskMs = 150;
 const endMs = 5000;
@@ -94,7 +94,7 @@
 		case 'callers-leave':
 		case 'callers-leave-at-once': {
 			subscription.unsubscribe();
-			lastStartAtMs = test.timers.getNowMs() + retransmitMs;
+			lastStartAtMs = test.timers.getNowMs() + resubmitDelayMs;
 			break;
 		}
 
@@ -120,7 +120,7 @@
 		}
 	}
 
-	await runFor(test.timers, retransmitMs, stepMs);
+	await runFor(test.timers, resubmitDelayMs, stepMs);
 	return lastStartAtMs;
 }
 
