--- /dev/null
+++ b/review/lib-2/deployment.js
@@ -0,0 +1,209 @@
+// A small deployment of the project's own program: one process for each daemon, each on a loopback address of its own.
+import {spawn} from 'node:child_process';
+import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as pause} from 'node:timers/promises';
+import {callJson} from './call.js';
+
+const portCount = 5;
+const restartDelayMs = 300;
+const forcedEndMs = 3000;
+/** The values of a small site, as the users' pages give them for a settings file. */
+const commonSettings = [
+	'region=north',
+	'bootstrap=true',
+	'lossCounts=true',
+	'limits.cores=1',
+	'limits.memoryMb=350',
+	'limits.maxFds=4100',
+	'limits.bandwidthMbps=1000.0',
+	'discovery=registration',
+	'entry=vip',
+	'heartbeatMs=1500',
+	'contracts=base,drain,config,cost,recover,sched,advice,upkeep,sharing',
+	'faultTolerance.machines=1',
+	'faultTolerance.zones=1',
+	'faultTolerance.regions=0',
+	'bounds.seedLagS=3',
+	'bounds.stabilityWindowMs=3000',
+	'bounds.ackMs=4000',
+	'bounds.catchUpS=4',
+	'bounds.drainMs=2000',
+	'bounds.graceS=6',
+	'bounds.lossSlackMs=200',
+	'bounds.configApplyMs=2000',
+	'bounds.maxHoldMs=1000',
+	'bounds.stopMs=50',
+	'bounds.cancel_ms=3000',
+	'bounds.visible_ms=3000',
+	'bounds.remoteFactor=1.5',
+	'bounds.retransmitMs=1300',
+	'config_mode=highest',
+	'orders=invocation',
+];
+
+/**
+ * Starts the daemons of some zones.
+ * @param {object} options - The zones with the numbers of their daemons, the folder for settings, logs and data, and the record.
+ */
+export async function startDeployment({zones, folder, record}) {
+	const [peers, callers, readiness, control, metrics] = await findPorts();
+	const places = zones.flatMap(({name, edgeCount, coreCount = 1}, position) => [
+		...createPlaces(name, 'core', coreCount, `127.${40 + position}.1`),
+		...createPlaces(name, 'edge', edgeCount, `127.${40 + position}.2`),
+	]);
+	const cores = places.filter(({type}) => type === 'core');
+	const edges = places.filter(({type}) => type === 'edge');
+	const seeds = cores.slice(0, 3).map(({ip}) => `${ip}:${control}`).join(',');
+	const running = new Map();
+	mkdirSync(folder, {recursive: true});
+
+	function getOwnSettings({name, type, ip}) {
+		if (type === 'edge') {
+			return ['role=entry', 'serves=edge', `bindAddrs.front=${ip}:${callers}`, `bindAddrs.readiness=${ip}:${readiness}`, 'limits.cpuShare=0.675', 'limits.diskMb=0'];
+		}
+
+		return ['role=keeper', 'serves=control_plane', `bindAddrs.control=${ip}:${control}`, `dataDir=${path.join(folder, `${name}-data`)}`, 'limits.cpuShare=1.35', 'limits.diskMb=128'];
+	}
+
+	function writeSettings(place) {
+		const {name, type, zone, ip} = place;
+		const file = path.join(folder, `${name}.conf`);
+		writeFileSync(file, [
+			`nodeName=${name}`,
+			`machineClass=${type}`,
+			`ip=${ip}`,
+			`zone=${zone}`,
+			...zones.map(other => `zones.${other.name}=north`),
+			`portRange=${peers},${peers + 1}`,
+			`seeds=${seeds}`,
+			`camphortack.metricsPort=${metrics}`,
+			...commonSettings,
+			...getOwnSettings(place),
+			'',
+		].join('\n'));
+		return file;
+	}
+
+	function start(name) {
+		const place = places.find(other => other.name === name);
+		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
+		// The command of the deploy file, in the root of the repository.
+		const child = spawn('node', ['--max-old-space-size=200', 'target/camphortackd.mjs'], {
+			env: {PATH: process.env.PATH, HOME: process.env.HOME, CAMPHORTACK_NODE_FILE: writeSettings(place)},
+			stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		child.stdout.pipe(log);
+		child.stderr.pipe(log);
+		child.once('error', error => {
+			record.add('daemon-error', {name, message: error.message});
+		});
+		child.once('exit', (code, signal) => {
+			running.delete(name);
+			record.add('daemon-exit', {name, code, signal});
+		});
+		running.set(name, child);
+		record.add('daemon-start', {name, ip: place.ip, zone: place.zone});
+	}
+
+	for (const {name} of places) {
+		start(name);
+	}
+
+	return {
+		cores,
+		edges,
+		ports: {callers, readiness, control},
+		folder,
+		findPlace: name => places.find(place => place.name === name),
+		/** Sends a signal to a daemon, as the platform does. */
+		signal(name, signal) {
+			record.add('signal', {name, signal});
+			running.get(name)?.kill(signal);
+		},
+		/** Kills a daemon and starts it again, as the platform does with a process that ended. */
+		async restart(name) {
+			running.get(name)?.kill('SIGKILL');
+			await pause(restartDelayMs);
+			start(name);
+		},
+		/** Publishes a configuration, at one core machine after the other until one acknowledges it. */
+		async publish(body) {
+			for (let attempt = 0; attempt < 60; attempt++) {
+				const {ip} = cores[attempt % cores.length];
+				const request = createRequest(ip, control, 'PUT', '/api/config');
+				// eslint-disable-next-line no-await-in-loop -- The operator makes one attempt at a time.
+				const {status} = await callJson({...request, body});
+				if (status === 200) {
+					record.add('config-acknowledged', {version: body.version, by: ip});
+					return;
+				}
+
+				// eslint-disable-next-line no-await-in-loop -- See above.
+				await pause(250);
+			}
+
+			throw new Error('no configuration was acknowledged');
+		},
+		/** Asks an edge machine whether it is ready, as the platform does, and returns the status. */
+		async getReadiness(ip) {
+			const {status} = await callJson(createRequest(ip, readiness, 'GET', '/api/ready'));
+			return status;
+		},
+		/** Waits until all edge machines are ready. */
+		async waitUntilReady() {
+			for (const {ip} of edges) {
+				let status = 0;
+				for (let attempt = 0; attempt < 100 && status !== 200; attempt++) {
+					// eslint-disable-next-line no-await-in-loop -- The platform asks once in a while.
+					status = await this.getReadiness(ip);
+					// eslint-disable-next-line no-await-in-loop -- See above.
+					await pause(100);
+				}
+
+				if (status !== 200) {
+					throw new Error(`${ip} is not ready`);
+				}
+			}
+		},
+		/** Ends all daemons and waits until they are gone. */
+		async stop() {
+			const ends = [...running.values()].map(async child => new Promise(resolve => {
+				child.once('exit', resolve);
+				child.kill('SIGCONT');
+				child.kill('SIGKILL');
+			}));
+			await Promise.race([Promise.all(ends), pause(forcedEndMs)]);
+		},
+	};
+}
+
+function createRequest(host, port, method, path) {
+	return {
+		host, port, method, path, timeoutMs: 1000,
+	};
+}
+
+function createPlaces(zone, type, count, network) {
+	return Array.from({length: count}, (_, position) => ({
+		name: `${type}-${zone}-${position + 1}`, zone, type, ip: `${network}.${position + 1}`,
+	}));
+}
+
+/** Finds free ports. All daemons use the same ones, because each has its own address. */
+async function findPorts() {
+	const servers = await Promise.all(Array.from({length: portCount}, async () => new Promise((resolve, reject) => {
+		const server = createServer();
+		server.once('error', reject);
+		server.listen(0, '0.0.0.0', () => {
+			resolve(server);
+		});
+	})));
+	const ports = servers.map(server => server.address().port);
+	await Promise.all(servers.map(async server => new Promise(resolve => {
+		server.close(resolve);
+	})));
+	return ports;
+}
