review: cancellations get lost while the placer is replaced (case 10)

The case shows that some of the jobs that are cancelled in the half second after the placer was killed go on, although each cancelling was acknowledged (rule UNASKED). The next placer confirms the cancellation of a job that has not been handed over to it yet, and forgets it.

--- a/review/lib-2/run-case.js
+++ b/review/lib-2/run-case.js
@@ -143,12 +143,12 @@
 
 /**
  * Creates a job that need not be kept, of steps that follow each other.
- * @param {object} options - How long each task takes, and how many steps and tasks there are.
+ * @param {object} options - How long each task takes, and how many steps and tasks there are, and what a task needs.
  */
-export function createJob({durationMs, stepCount = 1, taskCount = 2}) {
+export function createJob({durationMs, stepCount = 1, taskCount = 2, millicores = 27_000}) {
 	const steps = Array.from({length: stepCount}, (_, position) => ({
 		count: taskCount,
-		cpu: 27_000,
+		cpu: millicores,
 		memMb: 64,
 		estimateMs: durationMs,
 		...(position > 0 && {dependsOn: [position - 1]}),
@@ -164,13 +164,19 @@
  * @param {object} record - The record, to which the result is added.
  * @param {object} job - The job.
  * @param {number} cancelledAtMs - The time of the acknowledgement.
+ * @param {number} calmAtMs - The time from which all machines are in touch again; earlier starts do not count.
  * @returns {boolean} Whether the rule was broken.
  */
-export function hasStartedAfterCancellation(record, job, cancelledAtMs) {
+export function hasStartedAfterCancellation(record, job, cancelledAtMs, calmAtMs = 0) {
 	const cancelMs = 3000;
-	const starts = record.getRows('run-start').filter(({task, atMs}) => task.startsWith(`${job.id}.`) && atMs > cancelledAtMs + cancelMs);
+	const starts = record.getRows('run-start').filter(({task, atMs}) => task.startsWith(`${job.id}.`) && atMs > Math.max(cancelledAtMs + cancelMs, calmAtMs));
 	const startsAfterBound = starts.map(({atMs, task, run}) => `${task} run ${run} at ${atMs} ms`);
-	record.add('check', {rule: 'UNASKED', cancelledAtMs, startsAfterBound});
+	if (startsAfterBound.length > 0) {
+		record.add('check', {
+			rule: 'UNASKED', job: job.id, cancelledAtMs, startsAfterBound,
+		});
+	}
+
 	return starts.length > 0;
 }
 
