--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -1,11 +1,14 @@
 // A small deployment of the project's own program: one process for each daemon, each on a loopback address of its own.
 import {spawn} from 'node:child_process';
-import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
+import {
+	createWriteStream, mkdirSync, readFileSync, writeFileSync,
+} from 'node:fs';
 import {createServer} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {callJson} from './call.js';
+import {startPeerProxy} from './peer-proxy.js';
 
 const portCount = 5;
 const restartDelayMs = 300;
@@ -46,9 +49,9 @@
 
 /**
  * Starts the daemons of some zones.
- * @param {object} options - The zones with the numbers of their daemons, the folder for settings, logs and data, and the record.
+ * @param {object} options - The zones with the numbers of their daemons, the folder for settings, logs and data, the record, and whether the links between daemons can be cut.
  */
-export async function startDeployment({zones, folder, record}) {
+export async function startDeployment({zones, folder, record, canCut = false}) {
 	const [peers, callers, readiness, control, metrics] = await findPorts();
 	const places = zones.flatMap(({name, edgeCount, coreCount = 1}, position) => [
 		...createPlaces(name, 'core', coreCount, `127.${40 + position}.1`),
@@ -80,6 +83,7 @@
 			`portRange=${peers},${peers + 1}`,
 			`seeds=${seeds}`,
 			`camphortack.metricsPort=${metrics}`,
+			`camphortack.listenHost=${canCut ? getListenHost(ip) : ip}`,
 			...commonSettings,
 			...getOwnSettings(place),
 			'',
@@ -108,6 +112,11 @@
 		record.add('daemon-start', {name, ip: place.ip, zone: place.zone});
 	}
 
+	let cutLinks = new Set();
+	const isCut = (from, to) => cutLinks.has(`${from} ${to}`) || cutLinks.has(`${to} ${from}`);
+	const proxies = await Promise.all(places.filter(() => canCut).map(async ({ip}) => startPeerProxy({
+		host: ip, port: peers, targetHost: getListenHost(ip), isCut,
+	})));
 	for (const {name} of places) {
 		start(name);
 	}
@@ -116,13 +125,29 @@
 		cores,
 		edges,
 		ports: {callers, readiness, control},
-		folder,
 		findPlace: name => places.find(place => place.name === name),
+		/** Finds the core machine that places, by the newest line about it in the logs. */
+		findPlacer() {
+			const lines = cores.flatMap(({name}) => readFileSync(path.join(folder, `${name}.log`), 'utf8').split('\n'));
+			const events = lines.filter(line => line.includes('"event":"placer-followed"')).map(line => JSON.parse(line));
+			const {placer} = events.filter(event => event.placer !== '').toSorted((left, right) => left.term - right.term).at(-1);
+			return cores.find(({ip}) => ip === placer);
+		},
 		/** Sends a signal to a daemon, as the platform does. */
 		signal(name, signal) {
 			record.add('signal', {name, signal});
 			running.get(name)?.kill(signal);
 		},
+		/** Cuts the links between a daemon and some others, and joins all other links. */
+		setCut(name, otherNames) {
+			record.add('cut', {name, otherNames});
+			const findIp = wanted => places.find(place => place.name === wanted).ip;
+			cutLinks = new Set(otherNames.map(other => `${findIp(name)} ${findIp(other)}`));
+			for (const proxy of proxies) {
+				proxy.update();
+			}
+		},
+		start,
 		/** Kills a daemon and starts it again, as the platform does with a process that ended. */
 		async restart(name) {
 			running.get(name)?.kill('SIGKILL');
@@ -176,10 +201,19 @@
 				child.kill('SIGKILL');
 			}));
 			await Promise.race([Promise.all(ends), pause(forcedEndMs)]);
+			for (const proxy of proxies) {
+				proxy.stop();
+			}
 		},
 	};
 }
 
+/** The address on which a daemon itself listens for its peers, if a proxy listens on that of its settings. */
+function getListenHost(ip) {
+	const [first, second, third, fourth] = ip.split('.');
+	return `${first}.${second}.${Number(third) + 100}.${fourth}`;
+}
+
 function createRequest(host, port, method, path) {
 	return {
 		host, port, method, path, timeoutMs: 1000,
--- a/review/lib-2/run-case.js
+++ b/review/lib-2/run-case.js
@@ -7,7 +7,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {callJson} from './call.js';
 import {startDeployment} from './deployment.js';
-import {startWorkers} from './workers.js';
+import {startWorker, startWorkers} from './workers.js';
 
 const heldCode = 0;
 const brokenCode = 1;
@@ -21,7 +21,7 @@
 
 /**
  * Runs a case and ends the process with its exit code.
- * @param {object} options - The folder of the case, its zones, the number of workers in each zone, the time-out of the route, and the function that plays it. That function returns whether the rule was broken.
+ * @param {object} options - The folder of the case, its zones, the number of workers in each zone, the time-out of the route, whether links between daemons can be cut, and the function that plays it. That function returns whether the rule was broken.
  */
 export async function runCase(options) {
 	const record = createRecord();
@@ -50,29 +50,47 @@
 	process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- The exit code is the result.
 }
 
-async function playCase({zones, workerCounts, routeTimeoutMs = 1500, play}, {folder, record, cleanups}, hasTrouble) {
-	const deployment = await startDeployment({zones, folder, record});
+async function playCase({zones, workerCounts, routeTimeoutMs = 1500, canCut, play}, {folder, record, cleanups}, hasTrouble) {
+	const deployment = await startDeployment({
+		zones, folder, record, canCut,
+	});
 	cleanups.push(() => deployment.stop());
 	const controls = deployment.cores.map(({ip}) => ({host: ip, port: deployment.ports.control}));
 	const workers = await startWorkers({
 		counts: workerCounts, service, controls, record,
 	});
 	cleanups.push(() => workers.stop());
-	await deployment.publish(getConfiguration(1, routeTimeoutMs));
+	await deployment.publish(getConfiguration(routeTimeoutMs));
 	await deployment.waitUntilReady();
 	await pause(settleMs);
 	const client = createClient(deployment, record);
 	await client.warmUp();
 	const isBroken = await play({
-		deployment, client, record, hasTrouble,
+		deployment,
+		client,
+		record,
+		hasTrouble,
+		/** Adds a worker that announces itself to a core machine, and to the others after a failure. */
+		async addWorker(worker, {ip}) {
+			const ordered = controls.toSorted((left, right) => Number(right.host === ip) - Number(left.host === ip));
+			const added = await startWorker({...worker, service}, ordered, record);
+			cleanups.push(() => added.stop());
+			return added;
+		},
 	});
 	return isBroken ? brokenCode : heldCode;
 }
 
-function getConfiguration(version, timeoutMs) {
+/**
+ * Gets a configuration, of version 1 unless another one is named.
+ * @param {number} timeoutMs - The time-out of its route.
+ * @param {object} other - Another version, and another path of its queue.
+ */
+export function getConfiguration(timeoutMs, {version = 1, pathPrefix = queue.pathPrefix} = {}) {
 	const route = {
-		name: 'r-1',
-		...queue,
+		name: pathPrefix,
+		host: queue.host,
+		pathPrefix,
 		type: 'non_idempotent',
 		timeoutMs,
 		targetDurationMs: 60,
@@ -111,6 +129,8 @@
 	return {
 		/** Submits a job that need not be kept, over a connection of its own or one of an agent; resolves with its response. */
 		submit: async (name, job, timeoutMs, agent) => send(name, 'POST', job.id, {body: job.body, timeoutMs, agent}),
+		/** Sends the cancellation of a job once, and resolves with its response. */
+		tryCancel: async (name, job) => send(name, 'DELETE', job.id, {timeoutMs: 4000}),
 		/** Cancels a job; throws if that is not acknowledged. Returns the time of the acknowledgement. */
 		async cancel(name, job) {
 			const {status, answeredAtMs} = await send(name, 'DELETE', job.id, {timeoutMs: 4000});
@@ -143,14 +163,15 @@
 
 /**
  * Creates a job that need not be kept, of steps that follow each other.
- * @param {object} options - How long each task takes, and how many steps and tasks there are, and what a task needs.
+ * @param {object} options - How long each task takes, and how many steps and tasks there are, what a task needs, and the label that its workers must have.
  */
-export function createJob({durationMs, stepCount = 1, taskCount = 2, millicores = 27_000}) {
+export function createJob({durationMs, stepCount = 1, taskCount = 2, millicores = 27_000, label}) {
 	const steps = Array.from({length: stepCount}, (_, position) => ({
 		count: taskCount,
 		cpu: millicores,
 		memMb: 64,
 		estimateMs: durationMs,
+		...(label !== undefined && {constraints: label}),
 		...(position > 0 && {dependsOn: [position - 1]}),
 	}));
 	return {
--- a/review/lib-2/workers.js
+++ b/review/lib-2/workers.js
@@ -40,7 +40,13 @@
 	};
 }
 
-async function startWorker({id, zone, rack, service}, controls, record) {
+/**
+ * Starts a worker.
+ * @param {object} worker - Its id, zone, rack, service and kind.
+ * @param {object[]} controls - The control addresses, in the order in which it calls them.
+ * @param {object} record - The record.
+ */
+export async function startWorker({id, zone, rack, service, kind = 'a'}, controls, record) {
 	const born = Date.now();
 	const startedAt = performance.now();
 	const runs = new Map();
@@ -206,7 +212,7 @@
 			state: 'ready',
 			coldRemainingMs: 0,
 			capacity: {cpu: millicores, memMb: memoryMb, gpu: 0},
-			labels: ['a', rack],
+			labels: [kind, rack],
 			clockMs: getClockMs(),
 			seqNo,
 			born,
