--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -61,6 +61,8 @@
 	const edges = places.filter(({type}) => type === 'edge');
 	const seeds = cores.slice(0, 3).map(({ip}) => `${ip}:${control}`).join(',');
 	const running = new Map();
+	/** All processes that have not ended. */
+	const children = new Set();
 	mkdirSync(folder, {recursive: true});
 
 	function getOwnSettings({name, type, ip}) {
@@ -105,10 +107,16 @@
 			record.add('daemon-error', {name, message: error.message});
 		});
 		child.once('exit', (code, signal) => {
-			running.delete(name);
+			// The next process of the same name may have been started already.
+			if (running.get(name) === child) {
+				running.delete(name);
+			}
+
+			children.delete(child);
 			record.add('daemon-exit', {name, code, signal});
 		});
 		running.set(name, child);
+		children.add(child);
 		record.add('daemon-start', {name, ip: place.ip, zone: place.zone});
 	}
 
@@ -195,7 +203,7 @@
 		},
 		/** Ends all daemons and waits until they are gone. */
 		async stop() {
-			const ends = [...running.values()].map(async child => new Promise(resolve => {
+			const ends = [...children].map(async child => new Promise(resolve => {
 				child.once('exit', resolve);
 				child.kill('SIGCONT');
 				child.kill('SIGKILL');
@@ -231,7 +239,7 @@
 	const servers = await Promise.all(Array.from({length: portCount}, async () => new Promise((resolve, reject) => {
 		const server = createServer();
 		server.once('error', reject);
-		server.listen(0, '0.0.0.0', () => {
+		server.listen(0, '127.0.0.1', () => {
 			resolve(server);
 		});
 	})));
--- a/review/lib-2/run-case.js
+++ b/review/lib-2/run-case.js
@@ -32,9 +32,10 @@
 	}];
 	let exitCode = notRunCode;
 	record.add('case', {trouble: hasTrouble});
+	const failure = waitForFailure();
 	try {
 		const end = playCase(options, {folder, record, cleanups}, hasTrouble);
-		exitCode = await Promise.race([end, pause(maxCaseMs, notRunCode, {ref: false})]);
+		exitCode = await Promise.race([end, failure, pause(maxCaseMs, notRunCode, {ref: false})]);
 	} catch (error) {
 		record.add('case-failed', {message: error.stack});
 	}
@@ -50,6 +51,19 @@
 	process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- The exit code is the result.
 }
 
+/** Rejects when something fails that the case doesn't wait for, or when it is told to stop, so that it cleans up and ends with 2. */
+async function waitForFailure() {
+	return new Promise((_, reject) => {
+		process.on('unhandledRejection', reject);
+		process.on('uncaughtException', reject);
+		for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+			process.on(signal, () => {
+				reject(new Error(`stopped by ${signal}`));
+			});
+		}
+	});
+}
+
 async function playCase({zones, workerCounts, routeTimeoutMs = 1500, canCut, play}, {folder, record, cleanups}, hasTrouble) {
 	const deployment = await startDeployment({
 		zones, folder, record, canCut,
