Test crowds of clients that do not behave, with bounds from the VM's settings

Cause: clients that nobody controls ended a process by memory.

Change: tests and their support only.

--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,4 +1,5 @@
 export * from './backend/stand-in-backend-server.js';
+export * from './network/crowd.js';
 export * from './network/fake-network.js';
 export * from './sinks/recording-event-log.js';
 export * from './sinks/recording-metric-sink.js';
