--- a/packages/configuration/src/settings/settings-schema.ts
+++ b/packages/configuration/src/settings/settings-schema.ts
@@ -39,6 +39,10 @@
 		.describe('entry: accepts requests and starts tasks. keeper: stores the durable state; its VM needs a disk.'),
 	dataFolder: fileSchema.optional()
 		.describe('The folder in which a keeper stores its files. If not set, a temporary folder is used and its content is lost when the daemon stops.'),
+	memoryMegabytes: z.int().min(64).max(1_048_576).default(1024)
+		.describe('The memory that the process may use. The bounds on what clients can make it keep are shares of it.'),
+	maxFileDescriptors: z.int().min(256).max(1_048_576).default(16_384)
+		.describe('The number of file descriptors that the process may open. The bounds on connections are shares of it.'),
 });
 
 const listenerShape = {
--- a/packages/configuration/test/settings/read-settings.test.ts
+++ b/packages/configuration/test/settings/read-settings.test.ts
@@ -18,7 +18,9 @@
 describe('readSettings', () => {
 	it('returns the settings of embedded mode for an empty file', () => {
 		const settings = readSettings('d.ini', '');
-		assert.deepEqual(settings.daemon, {id: 'daemon-1', availabilityZone: 'zone-1', roles: ['entry', 'keeper']});
+		assert.deepEqual(settings.daemon, {
+			id: 'daemon-1', availabilityZone: 'zone-1', roles: ['entry', 'keeper'], memoryMegabytes: 1024, maxFileDescriptors: 16_384,
+		});
 		assert.deepEqual([settings.callers, settings['backend-servers'], settings.operators.host], [
 			{host: '127.0.0.1', port: 0}, {host: '127.0.0.1', port: 0, tokenHashes: []}, '127.0.0.1',
 		]);
