Bound the memory of requests: bodies that never end, open requests and unread responses

Cause: readJson kept every chunk as an object of its own, with no bound over all requests, and read bodies over their limit to the end. An open request counted nowhere. Of several requests on one connection, only the first learnt that the connection was closed (Node tells only the response that it is sending), so the others stayed open and their jobs went on.

A request that still finds no room is refused at once with 503. A connection may have 64 open requests.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -52,6 +52,12 @@
 	'request-failed': {
 		number: 1009, level: 'error', summary: 'An error in one request was not expected and nothing else handled it; the daemon goes on.', action: 'Report a bug with the stack.',
 	},
+	'limit-reached': {
+		number: 1010,
+		level: 'warning',
+		summary: 'A bound on what clients or peers may use was reached, so often since the last line about it.',
+		action: 'Find the clients that open many connections, do not end their requests or do not read the responses.',
+	},
 	'settings-reloaded': {
 		number: 1005, level: 'info', summary: 'The settings file was reloaded and the new values are in effect.', action: 'None.',
 	},
--- /dev/null
+++ b/packages/process/src/http/request-guard.ts
@@ -0,0 +1,176 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {TimerService} from '@camphortack/core';
+import type {LimitLog} from '../limits/limit-log.js';
+import type {MemoryBudget, Reservation} from '../memory/memory-budget.js';
+import {createConnectionTable} from './connection-table.js';
+
+/** Keeps the clients of an HTTP server within bounds, over all of its connections and requests. */
+export type RequestGuard = {
+	/**
+	 * Admits a request, and reserves memory for it until its response is sent. Otherwise the request must not be handled: either its
+	 * connection is about to be closed, or a refusal has to be sent.
+	 */
+	admit(request: IncomingMessage, response: ServerResponse): Admission;
+	/** Closes the connection of a response soon after it was sent; a body that still arrives is discarded meanwhile. */
+	closeAfter(response: ServerResponse): void;
+};
+
+export type Admission = 'admitted' | 'refused' | 'ignored';
+
+export type RequestGuardOptions = {
+	maxConnections: number;
+	/** The memory for bodies, open requests and unread responses. Several servers may share it. */
+	memory: MemoryBudget;
+	limitLog: LimitLog;
+	timers: TimerService;
+};
+
+/** Roughly what an open request takes, without its body. */
+export const requestOverheadBytes = 8192;
+/** A client that waits for each response before it sends the next request has one open request. */
+const maxOpenRequestsPerConnection = 64;
+/** Lets the response arrive before the reset of a connection whose body was not read. */
+const closeDelayMs = 500;
+
+const reservations = new WeakMap<IncomingMessage, Reservation>();
+
+/**
+ * Finds the memory that is reserved for an admitted request.
+ * @param request - The request.
+ */
+export function findRequestReservation(request: IncomingMessage): Reservation | undefined {
+	return reservations.get(request);
+}
+
+/**
+ * Reserves memory for a large response, which is held until the client has read it. Returns false if there is none.
+ * @param response - The response.
+ * @param sizeBytes - The size of its body.
+ */
+export function reserveResponse({req: request}: ServerResponse, sizeBytes: number): boolean {
+	return sizeBytes <= requestOverheadBytes || (reservations.get(request)?.resize(requestOverheadBytes + sizeBytes) ?? true);
+}
+
+/**
+ * Creates the guard of a server, which must not listen yet.
+ * @param server - The server.
+ * @param options - The bounds.
+ *
+ * @example
+ * ```ts
+ * const guard = createRequestGuard(server, {maxConnections: 2050, memory, limitLog, timers});
+ * server.on('request', (request, response) => {
+ * 	if (guard.admit(request, response) === 'admitted') {
+ * 		handleRequest(request, response);
+ * 	}
+ * });
+ * ```
+ */
+export function createRequestGuard(server: Server, {maxConnections, memory, limitLog, timers}: RequestGuardOptions): RequestGuard {
+	/** The responses of each connection that were not sent yet. */
+	const openResponses = new Map<Socket, Set<ServerResponse>>();
+	const closingSockets = new WeakSet<Socket>();
+	const connections = createConnectionTable<Socket>({
+		maxCount: maxConnections,
+		close(socket) {
+			limitLog.record('limit-connections');
+			socket.destroy();
+		},
+		endRequest: memory.evictOne,
+	});
+
+	server.on('connection', (socket: Socket) => {
+		if (!connections.add(socket)) {
+			limitLog.record('limit-connections');
+			socket.destroy();
+			return;
+		}
+
+		openResponses.set(socket, new Set());
+		socket.once('close', () => {
+			connections.remove(socket);
+			closeResponses(socket);
+		});
+	});
+
+	/** Only the first response that waits to be sent is told by its server that the connection is closed. */
+	function closeResponses(socket: Socket): void {
+		const responses = openResponses.get(socket) ?? [];
+		openResponses.delete(socket);
+		setImmediate(() => {
+			for (const response of responses) {
+				response.emit('close');
+			}
+		});
+	}
+
+	function closeSoon(socket: Socket): void {
+		closingSockets.add(socket);
+		connections.setState(socket, 'closing');
+		const timer = timers.addTimer(closeDelayMs, () => {
+			socket.destroy();
+		});
+		socket.once('close', () => {
+			timer.cancel();
+		});
+	}
+
+	function addResponse(socket: Socket, responses: Set<ServerResponse>, response: ServerResponse): void {
+		responses.add(response);
+		connections.setState(socket, 'busy');
+		response.once('close', () => {
+			responses.delete(response);
+			if (responses.size === 0 && !closingSockets.has(socket)) {
+				connections.setState(socket, 'idle');
+			}
+		});
+	}
+
+	function holdUntilClosed(response: ServerResponse, reservation: Reservation): void {
+		// From here on, the response only waits for its client to read it.
+		response.once('prefinish', () => {
+			reservation.setEvictable(() => {
+				limitLog.record('limit-unread-responses');
+				response.req.socket.destroy();
+			});
+		});
+		response.once('close', reservation.release);
+	}
+
+	return {
+		admit(request, response) {
+			const {socket} = request;
+			const responses = openResponses.get(socket);
+			if (responses === undefined || closingSockets.has(socket)) {
+				return 'ignored';
+			}
+
+			addResponse(socket, responses, response);
+			if (responses.size > maxOpenRequestsPerConnection) {
+				limitLog.record('limit-requests-per-connection');
+				socket.destroy();
+				return 'ignored';
+			}
+
+			const reservation = memory.reserve(requestOverheadBytes);
+			if (reservation === undefined) {
+				limitLog.record('limit-request-memory');
+				return 'refused';
+			}
+
+			reservations.set(request, reservation);
+			holdUntilClosed(response, reservation);
+			return 'admitted';
+		},
+		closeAfter(response) {
+			const {socket} = response.req;
+			if (!response.headersSent) {
+				response.setHeader('connection', 'close');
+			}
+
+			response.req.resume();
+			closeSoon(socket);
+		},
+	};
+}
