Bound the memory of jobs at the entry daemon and at the placer

What callers saw: one POST of 120 bytes, a step with count 100,000, ended the keeper, and then the entry daemon that took over as the placer; so did 20 steps of 100,000, 3,000 steps of 100, and 600 jobs of 150 tasks that need no processor time.

Cause: a job is created with an object for each task. A step's count was bounded at 100,000 and the tasks of a job, of all open jobs and of the results that are kept were not. A waiting task takes 0.7 KB, one whose start request is unanswered about 6 KB (175 MB for 10,000, of 113 MB before). After the placer was lost, the next one took every job that might have started, whatever their number.

The open jobs and the kept results of a placer share a sixth of limits.memoryMb, counted with 8 KB and the payload for each task. A job that finds no room is refused as overload at once, with its Retry-After, before its tasks are created; the refusal is kept like any result, so that a copy of the submission is refused, too. A job that an earlier placer may have started is never refused: it may use half as much again, and is reported as unknown beyond.

--- a/packages/cluster/src/cluster-options.ts
+++ b/packages/cluster/src/cluster-options.ts
@@ -23,6 +23,8 @@
 	backendServerClient: BackendServerClient;
 	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
 	remoteRunFactor?: number | undefined;
+	/** The memory for the open jobs and results of a placer on this daemon; unlimited if it is missing. */
+	jobMemoryBytes?: number | undefined;
 	/** Omitted on a VM without a disk. */
 	hintStore?: ClusterHintStore;
 	timers: TimerService;
--- a/packages/cluster/src/entry/left-jobs.ts
+++ b/packages/cluster/src/entry/left-jobs.ts
@@ -1,4 +1,4 @@
-import type {TimerService} from '@camphortack/core';
+import {addToList, type TimerService} from '@camphortack/core';
 import {leftJobRetentionMs} from '../cluster-timings.js';
 
 /** The jobs that an entry daemon has submitted and no longer waits for, though their tasks may still run. */
@@ -34,7 +34,7 @@
 				if (atMs < oldestMs) {
 					leftJobs.delete(jobId);
 				} else {
-					byShard.set(shard, [...(byShard.get(shard) ?? []), jobId]);
+					addToList(byShard, shard, jobId);
 				}
 			}
 
--- a/packages/cluster/src/entry/open-job-lists.ts
+++ b/packages/cluster/src/entry/open-job-lists.ts
@@ -32,7 +32,10 @@
 		add(shard, part, jobIds) {
 			const list = lists.get(shard) ?? {jobIds: []};
 			lists.set(shard, list);
-			list[part] = [...(list[part] ?? []), ...jobIds];
+			list[part] ??= [];
+			for (const jobId of jobIds) {
+				list[part].push(jobId);
+			}
 		},
 		getLists: () => lists,
 	};
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -35,7 +35,7 @@
 	findLoadMs(): number | undefined;
 };
 
-export type LocalPlacerOptions = Pick<ClusterOptions, 'daemonNumber' | 'backendServerClient' | 'timers' | 'random' | 'events' | 'metrics' | 'remoteRunFactor'> & {
+export type LocalPlacerOptions = Pick<ClusterOptions, 'daemonNumber' | 'backendServerClient' | 'timers' | 'random' | 'events' | 'metrics' | 'remoteRunFactor' | 'jobMemoryBytes'> & {
 	earlierServers: EarlierServers;
 	/** Gets the shard of this daemon. */
 	getShard: () => string;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export * from './schemas/parse-without-bad-rows.js';
 export * from './schemas/task-start-schemas.js';
 export * from './time/timer-service.js';
+export * from './utils/add-to-list.js';
 export * from './utils/find-nearest-name.js';
 export * from './utils/get-schema-findings.js';
 export * from './utils/hash-text.js';
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,6 +2,7 @@
 export * from './crashes/crash-register.js';
 export type * from './jobs/entry-list.js';
 export type * from './jobs/job-handover.js';
+export * from './jobs/get-job-memory.js';
 export * from './jobs/job-request.js';
 export * from './messages/job-outcome.js';
 export * from './messages/placement-messages.js';
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -51,6 +51,8 @@
 	readonly work: number;
 	readonly relativeWork: number;
 	readonly sizePlace: SizePlace;
+	/** Roughly what it takes at the placer. */
+	readonly memoryBytes: number;
 	/** Whether this or an earlier placer has sent a start request for a task. */
 	hasStarted: boolean;
 	isEnded: boolean;
@@ -105,8 +107,8 @@
  */
 export function getStartableTasks(job: PlacedJob): PlacedTask[] {
 	const unfinishedSteps = new Set(job.tasks.filter(task => task.state !== 'done').map(task => task.step));
-	return job.tasks.filter(task => task.state === 'waiting'
-		&& job.request.steps[task.step]!.dependsOn.every(position => !unfinishedSteps.has(position)));
+	const areStepsStartable = job.request.steps.map(({dependsOn}) => dependsOn.every(position => !unfinishedSteps.has(position)));
+	return job.tasks.filter(task => task.state === 'waiting' && areStepsStartable[task.step]);
 }
 
 /**
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -1,5 +1,5 @@
-import type {
-	EventLog, MetricSink, RandomSource, TimerService,
+import {
+	addToList, type EventLog, type MetricSink, type RandomSource, type TimerService,
 } from '@camphortack/core';
 import {
 	getStartableTasks, isDone, isUnstarted, type PlacedJob, type PlacedTask,
@@ -61,6 +61,8 @@
 	earlierJobs?: EarlierJobs | undefined;
 	/** The factor by which a task takes longer on a rack without its data. Without it, tasks never wait for such a rack. */
 	remoteRunFactor?: number | undefined;
+	/** The memory for open jobs and results; unlimited if it is missing. */
+	jobMemoryBytes?: number | undefined;
 	/** The crashes that this daemon knows of, which outlive its terms. */
 	crashRegister: CrashRegister;
 	/** Called with each crash that this placer has noticed first. */
@@ -370,7 +372,7 @@
 			const jobIds = new Map<string, string[]>();
 			for (const job of jobTable.getJobs()) {
 				if (isUnstarted(job)) {
-					jobIds.set(job.entryId, [...(jobIds.get(job.entryId) ?? []), job.request.jobId]);
+					addToList(jobIds, job.entryId, job.request.jobId);
 				}
 			}
 
--- a/packages/placement/src/placer/job-table.ts
+++ b/packages/placement/src/placer/job-table.ts
@@ -10,6 +10,8 @@
 	findJob(jobId: string): PlacedJob | undefined;
 	findTask(taskName: string): {job: PlacedJob; task: PlacedTask} | undefined;
 	getJobs(): Iterable<PlacedJob>;
+	/** Gets roughly what the open jobs and the results take. */
+	getMemoryBytes(): number;
 	/** Moves a job from the open jobs to the ended jobs. */
 	endJob(job: PlacedJob, result: JobOutcome): void;
 	/**
@@ -36,6 +38,8 @@
 
 /** How long results are kept for callers that did not receive the response and ask again. */
 const resultRetentionMs = 15_000;
+/** Roughly what a result takes, with the ids of its submissions. */
+const resultBytes = 512;
 
 /**
  * Creates an empty table.
@@ -46,6 +50,7 @@
 	const tasks = new Map<string, {job: PlacedJob; task: PlacedTask}>();
 	const results = new Map<string, EndedJob>();
 	const submissionsByJob = new Map<string, Submissions>();
+	let openJobBytes = 0;
 
 	/** The results are ordered by end time, so the oldest come first. */
 	function removeExpiredResults(): void {
@@ -62,6 +67,7 @@
 	return {
 		addJob(job) {
 			jobs.set(job.request.jobId, job);
+			openJobBytes += job.memoryBytes;
 			const ended = results.get(job.request.jobId)?.submissions;
 			results.delete(job.request.jobId);
 			submissionsByJob.set(job.request.jobId, {
@@ -77,9 +83,16 @@
 		findJob: jobId => jobs.get(jobId),
 		findTask: taskName => tasks.get(taskName),
 		getJobs: () => jobs.values(),
+		getMemoryBytes() {
+			removeExpiredResults();
+			return openJobBytes + (results.size * resultBytes);
+		},
 		endJob(job, result) {
 			job.isEnded = true;
-			jobs.delete(job.request.jobId);
+			if (jobs.delete(job.request.jobId)) {
+				openJobBytes -= job.memoryBytes;
+			}
+
 			for (const task of job.tasks) {
 				tasks.delete(task.name);
 			}
--- a/packages/placement/src/placer/submitted-jobs.ts
+++ b/packages/placement/src/placer/submitted-jobs.ts
@@ -1,4 +1,6 @@
+import type {MetricSink} from '@camphortack/core';
 import type {EntryList} from '../jobs/entry-list.js';
+import {getJobMemoryBytes} from '../jobs/get-job-memory.js';
 import type {PlacedJob} from '../jobs/placed-job.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
@@ -28,6 +30,9 @@
 
 export type SubmittedJobsOptions = {
 	jobTable: JobTable;
+	/** The memory for open jobs and results; unlimited if it is missing. */
+	jobMemoryBytes?: number | undefined;
+	metrics: MetricSink;
 	jobLog: JobLog;
 	intake: JobIntake;
 	recovery: JobRecovery;
@@ -39,6 +44,9 @@
 	onResult: (entryId: string, jobId: string, result: JobOutcome) => void;
 };
 
+/** How much of the memory for jobs those may use that an earlier placer may have started. */
+const takeoverFactor = 1.5;
+
 /**
  * Creates the submissions of a placer.
  * @param options - The open jobs, and how they begin and end.
@@ -51,7 +59,7 @@
  * ```
  */
 export function createSubmittedJobs(options: SubmittedJobsOptions): SubmittedJobs {
-	const {jobTable, jobLog, intake, recovery, schedulePass, refuse, endJob, stopRuns, onResult} = options;
+	const {jobTable, jobMemoryBytes = Number.POSITIVE_INFINITY, metrics, jobLog, intake, recovery, schedulePass, refuse, endJob, stopRuns, onResult} = options;
 
 	function addJob(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		const job = intake.createJob(entryId, message);
@@ -61,6 +69,27 @@
 		schedulePass();
 	}
 
+	/** Whether there is memory for a job. At a takeover, there is more for those that an earlier placer may have started, so that their runs are found. */
+	function hasRoom({request, mayHaveStarted}: PlacementMessageOf<'placement.submit'>): boolean {
+		const maxBytes = mayHaveStarted ? jobMemoryBytes * takeoverFactor : jobMemoryBytes;
+		return jobTable.getMemoryBytes() + getJobMemoryBytes(request) <= maxBytes;
+	}
+
+	/**
+	 * Ends a job without creating its tasks: as refused, or as unknown if an earlier placer may have started it. The result is kept,
+	 * so that a copy of the submission that arrives later gets it, too.
+	 */
+	function endForMemory(entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
+		const job = intake.createJobWithoutTasks(entryId, message);
+		metrics.increment('limit-open-tasks');
+		jobTable.addJob(job);
+		if (message.mayHaveStarted) {
+			endJob(job, {outcome: 'unknown'});
+		} else {
+			refuse(job, 'overload', 0);
+		}
+	}
+
 	function joinJob(job: PlacedJob, entryId: string, message: PlacementMessageOf<'placement.submit'>): void {
 		job.waiting.add(message.submissionId, {entryId, incarnation: message.incarnation}, message.sequence);
 		updateEntry(job);
@@ -105,10 +134,12 @@
 			const result = jobTable.findResult(jobId, message.submissionId);
 			if (known !== undefined) {
 				joinJob(known, entryId, message);
-			} else if (result === undefined) {
+			} else if (result !== undefined) {
+				onResult(entryId, jobId, result);
+			} else if (hasRoom(message)) {
 				addJob(entryId, message);
 			} else {
-				onResult(entryId, jobId, result);
+				endForMemory(entryId, message);
 			}
 		},
 		cancel(jobId) {
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -60,7 +60,7 @@
  * Creates a placer for a fake fleet.
  * @param options - Options of the fleet.
  */
-export function createTestPlacer(options: Partial<FakeFleetOptions> & Pick<PlacerOptions, 'remoteRunFactor'> = {}): TestPlacer {
+export function createTestPlacer(options: Partial<FakeFleetOptions> & Pick<PlacerOptions, 'remoteRunFactor' | 'jobMemoryBytes'> = {}): TestPlacer {
 	const timers = new VirtualTimers();
 	const fleet = createFakeFleet({
 		timers,
@@ -88,6 +88,7 @@
 			events,
 			metrics,
 			remoteRunFactor: options.remoteRunFactor,
+			jobMemoryBytes: options.jobMemoryBytes,
 			earlierJobs,
 			crashRegister,
 			onDescriptionRefuted() {
--- a/packages/process/src/limits/process-limits.ts
+++ b/packages/process/src/limits/process-limits.ts
@@ -12,8 +12,8 @@
 	statusMemoryBytes: number;
 	/** For the messages of peers that are not complete. */
 	peerMemoryBytes: number;
-	/** For the tasks of the open jobs of a placer. */
-	openTaskMemoryBytes: number;
+	/** For the open jobs of a placer, with their tasks, and the results that it keeps. */
+	openJobMemoryBytes: number;
 	/** At each address for callers, backend servers and operators. */
 	maxConnections: number;
 	/** At each address for readiness checks and metrics. */
@@ -25,7 +25,7 @@
 const requestMemoryShare = 1 / 8;
 const statusMemoryShare = 1 / 64;
 const peerMemoryShare = 1 / 8;
-const openTaskMemoryShare = 1 / 8;
+const openJobMemoryShare = 1 / 6;
 /** An open connection takes up to 20 KB, without what it has sent. */
 const maxConnectionsPerMb = 8;
 const connectionFdShare = 1 / 2;
@@ -47,7 +47,7 @@
 		requestMemoryBytes: getMemoryBytes(requestMemoryShare),
 		statusMemoryBytes: getMemoryBytes(statusMemoryShare),
 		peerMemoryBytes: getMemoryBytes(peerMemoryShare),
-		openTaskMemoryBytes: getMemoryBytes(openTaskMemoryShare),
+		openJobMemoryBytes: getMemoryBytes(openJobMemoryShare),
 		maxConnections: Math.floor(Math.min(maxFds * connectionFdShare, memoryMb * maxConnectionsPerMb)),
 		maxStatusConnections: Math.floor(maxFds * statusFdShare),
 		maxPeerConnections: Math.floor(maxFds * peerFdShare),
