Bound the connections of peers and the memory of their incomplete messages

What was seen: 600 connections to the address for peers that send nothing took 630 of 400 descriptors for up to 5 s each, with new ones taken all the time; 100 connections with a hello and a part of a message of 4 MB held 480 MB of 224.

Cause: 1,024 connections were allowed whatever the process may open, and each could hold an incomplete message of up to 33 MB, with an object for each chunk. Nothing bounded them together.

Change: an eighth of limits.maxFds for connections of peers; a new one takes the place of one without a hello, else of the one that was heard the longest ago. An eighth of limits.memoryMb for incomplete messages, copied into blocks as bodies are; when it is used up, the connection whose message holds the most for the longest is closed, and its peer connects again. A message may be as large as this share, at most 33 MB as before. With TLS, twice as many connections may be in their handshakes, which have 5 s.

A test of the network keeps the connection of a peer while 100 others are opened where 32 are allowed. Not bounded: what a complete message of a forged peer becomes when it is decoded (TLS keeps such peers out).

--- a/packages/daemon/src/composition/bind-peers.ts
+++ b/packages/daemon/src/composition/bind-peers.ts
@@ -1,5 +1,5 @@
 import type {Container} from 'inversify';
-import {TcpPeerNetwork} from '@camphortack/process';
+import {createPeerLimits, TcpPeerNetwork} from '@camphortack/process';
 import {createPeerRouter} from '../peers/peer-router.js';
 import {getPeerTlsFiles} from './get-peer-tls-files.js';
 import {tokens} from './tokens.js';
@@ -11,7 +11,7 @@
 export function bindPeers(container: Container): void {
 	container.bind(tokens.peerRouter).toDynamicValue(context => createPeerRouter(context.get(tokens.metrics)));
 	container.bind(tokens.peerNetwork).toDynamicValue(context => {
-		const {peers} = context.get(tokens.settings);
+		const {peers, daemon} = context.get(tokens.settings);
 		return new TcpPeerNetwork({
 			ownId: context.get(tokens.identity).id,
 			host: peers.host,
@@ -21,6 +21,9 @@
 			metrics: context.get(tokens.metrics),
 			events: context.get(tokens.events),
 			onMessage: context.get(tokens.peerRouter).handleMessage,
+			limits: createPeerLimits({memoryMb: daemon.memoryMegabytes, maxFds: daemon.maxFileDescriptors}, {
+				timers: context.get(tokens.timers), events: context.get(tokens.events), metrics: context.get(tokens.metrics),
+			}),
 		});
 	});
 	container.bind(tokens.peers).toDynamicValue(context => context.get(tokens.peerNetwork));
--- a/packages/process/src/http/connection-table.ts
+++ b/packages/process/src/http/connection-table.ts
@@ -15,6 +15,7 @@
 	add(connection: Connection): boolean;
 	setState(connection: Connection, state: ConnectionState): void;
 	remove(connection: Connection): void;
+	getConnections(): Iterable<Connection>;
 	getCount(): number;
 };
 
@@ -94,6 +95,7 @@
 			}
 		},
 		remove,
+		getConnections: () => states.keys(),
 		getCount: () => states.size,
 	};
 }
--- a/packages/process/src/index.ts
+++ b/packages/process/src/index.ts
@@ -2,6 +2,8 @@
 export * from './http/connection-table.js';
 export * from './http/read-body.js';
 export * from './http/request-guard.js';
+export * from './limits/create-peer-limits.js';
+export * from './limits/create-request-limits.js';
 export * from './limits/limit-log.js';
 export * from './limits/process-limits.js';
 export * from './logs/json-event-log.js';
--- a/packages/process/src/peers/frame-codec.ts
+++ b/packages/process/src/peers/frame-codec.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Decoder, Encoder} from 'cbor-x';
 import {CamphortackError, peerMessageSchema, type PeerMessage} from '@camphortack/core';
+import {createByteCollector} from '../bytes/byte-collector.js';
 
 /** The size of the length prefix of a frame, in bytes. */
 export const frameHeaderBytes = 4;
@@ -37,57 +38,92 @@
 export type FrameReader = {
 	/**
 	 * Adds a chunk and passes on the messages that it completes.
-	 * @throws FrameError if the length of a frame is out of range or its body is not a message.
+	 * @throws FrameError if the length of a frame is out of range, there is no memory for it or its body is not a message.
 	 */
 	addChunk(chunk: Uint8Array): void;
 };
 
+export type FrameReaderOptions = {
+	/** Called with each message. */
+	onMessage: (message: PeerMessage) => void;
+	/** The maximum length of a frame body. */
+	maxFrameBytes?: number;
+	/** Called with the memory that an incomplete frame takes whenever that changes; 0 if there is none. Returns whether it may. */
+	reserve?: (sizeBytes: number) => boolean;
+};
+
 /**
  * Creates a reader for the frames of one connection.
- * @param onMessage - Called with each message.
- * @param maxFrameBytes - The maximum length of a frame body, which bounds the buffered bytes.
+ * @param options - Where messages go, and the bounds.
  *
  * @example
  * ```ts
- * const reader = createFrameReader(message => handleMessage(message));
+ * const reader = createFrameReader({onMessage: handleMessage});
  * socket.on('data', chunk => reader.addChunk(chunk));
  * ```
  */
-export function createFrameReader(onMessage: (message: PeerMessage) => void, maxFrameBytes = defaultMaxFrameBytes): FrameReader {
-	let chunks: Uint8Array[] = [];
-	let pendingBytes = 0;
+export function createFrameReader({onMessage, maxFrameBytes = defaultMaxFrameBytes, reserve = () => true}: FrameReaderOptions): FrameReader {
+	const collector = createByteCollector();
 	let neededBytes = frameHeaderBytes;
 
-	const readFrames = () => {
-		let buffer: Uint8Array = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-		neededBytes = getNeededBytes(buffer, maxFrameBytes);
-		while (buffer.length >= neededBytes && neededBytes > frameHeaderBytes) {
-			onMessage(decodeMessage(buffer.subarray(frameHeaderBytes, neededBytes)));
-			buffer = buffer.subarray(neededBytes);
-			neededBytes = getNeededBytes(buffer, maxFrameBytes);
+	/** Passes on the frames that a chunk contains completely. Returns the rest. */
+	function readCompleteFrames(chunk: Uint8Array): Uint8Array {
+		let rest = chunk;
+		for (;;) {
+			const frameBytes = findFrameBytes(rest, maxFrameBytes);
+			if (frameBytes === undefined || rest.length < frameBytes) {
+				return rest;
+			}
+
+			onMessage(decodeMessage(rest.subarray(frameHeaderBytes, frameBytes)));
+			rest = rest.subarray(frameBytes);
 		}
+	}
 
-		chunks = buffer.length > 0 ? [buffer] : [];
-		pendingBytes = buffer.length;
-	};
+	function collect(bytes: Uint8Array): void {
+		const capacity = collector.getCapacityFor(bytes.length);
+		if (capacity > collector.getCapacity() && !reserve(capacity)) {
+			throw new FrameError('there is no memory for the frame');
+		}
+
+		collector.add(bytes);
+	}
+
+	/** Adds bytes to the incomplete frame, and passes it on once it is complete. Returns the bytes that follow it. */
+	function continueFrame(chunk: Uint8Array): Uint8Array {
+		const part = chunk.subarray(0, neededBytes - collector.getSize());
+		collect(part);
+		if (collector.getSize() === neededBytes && neededBytes > frameHeaderBytes) {
+			const frame = collector.takeBytes();
+			reserve(0);
+			neededBytes = frameHeaderBytes;
+			onMessage(decodeMessage(frame.subarray(frameHeaderBytes)));
+		} else if (collector.getSize() === frameHeaderBytes) {
+			const header = collector.takeBytes();
+			neededBytes = findFrameBytes(header, maxFrameBytes)!;
+			collect(header);
+		}
+
+		return chunk.subarray(part.length);
+	}
 
 	return {
 		addChunk(chunk) {
-			chunks.push(chunk);
-			pendingBytes += chunk.length;
-			if (pendingBytes >= neededBytes) {
-				readFrames();
+			for (let rest = chunk; rest.length > 0;) {
+				rest = collector.getSize() === 0 ? readCompleteFrames(rest) : rest;
+				rest = rest.length === 0 ? rest : continueFrame(rest);
 			}
 		},
 	};
 }
 
-function getNeededBytes(buffer: Uint8Array, maxFrameBytes: number): number {
-	if (buffer.length < frameHeaderBytes) {
-		return frameHeaderBytes;
+/** Finds the length of the frame that some bytes begin with; undefined as long as they do not state it. */
+function findFrameBytes(bytes: Uint8Array, maxFrameBytes: number): number | undefined {
+	if (bytes.length < frameHeaderBytes) {
+		return undefined;
 	}
 
-	const bodyBytes = new DataView(buffer.buffer, buffer.byteOffset).getUint32(0);
+	const bodyBytes = new DataView(bytes.buffer, bytes.byteOffset).getUint32(0);
 	if (bodyBytes === 0 || bodyBytes > maxFrameBytes) {
 		throw new FrameError(`frame body length of ${bodyBytes} bytes is not between 1 and ${maxFrameBytes}`);
 	}
--- a/packages/process/src/peers/tcp-peer-network.ts
+++ b/packages/process/src/peers/tcp-peer-network.ts
@@ -4,8 +4,11 @@
 import {
 	PeerNetwork, type EventLog, type MetricSink, type PeerMessage, type TimerService,
 } from '@camphortack/core';
+import {createConnectionTable, type ConnectionTable} from '../http/connection-table.js';
+import type {LimitLog} from '../limits/limit-log.js';
+import type {MemoryBudget, Reservation} from '../memory/memory-budget.js';
 import {
-	createFrameReader, encodeFrame, FrameError, type FrameReader,
+	createFrameReader, defaultMaxFrameBytes, encodeFrame, FrameError, type FrameReader,
 } from './frame-codec.js';
 import {peerHelloSchema, peerProtocolVersion} from './peer-hello.js';
 
@@ -33,10 +36,20 @@
 	timers: TimerService;
 	metrics: MetricSink;
 	events: EventLog;
+	/** The bounds on what peers can make this process keep. */
+	limits: PeerLimits;
 	/** Handles received messages. It may be set with `setMessageHandler` instead, before listening. */
 	onMessage?: (fromPeerId: string, message: PeerMessage) => void;
 };
 
+/** The bounds on the connections that peers open to a daemon. */
+export type PeerLimits = {
+	maxConnections: number;
+	/** The memory for messages that are not complete. */
+	memory: MemoryBudget;
+	limitLog: LimitLog;
+};
+
 type Link = {
 	socket: net.Socket;
 	isConnected: boolean;
@@ -45,8 +58,9 @@
 const helloTimeoutMs = 5000;
 const reconnectDelayMs = 250;
 const maxBufferedBytes = 8_388_608;
-const maxInboundConnections = 1024;
 const maxBytesBeforeHello = 4096;
+/** The number of connections with TLS handshakes in relation to those that are established. */
+const handshakeFactor = 2;
 const keepAliveProbeDelayMs = 10_000;
 
 /**
@@ -59,7 +73,7 @@
 	readonly #addresses = new Map<string, PeerAddress>();
 	readonly #links = new Map<string, Link>();
 	readonly #reconnectNotBeforeMs = new Map<string, number>();
-	readonly #inbound = new Set<net.Socket>();
+	readonly #inbound: ConnectionTable<net.Socket>;
 	readonly #server: net.Server;
 	#isClosed = false;
 	#onMessage: (fromPeerId: string, message: PeerMessage) => void;
@@ -72,7 +86,16 @@
 		});
 		this.#tlsOptions = options.tls && readTlsOptions(options.tls);
 		this.#server = this.#createServer();
-		this.#server.maxConnections = maxInboundConnections;
+		this.#inbound = createConnectionTable({
+			maxCount: options.limits.maxConnections,
+			close(socket) {
+				options.limits.limitLog.record('limit-peer-connections');
+				socket.destroy();
+			},
+			endRequest: () => false,
+		});
+		// Connections count as open as soon as they are accepted, before a TLS handshake has ended.
+		this.#server.maxConnections = options.limits.maxConnections * handshakeFactor;
 	}
 
 	/** Starts listening and returns the port, which the operating system assigns if the option is 0. */
@@ -145,7 +168,7 @@
 			link.socket.end();
 		}
 
-		for (const socket of this.#inbound) {
+		for (const socket of this.#inbound.getConnections()) {
 			socket.destroy();
 		}
 
@@ -220,7 +243,7 @@
 			});
 		}
 
-		return tls.createServer(this.#tlsOptions, socket => {
+		return tls.createServer({...this.#tlsOptions, handshakeTimeout: helloTimeoutMs}, socket => {
 			this.#acceptConnection(socket);
 		});
 	}
@@ -228,23 +251,33 @@
 	#acceptConnection(socket: net.Socket): void {
 		let peerId: string | undefined;
 		this.#inbound.add(socket);
+		const frameMemory = this.#createFrameMemory(socket);
 		const helloTimer = this.#options.timers.addTimer(helloTimeoutMs, () => {
 			socket.destroy();
 		});
-		const reader = createFrameReader(message => {
-			if (peerId !== undefined) {
-				this.#options.metrics.increment('peer-received');
-				this.#handleMessage(peerId, message);
-				return;
-			}
-
-			peerId = readHelloOrThrow(message);
-			helloTimer.cancel();
+		const reader = createFrameReader({
+			maxFrameBytes: Math.min(this.#options.limits.memory.maxBytes, defaultMaxFrameBytes),
+			reserve: frameMemory.reserve,
+			onMessage: message => {
+				if (peerId !== undefined) {
+					this.#options.metrics.increment('peer-received');
+					this.#handleMessage(peerId, message);
+					return;
+				}
+
+				peerId = readHelloOrThrow(message);
+				helloTimer.cancel();
+			},
 		});
 		let bytesBeforeHello = 0;
 		socket.setKeepAlive(true, keepAliveProbeDelayMs);
 		socket.on('data', (chunk: Uint8Array) => {
 			this.#readChunk(socket, reader, chunk);
+			if (peerId !== undefined) {
+				// The connection of a peer that is alive stays when there are too many.
+				this.#inbound.setState(socket, 'idle');
+			}
+
 			bytesBeforeHello += chunk.length;
 			if (peerId === undefined && bytesBeforeHello > maxBytesBeforeHello) {
 				this.#rejectConnection(socket, 'too many bytes before the hello message');
@@ -255,10 +288,39 @@
 		});
 		socket.on('close', () => {
 			helloTimer.cancel();
-			this.#inbound.delete(socket);
+			this.#inbound.remove(socket);
+			frameMemory.release();
 		});
 	}
 
+	/** Creates what reserves the memory of the incomplete message of a connection, which is closed when others need it. */
+	#createFrameMemory(socket: net.Socket): {reserve: (sizeBytes: number) => boolean; release: () => void} {
+		const {memory, limitLog} = this.#options.limits;
+		let reservation: Reservation | undefined;
+
+		function release(): void {
+			reservation?.release();
+			reservation = undefined;
+		}
+
+		return {
+			reserve(sizeBytes) {
+				if (sizeBytes === 0) {
+					release();
+					return true;
+				}
+
+				reservation ??= memory.reserve(0);
+				reservation?.setEvictable(() => {
+					limitLog.record('limit-peer-memory');
+					socket.destroy();
+				});
+				return reservation?.resize(sizeBytes) ?? false;
+			},
+			release,
+		};
+	}
+
 	/**
 	 * Passes a message on. An error costs that message only: the protocols above send again what needs delivery. A failed write
 	 * or sync is no such error, since the storage reports it to the daemon, which stops.
--- a/packages/process/test/peers/frame-codec.test.ts
+++ b/packages/process/test/peers/frame-codec.test.ts
@@ -9,8 +9,10 @@
 		const messages = fc.array(fc.record({kind: fc.string({maxLength: 20}), value: fc.jsonValue()}), {minLength: 1, maxLength: 10});
 		fc.assert(fc.property(messages, fc.integer({min: 1, max: 50}), (sent, chunkBytes) => {
 			const received: PeerMessage[] = [];
-			const reader = createFrameReader(message => {
-				received.push(message);
+			const reader = createFrameReader({
+				onMessage(message) {
+					received.push(message);
+				},
 			});
 			const bytes = sent.flatMap(message => [...encodeFrame(message)]);
 			for (let start = 0; start < bytes.length; start += chunkBytes) {
@@ -23,7 +25,7 @@
 
 	it('throws only FrameError for arbitrary bytes', () => {
 		fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => {
-			const reader = createFrameReader(() => undefined, 64);
+			const reader = createFrameReader({onMessage: () => undefined, maxFrameBytes: 64});
 			try {
 				reader.addChunk(bytes);
 			} catch (error) {
@@ -32,6 +34,31 @@
 		}), {seed: 2, numRuns: 500});
 	});
 
+	// Guards against frames whose length is stated and whose bytes arrive one by one, each as an object of its own.
+	it('takes little more memory for an incomplete frame than its bytes, and none after it', () => {
+		const sizes: number[] = [];
+		const reader = createFrameReader({
+			onMessage: () => undefined,
+			reserve(sizeBytes) {
+				sizes.push(sizeBytes);
+				return true;
+			},
+		});
+		for (const byte of encodeFrame({kind: 'test', text: 'a'.repeat(100_000)})) {
+			reader.addChunk(new Uint8Array([byte]));
+		}
+
+		assert.ok(Math.max(...sizes) < 170_000);
+		assert.equal(sizes.at(-1), 0);
+	});
+
+	it('rejects a frame for which there is no memory', () => {
+		const reader = createFrameReader({onMessage: () => undefined, reserve: sizeBytes => sizeBytes < 10_000});
+		assert.throws(() => {
+			reader.addChunk(encodeFrame({kind: 'test', text: 'a'.repeat(100_000)}).subarray(0, 50_000));
+		}, FrameError);
+	});
+
 	const rows: Array<{name: string; bytes: number[]}> = [
 		{name: 'an empty frame', bytes: [0, 0, 0, 0]},
 		{name: 'a frame that exceeds the maximum length', bytes: [255, 255, 255, 255]},
@@ -40,7 +67,7 @@
 	];
 	for (const {name, bytes} of rows) {
 		it(`rejects ${name}`, () => {
-			const reader = createFrameReader(() => undefined);
+			const reader = createFrameReader({onMessage: () => undefined});
 			assert.throws(() => {
 				reader.addChunk(Uint8Array.from(bytes));
 			}, FrameError);
--- a/packages/process/test/peers/tcp-peer-network.test.ts
+++ b/packages/process/test/peers/tcp-peer-network.test.ts
@@ -2,17 +2,22 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {connect, type Socket} from 'node:net';
 import {
 	after, afterEach, before, describe, it,
 } from 'node:test';
 import {setImmediate as yieldToEventLoop} from 'node:timers/promises';
 import type {PeerMessage} from '@camphortack/core';
 import {RecordingEventLog, RecordingMetricSink} from '@camphortack/testkit';
-import {SystemTimers, TcpPeerNetwork, type PeerTlsFiles} from '../../src/index.js';
+import {
+	createPeerLimits, SystemTimers, TcpPeerNetwork, type PeerTlsFiles,
+} from '../../src/index.js';
 import {createCertificateAuthority} from '../support/create-certificate-authority.js';
 
 const host = '127.0.0.1';
 const message: PeerMessage = {kind: 'test.message'};
+/** Enough for 32 connections. */
+const resources = {memoryMb: 64, maxFds: 256};
 
 describe('TcpPeerNetwork', () => {
 	const folder = mkdtempSync(join(tmpdir(), 'camphortack-peers-'));
@@ -42,7 +47,7 @@
 		const metrics = new RecordingMetricSink();
 		const events = new RecordingEventLog();
 		const network = new TcpPeerNetwork({
-			ownId, host, port: 0, tls, timers, metrics, events, onMessage,
+			ownId, host, port: 0, tls, timers, metrics, events, onMessage, limits: createPeerLimits(resources, {timers, events, metrics}),
 		});
 		networks.push(network);
 		return {network, metrics, events};
@@ -109,6 +114,33 @@
 		assert.deepEqual(failures.toSorted(), ['receiver test.odd', 'sender test.odd']);
 	});
 
+	// Guards against connections that send nothing and take the place of the peers.
+	it('keeps the connection of a peer when many others are opened', async () => {
+		let receivedCount = 0;
+		const receiver = createNetwork('receiver', undefined, () => {
+			receivedCount++;
+		});
+		const port = await receiver.network.listen();
+		const sender = createNetwork('sender', undefined);
+		sender.network.setAddress({id: 'receiver', host, port});
+		await sendUntil(sender.network, () => receivedCount > 0);
+		const crowd: Socket[] = [];
+		for (let count = 0; count < 100; count++) {
+			const socket = connect(port, host);
+			socket.on('error', () => {
+				// It may be closed at any time.
+			});
+			crowd.push(socket);
+		}
+
+		receivedCount = 0;
+		await sendUntil(sender.network, () => receivedCount > 0 && receiver.metrics.getCount('limit-peer-connections') >= 69);
+		assert.equal(sender.events.events.filter(({name}) => name === 'peer-lost').length, 0);
+		for (const socket of crowd) {
+			socket.destroy();
+		}
+	});
+
 	const cases: Array<{name: string; authority: string; isAccepted: boolean}> = [
 		{name: 'a certificate of the same authority', authority: 'own', isAccepted: true},
 		{name: 'a certificate of another authority', authority: 'foreign', isAccepted: false},
