Bound what a body becomes when it is parsed and checked

What was seen: one PUT of 4 MB to the control address ended the keeper: a field with 1.4 million empty objects, 350,000 invalid routes, or a heartbeat with 1.4 million invalid labels (heap of 96 MB; 64 bytes for each object, and several hundred for each report of an invalid item, of which the library makes one or more an item).

Cause: the size of a body was bounded, not that of its values. All findings also went into the response and into one log line.

The servers close connections through a function of the response, so that handlers need no reference to the guard of their server.

--- a/packages/process/src/http/read-body.ts
+++ b/packages/process/src/http/read-body.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {createByteCollector} from '../bytes/byte-collector.js';
-import {findRequestReservation, requestOverheadBytes} from './request-guard.js';
+import {countJsonValues} from './count-json-values.js';
+import {findRequestReservation, requestOverheadBytes, reserveForRequest} from './request-guard.js';
 
 /** The result of reading a body. */
 export type ReadBodyResult
@@ -70,3 +71,20 @@
 		});
 	});
 }
+
+/** Roughly what a value of a JSON text takes once it is parsed. */
+const valueBytes = 96;
+
+/**
+ * Reserves the memory that a JSON body takes once it is parsed. Returns `too-large` if no request may take so much.
+ * @param request - The request.
+ * @param bytes - The body.
+ */
+export function reserveJson(request: IncomingMessage, bytes: Uint8Array): 'reserved' | 'too-large' | 'no-memory' {
+	const sizeBytes = bytes.length + (countJsonValues(bytes) * valueBytes);
+	if (requestOverheadBytes + sizeBytes > (findRequestReservation(request)?.maxBytes ?? Number.POSITIVE_INFINITY)) {
+		return 'too-large';
+	}
+
+	return reserveForRequest(request, sizeBytes) ? 'reserved' : 'no-memory';
+}
--- a/packages/process/src/http/request-guard.ts
+++ b/packages/process/src/http/request-guard.ts
@@ -12,8 +12,6 @@
 	 * connection is about to be closed, or a refusal has to be sent.
 	 */
 	admit(request: IncomingMessage, response: ServerResponse): Admission;
-	/** Closes the connection of a response soon after it was sent; a body that still arrives is discarded meanwhile. */
-	closeAfter(response: ServerResponse): void;
 };
 
 export type Admission = 'admitted' | 'refused' | 'ignored';
@@ -33,14 +31,41 @@
 /** Lets the response arrive before the reset of a connection whose body was not read. */
 const closeDelayMs = 500;
 
-const reservations = new WeakMap<IncomingMessage, Reservation>();
+/** A request that a guard has admitted or refused. */
+type GuardedRequest = {
+	reservation: Reservation | undefined;
+	closeConnectionSoon: () => void;
+};
+
+const guardedRequests = new WeakMap<IncomingMessage, GuardedRequest>();
 
 /**
  * Finds the memory that is reserved for an admitted request.
  * @param request - The request.
  */
 export function findRequestReservation(request: IncomingMessage): Reservation | undefined {
-	return reservations.get(request);
+	return guardedRequests.get(request)?.reservation;
+}
+
+/**
+ * Reserves memory for what a request holds until its response is sent, in place of what was reserved before. Returns false if there is
+ * none. A request that no guard has admitted is not limited.
+ * @param request - The request.
+ * @param sizeBytes - The memory, without that of the request itself.
+ */
+export function reserveForRequest(request: IncomingMessage, sizeBytes: number): boolean {
+	return findRequestReservation(request)?.resize(requestOverheadBytes + sizeBytes) ?? true;
+}
+
+/**
+ * Closes the connection of a response soon after it was sent; a body that still arrives is discarded meanwhile. It must be called
+ * before the response is sent.
+ * @param response - The response.
+ */
+export function closeAfterResponse(response: ServerResponse): void {
+	response.setHeader('connection', 'close');
+	response.req.resume();
+	guardedRequests.get(response.req)?.closeConnectionSoon();
 }
 
 /**
@@ -49,7 +74,7 @@
  * @param sizeBytes - The size of its body.
  */
 export function reserveResponse({req: request}: ServerResponse, sizeBytes: number): boolean {
-	return sizeBytes <= requestOverheadBytes || (reservations.get(request)?.resize(requestOverheadBytes + sizeBytes) ?? true);
+	return sizeBytes <= requestOverheadBytes || reserveForRequest(request, sizeBytes);
 }
 
 /**
@@ -154,23 +179,19 @@
 			}
 
 			const reservation = memory.reserve(requestOverheadBytes);
+			guardedRequests.set(request, {
+				reservation,
+				closeConnectionSoon() {
+					closeSoon(socket);
+				},
+			});
 			if (reservation === undefined) {
 				limitLog.record('limit-request-memory');
 				return 'refused';
 			}
 
-			reservations.set(request, reservation);
 			holdUntilClosed(response, reservation);
 			return 'admitted';
 		},
-		closeAfter(response) {
-			const {socket} = response.req;
-			if (!response.headersSent) {
-				response.setHeader('connection', 'close');
-			}
-
-			response.req.resume();
-			closeSoon(socket);
-		},
 	};
 }
--- a/packages/process/src/index.ts
+++ b/packages/process/src/index.ts
@@ -1,5 +1,6 @@
 export * from './bytes/byte-collector.js';
 export * from './http/connection-table.js';
+export * from './http/count-json-values.js';
 export * from './http/read-body.js';
 export * from './http/request-guard.js';
 export * from './limits/create-peer-limits.js';
--- a/packages/process/src/memory/memory-budget.ts
+++ b/packages/process/src/memory/memory-budget.ts
@@ -2,6 +2,8 @@
 
 /** A part of a budget that is held for a request or a connection. */
 export type Reservation = {
+	/** The size of the budget. */
+	readonly maxBytes: number;
 	/** Changes the size. Returns false and keeps the former size if the budget has no room, even after evictions. */
 	resize(sizeBytes: number): boolean;
 	/** Allows the budget to evict the holder, which then has to end and is called once; undefined if it must not. */
@@ -111,6 +113,7 @@
 			holders.add(holder);
 			changeSize(holder, sizeBytes);
 			return {
+				maxBytes,
 				resize(nextBytes) {
 					if (!holders.has(holder) || (nextBytes > holder.sizeBytes && !makeRoom(nextBytes - holder.sizeBytes, holder))) {
 						return false;
--- a/packages/process/test/http/request-guard.test.ts
+++ b/packages/process/test/http/request-guard.test.ts
@@ -10,7 +10,7 @@
 } from 'node:test';
 import {RecordingEventLog, RecordingMetricSink} from '@camphortack/testkit';
 import {
-	createLimitLog, createMemoryBudget, createRequestGuard, readBody, requestOverheadBytes, reserveResponse, SystemTimers, type MemoryBudget,
+	closeAfterResponse, createLimitLog, createMemoryBudget, createRequestGuard, readBody, requestOverheadBytes, reserveResponse, SystemTimers, type MemoryBudget,
 } from '../../src/index.js';
 
 const maxBodyBytes = 100_000;
@@ -45,10 +45,10 @@
 			const admission = guard.admit(request, response);
 			const body = admission === 'admitted' && request.method === 'POST' ? await readBody(request, maxBodyBytes) : undefined;
 			if (admission === 'refused' || body?.outcome === 'no-memory') {
-				guard.closeAfter(response);
+				closeAfterResponse(response);
 				response.writeHead(503).end();
 			} else if (body?.outcome === 'too-large') {
-				guard.closeAfter(response);
+				closeAfterResponse(response);
 				response.writeHead(413).end();
 			} else if (body?.outcome === 'read') {
 				response.end(String(body.bytes.length));
