Bound the backend servers that may announce themselves

What was seen: 10,000 heartbeats with different ids ended the keeper. Each id is kept, sent to the other daemons and claimed by the placer, 25 to 30 KB for each at the keeper.

Cause: nothing bounded how many ids the registry of a daemon holds; an id goes only some seconds after its last heartbeat.

The heartbeat of a further id is not acknowledged (503), so that its sender calls the next daemon; those that are known, and their new incarnations, are taken as before. The counter limit-backend-servers counts them.

Not bounded: the descriptions that peers send.

--- a/packages/cluster/src/cluster-options.ts
+++ b/packages/cluster/src/cluster-options.ts
@@ -25,6 +25,8 @@
 	remoteRunFactor?: number | undefined;
 	/** The memory for the open jobs and results of a placer on this daemon; unlimited if it is missing. */
 	jobMemoryBytes?: number | undefined;
+	/** How many backend servers may be known when one that is not announces itself here; unlimited if it is missing. */
+	maxBackendServers?: number | undefined;
 	/** Omitted on a VM without a disk. */
 	hintStore?: ClusterHintStore;
 	timers: TimerService;
--- a/packages/cluster/src/registry/registry-replicator.ts
+++ b/packages/cluster/src/registry/registry-replicator.ts
@@ -26,7 +26,7 @@
 	replaceRefuted(known: BackendServerDescription, refuted: BackendServerDescription): void;
 };
 
-export type RegistryReplicatorOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'peers' | 'timers' | 'random' | 'events'> & {
+export type RegistryReplicatorOptions = Pick<ClusterOptions, 'ownId' | 'availabilityZone' | 'isKeeper' | 'peers' | 'timers' | 'random' | 'events' | 'metrics' | 'maxBackendServers'> & {
 	registry: ServerRegistry;
 	members: MemberTable;
 	/** Gets the id of the placer for the backend servers of an availability zone. */
@@ -44,7 +44,7 @@
  * @param options - The registry, the member table and the links.
  */
 export function createRegistryReplicator(options: RegistryReplicatorOptions): RegistryReplicator {
-	const {ownId, availabilityZone: ownZone, peers, timers, random, events, registry, members, getPlacerId, needsServersOf, onChange} = options;
+	const {ownId, availabilityZone: ownZone, peers, timers, random, events, maxBackendServers = Number.POSITIVE_INFINITY, registry, members, getPlacerId, needsServersOf, onChange} = options;
 	const reportedAtMs = new Map<string, number>();
 	const sentToNewMembersAtMs = new Map<string, number>();
 	const pendingReports = new Map<string, (isAcknowledged: boolean) => void>();
@@ -159,6 +159,12 @@
 
 	return {
 		report(description, onEnd) {
+			if (registry.getCount() >= maxBackendServers && registry.findDescription(description.id) === undefined) {
+				options.metrics.increment('limit-backend-servers');
+				onEnd(false);
+				return;
+			}
+
 			const change = addDescription(description);
 			if (change !== 'stale' && description.state === 'draining') {
 				broadcastAndWait(description, onEnd);
--- a/packages/cluster/src/registry/server-registry.ts
+++ b/packages/cluster/src/registry/server-registry.ts
@@ -19,6 +19,7 @@
 	hasLeft(server: ServerIncarnation): boolean;
 	findDescription(serverId: string): BackendServerDescription | undefined;
 	getDescriptions(): BackendServerDescription[];
+	getCount(): number;
 	/** Gets the number of addresses: of several backend servers at one address, all but one have ended without a word. */
 	getAddressCount(): number;
 	/** Gets a digest of the known incarnations of an availability zone; of all zones if it is omitted or empty. */
@@ -99,6 +100,7 @@
 			const entry = entries.get(serverId);
 			return entry === undefined ? undefined : getCurrentDescription(entry);
 		},
+		getCount: () => entries.size,
 		getDescriptions: () => [...entries.values()].map(entry => getCurrentDescription(entry)),
 		getAddressCount: () => new Set([...entries.values()].map(({description: {host, port}}) => `${host} ${port}`)).size,
 		getDigest(availabilityZone = '') {
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -84,6 +84,7 @@
 	'new-job-held': 'Jobs that had to wait at a takeover because the placer before may have been running them.',
 	'job-refused-lag': 'Jobs refused because the placer, which was behind, could not start their tasks in time.',
 	'request-rejected': 'Requests rejected before they reached the placer.',
+	'limit-backend-servers': 'Heartbeats of further backend servers that were not acknowledged because too many are known.',
 	'limit-connections': 'Connections closed because there were too many at an address.',
 	'limit-requests-per-connection': 'Connections closed because they had too many open requests.',
 	'limit-request-memory': 'Requests refused because the open requests use up their memory.',
--- a/packages/process/src/limits/process-limits.ts
+++ b/packages/process/src/limits/process-limits.ts
@@ -19,6 +19,8 @@
 	/** At each address for readiness checks and metrics. */
 	maxStatusConnections: number;
 	maxPeerConnections: number;
+	/** That announce themselves. */
+	maxBackendServers: number;
 };
 
 const bytesPerMb = 1_048_576;
@@ -28,6 +30,8 @@
 const openJobMemoryShare = 1 / 6;
 /** An open connection takes up to 20 KB, without what it has sent. */
 const maxConnectionsPerMb = 8;
+/** A backend server that a placer claims takes up to 30 KB. */
+const maxBackendServersPerMb = 8;
 const connectionFdShare = 1 / 2;
 const statusFdShare = 1 / 32;
 const peerFdShare = 1 / 8;
@@ -51,5 +55,6 @@
 		maxConnections: Math.floor(Math.min(maxFds * connectionFdShare, memoryMb * maxConnectionsPerMb)),
 		maxStatusConnections: Math.floor(maxFds * statusFdShare),
 		maxPeerConnections: Math.floor(maxFds * peerFdShare),
+		maxBackendServers: Math.floor(memoryMb * maxBackendServersPerMb),
 	};
 }
