Discard the further requests of a connection that is closed

What callers saw: 300 connections with 500 small jobs or 2,000 cancellations each, written together, ended the entry daemon; so did 200 connections with 20,000 GETs whose answers are not read, since connections with too many open requests are closed.

Cause: Node creates all requests of the 64 KB that it has read, up to a thousand, also after the connection was closed, and keeps them until the end of the turn of its event loop, for all connections that were readable in the turn.

Change: a connection may have 16 open requests instead of 64. When it is closed for more, its parser gets a function that discards requests, so that none is kept. An evicted body or unread response marks its connection as about to be closed at once, so that a new connection takes its place; before, the new one was closed if all others had open requests. The evictions of bodies are counted.

A test of the guard counts 17 requests of 500 sent together.

--- a/packages/process/src/http/read-body.ts
+++ b/packages/process/src/http/read-body.ts
@@ -1,7 +1,9 @@
 import type {IncomingMessage} from 'node:http';
 import {createByteCollector} from '../bytes/byte-collector.js';
 import {countJsonValues} from './count-json-values.js';
-import {findRequestReservation, requestOverheadBytes, reserveForRequest} from './request-guard.js';
+import {
+	findRequestReservation, requestOverheadBytes, reserveForRequest, setBodyEvictable,
+} from './request-guard.js';
 
 /** The result of reading a body. */
 export type ReadBodyResult
@@ -13,8 +15,8 @@
 		| {outcome: 'cut-off'};
 
 /**
- * Reads a body. What it takes counts as memory of its request if that was admitted by a guard. Reading stops as
- * soon as the body is too large or its memory is needed for others.
+ * Reads a body. What it takes counts as memory of its request, if a guard has admitted that. Reading stops as soon as the body is
+ * too large or its memory is needed for others.
  * @param message - A request or a response.
  * @param maxBytes - The maximum size of the body.
  */
@@ -43,7 +45,7 @@
 			}
 
 			const capacity = collector.getCapacityFor(chunk.length);
-			if (capacity > collector.getCapacity() && reservation?.resize(requestOverheadBytes + capacity) === false) {
+			if (capacity > collector.getCapacity() && !reserveForRequest(message, capacity)) {
 				end({outcome: 'no-memory'});
 				return;
 			}
@@ -51,7 +53,7 @@
 			collector.add(chunk);
 		}
 
-		reservation?.setEvictable(() => {
+		setBodyEvictable(message, () => {
 			end({outcome: 'no-memory'});
 		});
 		if (Number(message.headers['content-length'] ?? 0) > maxBytes) {
--- a/packages/process/src/http/request-guard.ts
+++ b/packages/process/src/http/request-guard.ts
@@ -27,13 +27,15 @@
 /** Roughly what an open request takes, without its body. */
 export const requestOverheadBytes = 8192;
 /** A client that waits for each response before it sends the next request has one open request. */
-const maxOpenRequestsPerConnection = 64;
+const maxOpenRequestsPerConnection = 16;
 /** Lets the response arrive before the reset of a connection whose body was not read. */
 const closeDelayMs = 500;
 
 /** A request that a guard has admitted or refused. */
 type GuardedRequest = {
+	/** Undefined if the request was refused. */
 	reservation: Reservation | undefined;
+	limitLog: LimitLog;
 	closeConnectionSoon: () => void;
 };
 
@@ -54,7 +56,26 @@
  * @param sizeBytes - The memory, without that of the request itself.
  */
 export function reserveForRequest(request: IncomingMessage, sizeBytes: number): boolean {
-	return findRequestReservation(request)?.resize(requestOverheadBytes + sizeBytes) ?? true;
+	const isReserved = findRequestReservation(request)?.resize(requestOverheadBytes + sizeBytes) ?? true;
+	if (!isReserved) {
+		guardedRequests.get(request)?.limitLog.record('limit-request-memory');
+	}
+
+	return isReserved;
+}
+
+/**
+ * Lets the body of a request, which is not complete yet, give way to others. Its connection is then about to be closed.
+ * @param request - The request.
+ * @param onEvict - Called if the memory of the body was needed.
+ */
+export function setBodyEvictable(request: IncomingMessage, onEvict: () => void): void {
+	const guarded = guardedRequests.get(request);
+	guarded?.reservation?.setEvictable(() => {
+		guarded.limitLog.record('limit-unfinished-bodies');
+		guarded.closeConnectionSoon();
+		onEvict();
+	});
 }
 
 /**
@@ -131,6 +152,10 @@
 	}
 
 	function closeSoon(socket: Socket): void {
+		if (closingSockets.has(socket)) {
+			return;
+		}
+
 		closingSockets.add(socket);
 		connections.setState(socket, 'closing');
 		const timer = timers.addTimer(closeDelayMs, () => {
@@ -156,8 +181,10 @@
 		// From here on, the response only waits for its client to read it.
 		response.once('prefinish', () => {
 			reservation.setEvictable(() => {
+				const {socket} = response.req;
 				limitLog.record('limit-unread-responses');
-				response.req.socket.destroy();
+				connections.setState(socket, 'closing');
+				socket.destroy();
 			});
 		});
 		response.once('close', reservation.release);
@@ -168,19 +195,21 @@
 			const {socket} = request;
 			const responses = openResponses.get(socket);
 			if (responses === undefined || closingSockets.has(socket)) {
+				abandonConnection(socket);
 				return 'ignored';
 			}
 
 			addResponse(socket, responses, response);
 			if (responses.size > maxOpenRequestsPerConnection) {
 				limitLog.record('limit-requests-per-connection');
-				socket.destroy();
+				abandonConnection(socket);
 				return 'ignored';
 			}
 
 			const reservation = memory.reserve(requestOverheadBytes);
 			guardedRequests.set(request, {
 				reservation,
+				limitLog,
 				closeConnectionSoon() {
 					closeSoon(socket);
 				},
@@ -195,3 +224,24 @@
 		},
 	};
 }
+
+/** The parser of a connection, which calls a function with each request. Node does not declare it. */
+type ParsedSocket = Socket & {parser?: {onIncoming?: unknown} | undefined};
+
+/**
+ * Closes a connection, and discards the requests in the bytes that were read from it. These may hold a thousand of them, which would
+ * be kept until the connection is closed, at the end of the turn of the event loop.
+ */
+function abandonConnection(socket: Socket): void {
+	const {parser} = socket as ParsedSocket;
+	if (parser) {
+		parser.onIncoming = discardRequest;
+	}
+
+	socket.destroy();
+}
+
+/** Tells a parser to go on with the next request. */
+function discardRequest(): number {
+	return 0;
+}
--- a/packages/process/src/peers/tcp-peer-network.ts
+++ b/packages/process/src/peers/tcp-peer-network.ts
@@ -250,7 +250,11 @@
 
 	#acceptConnection(socket: net.Socket): void {
 		let peerId: string | undefined;
-		this.#inbound.add(socket);
+		if (!this.#inbound.add(socket)) {
+			socket.destroy();
+			return;
+		}
+
 		const frameMemory = this.#createFrameMemory(socket);
 		const helloTimer = this.#options.timers.addTimer(helloTimeoutMs, () => {
 			socket.destroy();
--- a/packages/process/test/http/request-guard.test.ts
+++ b/packages/process/test/http/request-guard.test.ts
@@ -115,9 +115,17 @@
 		assert.deepEqual(answered, ['200']);
 		const [first] = await Promise.race(heldStatuses);
 		assert.equal(first, '503');
+		assert.ok(metrics.getCount('limit-unfinished-bodies') > 0);
 		assert.ok(memory.getUsedBytes() <= memoryBytes);
 	});
 
+	// Guards against a crowd that holds all connections with bodies that never end.
+	it('accepts a connection while all others hold bodies that never end', async () => {
+		await Promise.all(Array.from({length: 20}, async () => open(getPost(100, 1))));
+		await waitFor(() => memory.getUsedBytes() >= 20 * requestOverheadBytes);
+		assert.deepEqual(await readStatuses(await open(getPost(5, 5, 'connection: close\r\n'))), ['200']);
+	});
+
 	it('responds at once to a body that is too large, and closes the connection', async () => {
 		assert.deepEqual(await readStatuses(await open(getPost(maxBodyBytes + 1, 10))), ['413']);
 	});
@@ -129,17 +137,31 @@
 
 	// Guards against requests of one connection that are all kept until the first one is answered.
 	it('closes a connection with too many open requests', async () => {
-		const socket = await open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(65));
+		const socket = await open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(17));
 		assert.deepEqual(await readStatuses(socket), []);
 		await waitFor(() => memory.getUsedBytes() === 0);
 	});
 
+	// Guards against requests that were read together, of which each is created although the connection is closed after the first ones.
+	it('creates no further requests of a connection that it closes', async () => {
+		let requestCount = 0;
+		server.on('request', () => {
+			requestCount++;
+		});
+		await readStatuses(await open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(500)));
+		assert.equal(requestCount, 17);
+	});
+
 	it('refuses requests while as many are open as there is memory for', async () => {
-		const openCount = Math.floor(memoryBytes / requestOverheadBytes);
-		const waiting = await open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(openCount));
+		const openCount = 36;
+		assert.equal(openCount, Math.floor(memoryBytes / requestOverheadBytes));
+		const waiting = await Promise.all(Array.from({length: 3}, async () => open('GET /wait HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(openCount / 3))));
 		await waitFor(() => memory.getUsedBytes() === openCount * requestOverheadBytes);
 		assert.deepEqual(await readStatuses(await open(getPost(5))), ['503']);
-		waiting.destroy();
+		for (const socket of waiting) {
+			socket.destroy();
+		}
+
 		await waitFor(() => memory.getUsedBytes() === 0);
 		assert.deepEqual(await readStatuses(await open(getPost(5, 5, 'connection: close\r\n'))), ['200']);
 	});
