Write up what clients can make a process keep

Cause: nobody could look up which bounds there are, what they derive from, what a client gets at each and which counter tells of it.

Change: docs/design/client-limits.md lists them by address, with what is not bounded; the settings, answers, event 1010 and counters are on the pages for the platform and for operations, the new names in the list of stable names.

--- a/packages/process/src/limits/process-limits.ts
+++ b/packages/process/src/limits/process-limits.ts
@@ -4,7 +4,7 @@
 	maxFds: number;
 };
 
-/** Bounds on what clients and peers can make a process keep. docs/design/unruly-clients.md lists what each is for. */
+/** Bounds on what clients and peers can make a process keep. docs/design/client-limits.md lists what each is for. */
 export type ProcessLimits = {
 	/** For the requests of callers, backend servers and operators: bodies, open requests and unread responses. */
 	requestMemoryBytes: number;
