Count the headers of open requests, and the stated length of peers' messages

What was seen: 1,700 connections, each with the 1,900 headers that fit into 16 KB and a body that does not end, ended the entry daemon: each header is two strings, and a request counted 8 KB.

Cause: a request was counted without its headers.

Change: a request counts 64 bytes for each name and value of a header as well. A message of a peer counts by its stated length from its first bytes on, so that of many large ones only some are received; a sixteenth of limits.memoryMb instead of an eighth.

--- a/packages/process/src/http/request-guard.ts
+++ b/packages/process/src/http/request-guard.ts
@@ -24,8 +24,10 @@
 	timers: TimerService;
 };
 
-/** Roughly what an open request takes, without its body. */
+/** Roughly what an open request takes, without its headers and its body. */
 export const requestOverheadBytes = 8192;
+/** Roughly what a name or a value of a header takes. */
+const headerTextBytes = 64;
 /** A client that waits for each response before it sends the next request has one open request. */
 const maxOpenRequestsPerConnection = 16;
 /** Lets the response arrive before the reset of a connection whose body was not read. */
@@ -33,6 +35,8 @@
 
 /** A request that a guard has admitted or refused. */
 type GuardedRequest = {
+	/** What the request takes without its body. */
+	overheadBytes: number;
 	/** Undefined if the request was refused. */
 	reservation: Reservation | undefined;
 	limitLog: LimitLog;
@@ -56,9 +60,10 @@
  * @param sizeBytes - The memory, without that of the request itself.
  */
 export function reserveForRequest(request: IncomingMessage, sizeBytes: number): boolean {
-	const isReserved = findRequestReservation(request)?.resize(requestOverheadBytes + sizeBytes) ?? true;
+	const guarded = guardedRequests.get(request);
+	const isReserved = guarded?.reservation?.resize(guarded.overheadBytes + sizeBytes) ?? true;
 	if (!isReserved) {
-		guardedRequests.get(request)?.limitLog.record('limit-request-memory');
+		guarded?.limitLog.record('limit-request-memory');
 	}
 
 	return isReserved;
@@ -206,8 +211,10 @@
 				return 'ignored';
 			}
 
-			const reservation = memory.reserve(requestOverheadBytes);
+			const overheadBytes = requestOverheadBytes + (request.rawHeaders.length * headerTextBytes);
+			const reservation = memory.reserve(overheadBytes);
 			guardedRequests.set(request, {
+				overheadBytes,
 				reservation,
 				limitLog,
 				closeConnectionSoon() {
--- a/packages/process/src/limits/process-limits.ts
+++ b/packages/process/src/limits/process-limits.ts
@@ -26,7 +26,7 @@
 const bytesPerMb = 1_048_576;
 const requestMemoryShare = 1 / 8;
 const statusMemoryShare = 1 / 64;
-const peerMemoryShare = 1 / 8;
+const peerMemoryShare = 1 / 16;
 const openJobMemoryShare = 1 / 6;
 /** An open connection takes up to 20 KB, without what it has sent. */
 const maxConnectionsPerMb = 8;
--- a/packages/process/src/peers/frame-codec.ts
+++ b/packages/process/src/peers/frame-codec.ts
@@ -48,7 +48,7 @@
 	onMessage: (message: PeerMessage) => void;
 	/** The maximum length of a frame body. */
 	maxFrameBytes?: number;
-	/** Called with the memory that an incomplete frame takes whenever that changes; 0 if there is none. Returns whether it may. */
+	/** Called with the memory that an incomplete frame takes when it begins, and with 0 when it is complete. Returns whether it may. */
 	reserve?: (sizeBytes: number) => boolean;
 };
 
@@ -80,28 +80,27 @@
 		}
 	}
 
-	function collect(bytes: Uint8Array): void {
-		const capacity = collector.getCapacityFor(bytes.length);
-		if (capacity > collector.getCapacity() && !reserve(capacity)) {
+	/** Reserves memory for a frame as soon as its length is known, so that of many large ones only some are received at a time. */
+	function startFrame(header: Uint8Array): void {
+		neededBytes = findFrameBytes(header, maxFrameBytes)!;
+		if (!reserve(neededBytes)) {
 			throw new FrameError('there is no memory for the frame');
 		}
 
-		collector.add(bytes);
+		collector.add(header);
 	}
 
 	/** Adds bytes to the incomplete frame, and passes it on once it is complete. Returns the bytes that follow it. */
 	function continueFrame(chunk: Uint8Array): Uint8Array {
 		const part = chunk.subarray(0, neededBytes - collector.getSize());
-		collect(part);
+		collector.add(part);
 		if (collector.getSize() === neededBytes && neededBytes > frameHeaderBytes) {
 			const frame = collector.takeBytes();
 			reserve(0);
 			neededBytes = frameHeaderBytes;
 			onMessage(decodeMessage(frame.subarray(frameHeaderBytes)));
 		} else if (collector.getSize() === frameHeaderBytes) {
-			const header = collector.takeBytes();
-			neededBytes = findFrameBytes(header, maxFrameBytes)!;
-			collect(header);
+			startFrame(collector.takeBytes());
 		}
 
 		return chunk.subarray(part.length);
