--- a/packages/daemon/src/http/create-http-server.ts
+++ b/packages/daemon/src/http/create-http-server.ts
@@ -1,4 +1,3 @@
-import type {Server as HttpServer} from 'node:http';
 import {closeAfterResponse, createRequestGuard, type RequestGuardOptions} from '@camphortack/process';
 import {createServer as createRestifyServer, type Server} from 'restify';
 import {createRefusal} from './create-refusal.js';
@@ -26,7 +25,6 @@
 	server.server.headersTimeout = headersTimeoutMs;
 	server.server.requestTimeout = requestTimeoutMs;
 	server.server.keepAliveTimeout = keepAliveTimeoutMs;
-	// The library types its server as any of several.
 	const guard = createRequestGuard(server.server, limits);
 	server.pre((request, response, next) => {
 		const admission = guard.admit(request, response);
--- a/packages/daemon/src/http/read-json-body.ts
+++ b/packages/daemon/src/http/read-json-body.ts
@@ -16,7 +16,7 @@
 	 * @param maxBytes - The maximum size.
 	 */
 	constructor(maxBytes: number) {
-		super('body-too-large', `the body is larger than ${maxBytes} bytes`);
+		super('body-too-large', `the body is larger than ${maxBytes} bytes, or has more values than there is memory for`);
 	}
 }
 
