--- a/review/lib-3/deployment.js
+++ b/review/lib-3/deployment.js
@@ -70,15 +70,20 @@
 		})),
 	];
 	const keepers = machines.filter(({role}) => role === 'keeper');
+	const seedHosts = keepers.map(keeper => keeper.host);
 	let isEnding = false;
 
-	for (const machine of machines) {
+	function prepareMachine(machine) {
 		machine.front = ports.front;
 		machine.readiness = ports.readiness;
 		machine.control = ports.control;
 		machine.log = createWriteStream(path.join(folder, `${machine.name}.log`));
 	}
 
+	for (const machine of machines) {
+		prepareMachine(machine);
+	}
+
 	function writeSettings(machine, isFirst) {
 		const {name, role, zone, host} = machine;
 		const isEntry = role === 'entry';
@@ -96,7 +101,7 @@
 			...zones.map(other => `zones.${other}=loopback`),
 			...(isEntry ? [`bindAddrs.front=${host}:${ports.front}`, `bindAddrs.readiness=${host}:${ports.readiness}`] : [`bindAddrs.control=${host}:${ports.control}`, `dataDir=${dataFolder}`]),
 			`portRange=${ports.peers},${ports.peers + 1}`,
-			`seeds=${keepers.map(keeper => `${keeper.host}:${ports.control}`).join(',')}`,
+			`seeds=${seedHosts.map(seed => `${seed}:${ports.control}`).join(',')}`,
 			`bootstrap=${isFirst}`,
 			`lossCounts=${!isEntry}`,
 			'limits.cpuShare=0.675',
@@ -133,9 +138,9 @@
 		child.once('exit', (code, signal) => {
 			record.write('process-ended', {machine: machine.name, code, signal});
 			machine.child = undefined;
-			if (!isEnding) {
+			if (!isEnding && !machine.isRemoved) {
 				setTimeout(() => {
-					if (!isEnding) {
+					if (!isEnding && !machine.isRemoved) {
 						startMachine(machine, false);
 					}
 				}, restartDelayMs);
@@ -148,17 +153,34 @@
 		machine.child?.kill(name);
 	}
 
+	/** Removes a machine of the core for good, and later adds an empty one at another address. */
+	async function replaceKeeper(machine, pauseMs) {
+		machine.isRemoved = true;
+		signal(machine, 'SIGKILL');
+		keepers.splice(keepers.indexOf(machine), 1);
+		await delay(pauseMs);
+		const next = {
+			name: `core-${machine.zone}-2`, role: 'keeper', zone: machine.zone, host: `${prefix}.120`,
+		};
+		prepareMachine(next);
+		machines.push(next);
+		keepers.push(next);
+		startMachine(next, false);
+	}
+
 	/** Sends a configuration as the operator does: again until it is acknowledged, to any machine that serves control. */
-	async function putConfiguration(configuration) {
-		const endsAtMs = record.getNowMs() + operatorTimeoutMs;
+	async function putConfiguration(configuration, timeoutMs = operatorTimeoutMs) {
+		const endsAtMs = record.getNowMs() + timeoutMs;
 		for (let attempt = 0; record.getNowMs() < endsAtMs; attempt++) {
 			const {host, control} = keepers[attempt % keepers.length];
 			// eslint-disable-next-line no-await-in-loop -- One attempt after the other.
-			const {status} = await call({
+			const {status, error} = await call({
 				host, port: control, method: 'PUT', path: '/api/config', body: configuration,
 			});
+			record.write('operator-gets', {
+				machine: host, version: configuration.version, status, error,
+			});
 			if (status === 200) {
-				record.write('configuration-acknowledged', {version: configuration.version});
 				return;
 			}
 
@@ -206,6 +228,7 @@
 			}
 		},
 		signal,
+		replaceKeeper,
 		putConfiguration,
 		waitUntilReady,
 		/** Ends all processes, also stopped ones. */
