Show that a task runs twice after two takeovers behind a cut

Case 11 (TWICE): a zone is cut off and its core machine killed a quarter of a second after it has taken the zone's workers over. Each new placer behind the cut extends the leases of runs that it does not know for 0.3 s; the placer outside allows 0.5 s for that once, and starts 16 to 24 of 24 tasks again while they run.

The case on the graceful stop is 12 now.

--- a/review/12/case.js
+++ b/review/12/case.js
@@ -2,37 +2,42 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {runCase} from '../lib-3/run-case.js';
-import {createJob, findStartsAfterCancelling, startSmallSite} from '../lib-3/small-site.js';
+import {createJob, startSmallSite} from '../lib-3/small-site.js';
 
-/** The longest freeze of an entry machine in the site file is 4.1 s. */
-const freezeMs = 4080;
-const cancelMs = 3000;
+const workersPerZone = 2;
+const workerCount = 6;
+const graceMs = 6000;
+const lossSlackMs = 200;
+const otherJob = createJob({
+	taskMs: 9000, steps: 1, count: 1, cpu: 40_000,
+});
+const job = createJob({
+	taskMs: 500, steps: 1, count: 1, cpu: 40_000,
+});
 const jobId = '5c0e7a21d94b36f8';
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async scene => {
 	const {record, isDisrupted} = scene;
-	const {deployment, history, callEntry, entries} = await startSmallSite(scene, {workersPerZone: 2});
-	const [frozen, other] = entries;
-	if (isDisrupted) {
-		deployment.signal(frozen, 'SIGSTOP');
-	}
-
-	const frozenAtMs = record.getNowMs();
-	await delay(50);
-	const submission = callEntry(frozen, 'POST', jobId, {body: createJob({taskMs: 200, steps: 1, count: 2})});
+	const {deployment, history, callEntry, entries} = await startSmallSite(scene, {workersPerZone, targetDurationMs: 12_000});
+	const [stopped, other] = entries;
+	// Jobs of other clients take the room of all workers.
+	const others = Array.from({length: workerCount}, (_, number) => callEntry(other, 'POST', `00000000000b000${number}`, {body: otherJob}));
+	await delay(500);
+	const sentAtMs = record.getNowMs();
+	const submission = callEntry(stopped, 'POST', jobId, {body: job});
 	await delay(300);
-	const cancelling = await callEntry(other, 'DELETE', jobId);
-	const cancelledAtMs = record.getNowMs();
-	if (cancelling.status !== 200 && cancelling.status !== 410) {
-		throw new Error(`the cancelling was not acknowledged: ${cancelling.status}`);
-	}
-
-	await delay(freezeMs - (record.getNowMs() - frozenAtMs));
+	const signalledAtMs = record.getNowMs();
 	if (isDisrupted) {
-		deployment.signal(frozen, 'SIGCONT');
+		deployment.signal(stopped, 'SIGTERM');
 	}
 
-	await submission;
-	await delay(1500);
-	return findStartsAfterCancelling(history, {jobId, cancelledAtMs, cancelMs});
+	const {status, error} = await submission;
+	const endedAtMs = record.getNowMs();
+	await Promise.all(others);
+	const wasAtWork = history.some(({event, task, atMs}) => event === 'started' && task.startsWith(jobId) && atMs < endedAtMs);
+	const isCut = status === 0 && endedAtMs > sentAtMs + lossSlackMs && endedAtMs < signalledAtMs + graceMs + 1000;
+	record.write('outcome', {
+		status, error, wasAtWork, afterSendingMs: endedAtMs - sentAtMs, afterSignalMs: endedAtMs - signalledAtMs,
+	});
+	return isCut && !wasAtWork ? [`LOST: the connection of ${jobId} ended without an answer ${endedAtMs - signalledAtMs} ms after the SIGTERM (${error})`] : [];
 });
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15. They are plain JavaScript without dependencies, so there is nothing to compile: it is only
+# Builds the stand-ins of the cases from 11 on. They are plain JavaScript without dependencies, so there is nothing to compile: it is only
 # checked that each file can be parsed.
 set -euo pipefail
 cd "$(dirname "$0")"
--- a/review/lib-3/deployment.js
+++ b/review/lib-3/deployment.js
@@ -8,6 +8,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {call} from './call.js';
+import {startPeerProxy} from './peer-proxy.js';
 
 /** The command of the deploy file, from the root of the repository. */
 const command = ['--max-old-space-size=200', 'target/camphortackd.mjs'];
@@ -57,9 +58,13 @@
  * Creates a deployment of the project's own program on loopback addresses, one address for each machine.
  * @param options - The zones, the number of entry machines in each, and the record.
  */
-export async function createDeployment({zones, entriesPerZone, record}) {
+export async function createDeployment({zones, entriesPerZone, record, canCut = false}) {
 	const folder = mkdtempSync(path.join(tmpdir(), 'review-3-'));
-	const prefix = `127.${randomOctet()}.${randomOctet()}`;
+	const secondOctet = randomOctet();
+	const thirdOctet = randomOctet();
+	const prefix = `127.${secondOctet}.${thirdOctet}`;
+	const proxies = [];
+	let cutZone;
 	const ports = await findFreePorts(`${prefix}.1`);
 	const machines = [
 		...zones.flatMap((zone, position) => Array.from({length: entriesPerZone}, (_, index) => ({
@@ -70,10 +75,12 @@
 		})),
 	];
 	const keepers = machines.filter(({role}) => role === 'keeper');
-	const seedHosts = keepers.map(keeper => keeper.host);
+	let seedIps = [];
 	let isEnding = false;
 
+	/** With cuts, the others connect to an address of a proxy. */
 	function prepareMachine(machine) {
+		machine.ip = canCut ? machine.host.replace(prefix, `127.${secondOctet}.${thirdOctet + 1}`) : machine.host;
 		machine.front = ports.front;
 		machine.readiness = ports.readiness;
 		machine.control = ports.control;
@@ -84,8 +91,32 @@
 		prepareMachine(machine);
 	}
 
+	seedIps = keepers.map(({ip}) => ip);
+
+	function isCut(fromIp, toIp) {
+		const from = machines.find(({ip}) => ip === fromIp);
+		const to = machines.find(({ip}) => ip === toIp);
+		return cutZone !== undefined && from !== undefined && (from.zone === cutZone) !== (to.zone === cutZone);
+	}
+
+	for (const {host, ip} of canCut ? machines : []) {
+		// eslint-disable-next-line no-await-in-loop -- A few proxies, one after the other.
+		proxies.push(await startPeerProxy({
+			host: ip, port: ports.peers, targetHost: host, isCut,
+		}));
+	}
+
+	/** Cuts a zone off from the others, or heals the cut. */
+	function setCutZone(zone) {
+		cutZone = zone;
+		record.write('cut', {zone});
+		for (const proxy of proxies) {
+			proxy.update();
+		}
+	}
+
 	function writeSettings(machine, isFirst) {
-		const {name, role, zone, host} = machine;
+		const {name, role, zone, host, ip} = machine;
 		const isEntry = role === 'entry';
 		const dataFolder = path.join(folder, `${name}-data`);
 		mkdirSync(dataFolder, {recursive: true});
@@ -95,13 +126,14 @@
 			`role=${role}`,
 			`machineClass=${isEntry ? 'edge' : 'core'}`,
 			`serves=${isEntry ? 'edge' : 'control_plane'}`,
-			`ip=${host}`,
+			`ip=${ip}`,
+			`camphortack.listenHost=${host}`,
 			`zone=${zone}`,
 			'region=loopback',
 			...zones.map(other => `zones.${other}=loopback`),
 			...(isEntry ? [`bindAddrs.front=${host}:${ports.front}`, `bindAddrs.readiness=${host}:${ports.readiness}`] : [`bindAddrs.control=${host}:${ports.control}`, `dataDir=${dataFolder}`]),
 			`portRange=${ports.peers},${ports.peers + 1}`,
-			`seeds=${seedHosts.map(seed => `${seed}:${ports.control}`).join(',')}`,
+			`seeds=${seedIps.map(seed => `${seed}:${ports.control}`).join(',')}`,
 			`bootstrap=${isFirst}`,
 			`lossCounts=${!isEntry}`,
 			'limits.cpuShare=0.675',
@@ -134,13 +166,13 @@
 		child.stdout.pipe(machine.log, {end: false});
 		child.stderr.pipe(machine.log, {end: false});
 		machine.child = child;
-		machine.startedAtMs = record.write('process-started', {machine: machine.name, host: machine.host});
+		record.write('process-started', {machine: machine.name, host: machine.host});
 		child.once('exit', (code, signal) => {
 			record.write('process-ended', {machine: machine.name, code, signal});
 			machine.child = undefined;
-			if (!isEnding && !machine.isRemoved) {
+			if (!isEnding) {
 				setTimeout(() => {
-					if (!isEnding && !machine.isRemoved) {
+					if (!isEnding) {
 						startMachine(machine, false);
 					}
 				}, restartDelayMs);
@@ -153,24 +185,9 @@
 		machine.child?.kill(name);
 	}
 
-	/** Removes a machine of the core for good, and later adds an empty one at another address. */
-	async function replaceKeeper(machine, pauseMs) {
-		machine.isRemoved = true;
-		signal(machine, 'SIGKILL');
-		keepers.splice(keepers.indexOf(machine), 1);
-		await delay(pauseMs);
-		const next = {
-			name: `core-${machine.zone}-2`, role: 'keeper', zone: machine.zone, host: `${prefix}.120`,
-		};
-		prepareMachine(next);
-		machines.push(next);
-		keepers.push(next);
-		startMachine(next, false);
-	}
-
 	/** Sends a configuration as the operator does: again until it is acknowledged, to any machine that serves control. */
-	async function putConfiguration(configuration, timeoutMs = operatorTimeoutMs) {
-		const endsAtMs = record.getNowMs() + timeoutMs;
+	async function putConfiguration(configuration) {
+		const endsAtMs = record.getNowMs() + operatorTimeoutMs;
 		for (let attempt = 0; record.getNowMs() < endsAtMs; attempt++) {
 			const {host, control} = keepers[attempt % keepers.length];
 			// eslint-disable-next-line no-await-in-loop -- One attempt after the other.
@@ -221,6 +238,9 @@
 		folder,
 		prefix,
 		keepers,
+		machines,
+		setCutZone,
+		getCutZone: () => cutZone,
 		entries: machines.filter(({role}) => role === 'entry'),
 		start() {
 			for (const machine of machines) {
@@ -228,12 +248,15 @@
 			}
 		},
 		signal,
-		replaceKeeper,
 		putConfiguration,
 		waitUntilReady,
 		/** Ends all processes, also stopped ones. */
 		async end({keepFolder = false} = {}) {
 			isEnding = true;
+			for (const proxy of proxies) {
+				proxy.stop();
+			}
+
 			await Promise.all(machines.map(async machine => {
 				if (machine.child !== undefined) {
 					const exited = new Promise(resolve => {
--- a/review/lib-3/small-site.js
+++ b/review/lib-3/small-site.js
@@ -95,14 +95,3 @@
 		})),
 	};
 }
-
-/**
- * Finds the tasks of a job that were started too late after the acknowledgement of its cancelling, and describes them.
- * @param history - The starts and ends that the workers have seen.
- * @param options - The job, when its cancelling was acknowledged, the bound, and from when on all machines are in touch.
- */
-export function findStartsAfterCancelling(history, {jobId, cancelledAtMs, cancelMs, inTouchFromMs = 0}) {
-	return history
-		.filter(({event, task, atMs}) => event === 'started' && task.startsWith(jobId) && atMs > Math.max(cancelledAtMs + cancelMs, inTouchFromMs))
-		.map(({task, worker, atMs}) => `UNASKED: ${task} started on ${worker} ${atMs - cancelledAtMs} ms after the cancelling of its job was acknowledged`);
-}
--- a/review/lib-3/worker.js
+++ b/review/lib-3/worker.js
@@ -13,7 +13,7 @@
  * Creates a stand-in worker that follows the users' protocol: leases, fencing tokens, run numbers, lists of ends, heartbeats.
  * @param options - Its identity, its capacity, the machines that serve control, and what a task does.
  */
-export async function createWorker({id, service, zone, host, keepers, capacity, labels = ['a', 'r1'], getTaskMs, history, record}) {
+export async function createWorker({id, service, zone, host, keepers, capacity, labels = ['a', 'r1'], getTaskMs, history, record, isCutFrom = () => false, onOrder}) {
 	const bornMs = Date.now();
 	const runs = new Map();
 	const highestRuns = new Map();
@@ -146,7 +146,10 @@
 		const wake = () => {
 			clearTimeout(timer);
 			waiters.delete(wake);
-			send(response, 200, getLists());
+			// What is answered behind a cut doesn't arrive.
+			if (!isCutFrom(order.fencingToken)) {
+				send(response, 200, getLists());
+			}
 		};
 
 		const timer = setTimeout(wake, Math.min(maxWaitMs, order.waitMs));
@@ -165,6 +168,11 @@
 		}
 
 		const order = JSON.parse(text);
+		if (isCutFrom(order.fencingToken)) {
+			return;
+		}
+
+		onOrder?.(order);
 		if (request.url === '/api/hold') {
 			hold(order, response);
 		} else {
@@ -203,7 +211,7 @@
 			seqNo: sequence,
 			born: bornMs,
 		};
-		const ordered = [...keepers.filter(keeper => keeper.zone === zone), ...keepers.filter(keeper => keeper.zone !== zone)];
+		const ordered = [...keepers.filter(keeper => keeper.zone === zone), ...keepers.filter(keeper => keeper.zone !== zone && !isCutFrom())];
 		for (const keeper of ordered) {
 			// eslint-disable-next-line no-await-in-loop -- The next machine is called after a failure.
 			const {status} = await call({
