Log the runs of earlier placers that are stopped as unknown

Change: E1229 (unknown-runs-stopped) names the backend server, the term, the number of runs, and how many others it runs.

--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -178,6 +178,12 @@
 		summary: 'A daemon no longer waits for jobs that it had submitted; the message that said so did not arrive, and the jobs were ended.',
 		action: 'None if links were interrupted; otherwise, check the network.',
 	},
+	'unknown-runs-stopped': {
+		number: 1229,
+		level: 'warning',
+		summary: 'A backend server ran tasks of an earlier placer whose jobs nobody has handed over; they are stopped.',
+		action: 'None at a takeover after which a daemon or an availability zone is not heard; otherwise, check the daemons that submitted the jobs.',
+	},
 	'placer-progressed': {
 		number: 1224,
 		level: 'info',
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -297,10 +297,22 @@
 		}
 
 		timers.addTimer(unknownRunGraceMs, () => {
-			for (const run of runTable.getUnknownRuns()) {
-				requests.stop(run.taskName);
-			}
+			stopUnknownRuns('no handover in time');
+		});
+	}
+
+	function stopUnknownRuns(reason: string): void {
+		const stopped = runTable.getUnknownRuns().filter(run => run.state !== 'stopping');
+		if (isClosed || stopped.length === 0) {
+			return;
+		}
+
+		events.write('unknown-runs-stopped', {
+			server: description.id, reason, term, claim, runs: stopped.length, otherRuns: runTable.getRuns().size - stopped.length,
 		});
+		for (const run of stopped) {
+			requests.stop(run.taskName);
+		}
 	}
 
 	async function sendRenewal(waitMs: number | undefined, timeoutMs: number): Promise<RenewResponse> {
