Lengthen a lease only where the placer knows every run

Cause: a lease applies to all runs of a backend server. Each placer that had claimed one granted it a lease of 1 s with every renewal for the 300 ms in which it waits for the jobs of unknown runs, so that the runs went on for as long as placers followed each other. The placer outside can't know how many follow; its margin of 500 ms covers one.

Change: renewals carry no lease while the table has an unknown run whose stop has not been accepted, and nothing is started there, not even a task without needs. So the last lease of the placer that knew a run bounds it, whatever follows. Unknown runs beside known ones are stopped as soon as the entry daemons that are heard have reported and none waits for their jobs (checked every 50 ms), and the lease is renewed at once when the stops are accepted or the jobs are handed over. Jobs that were forwarded are handed over to the next placer of the other zone at once, in place of up to 200 ms later. takeoverMarginMs stays, for placers of earlier versions.

A longer margin outside was not built: it covers a fixed number of placers. Leases that end at a time derived from the placer before were not built: a daemon that has just started does not know when that one was last heard.

--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -8,7 +8,7 @@
 import {createConfigurationExchange} from './configuration/configuration-exchange.js';
 import {createCrashExchange} from './crashes/crash-exchange.js';
 import {createPlacerElection} from './election/placer-election.js';
-import type {PlacerView} from './election/placer-view.js';
+import {isSameView, type PlacerView} from './election/placer-view.js';
 import {handleEntryMessage} from './entry/handle-entry-message.js';
 import {createJobSubmitter} from './entry/job-submitter.js';
 import {createEvacuationExchange} from './evacuations/evacuation-exchange.js';
@@ -263,7 +263,16 @@
 		if (shard === shards.getOwnShard()) {
 			election.handleView({term, placerId}, fromId);
 		} else if (shard !== globalShard) {
-			shards.updateOtherShard(shard, {term, placerId}, loadMs);
+			updateOtherPlacerView(shard, {term, placerId}, loadMs);
+		}
+	}
+
+	/** The runs of the jobs that were forwarded to another shard are stopped unless these are handed over to its next placer without delay. */
+	function updateOtherPlacerView(shard: string, view: PlacerView, loadMs: number | undefined): void {
+		const earlier = shards.findOtherView(shard);
+		shards.updateOtherShard(shard, view, loadMs);
+		if (earlier !== undefined && !isSameView(earlier, shards.findOtherView(shard)!)) {
+			jobSubmitter.handlePlacerChange();
 		}
 	}
 
--- a/packages/cluster/src/members/member-table.ts
+++ b/packages/cluster/src/members/member-table.ts
@@ -22,7 +22,7 @@
 	/** Gets the time since the last heartbeat of a daemon; infinite if there was none. */
 	getSilenceMs(memberId: string): number;
 	/** Gets the daemons that take jobs of callers, of those whose heartbeats stopped at most a time ago, and for how long they have been up. */
-	getEntries(maxSilenceMs: number): Array<{id: string; upMs: number}>;
+	getEntries(maxSilenceMs: number): Array<{id: string; upMs: number; silenceMs: number}>;
 	/** Whether a daemon of an availability zone has ever sent a heartbeat to this one. */
 	hasZone(availabilityZone: string): boolean;
 	/** Gets the daemons with a recent heartbeat. */
@@ -86,7 +86,10 @@
 		},
 		getEntries: maxSilenceMs => [...members.values()]
 			.filter(({isKeeper, lastHeartbeatAtMs}) => !isKeeper && timers.getNowMs() - lastHeartbeatAtMs < maxSilenceMs)
-			.map(({id, upMs, lastHeartbeatAtMs}) => ({id, upMs: upMs + timers.getNowMs() - lastHeartbeatAtMs})),
+			.map(({id, upMs, lastHeartbeatAtMs}) => {
+				const silenceMs = timers.getNowMs() - lastHeartbeatAtMs;
+				return {id, upMs: upMs + silenceMs, silenceMs};
+			}),
 		hasZone: availabilityZone => [...members.values()].some(member => member.availabilityZone === availabilityZone),
 		getAliveMembers: () => [...members.values()].filter(member => isAlive(member)),
 		hearsAllSeeds: () => [...otherSeedIds].every(id => members.has(id) && isAlive(members.get(id)!)),
--- a/packages/cluster/src/placing/entry-reports.ts
+++ b/packages/cluster/src/placing/entry-reports.ts
@@ -1,19 +1,29 @@
 import type {EarlierJobs} from '@camphortack/placement';
-import {leftJobRetentionMs} from '../cluster-timings.js';
+import {candidateTimeoutMs, leftJobRetentionMs} from '../cluster-timings.js';
 
 /** A daemon that may have submitted jobs to the placers before. */
 export type ReportingEntry = {
 	id: string;
 	/** For how long its process has been up; it knows nothing of the jobs of an earlier process. */
 	upMs: number;
+	/** The time since it was last heard. */
+	silenceMs: number;
+};
+
+/** What an entry daemon has reported about its jobs. */
+export type EntryReport = {
+	/** The jobs that it waits for. */
+	openJobIds: readonly string[];
+	/** The jobs that earlier placers may have started, and that it does not hand over. */
+	leftJobIds: readonly string[];
 };
 
 /** What the entry daemons have reported to the placer of a term about their jobs that earlier placers may have started. */
 export type EntryReports = EarlierJobs & {
 	/** Forgets all reports, as a term begins, when the placer before had been silent for a time. */
 	startTerm(silenceMs: number): void;
-	/** Adds the report of an entry daemon that has handed over its open jobs, with those that it no longer waits for. */
-	addReport(entryId: string, leftJobIds: readonly string[]): void;
+	/** Adds the report of an entry daemon that has handed over its open jobs. */
+	addReport(entryId: string, report: EntryReport): void;
 };
 
 /**
@@ -23,14 +33,15 @@
  *
  * @example
  * ```ts
- * const reports = createEntryReports(() => [{id: 'entry-1', upMs: 60_000}]);
+ * const reports = createEntryReports(() => [{id: 'entry-1', upMs: 60_000, silenceMs: 20}]);
  * reports.mayHaveStarted('job'); // true
- * reports.addReport('entry-1', []);
+ * reports.addReport('entry-1', {openJobIds: [], leftJobIds: []});
  * reports.mayHaveStarted('job'); // false
  * ```
  */
 export function createEntryReports(getEntries: () => readonly ReportingEntry[]): EntryReports {
 	const reportedIds = new Set<string>();
+	const openJobIds = new Set<string>();
 	const leftJobIds = new Set<string>();
 	let placerSilenceMs = 0;
 
@@ -38,15 +49,21 @@
 		startTerm(silenceMs) {
 			placerSilenceMs = silenceMs;
 			reportedIds.clear();
+			openJobIds.clear();
 			leftJobIds.clear();
 		},
-		addReport(entryId, ids) {
+		addReport(entryId, report) {
 			reportedIds.add(entryId);
-			for (const jobId of ids) {
+			for (const jobId of report.openJobIds) {
+				openJobIds.add(jobId);
+			}
+
+			for (const jobId of report.leftJobIds) {
 				leftJobIds.add(jobId);
 			}
 		},
 		getSilenceMs: () => placerSilenceMs,
+		mayBeHandedOver: jobId => openJobIds.has(jobId) || getEntries().some(({id, silenceMs}) => silenceMs < candidateTimeoutMs && !reportedIds.has(id)),
 		mayHaveStarted: jobId => leftJobIds.has(jobId) || getEntries().some(({id, upMs}) => upMs < leftJobRetentionMs || !reportedIds.has(id)),
 	};
 }
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -136,9 +136,9 @@
 	}
 
 	/** A report that names no term, or another one, does not tell that the jobs were handed over to this placer. */
-	function addReport(fromId: string, {term, leftJobIds}: PlacementMessageOf<'placement.open-jobs'>, active: Placer): void {
+	function addReport(fromId: string, {term, jobIds, otherJobIds = [], leftJobIds = []}: PlacementMessageOf<'placement.open-jobs'>, active: Placer): void {
 		if (term === placedTerm) {
-			entryReports.addReport(fromId, leftJobIds ?? []);
+			entryReports.addReport(fromId, {openJobIds: [...jobIds, ...otherJobIds], leftJobIds});
 			active.checkHeldJobs();
 		}
 	}
--- a/packages/placement/src/jobs/task-name.ts
+++ b/packages/placement/src/jobs/task-name.ts
@@ -7,6 +7,9 @@
 	index: number;
 };
 
+/** The numbers that follow the id of the job. */
+const numberCount = 3;
+
 /**
  * Gets the name that identifies a task on backend servers.
  * @param parts - The parts of the name.
@@ -19,3 +22,16 @@
 export function getTaskName({jobId, occurrence, step, index}: TaskNameParts): string {
 	return `${jobId}.${occurrence}.${step}.${index}`;
 }
+
+/**
+ * Gets the id of the job that a task belongs to.
+ * @param taskName - The name of the task.
+ *
+ * @example
+ * ```ts
+ * getJobId('5c0e7a21d94b36f8.0.1.17'); // '5c0e7a21d94b36f8'
+ * ```
+ */
+export function getJobId(taskName: string): string {
+	return taskName.split('.').slice(0, -numberCount).join('.');
+}
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -11,6 +11,7 @@
 import {createGivenUpJobs} from '../crashes/given-up-jobs.js';
 import {createTrialRuns} from '../crashes/trial-runs.js';
 import {createStartWindow} from '../lag/create-start-window.js';
+import {getJobId} from '../jobs/task-name.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
@@ -110,6 +111,7 @@
 	const pool = createServerPool({
 		...options,
 		startWindow,
+		isRunAwaited: taskName => options.earlierJobs?.mayBeHandedOver(getJobId(taskName)) ?? true,
 		listener: {
 			onRunEnd: handleRunEnd,
 			onHeld() {
--- a/packages/placement/src/placer/job-recovery.ts
+++ b/packages/placement/src/placer/job-recovery.ts
@@ -208,7 +208,7 @@
 			return false;
 		}
 
-		found.run.needs = task.needs;
+		found.server.session.adoptRun(found.run, task.needs);
 		task.state = 'running';
 		task.session = found.server.session;
 		task.runNumber = found.run.runNumber;
--- a/packages/placement/src/placer/server-pool.ts
+++ b/packages/placement/src/placer/server-pool.ts
@@ -62,6 +62,8 @@
 	events: EventLog;
 	metrics: MetricSink;
 	startWindow: StartWindow;
+	/** Whether the job of a task that an earlier placer started may still be submitted to this one. */
+	isRunAwaited: (taskName: string) => boolean;
 	listener: Omit<SessionListener, 'onRunAdded'>;
 	/** Called when a backend server has shown that it still is the incarnation in use, although another one was described. */
 	onDescriptionRefuted: (known: BackendServerDescription, refuted: BackendServerDescription) => void;
--- a/packages/placement/src/sessions/backend-session.ts
+++ b/packages/placement/src/sessions/backend-session.ts
@@ -54,6 +54,8 @@
 	getNextClaim(): number;
 	getRuns(): ReadonlyMap<string, Run>;
 	findRun(taskName: string): Run | undefined;
+	/** Makes the run of an earlier placer one of a job of this placer. */
+	adoptRun(run: Run, needs: TaskNeeds): void;
 	/** Gets the free capacity; none while the needs of a run are not known. */
 	getFreeCapacity(): TaskNeeds;
 	/** Starts a task. The listener is notified when the run ends or is found not to have started. */
--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -17,9 +17,10 @@
 import {createRemainingTimes} from './remaining-times.js';
 import {createRunRequests} from './create-run-requests.js';
 import {createRunTable} from './run-table.js';
+import {createUnknownRunWatch, type UnknownRunStopReason} from './create-unknown-run-watch.js';
+import type {Run} from './run.js';
 import {
 	unansweredClaimsUntilSilent, leaseMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
-	unknownRunGraceMs,
 } from './session-timings.js';
 import {getFreeCapacity} from './get-free-capacity.js';
 
@@ -44,6 +45,8 @@
 	claimWindow: ClaimWindow;
 	/** The limit on starts in flight, shared by all sessions of the placer. */
 	startWindow: StartWindow;
+	/** Whether the job of a task that an earlier placer started may still be submitted to this one. */
+	isRunAwaited: (taskName: string) => boolean;
 	listener: SessionListener;
 };
 
@@ -73,6 +76,11 @@
 		getClaim: () => claim,
 		getState: () => state,
 		isClosed: () => isClosed,
+		onStopAccepted(run) {
+			settleRun(() => {
+				runTable.confirmStop(run);
+			});
+		},
 		onClaimNeeded: startClaim,
 		onRejected: handleRejection,
 	});
@@ -85,6 +93,9 @@
 		getClaim: () => claim,
 		onResponse: handleRenewed,
 	});
+	const unknownRunWatch = createUnknownRunWatch({
+		...options, runTable, isClosed: () => isClosed, onStop: stopUnknownRuns,
+	});
 	let {description} = options;
 	const remainingTimes = createRemainingTimes(timers, description);
 	let state: SessionState = 'claiming';
@@ -281,7 +292,7 @@
 		resendStops();
 		setState('held', 'claim accepted');
 		listener.onHeld(session);
-		stopUnknownRunsLater();
+		unknownRunWatch.watchRuns();
 		renewals.startClaim();
 	}
 
@@ -291,33 +302,31 @@
 		}
 	}
 
-	function stopUnknownRunsLater(): void {
-		if (runTable.getUnknownRuns().length === 0) {
-			return;
-		}
-
-		timers.addTimer(unknownRunGraceMs, () => {
-			stopUnknownRuns('no handover in time');
-		});
-	}
-
-	function stopUnknownRuns(reason: string): void {
-		const stopped = runTable.getUnknownRuns().filter(run => run.state !== 'stopping');
-		if (isClosed || stopped.length === 0) {
-			return;
-		}
-
+	function stopUnknownRuns(runs: readonly Run[], reason: UnknownRunStopReason): void {
 		events.write('unknown-runs-stopped', {
-			server: description.id, reason, term, claim, runs: stopped.length, otherRuns: runTable.getRuns().size - stopped.length,
+			server: description.id, reason, term, claim, runs: runs.length, otherRuns: runTable.getRuns().size - runs.length,
 		});
-		for (const run of stopped) {
+		for (const run of runs) {
 			requests.stop(run.taskName);
 		}
 	}
 
+	/** Makes a change after which a run need no longer keep the others from a lease, and grants it without delay once none does. */
+	function settleRun(change: () => void): void {
+		const wasPermitted = runTable.isLeasePermitted();
+		change();
+		if (!wasPermitted && runTable.isLeasePermitted() && runTable.hasKnownRuns()) {
+			renewals.renewNow();
+		}
+	}
+
+	/**
+	 * Sends a renewal, with a lease only if every run is known. Otherwise each of several placers in a row would lengthen runs that none of
+	 * them knows, while the placer that knows them counts them as over when its own last lease has expired.
+	 */
 	async function sendRenewal(waitMs: number | undefined, timeoutMs: number): Promise<RenewResponse> {
 		return backendServerClient.renew(getTarget(), {
-			token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber(), leaseEndMs: getLeaseEndMs(), waitMs,
+			token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber(), leaseEndMs: runTable.isLeasePermitted() ? getLeaseEndMs() : undefined, waitMs,
 		}, timeoutMs);
 	}
 
@@ -367,6 +376,11 @@
 		getNextClaim: () => claim + 1,
 		getRuns: runTable.getRuns,
 		findRun: taskName => runTable.getRuns().get(taskName),
+		adoptRun(run, needs) {
+			settleRun(() => {
+				runTable.adoptRun(run, needs);
+			});
+		},
 		getFreeCapacity: () => getFreeCapacity(description, runTable.getRuns().values()),
 		start({payload, ...start}) {
 			requests.sendStart(runTable.addRun(start), payload);
--- a/packages/placement/src/sessions/create-renewals.ts
+++ b/packages/placement/src/sessions/create-renewals.ts
@@ -12,6 +12,8 @@
 	startClaim(): void;
 	/** Starts as many renewals at once as the loss of requests calls for. One is enough while nothing runs. */
 	startMissing(): void;
+	/** Sends a renewal that does not wait, in addition to those in flight, because these carry no lease. */
+	renewNow(): void;
 };
 
 export type RenewalsOptions = {
@@ -53,18 +55,32 @@
 		const count = options.hasRuns() ? getRenewalCount(lossEstimator.getLossShare()) : 1;
 		while (inFlight < count) {
 			inFlight++;
-			void renewOnce(getClaim());
+			void renewOnce();
 		}
 	}
 
-	async function renewOnce(ownClaim: number): Promise<void> {
-		const isCurrent = () => isHeld() && ownClaim === getClaim();
+	function createCurrencyCheck(): () => boolean {
+		const ownClaim = getClaim();
+		return () => isHeld() && ownClaim === getClaim();
+	}
+
+	async function renewOnce(): Promise<void> {
+		const isCurrent = createCurrencyCheck();
 		const waitMs = inFlight > 1 ? parallelRenewWaitMs : callTimeouts.getRenewWaitMs();
 		let response = await sendRenewal(waitMs, waitMs + callTimeouts.getRequestTimeoutMs());
 		if (isCurrent() && response.outcome === 'unanswered') {
 			response = await handleUnanswered(response, isCurrent);
 		}
 
+		handleResponse(response, isCurrent);
+	}
+
+	async function renewWithoutWait(): Promise<void> {
+		const isCurrent = createCurrencyCheck();
+		handleResponse(await sendCopies(isCurrent), isCurrent);
+	}
+
+	function handleResponse(response: RenewResponse, isCurrent: () => boolean): void {
 		if (isCurrent()) {
 			inFlight--;
 			onResponse(response);
@@ -84,11 +100,16 @@
 			return unanswered;
 		}
 
+		return sendCopies(isCurrent);
+	}
+
+	/** Sends copies of a renewal without a wait, until one is answered. */
+	async function sendCopies(isNeeded: () => boolean): Promise<RenewResponse> {
 		const {response} = await resender.send<RenewResponse>({
 			serverId,
 			minCopyCount: minRenewalCopyCount,
 			send: async timeoutMs => sendRenewal(undefined, timeoutMs),
-			isNeeded: isCurrent,
+			isNeeded,
 		});
 		return response;
 	}
@@ -99,5 +120,11 @@
 			startMissing();
 		},
 		startMissing,
+		renewNow() {
+			if (isHeld()) {
+				inFlight++;
+				void renewWithoutWait();
+			}
+		},
 	};
 }
--- a/packages/placement/src/sessions/create-run-requests.ts
+++ b/packages/placement/src/sessions/create-run-requests.ts
@@ -40,6 +40,8 @@
 	getClaim: () => number;
 	getState: () => SessionState;
 	isClosed: () => boolean;
+	/** Called when the backend server has accepted the stop of a run, which then takes a moment to end. */
+	onStopAccepted: (run: Run) => void;
 	/** Called when only a further claim can determine the effect of a request. */
 	onClaimNeeded: (reason: string) => void;
 	/** Called when the backend server no longer serves this session. */
@@ -167,9 +169,11 @@
 			return;
 		}
 
-		if (response.outcome === 'unanswered') {
+		if (response.outcome === 'accepted') {
+			options.onStopAccepted(run);
+		} else if (response.outcome === 'unanswered') {
 			options.onClaimNeeded(`a stop went unanswered: ${response.reason}`);
-		} else if (response.outcome === 'rejected') {
+		} else {
 			options.onClaimNeeded(`a stop was rejected: ${response.reason}`);
 		}
 	}
--- a/packages/placement/src/sessions/get-free-capacity.ts
+++ b/packages/placement/src/sessions/get-free-capacity.ts
@@ -1,7 +1,8 @@
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {Run, TaskNeeds} from './run.js';
 
-const noCapacity: TaskNeeds = {cpuMillicores: 0, memoryMb: 0, gpuCount: 0};
+/** Less than any needs, so that not even a task without needs is started. */
+const noCapacity: TaskNeeds = {cpuMillicores: -1, memoryMb: -1, gpuCount: -1};
 
 /**
  * Gets the free capacity of a backend server. A run whose needs are not known counts as using all of it.
--- a/packages/placement/src/sessions/run-table.ts
+++ b/packages/placement/src/sessions/run-table.ts
@@ -1,6 +1,8 @@
 import type {ActiveRun, EndedRun} from '../ports/backend-server-client.js';
 import {getRunEnd} from './get-run-end.js';
-import type {Run, RunEnd, RunStart} from './run.js';
+import type {
+	Run, RunEnd, RunStart, TaskNeeds,
+} from './run.js';
 
 /** The known runs on one backend server. */
 export type RunTable = {
@@ -22,6 +24,14 @@
 	getStoppingRuns(): Run[];
 	/** Gets the runs that an earlier placer started and whose jobs are not known. */
 	getUnknownRuns(): Run[];
+	/** Makes an unknown run one of a job that is known now. */
+	adoptRun(run: Run, needs: TaskNeeds): void;
+	/** Records that the backend server has accepted the stop of a run, so that the run ends whatever lease follows. */
+	confirmStop(run: Run): void;
+	/** Whether the job of some run is known. */
+	hasKnownRuns(): boolean;
+	/** Whether a lease may be granted. It lengthens all runs, so there must be no unknown one that may go on. */
+	isLeasePermitted(): boolean;
 };
 
 /** Callbacks for the changes of a table. */
@@ -38,9 +48,12 @@
  */
 export function createRunTable(getNowMs: () => number, listener: RunTableListener): RunTable {
 	const runs = new Map<string, Run>();
+	/** The unknown runs whose stop has not been accepted. */
+	const unsettledRuns = new Set<Run>();
 	let acknowledgedEndNumber = 0;
 
 	function endRun(run: Run, end: RunEnd): void {
+		unsettledRuns.delete(run);
 		if (runs.delete(run.taskName)) {
 			listener.onRunEnd(run, end);
 		}
@@ -57,6 +70,12 @@
 		};
 	}
 
+	function addUnknownRun(activeRun: ActiveRun): void {
+		const run = createUnknownRun(activeRun);
+		unsettledRuns.add(run);
+		addRun(run);
+	}
+
 	function handleListedEnd({taskName, runNumber, outcome}: EndedRun): void {
 		const run = runs.get(taskName);
 		if (run === undefined) {
@@ -125,11 +144,20 @@
 
 			for (const activeRun of activeRuns) {
 				if (!runs.has(activeRun.taskName)) {
-					addRun(createUnknownRun(activeRun));
+					addUnknownRun(activeRun);
 				}
 			}
 		},
 		getStoppingRuns: () => [...runs.values()].filter(run => run.state === 'stopping'),
 		getUnknownRuns: () => [...runs.values()].filter(run => run.needs === undefined),
+		adoptRun(run, needs) {
+			run.needs = needs;
+			unsettledRuns.delete(run);
+		},
+		confirmStop(run) {
+			unsettledRuns.delete(run);
+		},
+		hasKnownRuns: () => [...runs.values()].some(run => run.needs !== undefined),
+		isLeasePermitted: () => unsettledRuns.size === 0,
 	};
 }
--- a/packages/placement/src/sessions/session-timings.ts
+++ b/packages/placement/src/sessions/session-timings.ts
@@ -9,9 +9,11 @@
 export const unansweredClaimsUntilSilent = 3;
 /** How long a run of an earlier placer is kept until its job is submitted to this placer; then it is stopped. */
 export const unknownRunGraceMs = 300;
+/** How often it is checked whether entry daemons may still submit the jobs of unknown runs: they take a round trip to do so at a takeover. */
+export const unknownRunCheckMs = 50;
 /**
- * How long runs may continue after the last lease of this placer has expired: another placer that claims the backend
- * server grants its own lease until it has found that the jobs of these runs are not submitted to it and has stopped them.
+ * How long runs may continue after the last lease of this placer has expired. A placer that does not know them grants no lease, but one of
+ * an earlier version does until it has found that their jobs are not submitted to it and has stopped them.
  */
 export const takeoverMarginMs = 500;
 /** Copies of a renewal without a wait that are sent in place of an unanswered one before the backend server is claimed anew. */
--- a/packages/placement/test/placer/new-job-hold.test.ts
+++ b/packages/placement/test/placer/new-job-hold.test.ts
@@ -4,7 +4,7 @@
 import {completeReports, createTestPlacer, defaultRequest} from '../support/create-test-placer.js';
 import {runFor} from '../support/run-for.js';
 
-const missingReports: EarlierJobs = {mayHaveStarted: () => true, getSilenceMs: () => 0};
+const missingReports: EarlierJobs = {mayHaveStarted: () => true, mayBeHandedOver: () => true, getSilenceMs: () => 0};
 
 const rows: Array<{title: string; unclaimableCount: number; isFirstSilent: boolean; earlierJobs: EarlierJobs; startedAtMs: [from: number, to: number]}> = [
 	{
--- a/packages/placement/test/sessions/run-table.test.ts
+++ b/packages/placement/test/sessions/run-table.test.ts
@@ -97,4 +97,59 @@
 			assert.equal(runTable.getAcknowledgedEndNumber(), acknowledgedEndNumber);
 		});
 	}
+
+	const leases: Array<{title: string; change: (runTable: RunTable) => void; expected: boolean}> = [
+		{
+			title: 'a run that an earlier placer started',
+			change() {
+				// The run stays unknown.
+			},
+			expected: false,
+		},
+		{
+			title: 'its stop was requested, and may be lost',
+			change(runTable) {
+				runTable.getUnknownRuns()[0]!.state = 'stopping';
+			},
+			expected: false,
+		},
+		{
+			title: 'its stop was accepted',
+			change(runTable) {
+				runTable.confirmStop(runTable.getUnknownRuns()[0]!);
+			},
+			expected: true,
+		},
+		{
+			title: 'its job was submitted',
+			change(runTable) {
+				runTable.adoptRun(runTable.getUnknownRuns()[0]!, needs);
+			},
+			expected: true,
+		},
+		{
+			title: 'it has ended',
+			change(runTable) {
+				runTable.addEnds([getEnd(1, 'unknown', 1)]);
+			},
+			expected: true,
+		},
+		{
+			title: 'a later claim does not list it',
+			change(runTable) {
+				runTable.reconcile([], 0);
+			},
+			expected: true,
+		},
+	];
+	for (const {title, change, expected} of leases) {
+		// Guards against a lease that lengthens a run which another placer counts as over.
+		it(`${title} → ${expected ? 'a lease' : 'no lease'}`, () => {
+			const {runTable} = createFilledTable();
+			assert.equal(runTable.isLeasePermitted(), true);
+			runTable.reconcile([getActive('running', 2), getActive('unknown', 1)], 0);
+			change(runTable);
+			assert.equal(runTable.isLeasePermitted(), expected);
+		});
+	}
 });
--- a/packages/placement/test/support/create-test-placer.ts
+++ b/packages/placement/test/support/create-test-placer.ts
@@ -37,7 +37,7 @@
 };
 
 /** The reports of all entry daemons, which have handed over each job that they had submitted before. */
-export const completeReports: EarlierJobs = {mayHaveStarted: () => false, getSilenceMs: () => 0};
+export const completeReports: EarlierJobs = {mayHaveStarted: () => false, mayBeHandedOver: () => false, getSilenceMs: () => 0};
 
 export const defaultRequest: Omit<JobRequest, 'jobId'> = {
 	queueName: 'estimates',
