Answer every open request before a stopped process ends

A caller could not tell whether its job had run, and one whose job certainly could not be served waited for all of that time. A second SIGTERM cut everything at once.

Cause: the stop waited for open jobs until 0.5 s before the end of the grace period, then stopped the cluster without ending the open jobs, and the process ended 20 ms later whether or not responses were written.

Change: the end of the stop is a step of its own. Lists of open jobs say for how long their daemon still answers; the placer refuses at once, as not run and with Retry-After, the jobs that have not started and cannot start by then, judged by the progress of the runs and not by estimates.

--- a/packages/cluster/src/cluster.ts
+++ b/packages/cluster/src/cluster.ts
@@ -47,7 +47,11 @@
 	/** Whether a daemon or a backend server of an availability zone is known. */
 	isZoneKnown(availabilityZone: string): boolean;
 	getStatus(): ClusterStatus;
-	/** Announces to the other daemons that this one is leaving, so that another placer is elected. */
-	startLeaving(): void;
+	/**
+	 * Announces to the other daemons that this one is leaving, so that another placer is elected.
+	 * @param remainingMs - How long callers still get answers; without a limit if it is missing.
+	 */
+	startLeaving(remainingMs?: number): void;
+	/** Stops taking part, and answers the callers of all open jobs. */
 	stop(): void;
 };
--- a/packages/cluster/src/create-cluster.ts
+++ b/packages/cluster/src/create-cluster.ts
@@ -347,7 +347,8 @@
 			serverCount: registry.getDescriptions().length,
 			openJobCount: jobSubmitter.getOpenCount(),
 		}),
-		startLeaving() {
+		startLeaving(remainingMs) {
+			jobSubmitter.startLeaving(remainingMs);
 			election.startLeaving();
 			heartbeatSender.sendAll();
 		},
--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -41,6 +41,9 @@
 	getOpenCount(): number;
 	/** Gets the number of jobs of a queue that have no result yet. */
 	getOpenCountForQueue(queueName: string): number;
+	/** Tells the placers for how long callers still get answers, if that is limited, so that jobs which cannot start in time are refused. */
+	startLeaving(remainingMs: number | undefined): void;
+	/** Answers all callers: jobs that no placer was sent are refused, the others end as unknown. */
 	stop(): void;
 };
 
@@ -92,6 +95,8 @@
 	const forwarding = createJobForwarding({...options, sendJob});
 	/** The number of the last submission or list of open jobs. */
 	let sequence = 0;
+	/** When the callers get no more answers; undefined unless this daemon is being stopped and the time is limited. */
+	let endsAtMs: number | undefined;
 	const reconciliation = timers.addInterval(openJobsIntervalMs, sendOpenJobs);
 
 	/**
@@ -123,11 +128,15 @@
 		sequence++;
 		for (const [shard, list] of lists.getLists()) {
 			sendToPlacer(shard, {
-				kind: 'placement.open-jobs', ...list, incarnation: ownIncarnation, sequence, term: getPlacerView(shard).term,
+				kind: 'placement.open-jobs', ...list, incarnation: ownIncarnation, sequence, term: getPlacerView(shard).term, remainingMs: findRemainingMs(),
 			});
 		}
 	}
 
+	function findRemainingMs(): number | undefined {
+		return endsAtMs === undefined ? undefined : Math.max(0, Math.round(endsAtMs - timers.getNowMs()));
+	}
+
 	/** A record of the placer in use is kept even if no job needs it: the placer does not send again what was recorded. */
 	function isRecordInUse(shard: string, view: PlacerView): boolean {
 		return !isNewerView(getPlacerView(shard), view) || [...openJobs.values()].some(open => open.shard === shard && open.submissions.hasView(view));
@@ -386,9 +395,16 @@
 
 			return count;
 		},
+		startLeaving(remainingMs) {
+			endsAtMs = remainingMs === undefined ? undefined : timers.getNowMs() + remainingMs;
+			sendOpenJobs();
+		},
 		stop() {
 			reconciliation.cancel();
 			cancellations.endAll();
+			for (const {job: {jobId}, submissions} of openJobs.values()) {
+				endJob(jobId, submissions.hasAny() ? {outcome: 'unknown'} : {outcome: 'refused', reason: 'stopping', retryAfterMs});
+			}
 		},
 	};
 }
--- a/packages/cluster/src/placing/local-placer.ts
+++ b/packages/cluster/src/placing/local-placer.ts
@@ -99,6 +99,10 @@
 				recordSender!.handleEntry({entryId: fromId, incarnation: message.incarnation});
 				addReport(fromId, message, active);
 				withdrawUnlisted(fromId, message, active);
+				if (message.remainingMs !== undefined) {
+					active.setEntryRemainingMs({entryId: fromId, incarnation: message.incarnation}, message.remainingMs);
+				}
+
 				answerOpenJobs(fromId, message.jobIds, active);
 				break;
 			}
--- a/packages/core/src/events/event-catalogue.ts
+++ b/packages/core/src/events/event-catalogue.ts
@@ -13,6 +13,12 @@
 	'daemon-draining': {
 		number: 1001, level: 'info', summary: 'A graceful shutdown has begun; new work is refused as not run.', action: 'None; wait for event 1002.',
 	},
+	'daemon-closing': {
+		number: 1011,
+		level: 'info',
+		summary: 'The daemon ends its graceful shutdown: it answers the requests that are still open and stops.',
+		action: 'If many are open, check whether the grace period suits the jobs.',
+	},
 	'daemon-stopped': {
 		number: 1002, level: 'info', summary: 'All work in flight has ended and the daemon exits.', action: 'None.',
 	},
--- a/packages/core/src/metrics/metric-names.ts
+++ b/packages/core/src/metrics/metric-names.ts
@@ -15,6 +15,7 @@
 	'task-queued': 'Tasks waiting for a slot.',
 	'queue-quarantined': 'Times that a queue was kept apart because its tasks crashed backend servers.',
 	'job-refused-quarantine': 'Jobs refused because tasks of their queue had crashed too many backend servers.',
+	'job-refused-stopping': 'Jobs refused because they could not start before the daemon that waited for them was stopped.',
 	'task-given-up': 'Tasks that were given up because backend servers had crashed under them.',
 	'task-stopped': 'Running tasks that were asked to stop.',
 	'answer-discarded-late': 'Task responses that arrived after the task was abandoned.',
--- a/packages/placement/src/messages/placement-messages.ts
+++ b/packages/placement/src/messages/placement-messages.ts
@@ -63,6 +63,8 @@
 		term: z.int().optional(),
 		/** The jobs that the daemon no longer waits for, and that a placer may have started recently. */
 		leftJobIds: z.array(z.string()).optional(),
+		/** For how long the daemon, which is being stopped, still answers its callers; missing if it is not being stopped. */
+		remainingMs: z.number().min(0).optional(),
 	}),
 	/** The jobs of that list that the placer does not know. */
 	z.object({
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -31,6 +31,7 @@
 import {createJobRecovery} from './job-recovery.js';
 import {createMovedRuns} from './moved-runs.js';
 import {createNewJobHold} from './new-job-hold.js';
+import {createLeavingEntries} from './leaving-entries.js';
 import type {Placer} from './placer.js';
 import type {Allocation, CapacityTable} from './capacity-table.js';
 import {createJobGroups} from './job-groups.js';
@@ -43,6 +44,7 @@
 import {createSubmittedJobs} from './submitted-jobs.js';
 import {createTakeoverLog} from './takeover-log.js';
 import {createTaskEnds} from './task-ends.js';
+import {createUnservableJobs} from './unservable-jobs.js';
 import {
 	findRefusals, getWaitingJobs,
 } from './waiting-jobs.js';
@@ -168,6 +170,17 @@
 			endJob(job, {outcome: 'unknown'});
 		},
 	});
+	const leavingEntries = createLeavingEntries(timers, schedulePass);
+	const unservableJobs = createUnservableJobs({
+		timers,
+		jobTable,
+		pool,
+		leavingEntries,
+		onRefused(job) {
+			metrics.increment('job-refused-stopping');
+			refuse(job, 'stopping', 0);
+		},
+	});
 	const trialRuns = createTrialRuns(timers, options.crashRegister);
 	const exclusions = createStartExclusions({
 		...options, trialRuns, getServers: () => [...pool.getServers()].map(({session}) => session.getDescription()),
@@ -195,6 +208,7 @@
 		givenUpJobs.endJobs();
 		quarantine.update();
 		refuseSuspendedJobs();
+		unservableJobs.refuseJobs();
 		const nowMs = timers.getNowMs();
 		const waiting = getWaitingJobs(jobTable.getJobs(), nowMs);
 		const tables = groups.createTables(waiting);
@@ -361,6 +375,10 @@
 		withdrawUnlisted: submittedJobs.withdrawUnlisted,
 		endJobsOfEntry: submittedJobs.endJobsOfEntry,
 		checkHeldJobs: schedulePass,
+		setEntryRemainingMs(entry, remainingMs) {
+			leavingEntries.setRemainingMs(entry, remainingMs);
+			schedulePass();
+		},
 		findResult: jobId => (jobTable.findJob(jobId) === undefined ? jobTable.findResult(jobId) : 'open'),
 		getPendingCount(queueName) {
 			let count = 0;
--- a/packages/placement/src/placer/placer.ts
+++ b/packages/placement/src/placer/placer.ts
@@ -1,6 +1,7 @@
 import type {EntryList} from '../jobs/entry-list.js';
 import type {JobOutcome} from '../messages/job-outcome.js';
 import type {PlacementMessageOf} from '../messages/placement-messages.js';
+import type {EntryProcess} from '../ports/server-recorder.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {SessionState} from '../sessions/backend-session.js';
 
@@ -39,6 +40,11 @@
 	withdraw(jobId: string, submissionId: string): void;
 	/** Withdraws the submissions that a list of the open jobs of an entry daemon should name and does not. Returns the number of jobs that end. */
 	withdrawUnlisted(list: EntryList): number;
+	/**
+	 * Handles that the process of an entry daemon, which is being stopped, answers its callers for a limited time only. Jobs that
+	 * certainly do not start within it are refused.
+	 */
+	setEntryRemainingMs(entry: EntryProcess, remainingMs: number): void;
 	/** Gets the result of an ended job; `open` if the job has not ended, undefined if it is not known. */
 	findResult(jobId: string): JobOutcome | 'open' | undefined;
 	/**
