Ignore a second SIGTERM in the daemon with its own interfaces

What callers saw: a second SIGTERM while the daemon answers open requests ends the process at once, and their connections without a byte. Cause: the handler of the signal was there for the first one only. Change: the handler stays; a second SIGINT, as from a terminal, still ends the process. The stop itself already took further calls.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -45,7 +45,8 @@
 		try {
 			const daemon = await startDaemon(settings);
 			this.context.stdout.write(`${JSON.stringify(daemon.addresses)}\n`);
-			process.once('SIGTERM', () => {
+			// Not only once: a further signal must not end the process before it has answered its callers.
+			process.on('SIGTERM', () => {
 				void daemon.stop();
 			});
 			process.once('SIGINT', () => {
