--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -1,16 +1,15 @@
-import type {
-	EventLog, MetricSink, TimerService, TimerSubscription,
-} from '@camphortack/core';
+import type {EventLog, MetricSink, TimerService} from '@camphortack/core';
 import type {StartWindow} from '../lag/create-start-window.js';
 import type {
 	BackendServerClient, RequestTarget, RenewResponse, UnansweredResponse,
 } from '../ports/backend-server-client.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
 import type {BackendSession, SessionListener, SessionState} from './backend-session.js';
-import {getFencingToken, maxClaimNumber} from './fencing-token.js';
+import {getFencingToken} from './fencing-token.js';
 import type {CallTimeouts} from './create-call-timeouts.js';
 import type {RequestResender} from './create-request-resender.js';
 import type {ClaimWindow} from './create-claim-window.js';
+import {createClaims} from './create-claims.js';
 import type {LossEstimator} from './loss-estimator.js';
 import {createRenewals} from './create-renewals.js';
 import {createLeaseClock} from './lease-clock.js';
@@ -19,9 +18,7 @@
 import {createRunTable} from './run-table.js';
 import {createUnknownRunWatch, type UnknownRunStopReason} from './create-unknown-run-watch.js';
 import type {Run} from './run.js';
-import {
-	unansweredClaimsUntilSilent, leaseMs, maxClaimRetryDelayMs, maxClaimTimeoutMs, minClaimRetryDelayMs, takeoverMarginMs,
-} from './session-timings.js';
+import {unansweredClaimsUntilSilent, leaseMs, takeoverMarginMs} from './session-timings.js';
 import {getFreeCapacity} from './get-free-capacity.js';
 
 export type BackendSessionOptions = {
@@ -73,7 +70,7 @@
 		getTarget,
 		getToken,
 		getLeaseEndMs: () => getLeaseEndMs()!,
-		getClaim: () => claim,
+		getClaim: () => claims.getNumber(),
 		getState: () => state,
 		isClosed: () => isClosed,
 		onStopAccepted(run) {
@@ -90,7 +87,7 @@
 		sendRenewal,
 		hasRuns: () => runTable.getRuns().size > 0,
 		isHeld: () => !isClosed && state === 'held',
-		getClaim: () => claim,
+		getClaim: () => claims.getNumber(),
 		onResponse: handleRenewed,
 	});
 	const unknownRunWatch = createUnknownRunWatch({
@@ -100,22 +97,26 @@
 	const remainingTimes = createRemainingTimes(timers, description);
 	let state: SessionState = 'claiming';
 	const {firstClaim} = options;
-	let claim = firstClaim - 1;
-	let unansweredClaims = 0;
+	const claims = createClaims({
+		...options,
+		getTarget,
+		getRequest: () => ({token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}),
+		isOpen: () => !isClosed && state !== 'fenced',
+		isClosed: () => isClosed,
+		onResponse: handleClaimResponse,
+	});
 	let isCrashSuspected = false;
 	let hasNewerIncarnation = false;
 	let isEndExpected = false;
 	let isVerifying = false;
 	let isClosed = false;
-	let isRetryUrgent = false;
-	let claimRetry: {timer: TimerSubscription; retry: () => void} | undefined;
 
 	function getTarget(): RequestTarget {
 		return {host: description.host, port: description.port, serverId: description.id};
 	}
 
 	function getToken(): number {
-		return getFencingToken({term, claim, daemonNumber});
+		return getFencingToken({term, claim: claims.getNumber(), daemonNumber});
 	}
 
 	function setState(next: SessionState, reason: string): void {
@@ -126,7 +127,7 @@
 		const previous = state;
 		state = next;
 		events.write('backend-session-changed', {
-			server: description.id, previous, state: next, reason, term, claim, runs: runTable.getRuns().size,
+			server: description.id, previous, state: next, reason, term, claim: claims.getNumber(), runs: runTable.getRuns().size,
 		});
 		listener.onStateChange(session);
 	}
@@ -147,64 +148,26 @@
 			return;
 		}
 
-		if (claim >= maxClaimNumber) {
+		if (claims.isExhausted()) {
 			setState('silent', 'claims of the term are exhausted');
 			return;
 		}
 
-		claim++;
 		if (state === 'held') {
 			setState('claiming', reason);
 		}
 
-		scheduleClaim(claim, reason);
-	}
-
-	function isCurrent(ownClaim: number): boolean {
-		return !isClosed && ownClaim === claim && state !== 'fenced';
-	}
-
-	function scheduleClaim(ownClaim: number, reason: string): void {
-		claimWindow.enter(unansweredClaims > 0, () => {
-			if (isCurrent(ownClaim)) {
-				void sendClaim(ownClaim, reason);
-			} else {
-				claimWindow.leave(undefined);
-			}
-		});
-	}
-
-	/** The timeout doubles with each unanswered claim. */
-	function getClaimTimeoutMs(): number {
-		return Math.min(maxClaimTimeoutMs, callTimeouts.getRequestTimeoutMs() * (2 ** unansweredClaims));
+		claims.start(reason);
 	}
 
-	/** Sends a claim. It does not extend the lease, so that earlier leases expire while claims go unanswered. */
-	async function sendClaim(ownClaim: number, reason: string): Promise<void> {
-		metrics.increment('server-claimed');
-		const {response, responseMs} = await resender.send<RenewResponse>({
-			serverId: description.id,
-			send: async () => backendServerClient.renew(getTarget(), {token: getToken(), acknowledgedEndNumber: runTable.getAcknowledgedEndNumber()}, getClaimTimeoutMs()),
-			isNeeded: () => isCurrent(ownClaim),
-			minCopyCount: 1,
-		});
-		claimWindow.leave(responseMs);
-		if (responseMs !== undefined) {
-			callTimeouts.addClaimResponse(responseMs);
-			startWindow.addResponse(description.id, responseMs);
-		}
-
-		if (isClosed || ownClaim !== claim) {
-			return;
-		}
-
+	function handleClaimResponse(response: RenewResponse, reason: string): void {
 		if (response.outcome === 'accepted') {
 			handleClaimAccepted(response);
 		} else if (response.outcome === 'rejected') {
 			handleRejection(response.reason);
 		} else {
 			suspectCrashIfRefused(response);
-			handleClaimUnanswered(ownClaim, reason, response.reason);
+			handleClaimUnanswered(reason, response.reason);
 		}
 	}
 
@@ -216,32 +179,14 @@
 		}
 	}
 
-	function handleClaimUnanswered(ownClaim: number, reason: string, failureReason: string): void {
+	function handleClaimUnanswered(reason: string, failureReason: string): void {
 		isVerifying = false;
-		unansweredClaims++;
-		if (unansweredClaims >= unansweredClaimsUntilSilent) {
+		const unansweredCount = claims.retryLater(reason);
+		if (unansweredCount >= unansweredClaimsUntilSilent) {
 			setState('silent', failureReason);
 		}
 
 		endRunsIfOver();
-		const delayMs = isRetryUrgent ? minClaimRetryDelayMs : Math.min(maxClaimRetryDelayMs, minClaimRetryDelayMs * (2 ** (unansweredClaims - 1)));
-		isRetryUrgent = false;
-		// No start or stop was sent with this token, so the retry can reuse it.
-		claimRetry = {
-			timer: timers.addTimer(delayMs, () => {
-				retryClaim(ownClaim, reason);
-			}),
-			retry() {
-				retryClaim(ownClaim, reason);
-			},
-		};
-	}
-
-	function retryClaim(ownClaim: number, reason: string): void {
-		claimRetry = undefined;
-		if (isCurrent(ownClaim)) {
-			scheduleClaim(ownClaim, reason);
-		}
 	}
 
 	/**
@@ -260,7 +205,7 @@
 		} else if (reason === 'other-incarnation') {
 			endIncarnation();
 		} else {
-			handleClaimUnanswered(claim, reason, reason);
+			handleClaimUnanswered(reason, reason);
 		}
 	}
 
@@ -283,7 +228,6 @@
 			listener.onCrashResolved(session, false);
 		}
 
-		unansweredClaims = 0;
 		isVerifying = false;
 		isCrashSuspected = false;
 		clock.addReading(response.clockMs, timers.getNowMs());
@@ -304,7 +248,7 @@
 
 	function stopUnknownRuns(runs: readonly Run[], reason: UnknownRunStopReason): void {
 		events.write('unknown-runs-stopped', {
-			server: description.id, reason, term, claim, runs: runs.length, otherRuns: runTable.getRuns().size - runs.length,
+			server: description.id, reason, term, claim: claims.getNumber(), runs: runs.length, otherRuns: runTable.getRuns().size - runs.length,
 		});
 		for (const run of runs) {
 			requests.stop(run.taskName);
@@ -359,7 +303,7 @@
 		getColdUntilMs: remainingTimes.getColdUntilMs,
 		findGoneAtMs: remainingTimes.findGoneAtMs,
 		getState: () => state,
-		isFirstClaimPending: () => state === 'claiming' && claim === firstClaim,
+		isFirstClaimPending: () => state === 'claiming' && claims.getNumber() === firstClaim,
 		// Nothing runs on an incarnation that has ended, but a newer one under the same id is not claimed yet.
 		areEarlierRunsKnown: () => !hasNewerIncarnation && (state === 'closed' || clock.findServerTimeMs(timers.getNowMs()) !== undefined),
 		verify() {
@@ -372,8 +316,8 @@
 			const isUnresponsive = (state === 'claiming' || state === 'silent') && !isCrashSuspected;
 			return state === 'held' || (isUnresponsive && (isVerifying || runTable.getRuns().size > 0));
 		},
-		hasExhaustedClaims: () => claim >= maxClaimNumber && state === 'silent',
-		getNextClaim: () => claim + 1,
+		hasExhaustedClaims: () => claims.isExhausted() && state === 'silent',
+		getNextClaim: () => claims.getNumber() + 1,
 		getRuns: runTable.getRuns,
 		findRun: taskName => runTable.getRuns().get(taskName),
 		adoptRun(run, needs) {
@@ -388,15 +332,8 @@
 		},
 		stop: requests.stop,
 		hurryClaim() {
-			if (state !== 'silent') {
-				return;
-			}
-
-			if (claimRetry === undefined) {
-				isRetryUrgent = true;
-			} else {
-				claimRetry.timer.cancel();
-				claimRetry.retry();
+			if (state === 'silent') {
+				claims.hurry();
 			}
 		},
 		expectEnd() {
