Count runs that are being stopped as room for jobs of a leaving daemon

A run that is told to stop ends at once, so the bound by its progress could refuse a job that would have started a moment later. It no longer counts. A job without a waiting daemon is never taken for one of a leaving daemon.

Measured: the new row of leaving-entries.test (the busy run is cancelled as the daemon leaves, and the waiting job is completed); 29 tests of it and of takeover-under-load pass.

--- a/packages/placement/src/placer/leaving-entries.ts
+++ b/packages/placement/src/placer/leaving-entries.ts
@@ -8,7 +8,7 @@
 	setRemainingMs(entry: EntryProcess, remainingMs: number): void;
 	/** Whether any process is leaving. */
 	isEmpty(): boolean;
-	/** Finds the latest time at which the task of a job must start; undefined while a process waits for the job that is not leaving. */
+	/** Finds the latest time at which the task of a job must start; undefined unless all processes that wait for the job are leaving. */
 	findLastStartMs(job: PlacedJob): number | undefined;
 };
 
@@ -54,7 +54,7 @@
 		isEmpty: () => lastStartsAtMs.size === 0,
 		findLastStartMs({waiting}) {
 			const lastStarts = [...waiting.getEntries()].map(entry => lastStartsAtMs.get(getKey(entry)));
-			return lastStarts.every(lastStartMs => lastStartMs !== undefined) ? Math.max(...lastStarts) : undefined;
+			return lastStarts.length > 0 && lastStarts.every(lastStartMs => lastStartMs !== undefined) ? Math.max(...lastStarts) : undefined;
 		},
 	};
 }
--- a/packages/placement/src/placer/unservable-jobs.ts
+++ b/packages/placement/src/placer/unservable-jobs.ts
@@ -82,13 +82,16 @@
 	return description.service === service && description.state === 'ready' && session.getState() !== 'closed';
 }
 
-/** Gets the room without regard to slots and to runs whose needs are not known, so that it is never less than the actual one. */
+/**
+ * Gets the room without regard to slots, to runs that are being stopped and to those whose needs are not known, so that it is never less
+ * than the actual one.
+ */
 function getRoom(session: BackendSession): ServerRoom {
 	const {cpuMillicores, memoryMb, gpuCount} = session.getDescription();
 	const freeCapacity = {cpuMillicores, memoryMb, gpuCount};
 	const runs: Array<ServerRoom['runs'][number]> = [];
 	for (const run of session.getRuns().values()) {
-		if (run.needs !== undefined) {
+		if (run.needs !== undefined && run.state !== 'stopping') {
 			freeCapacity.cpuMillicores -= run.needs.cpuMillicores;
 			freeCapacity.memoryMb -= run.needs.memoryMb;
 			freeCapacity.gpuCount -= run.needs.gpuCount;
--- a/packages/placement/src/sessions/create-renewals.ts
+++ b/packages/placement/src/sessions/create-renewals.ts
@@ -59,13 +59,14 @@
 		}
 	}
 
-	function createCurrencyCheck(): () => boolean {
+	/** Creates the check whether the backend server is still held with the claim of now. */
+	function createClaimCheck(): () => boolean {
 		const ownClaim = getClaim();
 		return () => isHeld() && ownClaim === getClaim();
 	}
 
 	async function renewOnce(): Promise<void> {
-		const isCurrent = createCurrencyCheck();
+		const isCurrent = createClaimCheck();
 		const waitMs = inFlight > 1 ? parallelRenewWaitMs : callTimeouts.getRenewWaitMs();
 		let response = await sendRenewal(waitMs, waitMs + callTimeouts.getRequestTimeoutMs());
 		if (isCurrent() && response.outcome === 'unanswered') {
@@ -76,7 +77,7 @@
 	}
 
 	async function renewWithoutWait(): Promise<void> {
-		const isCurrent = createCurrencyCheck();
+		const isCurrent = createClaimCheck();
 		handleResponse(await sendCopies(isCurrent), isCurrent);
 	}
 
--- a/packages/placement/test/placer/leaving-entries.test.ts
+++ b/packages/placement/test/placer/leaving-entries.test.ts
@@ -87,4 +87,14 @@
 		await runFor(timers, 2000, 1);
 		assert.equal(results.get('job')?.outcome, 'refused');
 	});
+
+	// Guards against a refusal although a run ends before its time.
+	it('keeps a job while a run is being stopped', async () => {
+		const {timers, placer, submit, results} = await createBusyPlacer(longMs);
+		submit(job);
+		placer.cancel('other');
+		placer.setEntryRemainingMs({entryId: 'entry', incarnation: undefined}, remainingMs);
+		await runFor(timers, 500, 1);
+		assert.equal(results.get('job')?.outcome, 'completed');
+	});
 });
