Start no lost task again that a placer behind a cut may have adopted

What callers saw: nothing was reported.

Cause: callers on both sides of a cut wait for a job. The placer behind the cut is handed the job by the entry daemon there, adopts its run and keeps it alive. The placer outside still has the job for the other entry daemon, counts the run as lost 1.5 s after its last lease, and starts the task again. No placer has to be lost for that.

Change: a job remembers that an entry daemon which is not heard any more has waited for it (0.7 to 1.05 s after its last message, before a run counts as lost). If one of its runs is lost then, the job ends as unknown. Its other callers get 504 in place of a second run. The price: the same if that entry daemon was not cut off but lost, together with the backend server. To wait for the backend server would serve those callers who have the time; it is not built.

--- a/packages/cluster/test/create-cluster-cut-zone.test.ts
+++ b/packages/cluster/test/create-cluster-cut-zone.test.ts
@@ -7,6 +7,7 @@
 		{title: 'one is killed', options: {lossesAfterMs: [250]}},
 		{title: 'two are killed', options: {lossesAfterMs: [250, 250]}},
 		{title: 'three are killed, as many as can follow', options: {lossesAfterMs: [250, 250, 250]}},
+		{title: 'one is killed with all daemons behind the cut', options: {lossesAfterMs: [250], loss: 'killed-with-all'}},
 		{title: 'one freezes', options: {lossesAfterMs: [250], loss: 'frozen'}},
 		{title: 'one is killed before it has claimed', options: {lossesAfterMs: [0]}},
 		{title: 'one is killed after its stops', options: {lossesAfterMs: [400]}},
@@ -35,6 +36,14 @@
 		});
 	}
 
+	for (const lossesAfterMs of [[], [250], [250, 250]]) {
+		// Guards against two runs at once of a job that is handed over to a placer behind the cut while the one outside has it, too.
+		it(`starts no task again of a job that callers on both sides of the cut wait for: ${lossesAfterMs.length} placers are lost`, async () => {
+			const {overlapCount} = await replayCutZone({lossesAfterMs, outsideJobCount: 4, sharedJobCount: 4});
+			assert.equal(overlapCount, 0);
+		});
+	}
+
 	// Random losses of up to three placers, with lost, doubled and late messages and late orders; `npm run explore:cut-zone` plays more.
 	for (const seed of [1, 2, 4, 5, 10, 12]) {
 		it(`starts no task again while it runs: seed ${seed}`, async () => {
--- a/packages/cluster/test/support/replay-cut-zone.ts
+++ b/packages/cluster/test/support/replay-cut-zone.ts
@@ -4,8 +4,8 @@
 import {createTestCluster, type TestCluster} from './create-test-cluster.js';
 import {ignoreAcknowledgement} from './drive-cluster.js';
 
-/** How a placer behind the cut is lost: killed and started again, or frozen for a time. */
-export type PlacerLoss = 'killed' | 'frozen';
+/** How a placer behind the cut is lost: killed and started again, frozen for a time, or killed for good with all daemons there. */
+export type PlacerLoss = 'killed' | 'frozen' | 'killed-with-all';
 
 export type CutZoneReplayOptions = {
 	/** The losses of placers behind the cut: how long after its first order to a backend server the n-th one is lost. */
@@ -14,6 +14,8 @@
 	/** The jobs whose entry daemons are outside the cut, and inside. Each has one task, which runs behind the cut. */
 	outsideJobCount?: number;
 	insideJobCount?: number;
+	/** The jobs that callers on both sides of the cut wait for. */
+	sharedJobCount?: number;
 	/** The share of requests to the backend servers behind the cut that go unanswered and take effect late. */
 	lateShare?: number;
 	/** The share of the messages between daemons that are lost, doubled or late. */
@@ -74,7 +76,7 @@
  * @param options - The losses and the faults of messages.
  */
 export async function replayCutZone(options: CutZoneReplayOptions): Promise<CutZoneReplayResult> {
-	const {outsideJobCount = 12, insideJobCount = 0, messageFaultShare = 0, seed = 1} = options;
+	const {outsideJobCount = 12, insideJobCount = 0, sharedJobCount = 0, messageFaultShare = 0, seed = 1} = options;
 	const random = createSeededRandomSource(seed);
 	const phase = {isCut: false};
 	const test = createTestCluster({
@@ -96,7 +98,7 @@
 		server.fault.isRequestDelayed = () => phase.isCut && random.getFraction() < (options.lateShare ?? 0);
 	}
 
-	await startJobsOn(test, insideServers, {outsideJobCount, insideJobCount});
+	await startJobsOn(test, insideServers, {outsideJobCount, insideJobCount, sharedJobCount});
 	phase.isCut = true;
 	test.isolateZone(cutZone);
 	await runFor(test.timers, cutMs, 1);
@@ -108,19 +110,34 @@
 	};
 }
 
+type JobCounts = Required<Pick<CutZoneReplayOptions, 'outsideJobCount' | 'insideJobCount' | 'sharedJobCount'>>;
+
+function getOutsideEntry(number: number): string {
+	return ['entry-a1', 'entry-a2', 'entry-c1', 'entry-c2'][number % 4]!;
+}
+
+function getInsideEntry(number: number): string {
+	return ['entry-b1', 'entry-b2'][number % 2]!;
+}
+
 /** Starts all jobs on the backend servers of one zone, and makes the others known once they run. */
-async function startJobsOn(test: TestCluster, servers: readonly FakeServer[], {outsideJobCount, insideJobCount}: {outsideJobCount: number; insideJobCount: number}): Promise<void> {
+async function startJobsOn(test: TestCluster, servers: readonly FakeServer[], counts: JobCounts): Promise<void> {
 	for (const {description} of servers) {
 		test.find('keeper-a').cluster.reportServer(description, ignoreAcknowledgement);
 	}
 
 	await runFor(test.timers, 2500, 1);
-	for (let number = 0; number < outsideJobCount; number++) {
-		test.submit(['entry-a1', 'entry-a2', 'entry-c1', 'entry-c2'][number % 4]!, `outside-${number}`, getJob());
+	for (let number = 0; number < counts.outsideJobCount; number++) {
+		test.submit(getOutsideEntry(number), `outside-${number}`, getJob());
 	}
 
-	for (let number = 0; number < insideJobCount; number++) {
-		test.submit(['entry-b1', 'entry-b2'][number % 2]!, `inside-${number}`, getJob());
+	for (let number = 0; number < counts.insideJobCount; number++) {
+		test.submit(getInsideEntry(number), `inside-${number}`, getJob());
+	}
+
+	for (let number = 0; number < counts.sharedJobCount; number++) {
+		test.submit(getInsideEntry(number), `shared-${number}`, getJob());
+		test.submit(getOutsideEntry(number), `shared-${number}`, getJob());
 	}
 
 	await runFor(test.timers, 300, 1);
@@ -162,19 +179,30 @@
 }
 
 function loseDaemon(test: TestCluster, daemonId: string, loss: PlacerLoss): void {
-	if (loss === 'frozen') {
-		const {timers} = test.daemons.find(({id}) => id === daemonId)!;
-		timers.pause();
-		test.timers.addTimer(freezeMs, () => {
-			timers.resume();
-		});
-		return;
+	switch (loss) {
+		case 'killed': {
+			test.kill(daemonId);
+			test.timers.addTimer(restartAfterMs, () => {
+				test.restart(daemonId);
+			});
+			break;
+		}
+
+		case 'frozen': {
+			const {timers} = test.daemons.find(({id}) => id === daemonId)!;
+			timers.pause();
+			test.timers.addTimer(freezeMs, () => {
+				timers.resume();
+			});
+			break;
+		}
+
+		case 'killed-with-all': {
+			for (const {id} of test.daemons.filter(({availabilityZone}) => availabilityZone === cutZone)) {
+				test.kill(id);
+			}
+		}
 	}
-
-	test.kill(daemonId);
-	test.timers.addTimer(restartAfterMs, () => {
-		test.restart(daemonId);
-	});
 }
 
 function disturbMessage(test: TestCluster, random: RandomSource, send: () => void): void {
--- a/packages/placement/src/jobs/placed-job.ts
+++ b/packages/placement/src/jobs/placed-job.ts
@@ -62,6 +62,8 @@
 	handovers: readonly HandoverSource[];
 	/** When the search for runs of an earlier placer ends; undefined if there is no search. */
 	recoveryDeadlineMs: number | undefined;
+	/** Whether an entry daemon that is not heard any more has waited for the job: it may have handed the job over to another placer. */
+	mayBeElsewhere: boolean;
 	/** Whether the job reached the placer as new, and waits because an earlier placer may be running it. */
 	isHeld: boolean;
 };
--- a/packages/placement/src/placer/job-intake.ts
+++ b/packages/placement/src/placer/job-intake.ts
@@ -57,6 +57,7 @@
 			serverIds: [],
 			handovers: handover === undefined ? [] : [{...handover, entryId}],
 			recoveryDeadlineMs: mayHaveStarted ? timers.getNowMs() + recoveryMs : undefined,
+			mayBeElsewhere: false,
 			isHeld: false,
 		};
 	}
--- a/packages/placement/src/placer/submitted-jobs.ts
+++ b/packages/placement/src/placer/submitted-jobs.ts
@@ -170,7 +170,11 @@
 			return abandoned.length;
 		},
 		endJobsOfEntry(entryId, currentIncarnation) {
-			const abandoned = findAbandonedJobs(job => job.waiting.removeEntry(entryId, currentIncarnation));
+			const abandoned = findAbandonedJobs(job => {
+				const wasWaiting = job.waiting.removeEntry(entryId, currentIncarnation);
+				job.mayBeElsewhere ||= wasWaiting && currentIncarnation === undefined;
+				return wasWaiting;
+			});
 			for (const job of abandoned) {
 				if (job.hasStarted) {
 					endJob(job, {outcome: 'unknown'});
--- a/packages/placement/src/placer/task-ends.ts
+++ b/packages/placement/src/placer/task-ends.ts
@@ -61,11 +61,27 @@
 			case 'stopped':
 			case 'lapsed':
 			case 'not-started':
-			case 'unlisted':
-			case 'lost': {
+			case 'unlisted': {
 				recordRepeated(task, session!, end);
 				break;
 			}
+
+			case 'lost': {
+				handleLostRun(job, task, session!);
+				break;
+			}
+		}
+	}
+
+	/**
+	 * Starts a lost task again, unless another placer may have adopted its run: behind the cut of an availability zone, one is handed the
+	 * jobs of the entry daemons there, and keeps the runs alive that it can reach.
+	 */
+	function handleLostRun(job: PlacedJob, task: PlacedTask, session: BackendSession): void {
+		if (job.mayBeElsewhere) {
+			onJobEnd(job, {outcome: 'unknown'});
+		} else {
+			recordRepeated(task, session, 'lost');
 		}
 	}
 
