Split the starts of tasks and the handovers out of two large files

create-placer.ts (419 lines) and job-submitter.ts (410) had grown beyond what one reads at once. task-starts.ts decides where the tasks of a job start and starts them, job-handovers.ts tells a placer where to look for earlier runs.

--- a/packages/cluster/src/entry/job-submitter.ts
+++ b/packages/cluster/src/entry/job-submitter.ts
@@ -1,15 +1,14 @@
 import type {
 	EventLog, MetricSink, RandomSource, TimerService,
 } from '@camphortack/core';
-import type {
-	JobHandover, JobOutcome, PlacementMessage,
-} from '@camphortack/placement';
+import type {JobOutcome, PlacementMessage} from '@camphortack/placement';
 import {evacuationSettleMs, openJobsIntervalMs, placerWaitTimeoutMs} from '../cluster-timings.js';
 import {isNewerView, isSameView, type PlacerView} from '../election/placer-view.js';
 import type {ServerRecords} from '../records/server-records.js';
 import type {ShardMap} from '../shards/shard-map.js';
 import {createJobCancellations} from './job-cancellations.js';
 import {createJobForwarding} from './job-forwarding.js';
+import {createJobHandovers} from './job-handovers.js';
 import {createJobSubmissions, type SubmittedPlacers} from './job-submissions.js';
 import {createLeftJobs} from './left-jobs.js';
 import {createOpenJobLists} from './open-job-lists.js';
@@ -75,8 +74,6 @@
 	sendToPlacer: (shard: string, message: PlacementMessage) => boolean;
 };
 
-type EarlierPlacer = JobHandover['placers'][number];
-
 /** Less than the time for which a placer keeps results. */
 const maxRepetitionAgeMs = 10_000;
 const noPlacers: SubmittedPlacers = {placers: [], recorded: []};
@@ -93,6 +90,7 @@
 	const leftJobs = createLeftJobs(timers);
 	const cancellations = createJobCancellations(timers);
 	const forwarding = createJobForwarding({...options, sendJob});
+	const handovers = createJobHandovers(options);
 	/** The number of the last submission or list of open jobs. */
 	let sequence = 0;
 	/** When the callers get no more answers; undefined unless this daemon is being stopped and the time is limited. */
@@ -188,23 +186,10 @@
 			term: view.term,
 			generation,
 			mayHaveStarted,
-			handover: mayHaveStarted ? getHandover(open, earlier) : undefined,
+			handover: mayHaveStarted ? handovers.getHandover(open.shard, earlier) : undefined,
 		});
 	}
 
-	function getHandover({shard}: OpenJob, {placers, recorded}: SubmittedPlacers): JobHandover {
-		return {
-			placers: placers.map(placer => addSilence(placer)), registryDigest: options.getRegistryDigest(), recordDigest: records.findDigest(shard, recorded),
-		};
-	}
-
-	/** Adds for how long an earlier placer has not been heard, unless another incarnation has been since. */
-	function addSilence(placer: EarlierPlacer): EarlierPlacer {
-		const silenceMs = options.getSilenceMs(placer.placerId);
-		const isHeard = options.getIncarnation(placer.placerId) === placer.incarnation && Number.isFinite(silenceMs);
-		return isHeard ? {...placer, silenceMs: Math.round(silenceMs)} : placer;
-	}
-
 	/** Tells the current placer, which looks for runs of earlier ones, if it turns out that none of these has started the job. */
 	function handleNotBegun(open: OpenJob, view: PlacerView): void {
 		if (open.submissions.removeNotBegun(view) && isSubmitted(open) && open.submissions.isOnly(open.submittedTo!)) {
--- a/packages/placement/src/placer/create-placer.ts
+++ b/packages/placement/src/placer/create-placer.ts
@@ -1,9 +1,7 @@
 import {
 	addToList, type EventLog, type MetricSink, type RandomSource, type TimerService,
 } from '@camphortack/core';
-import {
-	getStartableTasks, isDone, isUnstarted, type PlacedJob, type PlacedTask,
-} from '../jobs/placed-job.js';
+import {isUnstarted, type PlacedJob} from '../jobs/placed-job.js';
 import {createCrashMonitor} from '../crashes/crash-monitor.js';
 import type {CrashRecord} from '../crashes/crash-record.js';
 import type {CrashRegister} from '../crashes/crash-register.js';
@@ -13,9 +11,7 @@
 import {createStartWindow} from '../lag/create-start-window.js';
 import {getJobId} from '../jobs/task-name.js';
 import type {JobOutcome, RefusalReason} from '../messages/job-outcome.js';
-import type {PlacementMessageOf} from '../messages/placement-messages.js';
 import type {BackendServerDescription} from '../servers/backend-server-description.js';
-import {hasOldReport} from '../servers/has-old-report.js';
 import type {BackendServerClient} from '../ports/backend-server-client.js';
 import type {EarlierJobs} from '../ports/earlier-jobs.js';
 import type {EarlierServers} from '../ports/earlier-servers.js';
@@ -33,21 +29,18 @@
 import {createNewJobHold} from './new-job-hold.js';
 import {createLeavingEntries} from './leaving-entries.js';
 import type {Placer} from './placer.js';
-import type {Allocation, CapacityTable} from './capacity-table.js';
 import {createJobGroups} from './job-groups.js';
-import {recordDistance} from './record-distance.js';
 import {createRetryTimes} from './create-retry-times.js';
 import {createRunExpectations} from './run-expectations.js';
-import {createServerPool, type PooledServer} from './server-pool.js';
+import {createServerPool} from './server-pool.js';
 import {createSlowRunDetector} from './slow-run-detector.js';
 import {createStartExclusions} from './start-exclusions.js';
 import {createSubmittedJobs} from './submitted-jobs.js';
 import {createTakeoverLog} from './takeover-log.js';
 import {createTaskEnds} from './task-ends.js';
+import {createTaskStarts, type DeferredStart} from './task-starts.js';
 import {createUnservableJobs} from './unservable-jobs.js';
-import {
-	findRefusals, getWaitingJobs,
-} from './waiting-jobs.js';
+import {findRefusals, getWaitingJobs} from './waiting-jobs.js';
 
 export type PlacerOptions = {
 	term: number;
@@ -79,9 +72,6 @@
 /** The wait to announce to callers of a queue that has no backend servers until a crashed one is back. */
 const suspendedWaitMs = 3000;
 
-/** Offers far places to a task, after all tasks of the pass have been offered near ones. */
-type DeferredStart = () => void;
-
 /**
  * Creates the placer of a term. It claims each backend server before it uses it, so that it knows exactly which tasks run
  * there, whatever an earlier placer did.
@@ -143,7 +133,7 @@
 		},
 	});
 	const quarantine = createQueueQuarantine({
-		...options, jobTable, pool, getUsableServers,
+		...options, jobTable, pool, getUsableServers: service => taskStarts.getUsableServers(service),
 	});
 	const getRetryAfterMs = createRetryTimes({...options, pool});
 	const takeoverLog = createTakeoverLog({...options, getKnowledge: pool.getKnowledge});
@@ -189,7 +179,7 @@
 		timers, events, metrics, jobTable, pool, remoteRunFactor, ...expectations,
 	});
 	const groups = createJobGroups({
-		timers, quarantine, movedRuns, remoteRunFactor, findExpectedEndMs, getUsableServers, getAvoidedServerIds: exclusions.getAvoidedServerIds,
+		timers, quarantine, movedRuns, remoteRunFactor, findExpectedEndMs, getUsableServers: service => taskStarts.getUsableServers(service), getAvoidedServerIds: exclusions.getAvoidedServerIds,
 	});
 	const slowRunDetector = createSlowRunDetector({
 		timers, events, metrics, jobTable, pool, getRunFactor,
@@ -197,6 +187,9 @@
 	const submittedJobs = createSubmittedJobs({
 		...options, jobTable, jobLog, intake, recovery, schedulePass, refuse, endJob, stopRuns,
 	});
+	const taskStarts = createTaskStarts({
+		...options, pool, recovery, evacuatedJobs, trialRuns, startWindow, sizeShares, takeoverLog, onJobEnd: endJob,
+	});
 	const taskEnds = createTaskEnds({
 		timers, events, metrics, pool, intake, getRunFactor, onJobEnd: endJob,
 	});
@@ -224,7 +217,7 @@
 		const deferred: DeferredStart[] = [];
 		for (const {job} of waiting) {
 			if (!job.isEnded) {
-				placeJob(job, tables.get(groups.getGroup(job).key)!, deferred);
+				taskStarts.startTasks(job, tables.get(groups.getGroup(job).key)!, deferred);
 			}
 		}
 
@@ -252,74 +245,6 @@
 		endJob(job, {outcome: 'refused', reason, retryAfterMs: getRetryAfterMs({job, reason, waitMs})});
 	}
 
-	function placeJob(job: PlacedJob, table: CapacityTable, deferred: DeferredStart[]): void {
-		for (const task of getStartableTasks(job)) {
-			if (recovery.adoptEarlierRun(task)) {
-				job.hasStarted = true;
-			} else if (startTaskIfPossible(job, task, table) === 'deferred') {
-				deferred.push(() => {
-					table.permitFarRuns();
-					startTaskIfPossible(job, task, table);
-				});
-			}
-		}
-
-		if (isDone(job)) {
-			endJob(job, {outcome: 'completed'});
-		}
-	}
-
-	function startTaskIfPossible(job: PlacedJob, task: PlacedTask, table: CapacityTable): Allocation['outcome'] {
-		// A run of an earlier submission of the same job may still be stopping.
-		const isStartable = pool.findRun(task.name) === undefined && options.crashRegister.getVerdict(task.name) === 'startable';
-		const allocation: Allocation = isStartable && trialRuns.mayStart(task) && startWindow.isOpen() ? table.allocate(job, task) : {outcome: 'none'};
-		if (allocation.outcome === 'server') {
-			recordDistance(metrics, task, {isFar: allocation.isFar, nowMs: timers.getNowMs()});
-			startTask(job, task, allocation.server);
-			if (trialRuns.isOnTrial(task.name)) {
-				table.excludeServer(allocation.server.session.getDescription().id);
-				task.trialWaitSinceMs = undefined;
-			}
-		} else if (allocation.outcome === 'wait' && task.nearWaitSinceMs === undefined) {
-			task.nearWaitSinceMs = timers.getNowMs();
-			metrics.increment('near-wait');
-		} else if (isStartable && table.hasRoom(task) && trialRuns.isOnTrial(task.name)) {
-			task.trialWaitSinceMs ??= timers.getNowMs();
-		}
-
-		return allocation.outcome;
-	}
-
-	function getUsableServers(service: string): PooledServer[] {
-		return [...pool.getServers()].filter(server => server.session.getState() === 'held' && mayStartOn(server, service));
-	}
-
-	function mayStartOn({session}: PooledServer, service: string): boolean {
-		const description = session.getDescription();
-		const isReady = description.state === 'ready' && !hasOldReport(description) && !trialRuns.isReserved(description.id);
-		return description.service === service && isReady && !evacuatedJobs.isEvacuated(description.availabilityZone);
-	}
-
-	function startTask(job: PlacedJob, task: PlacedTask, {session}: PooledServer): void {
-		task.state = 'running';
-		task.session = session;
-		task.runNumber++;
-		task.isAdopted = false;
-		task.startedAtMs = timers.getNowMs();
-		if (!job.hasStarted) {
-			sizeShares.addStart(job.request.queueName, job.relativeWork, job.sizePlace);
-		}
-
-		job.hasStarted = true;
-		job.serverIds.push(session.getDescription().id);
-		metrics.increment('task-started');
-		takeoverLog.handleStart();
-		trialRuns.addStart(task.name, session.getDescription().id);
-		session.start({
-			taskName: task.name, runNumber: task.runNumber, payload: job.request.payload, needs: task.needs,
-		});
-	}
-
 	function handleRunEnd(session: BackendSession, run: Run, end: RunEnd): void {
 		if (end === 'lost') {
 			crashMonitor.handleLostRun(session, run);
