Wait for the leases of earlier placers that were granted before a claim

What callers would see: a task runs twice, together for up to about 0.2 s at a takeover.

Cause: the session counts the runs of a silent backend server as over when the last lease that it has sent is over. Since it sends none while it does not know each run, so it counted from its claim, while a lease of the placer before could last for 1 s.

Change: an accepted claim counts as a lease from then on, since only placers before it can have granted one, and the backend server shortens each to 1 s.

Measured: successor-placer.test, a known and an unknown run on a backend server that stops responding just after the claim: the known task was started again beside its first run before the change, and after the end of that now.

--- a/packages/placement/src/sessions/create-backend-session.ts
+++ b/packages/placement/src/sessions/create-backend-session.ts
@@ -231,6 +231,8 @@
 		isVerifying = false;
 		isCrashSuspected = false;
 		clock.addReading(response.clockMs, timers.getNowMs());
+		// An earlier placer may have granted a lease until now, while this one grants none as long as it does not know each run.
+		clock.addLease(response.clockMs + leaseMs);
 		runTable.addEnds(response.endedRuns);
 		runTable.reconcile(response.activeRuns, response.clockMs);
 		resendStops();
--- a/packages/placement/test/placer/successor-placer.test.ts
+++ b/packages/placement/test/placer/successor-placer.test.ts
@@ -310,4 +310,26 @@
 		assert.deepEqual(results.get('job'), {outcome: 'completed'});
 		assert.deepEqual(fleet.findOverlaps(), []);
 	});
+
+	// Guards against a placer that counts a run as over which has a lease of its predecessor, since it has granted none itself.
+	it('does not start a task again whose backend server stops responding just after the claim, while the lease of its predecessor lasts', async () => {
+		const {timers, fleet, submit, placer, results, createSuccessor} = createTestPlacer({getDurationMs: () => 2000});
+		const request = {jobId: 'job', callerTimeoutMs: 9000, slackMs: 9000, steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 2000}]};
+		await runFor(timers, 10);
+		submit(request);
+		submit({...request, jobId: 'unknown'});
+		await runFor(timers, 100);
+		const {serverId} = fleet.records[0]!;
+		assert.equal(fleet.records[1]!.serverId, serverId, 'a run that the successor does not know keeps it from a lease');
+		const successor = createSuccessor(2, 'second');
+		successor.setServers(fleet.getDescriptions(), 0);
+		await runFor(timers, 1.5);
+		fleet.servers.find(({description}) => description.id === serverId)!.fault = {isUnreachableFrom: () => true};
+		placer.stop();
+		resubmit(successor, {...request, ageMs: 100}, getHandover('first'));
+		await runFor(timers, 6000, 1);
+		assert.deepEqual(fleet.findOverlaps(), []);
+		assert.deepEqual(fleet.records.map(({outcome}) => outcome), ['lapsed', 'lapsed', 'done']);
+		assert.deepEqual(results.get('job'), {outcome: 'completed'});
+	});
 });
