--- a/packages/placement/test/placer/successor-placer.test.ts
+++ b/packages/placement/test/placer/successor-placer.test.ts
@@ -314,7 +314,9 @@
 	// Guards against a placer that counts a run as over which has a lease of its predecessor, since it has granted none itself.
 	it('does not start a task again whose backend server stops responding just after the claim, while the lease of its predecessor lasts', async () => {
 		const {timers, fleet, submit, placer, results, createSuccessor} = createTestPlacer({getDurationMs: () => 2000});
-		const request = {jobId: 'job', callerTimeoutMs: 9000, slackMs: 9000, steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 2000}]};
+		const request = {
+			jobId: 'job', callerTimeoutMs: 9000, slackMs: 9000, steps: [{...defaultRequest.steps[0]!, taskCount: 1, estimateMs: 2000}],
+		};
 		await runFor(timers, 10);
 		submit(request);
 		submit({...request, jobId: 'unknown'});
