Handle signals of the daemon from before its start

Callers saw: a connection that a starting daemon had accepted was reset without an answer, if SIGTERM or SIGINT came before its start had ended.

Cause: the handlers were installed after `await startDaemon()` and after the line with the addresses, on which a client connects. Until then a signal ends the process.

Change: the handlers are installed before the start and wait for its end. A start or stop that fails is reported by the command only, no longer as a failed request as well.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,7 +4,7 @@
 import {CamphortackError} from '@camphortack/core';
 import {Cli, Command, Option} from 'clipanion';
 import {DebugEventLog} from './logs/debug-event-log.js';
-import {startDaemon} from './runtime/start-daemon.js';
+import {startDaemon, type Daemon} from './runtime/start-daemon.js';
 
 const version = '0.1.0';
 const failureExitCode = 1;
@@ -43,15 +43,10 @@
 
 	async #run(settings: Settings): Promise<number> {
 		try {
-			const daemon = await startDaemon(settings);
+			const starting = startDaemon(settings);
+			stopOnSignals(starting);
+			const daemon = await starting;
 			this.context.stdout.write(`${JSON.stringify(daemon.addresses)}\n`);
-			// Not only once: a further signal must not end the process before it has answered its callers.
-			process.on('SIGTERM', () => {
-				void daemon.stop();
-			});
-			process.once('SIGINT', () => {
-				void daemon.stop();
-			});
 			await daemon.stopped;
 			return 0;
 		} catch (error) {
@@ -61,6 +56,26 @@
 	}
 }
 
+/** Stops the daemon on a signal, also on one that arrives during the start, when callers can already have open requests. */
+function stopOnSignals(starting: Promise<Daemon>): void {
+	// Not only once: a further signal must not end the process before it has answered its callers.
+	process.on('SIGTERM', () => {
+		void stopWhenStarted(starting);
+	});
+	process.once('SIGINT', () => {
+		void stopWhenStarted(starting);
+	});
+}
+
+async function stopWhenStarted(starting: Promise<Daemon>): Promise<void> {
+	try {
+		const daemon = await starting;
+		await daemon.stop();
+	} catch {
+		// The command that started the daemon reports a failed start or stop.
+	}
+}
+
 /** Logs the rejection of a promise for which nothing waits. It is that of one request, so the others are still served; a failed write or stop rejects `stopped`. */
 function handleRejection(error: unknown): void {
 	new DebugEventLog().write('request-failed', {message: error instanceof Error ? error.stack ?? error.message : String(error)});
