Split the fake fleet of the placement tests

Cause: fake-fleet.ts had grown to 436 lines and held three things: the protocol of backend servers, the fleet with its faults, and the search for overlapping runs.

Change: fake-protocol.ts and find-overlaps.ts hold the first and the last; the fleet has 292 lines. No product code changed.

--- a/packages/placement/test/support/fake-fleet.ts
+++ b/packages/placement/test/support/fake-fleet.ts
@@ -1,9 +1,11 @@
 import type {TimerService} from '@camphortack/core';
 import {
-	BackendServerClient, type BackendServerDescription, type EndedRun, type StartStopResponse, type RequestTarget, type RenewResponse,
+	BackendServerClient, type BackendServerDescription, type StartStopResponse, type RequestTarget, type RenewResponse,
 	type RenewRequest, type StartRequest, type StopRequest, type UnansweredResponse,
 } from '../../src/index.js';
+import {createFakeProtocol} from './fake-protocol.js';
 import type {FakeServer, RunRecord} from './fake-server.js';
+import {findOverlaps} from './find-overlaps.js';
 
 export type FakeFleetOptions = {
 	timers: TimerService;
@@ -106,88 +108,20 @@
 		breakConnections: new Set(),
 	}));
 
+	const protocol = createFakeProtocol({
+		timers, records, getDurationMs, getRunFactor, stopMs, onStart: handleStart,
+	});
+
 	function getServer({serverId}: RequestTarget): FakeServer {
 		return servers.find(server => server.description.id === serverId)!;
 	}
 
-	function getClockMs(server: FakeServer): number {
-		return timers.getNowMs() - server.clockOriginMs;
-	}
-
-	function endRun(server: FakeServer, taskName: string, outcome: EndedRun['outcome']): void {
-		const run = server.runs.get(taskName);
-		if (run === undefined) {
-			return;
-		}
-
-		server.runs.delete(taskName);
-		run.record.endedAtMs = timers.getNowMs();
-		run.record.outcome = outcome;
-		server.endCount++;
-		server.ends.push({
-			endNumber: server.endCount, taskName, runNumber: run.record.runNumber, outcome,
-		});
-		for (const wake of server.pendingRenewals) {
-			wake();
-		}
-	}
-
-	function extendLease(server: FakeServer, leaseEndMs: number): void {
-		server.leaseEndMs = Math.max(server.leaseEndMs, Math.min(leaseEndMs, getClockMs(server) + 1000));
-		timers.addTimer(server.leaseEndMs - getClockMs(server) + 0.01, () => {
-			if (getClockMs(server) >= server.leaseEndMs) {
-				for (const taskName of server.runs.keys()) {
-					endRun(server, taskName, 'lapsed');
-				}
-			}
-		});
-	}
-
-	function start(server: FakeServer, request: StartRequest, daemonId: string): StartStopResponse {
-		const clockMs = getClockMs(server);
-		if (request.token < server.highestToken) {
-			return {outcome: 'rejected', reason: 'fenced', clockMs};
-		}
-
-		server.highestToken = request.token;
-		if (request.leaseEndMs <= clockMs) {
-			return {outcome: 'rejected', reason: 'lease-over', clockMs};
-		}
-
-		extendLease(server, request.leaseEndMs);
-		if (server.runs.get(request.taskName)?.record.runNumber === request.runNumber) {
-			return {outcome: 'accepted', clockMs};
-		}
-
-		if (request.runNumber <= (server.highestRuns.get(request.taskName) ?? 0)) {
-			return {outcome: 'rejected', reason: 'old-run', clockMs};
-		}
-
-		addRun(server, request, daemonId);
-		return {outcome: 'accepted', clockMs};
-	}
-
-	function addRun(server: FakeServer, {taskName, runNumber, payload, token}: StartRequest, daemonId: string): void {
-		const record: RunRecord = {
-			taskName, runNumber, serverId: server.description.id, startedAtMs: timers.getNowMs(), endedAtMs: undefined, outcome: undefined, daemonId, token,
-		};
-		const durationMs = getDurationMs(taskName, payload) * getRunFactor(taskName, server.description) * (server.fault.slowdownFactor ?? 1);
-		records.push(record);
-		server.runs.set(taskName, {record, durationMs});
-		server.highestRuns.set(taskName, runNumber);
+	function handleStart(server: FakeServer, record: RunRecord): void {
 		recordUsage(server);
-		if (options.isDeadly?.(taskName)) {
+		if (options.isDeadly?.(record.taskName)) {
 			timers.addTimer(crashDelayMs, () => {
-				if (server.runs.get(taskName)?.record === record) {
-					crashProcess(server, taskName);
-				}
-			});
-		}
-
-		if (Number.isFinite(durationMs)) {
-			timers.addTimer(durationMs, () => {
-				if (server.runs.get(taskName)?.record === record) {
-					endRun(server, taskName, server.fault.failsAllTasks ? 'failed' : 'done');
+				if (server.runs.get(record.taskName)?.record === record) {
+					crashProcess(server, record.taskName);
 				}
 			});
 		}
@@ -244,64 +178,6 @@
 		});
 	}
 
-	function stop(server: FakeServer, {taskName, runNumber, token}: StopRequest): StartStopResponse {
-		const clockMs = getClockMs(server);
-		if (token < server.highestToken) {
-			return {outcome: 'rejected', reason: 'fenced', clockMs};
-		}
-
-		server.highestToken = token;
-		server.highestRuns.set(taskName, Math.max(runNumber, server.highestRuns.get(taskName) ?? 0));
-		timers.addTimer(stopMs, () => {
-			if (server.runs.get(taskName)?.record.runNumber === runNumber) {
-				endRun(server, taskName, 'stopped');
-			}
-		});
-		return {outcome: 'accepted', clockMs};
-	}
-
-	function renew(server: FakeServer, request: RenewRequest, respond: (value: RenewResponse) => void): void {
-		if (request.token < server.highestToken) {
-			respond({outcome: 'rejected', reason: 'fenced'});
-			return;
-		}
-
-		server.highestToken = request.token;
-		server.ends = server.ends.filter(end => end.endNumber > request.acknowledgedEndNumber);
-		if (request.leaseEndMs !== undefined) {
-			extendLease(server, request.leaseEndMs);
-		}
-
-		if (request.waitMs === undefined || server.ends.length > 0) {
-			respond(getLists(server));
-			return;
-		}
-
-		const wake = () => {
-			server.pendingRenewals.delete(wake);
-			timer.cancel();
-			respond(getLists(server));
-		};
-
-		const timer = timers.addTimer(request.waitMs, wake);
-		server.pendingRenewals.add(wake);
-	}
-
-	function getLists(server: FakeServer): RenewResponse {
-		const nowMs = timers.getNowMs();
-		return {
-			outcome: 'accepted',
-			clockMs: getClockMs(server),
-			bornMs: server.description.bornMs,
-			activeRuns: [...server.runs.values()].map(({record, durationMs}) => ({
-				taskName: record.taskName,
-				runNumber: record.runNumber,
-				percent: Math.floor((nowMs - record.startedAtMs) / durationMs * 100),
-			})),
-			endedRuns: [...server.ends],
-		};
-	}
-
 	/**
 	 * Delivers a request and its response. If the backend server is unreachable or the request delayed, the call times
 	 * out.
@@ -355,10 +231,10 @@
 				options.onStartRequest?.(getServer(target), request.taskName);
 				return call<StartStopResponse>(daemonId, target, timeoutMs, (server, respond) => {
 					if (server.fault.startDelayMs === undefined) {
-						respond(start(server, request, daemonId));
+						respond(protocol.start(server, request, daemonId));
 					} else {
 						timers.addTimer(server.fault.startDelayMs, () => {
-							start(server, request, daemonId);
+							protocol.start(server, request, daemonId);
 						});
 					}
 				});
@@ -366,13 +242,13 @@
 
 			override async stop(target: RequestTarget, request: StopRequest, timeoutMs: number): Promise<StartStopResponse> {
 				return call<StartStopResponse>(daemonId, target, timeoutMs, (server, respond) => {
-					respond(stop(server, request));
+					respond(protocol.stop(server, request));
 				});
 			}
 
 			override async renew(target: RequestTarget, request: RenewRequest, timeoutMs: number): Promise<RenewResponse> {
 				return call<RenewResponse>(daemonId, target, timeoutMs, (server, respond) => {
-					renew(server, request, respond);
+					protocol.renew(server, request, respond);
 				});
 			}
 
@@ -414,23 +290,3 @@
 		getPeakUtilization: () => peakUtilization,
 	};
 }
-
-function findOverlaps(records: readonly RunRecord[], nowMs: number): Array<[RunRecord, RunRecord]> {
-	const overlaps: Array<[RunRecord, RunRecord]> = [];
-	const byTask = new Map<string, RunRecord[]>();
-	for (const record of records) {
-		byTask.set(record.taskName, [...(byTask.get(record.taskName) ?? []), record]);
-	}
-
-	for (const runs of byTask.values()) {
-		const sorted = runs.toSorted((left, right) => left.startedAtMs - right.startedAtMs);
-		for (const [position, run] of sorted.entries()) {
-			const next = sorted[position + 1];
-			if (next !== undefined && next.startedAtMs < (run.endedAtMs ?? nowMs)) {
-				overlaps.push([run, next]);
-			}
-		}
-	}
-
-	return overlaps;
-}
