--- a/packages/dispatch/src/dispatcher/create-dispatcher.ts
+++ b/packages/dispatch/src/dispatcher/create-dispatcher.ts
@@ -13,12 +13,13 @@
 import {createJobTable} from '../jobs/job-table.js';
 import type {OpenJob, OpenTask} from '../jobs/open-job.js';
 import {createOverrunMonitor} from '../limits/overrun-monitor.js';
-import type {DispatchMessage, PoolLoad} from '../messages/dispatch-messages.js';
+import type {DispatchMessage} from '../messages/dispatch-messages.js';
 import {createHeartbeatMonitor} from '../peers/heartbeat-monitor.js';
 import {createPartnerTable} from '../peers/partner-table.js';
 import {createMessageRouter} from '../peers/message-router.js';
 import {createPeerInbox} from '../peers/peer-inbox.js';
 import {createBalancer} from '../placement/balancer.js';
+import {createPoolLoads} from '../placement/pool-loads.js';
 import {createTaskRouter} from '../placement/task-router.js';
 import {createPlacer} from '../placement/placer.js';
 import {createTaskQueues} from '../queues/task-queues.js';
@@ -38,7 +39,6 @@
 const hedgeCheckIntervalMs = 50;
 /** A disconnected daemon may use a backend server for this long after its last announcement to this daemon. */
 const directAnnouncementValidityMs = 2900;
-const maxLoadsPerMessage = 16;
 /** The backend servers that a job may use here while the availability zone is closed. */
 const noServers = {getAll: () => []};
 
@@ -122,6 +122,9 @@
 			jobs.abort(job, {failure: 'limit'});
 		},
 	});
+	const {getLoad, getAllLoads} = createPoolLoads({
+		table, queues, areSlotsUsable: () => heartbeats.isConnected() && !isOwnZoneClosed(),
+	});
 	const heartbeats = createHeartbeatMonitor({
 		ownId, availabilityZone, leaseDurationMs, timers, metrics, send, getLoads: getAllLoads,
 	});
@@ -258,20 +261,6 @@
 		return isOwnZoneClosed() ? closure.canRunElsewhere(rules?.getPoolName(service, customer) ?? '') : members.length > 1;
 	}
 
-	function getLoad(pool: string): PoolLoad {
-		const isUsable = heartbeats.isConnected() && !isOwnZoneClosed();
-		return {
-			pool,
-			slots: isUsable ? table.getSlotCount(pool) : 0,
-			freeSlots: isUsable ? table.getFreeSlotCount(pool) : 0,
-			queuedTasks: queues.getTaskCount(pool),
-		};
-	}
-
-	function getAllLoads(): PoolLoad[] {
-		return table.getPools().slice(0, maxLoadsPerMessage).map(pool => getLoad(pool));
-	}
-
 	function placeOnServer(server: BackendServerRecord): void {
 		for (const pool of server.pools) {
 			placer.placePool(pool);
